--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! The decisions of a quota-keeping gateway. [`rules`] decides, [`types`] holds the plain values
+//! that go in and out. A front (the drill's line protocol today) keeps connections and timers.
+
+pub mod rules;
+pub mod types;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,914 @@
+//! All decisions of a limiter. A front asks three things of a [`Limiter`]: `place` (where to send this
+//! invocation, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long to
+//! wait: for a delivery until it is abandoned, for a held invocation until `place` is asked again). It
+//! passes on what it observes through `roster`, `counted`, `gone`, `roster_lost` and `tick`, and after
+//! each call carries out what `next_act` yields. The interface, all plain values, is in `types.rs`.
+//!
+//! The ordinary path is `place`: a lease on the customer's quota, then a place at a server.
+
+use crate::types::*;
+use std::collections::{HashMap, VecDeque};
+
+/// A count's name covers half of the longest life that counters offer, so none is forgotten in use.
+const NAME_LIFE: f64 = 60.0;
+const WINDOW: f64 = NAME_LIFE / 2.0;
+/// Near the limit a grant is the headroom over the customer's gateways and this (the paper's factor).
+const SHRINK: f64 = 2.0;
+/// Share of the latency objective that a healthy answer stays within; places at a server shrink past it.
+const CALM: f64 = 0.5;
+/// Share of the latency objective that the line may hold an invocation.
+const LINE: f64 = 0.4;
+/// Share of recent deliveries ending late or turned away from which the limiter sees overload.
+const PRESSED: f64 = 0.2;
+/// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
+const SICK: f64 = 0.5;
+/// Weight of one new reading in the running figures.
+const NEWEST: f64 = 0.1;
+/// Deliveries beyond the first while there is no overload (the users' present system).
+const FURTHER: usize = 2;
+
+/// A permuted congruential generator (PCG-XSH-RR).
+struct Pcg(u64);
+
+impl Pcg {
+    fn unit(&mut self) -> f64 {
+        let x = self.0;
+        self.0 = x.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let word = (((x >> 18) ^ x) >> 27) as u32;
+        f64::from(word.rotate_right((x >> 59) as u32)) / 4294967296.0
+    }
+}
+
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a.wrapping_mul(0x9E3779B97F4A7C15) ^ b.wrapping_mul(0xD1B54A32D192ED03);
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58476D1CE4E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D049BB133111EB);
+    z ^ (z >> 31)
+}
+
+struct Operation {
+    effect: Effect,
+    objective: f64,
+    pays_late: bool,
+}
+
+/// What decisions use of a plan.
+struct Plan {
+    rate: f64,
+    burst: f64,
+    open: f64,
+    /// A lease's life, and the span over which demand is measured.
+    span: f64,
+    hard_rate: f64,
+    hard_burst: f64,
+    /// One beyond the quota earns more than it costs.
+    beyond_pays: bool,
+    /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
+    openness: f64,
+}
+
+/// One customer's books at this limiter.
+struct Account {
+    customer: u64,
+    plan: usize,
+    doors: f64,
+    demand: f64,
+    seen: f64,
+    lease: f64,
+    lapses: f64,
+    /// Units the counter held above the line that the rate allows, when last heard.
+    backlog: f64,
+    heard: f64,
+    window: i64,
+    /// Units let in without a lease, to be reported with the next add.
+    debt: f64,
+    asking: bool,
+    waiting: Vec<u64>,
+    /// The local share that stands in for a silent counter.
+    share: f64,
+    share_at: f64,
+    /// This limiter's part of the hard ceiling.
+    hard: f64,
+    hard_at: f64,
+    open: f64,
+}
+
+/// One add on its way; corrections ask for nothing.
+struct Call {
+    account: usize,
+    add: f64,
+    asked: f64,
+    carried: f64,
+    debt: f64,
+    window: i64,
+}
+
+/// Figures about servers, by dense index.
+#[derive(Default)]
+struct Servers {
+    known: Vec<bool>,
+    live: Vec<bool>,
+    zone: Vec<usize>,
+    cell: Vec<u64>,
+    /// Start of the present ramp from cold, if any.
+    cold_since: Vec<f64>,
+    came_up: Vec<f64>,
+    out: Vec<f64>,
+    places: Vec<f64>,
+    shrunk: Vec<f64>,
+    /// Recent answer time as a share of the latency objective.
+    slow: Vec<f64>,
+    bad: Vec<f64>,
+    /// Earliest time since which something is out there with no answer of any kind.
+    quiet_since: Vec<f64>,
+    rest_until: Vec<f64>,
+    rest: Vec<f64>,
+    on_trial: Vec<bool>,
+    paced_until: Vec<f64>,
+}
+
+pub struct Limiter {
+    operations: Vec<Operation>,
+    plans: Vec<Plan>,
+    fleet: u32,
+    zone: usize,
+    counter: bool,
+    count_wait: f64,
+    max_pause: f64,
+    most_deliveries: usize,
+    cold_from: f64,
+    cold_for: f64,
+    slack: f64,
+    watch: bool,
+    /// The shortest latency objective, the unit for health.
+    objective: f64,
+    born: f64,
+    rng: Pcg,
+    servers: Servers,
+    by_customer: HashMap<u64, usize>,
+    accounts: Vec<Account>,
+    hand: usize,
+    calls: HashMap<u64, VecDeque<Call>>,
+    failures: u32,
+    retest: f64,
+    line: VecDeque<u64>,
+    pressure: f64,
+    fleet_bad: f64,
+    fleet_slow: f64,
+    sends: f64,
+    ends: f64,
+    flow_at: f64,
+    acts: VecDeque<Act>,
+}
+
+impl Limiter {
+    pub fn new(s: &Settings, now: f64) -> Self {
+        let plans = s.plans.iter().map(|p| Plan {
+            rate: p.rate,
+            burst: p.burst,
+            open: p.open,
+            span: if p.rate > 0.0 { (p.burst / p.rate).max(1e-3) } else { WINDOW },
+            hard_rate: p.hard_rate,
+            hard_burst: p.hard_burst,
+            beyond_pays: p.over_worth > p.beyond_costs,
+            openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
+        });
+        let operations = s.operations.iter().map(|o| Operation {
+            effect: o.effect,
+            objective: o.objective.min(o.integration_timeout),
+            pays_late: o.late_share > 0.0,
+        });
+        let operations: Vec<Operation> = operations.collect();
+        let objective = operations.iter().map(|o| o.objective).fold(f64::INFINITY, f64::min);
+        let mut limiter = Limiter {
+            plans: plans.collect(),
+            fleet: s.fleet.max(1),
+            zone: s.zone,
+            counter: s.counter,
+            count_wait: s.count_wait,
+            max_pause: s.max_pause,
+            most_deliveries: s.most_deliveries.max(1) as usize,
+            cold_from: s.cold_from.clamp(0.01, 1.0),
+            cold_for: s.cold_for.max(1e-3),
+            slack: s.answer_slack,
+            watch: s.ask_roster,
+            objective: if objective.is_finite() { objective.max(1e-3) } else { 1.0 },
+            operations,
+            born: now,
+            rng: Pcg(mix(s.seed, 1)),
+            servers: Servers::default(),
+            by_customer: HashMap::new(),
+            accounts: Vec::new(),
+            hand: 0,
+            calls: HashMap::new(),
+            failures: 0,
+            retest: 0.0,
+            line: VecDeque::new(),
+            pressure: 0.0,
+            fleet_bad: 0.0,
+            fleet_slow: CALM / 2.0,
+            sends: 0.0,
+            ends: 0.0,
+            flow_at: now,
+            acts: VecDeque::new(),
+        };
+        if limiter.watch {
+            limiter.acts.push_back(Act::WatchRoster);
+        }
+        limiter
+    }
+
+    pub fn next_act(&mut self) -> Option<Act> {
+        self.acts.pop_front()
+    }
+
+    // ---- The three calls ----
+
+    /// Where to send this invocation: the ordinary path, top to bottom.
+    pub fn place(&mut self, inv: &mut Invocation, now: f64) -> Answer {
+        if matches!(inv.stage, Stage::Out | Stage::Done) {
+            return if inv.stage == Stage::Done { Answer::Done } else { Answer::Hold };
+        }
+        let fresh = inv.stage == Stage::New;
+        let a = self.account(inv, now);
+        if fresh {
+            let span = self.plans[inv.plan].span;
+            let account = &mut self.accounts[a];
+            account.demand = account.demand * (-(now - account.seen) / span).exp() + inv.units;
+            account.seen = now;
+        }
+        if now >= self.give_up(inv) {
+            return self.refuse(inv, self.objective, now);
+        }
+        // Over the hard ceiling nothing else matters: no lease, no place.
+        if !inv.drawn && self.ceiling(a, now) < inv.units {
+            let short = (inv.units - self.accounts[a].hard) / self.hard_rate(a);
+            return self.refuse(inv, short, now);
+        }
+        if !inv.paid && !inv.beyond {
+            // Admit from the lease while its units cover the invocation; refill it when they do not.
+            let open = self.open_share(inv);
+            let account = &mut self.accounts[a];
+            let plan = &self.plans[inv.plan];
+            if plan.open > 0.0 && account.open >= open {
+                return self.beyond(inv, self.objective, now);
+            }
+            if plan.rate > 0.0 {
+                if now >= account.lapses {
+                    account.lease = 0.0;
+                }
+                if account.lease + 1e-6 < inv.units {
+                    if account.asking {
+                        if !account.waiting.contains(&inv.num) {
+                            account.waiting.push(inv.num);
+                        }
+                        inv.stage = Stage::Quota;
+                        return Answer::Hold;
+                    }
+                    let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
+                    if account.heard > 0.0 && room < inv.units {
+                        return self.beyond(inv, (inv.units - room) / plan.rate, now);
+                    }
+                    if self.counter_open(now) {
+                        self.refill(a, inv.units, now);
+                        self.accounts[a].waiting.push(inv.num);
+                        inv.stage = Stage::Quota;
+                        return Answer::Hold;
+                    }
+                    if !self.local_share(a, inv.units, now) {
+                        return self.beyond(inv, self.max_pause, now);
+                    }
+                }
+                self.accounts[a].lease -= inv.units;
+            }
+            inv.paid = true;
+        }
+        // In line for a place at a server; a line too long to clear in time is refused at once.
+        if inv.stage != Stage::Line {
+            inv.stage = Stage::Line;
+            let clears = self.line.len() as f64 / self.per_second(self.ends, now).max(1.0);
+            if clears > self.line_span(inv) {
+                return self.refuse(inv, clears, now);
+            }
+            if !self.line.is_empty() {
+                self.line.push_back(inv.num);
+                return Answer::Hold;
+            }
+            self.line.push_back(inv.num);
+        }
+        match self.pick(inv, now) {
+            Some(tgt) => self.send(inv, tgt, now),
+            None => Answer::Hold,
+        }
+    }
+
+    /// What to do after this outcome.
+    pub fn after(&mut self, inv: &mut Invocation, outcome: &Outcome, now: f64) -> Answer {
+        let Some(&(tgt, at)) = inv.sent.get(outcome.n) else {
+            return if inv.stage == Stage::Done { Answer::Done } else { Answer::Hold };
+        };
+        inv.out = inv.out.saturating_sub(1);
+        self.learn(tgt, inv, outcome, at, now);
+        self.ask_front();
+        if !outcome.ending.never_ran() && inv.may_have_run.is_none_or(|n| outcome.n < n) {
+            inv.may_have_run = Some(outcome.n);
+        }
+        if let Some(&a) = self.by_customer.get(&inv.customer) {
+            let account = &mut self.accounts[a];
+            account.open = (account.open - 1.0).max(0.0);
+            if let (Some(units), true) = (outcome.settled, inv.paid) {
+                account.debt += units - inv.units;
+            }
+        }
+        if outcome.done || inv.stage == Stage::Done {
+            return self.finish(inv, Answer::Done);
+        }
+        if inv.out > 0 {
+            return Answer::Hold;
+        }
+        // Another delivery only where it is allowed, can still earn, and adds nothing to an overload.
+        let calm = self.pressure < PRESSED;
+        let left = inv.sent.len() < self.most_deliveries && (calm && inv.sent.len() <= FURTHER);
+        if left && outcome.ending != Ending::Moot && now < self.give_up(inv) && self.resendable(inv, now) {
+            inv.stage = Stage::Line;
+            if let Some(tgt) = self.pick(inv, now) {
+                return self.send(inv, tgt, now);
+            }
+            self.line.push_front(inv.num);
+            return Answer::Hold;
+        }
+        if inv.may_have_run.is_none() {
+            return self.refuse(inv, self.objective, now);
+        }
+        self.finish(inv, Answer::Error)
+    }
+
+    /// How long to wait: for a delivery until it is abandoned, for a held one until it is asked again.
+    pub fn wait(&self, inv: &Invocation, now: f64) -> f64 {
+        match inv.stage {
+            Stage::Out => (inv.limit - now).max(0.0),
+            Stage::Quota => (self.count_wait * 2.0).min((self.give_up(inv) - now).max(0.0)),
+            _ => (self.objective * NEWEST).min((self.give_up(inv) - now).max(0.0)),
+        }
+    }
+
+    // ---- Leases on the shared counter ----
+
+    /// One add to the customer's window name, sized to local demand and shrunk near the limit.
+    fn refill(&mut self, a: usize, units: f64, now: f64) {
+        let account = &mut self.accounts[a];
+        let plan = &self.plans[account.plan];
+        let window = window_of(account.customer, now);
+        let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
+        let room = plan.burst - backlog;
+        let want = account.demand.max(units).min(plan.burst.max(units));
+        let asked = if want * account.doors > room {
+            want.min((room / account.doors / SHRINK).max(units))
+        } else {
+            want
+        };
+        // A new name starts at nothing: the backlog known here goes over with the first add.
+        let carried = if account.window == window { 0.0 } else { backlog };
+        account.lease = 0.0;
+        account.asking = true;
+        let debt = account.debt;
+        account.debt = 0.0;
+        self.count(Call { account: a, add: asked + carried + debt, asked, carried, debt, window });
+    }
+
+    fn count(&mut self, call: Call) {
+        let name = mix(self.accounts[call.account].customer, call.window as u64) >> 1;
+        self.acts.push_back(Act::Count { name, add: call.add, life: NAME_LIFE });
+        self.calls.entry(name).or_default().push_back(call);
+    }
+
+    /// The counter's answer. The name holds units let in since the window began; what stands above the
+    /// line of the rate is backlog, and the burst is the most that it may be.
+    pub fn counted(&mut self, name: u64, counted: Counted, now: f64) {
+        let Some(queue) = self.calls.get_mut(&name) else { return };
+        let Some(call) = queue.pop_front() else { return };
+        if queue.is_empty() {
+            self.calls.remove(&name);
+        }
+        let a = call.account;
+        let Counted::Total(total) = counted else {
+            // A refused add did not count, a silent one may have: it stays on the books as spent.
+            self.failures += 1;
+            let wait = (self.count_wait * f64::from(1u32 << self.failures.min(5))).min(1.0);
+            self.retest = now + wait * (0.75 + self.rng.unit() / 2.0);
+            if call.asked > 0.0 {
+                let account = &mut self.accounts[a];
+                account.asking = false;
+                if counted == Counted::Refused {
+                    account.debt += call.debt;
+                }
+                self.wake(a);
+            }
+            return;
+        };
+        self.failures = 0;
+        if call.asked <= 0.0 {
+            return;
+        }
+        let account = &mut self.accounts[a];
+        let plan = &self.plans[account.plan];
+        let line = plan.rate * (now - window_start(account.customer, call.window));
+        let before = total - call.add;
+        // Guards against an emptied counter: a total far under the last one heard lost its units, so
+        // what is known here is put back. Gives a peer's large return back too late by one span at worst.
+        let known = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
+        let forgot = account.window == call.window && before - line < known - plan.burst;
+        let floor = if forgot { known } else { call.carried };
+        // An idle customer's store holds the burst at most: under the line, the rest is written off, as
+        // soon as demand could use it.
+        let base = (before - line).max(floor);
+        let room = plan.burst - base - call.debt;
+        let least = account.demand.min(call.asked).max(0.0);
+        let mut grant = call.asked;
+        if grant * account.doors > room {
+            grant = grant.min((room / account.doors / SHRINK).max(least.min(room)).max(0.0));
+        }
+        let first = account.waiting.len();
+        if grant < call.asked && first == 0 {
+            grant = 0.0;
+        }
+        let target = line + base + call.debt + grant;
+        let off = target - total;
+        let hot = account.demand * account.doors > plan.burst / 2.0;
+        account.window = call.window;
+        account.heard = now;
+        account.lease = grant.max(0.0);
+        account.lapses = now + plan.span;
+        account.asking = false;
+        let correct = off < -0.5 || (off > 0.5 && (hot || floor > 0.0));
+        account.backlog = if correct { target } else { total } - line;
+        if correct {
+            self.count(Call {
+                account: a,
+                add: off,
+                asked: 0.0,
+                carried: 0.0,
+                debt: 0.0,
+                window: call.window,
+            });
+        }
+        self.wake(a);
+    }
+
+    fn wake(&mut self, a: usize) {
+        for num in std::mem::take(&mut self.accounts[a].waiting) {
+            self.acts.push_back(Act::Ask(num));
+        }
+    }
+
+    /// Guards against a counter that is silent, refusing or crowded: after failures in a row one call in
+    /// a while is let out as a test. Hurts when single calls fail by chance, for a few waits at most.
+    fn counter_open(&mut self, now: f64) -> bool {
+        if !self.counter {
+            return false;
+        }
+        if self.failures > 0 && now < self.retest {
+            return false;
+        }
+        if self.failures > 0 {
+            self.retest = now + self.count_wait * 2.0;
+        }
+        true
+    }
+
+    /// While the counter is silent each limiter admits its share of the quota, opened as far as the
+    /// plan's price of an excess allows. What it lets in is owed to the counter.
+    fn local_share(&mut self, a: usize, units: f64, now: f64) -> bool {
+        let account = &mut self.accounts[a];
+        let plan = &self.plans[account.plan];
+        let part = (plan.openness / account.doors).min(1.0);
+        let most = (plan.burst * part).max(units);
+        let since = now - account.share_at;
+        if since > plan.span {
+            let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
+            account.share = (room * part).max(0.0);
+        } else {
+            account.share = (account.share + since * plan.rate * part).min(most);
+        }
+        account.share_at = now;
+        if account.share + 1e-9 < units {
+            return false;
+        }
+        account.share -= units;
+        account.debt = (account.debt + units).min(plan.burst);
+        account.lease = units;
+        account.lapses = now + plan.span;
+        true
+    }
+
+    /// Deliveries that this limiter may have out for a customer: an even part of the plan's limit.
+    fn open_share(&self, inv: &Invocation) -> f64 {
+        let open = self.plans[inv.plan].open as u32;
+        let doors = inv.doors.max(1);
+        f64::from((open / doors).max(1))
+    }
+
+    /// Beyond the quota: throttled at once, unless the plan says that an excess pays and servers idle.
+    fn beyond(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
+        let idle = self.line.is_empty() && self.pressure < PRESSED / 2.0;
+        if self.plans[inv.plan].beyond_pays && idle {
+            inv.beyond = true;
+            return self.place_beyond(inv, now);
+        }
+        self.refuse(inv, pause, now)
+    }
+
+    fn place_beyond(&mut self, inv: &mut Invocation, now: f64) -> Answer {
+        match self.pick(inv, now) {
+            Some(tgt) => self.send(inv, tgt, now),
+            None => self.refuse(inv, self.objective, now),
+        }
+    }
+
+    // ---- Ceilings ----
+
+    fn hard_rate(&self, a: usize) -> f64 {
+        self.plans[self.accounts[a].plan].hard_rate / self.accounts[a].doors
+    }
+
+    /// Units left of this limiter's own part of the ceiling, so that no counter, restart or uneven entry
+    /// can add up past it. It starts at nothing with the limiter: an earlier life may have spent the rest.
+    fn ceiling(&mut self, a: usize, now: f64) -> f64 {
+        let rate = self.hard_rate(a);
+        let account = &mut self.accounts[a];
+        let plan = &self.plans[account.plan];
+        if plan.hard_rate <= 0.0 {
+            return f64::INFINITY;
+        }
+        account.hard = (account.hard + rate * (now - account.hard_at)).min(plan.hard_burst / account.doors);
+        account.hard_at = now;
+        account.hard
+    }
+
+    /// The customer's books, opened on first sight. Each opening closes idle ones, so that customers seen
+    /// once do not pile up; a closed one would have been full again.
+    fn account(&mut self, inv: &Invocation, now: f64) -> usize {
+        if let Some(&a) = self.by_customer.get(&inv.customer) {
+            return a;
+        }
+        let plan = &self.plans[inv.plan];
+        let doors = f64::from(inv.doors.clamp(1, self.fleet));
+        let earned = plan.hard_rate * (now - self.born);
+        let account = Account {
+            customer: inv.customer,
+            plan: inv.plan,
+            doors,
+            demand: 0.0,
+            seen: now,
+            lease: 0.0,
+            lapses: 0.0,
+            backlog: 0.0,
+            heard: 0.0,
+            window: i64::MIN,
+            debt: 0.0,
+            asking: false,
+            waiting: Vec::new(),
+            share: 0.0,
+            share_at: f64::NEG_INFINITY,
+            hard: earned.min(plan.hard_burst) / doors,
+            hard_at: now,
+            open: 0.0,
+        };
+        for _ in 0..2.min(self.accounts.len()) {
+            self.hand = (self.hand + 1) % self.accounts.len();
+            let idle = &self.accounts[self.hand];
+            let plan = &self.plans[idle.plan];
+            let refilled = if plan.hard_rate > 0.0 { plan.hard_burst / plan.hard_rate } else { 0.0 };
+            let quiet = now - idle.seen > WINDOW.max(2.0 * plan.span).max(2.0 * refilled);
+            if quiet && !idle.asking && idle.waiting.is_empty() && idle.open <= 0.0 {
+                self.by_customer.remove(&idle.customer);
+                self.by_customer.insert(inv.customer, self.hand);
+                self.accounts[self.hand] = account;
+                return self.hand;
+            }
+        }
+        self.accounts.push(account);
+        self.by_customer.insert(inv.customer, self.accounts.len() - 1);
+        self.accounts.len() - 1
+    }
+
+    // ---- The line ----
+
+    /// When an unsent invocation, or one between deliveries, can no longer be answered in time.
+    fn give_up(&self, inv: &Invocation) -> f64 {
+        let operation = &self.operations[inv.operation];
+        let ends =
+            if operation.pays_late { inv.until } else { inv.until.min(inv.came + operation.objective) };
+        let takes = (self.fleet_slow.min(CALM)) * operation.objective / 2.0;
+        if inv.sent.is_empty() {
+            (inv.came + self.line_span(inv)).min(ends - takes)
+        } else {
+            ends - takes
+        }
+    }
+
+    fn line_span(&self, inv: &Invocation) -> f64 {
+        self.operations[inv.operation].objective * LINE
+    }
+
+    fn ask_front(&mut self) {
+        if let Some(&num) = self.line.front() {
+            self.acts.push_back(Act::Ask(num));
+        }
+    }
+
+    fn refuse(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
+        let harmless = match self.operations[inv.operation].effect {
+            Effect::Idempotent => true,
+            Effect::Tokened { group, .. } => {
+                (inv.may_have_run.is_none() && inv.out == 0) || group == Group::All
+            }
+            Effect::NonIdempotent => inv.may_have_run.is_none() && inv.out == 0,
+        };
+        // Units leased for one that was never sent go back to the lease.
+        if let (true, true, Some(&a)) = (inv.paid, inv.sent.is_empty(), self.by_customer.get(&inv.customer)) {
+            if now < self.accounts[a].lapses {
+                self.accounts[a].lease += inv.units;
+            }
+        }
+        let pause = pause.max(0.0).min(self.max_pause);
+        self.finish(inv, if harmless { Answer::Throttle { pause } } else { Answer::Error })
+    }
+
+    fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
+        if inv.stage == Stage::Line {
+            self.line.retain(|&num| num != inv.num);
+        }
+        inv.stage = Stage::Done;
+        answer
+    }
+
+    /// The client left, or the front lost the invocation.
+    pub fn gone(&mut self, inv: &mut Invocation) {
+        self.finish(inv, Answer::Done);
+    }
+
+    // ---- Servers ----
+
+    /// The server for the next piece: the one with a free place that should answer soonest.
+    fn pick(&mut self, inv: &Invocation, now: f64) -> Option<usize> {
+        let live = self.servers.live.iter().filter(|&&l| l).count();
+        let resting = (0..self.servers.live.len())
+            .filter(|&s| self.servers.live[s] && self.servers.rest_until[s] > now)
+            .count();
+        // Guards against a signal that condemns the whole fleet: a quarter of it always stays in use.
+        let rest = (live - resting) * 4 >= live;
+        let mut best = None;
+        for again in [false, true] {
+            let mut least = f64::INFINITY;
+            for s in 0..self.servers.live.len() {
+                let tried = inv.sent.iter().any(|&(t, _)| t == s);
+                if tried != again || !self.usable(s, rest, now) || !self.in_group(inv, s) {
+                    continue;
+                }
+                let v = &self.servers;
+                let far = if v.zone[s] == self.zone { 1.0 } else { 1.05 };
+                let good = (1.0 - v.bad[s]).max(0.05);
+                let soon = (v.out[s] + 1.0) * v.slow[s].max(0.02) * far / (good * good);
+                let soon = soon * (1.0 + 0.1 * self.rng.unit());
+                if soon < least {
+                    (least, best) = (soon, Some(s));
+                }
+            }
+            if best.is_some() {
+                break;
+            }
+        }
+        best
+    }
+
+    fn usable(&self, s: usize, rest: bool, now: f64) -> bool {
+        let v = &self.servers;
+        if !v.live[s] || v.out[s] + 1.0 > v.places[s].max(1.0) || v.paced_until[s] > now {
+            return false;
+        }
+        if rest && v.rest_until[s] > now {
+            return false;
+        }
+        if v.on_trial[s] && v.out[s] > 0.0 {
+            return false;
+        }
+        // Guards against servers that take work and answer nothing, before any time-out tells: with
+        // something out and no answer for half an objective, no more goes there. Long work hides there too.
+        !(v.out[s] > 0.0 && now - v.quiet_since[s] > CALM * self.objective)
+    }
+
+    fn in_group(&self, inv: &Invocation, s: usize) -> bool {
+        let Some(n) = inv.may_have_run else { return true };
+        let first = inv.sent[n].0;
+        match self.operations[inv.operation].effect {
+            Effect::Tokened { group: Group::Zone, .. } => self.servers.zone[s] == self.servers.zone[first],
+            Effect::Tokened { group: Group::Cell, .. } => self.servers.cell[s] == self.servers.cell[first],
+            _ => true,
+        }
+    }
+
+    /// No effect twice: whether a further delivery is allowed now.
+    fn resendable(&self, inv: &Invocation, now: f64) -> bool {
+        let Some(n) = inv.may_have_run else { return true };
+        match self.operations[inv.operation].effect {
+            Effect::Idempotent => true,
+            Effect::Tokened { window, .. } => now < inv.sent[n].1 + window - self.slack,
+            Effect::NonIdempotent => false,
+        }
+    }
+
+    fn send(&mut self, inv: &mut Invocation, tgt: usize, now: f64) -> Answer {
+        if !self.resendable(inv, now) {
+            return self.finish(inv, Answer::Error);
+        }
+        let a = self.account(inv, now);
+        if !inv.drawn {
+            if self.ceiling(a, now) < inv.units {
+                let short = (inv.units - self.accounts[a].hard) / self.hard_rate(a);
+                return self.refuse(inv, short, now);
+            }
+            self.accounts[a].hard -= inv.units;
+            inv.drawn = true;
+        }
+        self.accounts[a].open += 1.0;
+        self.finish(inv, Answer::Done);
+        self.flow(now);
+        self.sends += 1.0;
+        let operation = &self.operations[inv.operation];
+        // Leaves room for another delivery where one could follow; else this one has until the end.
+        let more = self.pressure < PRESSED
+            && inv.sent.len() < FURTHER
+            && inv.sent.len() + 1 < self.most_deliveries
+            && operation.effect != Effect::NonIdempotent;
+        let ends = inv.came + operation.objective;
+        let room = (ends - now) * CALM;
+        let patience = room.max(4.0 * self.fleet_slow * operation.objective);
+        inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
+        let span = self.flow_span(now);
+        let v = &mut self.servers;
+        if v.out[tgt] <= 0.0 {
+            v.quiet_since[tgt] = now;
+        }
+        v.out[tgt] += 1.0;
+        // A cold server gets no more than its present part of what a warm one gets, evenly paced: far
+        // under the multiple that pushes it over, whatever the other limiters do alike.
+        let age = now - v.cold_since[tgt];
+        if age < self.cold_for {
+            let part = self.cold_from + (1.0 - self.cold_from) * age / self.cold_for;
+            let live = v.live.iter().filter(|&&l| l).count().max(1) as f64;
+            let each = (self.sends / span / live).max(1.0 / self.objective / f64::from(self.fleet));
+            v.paced_until[tgt] = now + 1.0 / (each * part);
+        }
+        inv.stage = Stage::Out;
+        inv.out += 1;
+        inv.sent.push((tgt, now));
+        Answer::Send(tgt)
+    }
+
+    /// Decays the counts of sends and answers, over two latency objectives.
+    fn flow(&mut self, now: f64) {
+        let keep = (-(now - self.flow_at) / (2.0 * self.objective)).exp();
+        self.sends *= keep;
+        self.ends *= keep;
+        self.flow_at = now;
+    }
+
+    fn flow_span(&self, now: f64) -> f64 {
+        (2.0 * self.objective).min(now - self.born + NEWEST)
+    }
+
+    fn per_second(&self, count: f64, now: f64) -> f64 {
+        count * (-(now - self.flow_at) / (2.0 * self.objective)).exp() / self.flow_span(now)
+    }
+
+    /// Takes one outcome into the figures of its server and of the fleet.
+    fn learn(&mut self, tgt: usize, inv: &Invocation, outcome: &Outcome, at: f64, now: f64) {
+        let v = &mut self.servers;
+        v.out[tgt] = (v.out[tgt] - 1.0).max(0.0);
+        if matches!(outcome.ending, Ending::Moot | Ending::Cancelled) {
+            return;
+        }
+        let objective = self.operations[inv.operation].objective;
+        let share = outcome.spent / objective;
+        let failed =
+            matches!(outcome.ending, Ending::Error | Ending::Timeout | Ending::ConnectFailed | Ending::Reset);
+        let late = outcome.ending == Ending::Full
+            || (matches!(outcome.ending, Ending::Timeout | Ending::Succeeded) && share > 1.5 * CALM);
+        if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
+            v.quiet_since[tgt] = now;
+        }
+        let bad = if failed { 1.0 } else { 0.0 };
+        let fleet_bad = self.fleet_bad;
+        self.fleet_bad += NEWEST / 4.0 * (bad - self.fleet_bad);
+        v.bad[tgt] += 2.0 * NEWEST * (bad - v.bad[tgt]);
+        if v.bad[tgt] < SICK {
+            self.pressure += NEWEST / 2.0 * (if late { 1.0 } else { 0.0 } - self.pressure);
+        }
+        if matches!(outcome.ending, Ending::Succeeded | Ending::Timeout) {
+            let share = share.min(2.0);
+            v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
+            self.fleet_slow += NEWEST / 4.0 * (share - self.fleet_slow);
+        }
+        if outcome.ending == Ending::Succeeded {
+            v.rest[tgt] = 0.0;
+            if v.on_trial[tgt] {
+                // Trust returns slowly: the server may be back cold before the roster says so.
+                v.on_trial[tgt] = false;
+                v.bad[tgt] = SICK / 2.0;
+                v.places[tgt] = 1.0;
+                v.cold_since[tgt] = v.cold_since[tgt].max(now - self.cold_for / 2.0);
+            }
+            if share < CALM {
+                let fresh = v.shrunk[tgt] == f64::NEG_INFINITY;
+                v.places[tgt] += if fresh { 1.0 } else { 1.0 / v.places[tgt] };
+                v.places[tgt] = v.places[tgt].min(2.0 * v.out[tgt] + 4.0);
+            }
+        }
+        // Places shrink once for what was sent before the last shrink told.
+        if late && at > v.shrunk[tgt] {
+            v.shrunk[tgt] = now;
+            v.places[tgt] = (v.places[tgt] * 0.75).max(1.0);
+        }
+        // Rested when it fails far more than the fleet; an error that many return is not one server's
+        // fault. Covers crashes, hangs, cut links and quick errors; hurts a server that had bad luck.
+        if failed && (v.on_trial[tgt] || (v.bad[tgt] > SICK && v.bad[tgt] > 2.0 * fleet_bad)) {
+            v.rest[tgt] = (v.rest[tgt] * 2.0).clamp(2.0 * self.objective, self.cold_for / 2.0);
+            v.rest_until[tgt] = now + v.rest[tgt] * (0.75 + self.rng.unit() / 2.0);
+            v.on_trial[tgt] = true;
+        }
+        self.flow(now);
+        if !failed {
+            self.ends += 1.0;
+        }
+    }
+
+    /// The roster: changed entries, or the complete list.
+    pub fn roster(&mut self, entries: &[Server], complete: bool, _now: f64) {
+        if complete {
+            self.servers.live.iter_mut().for_each(|l| *l = false);
+        }
+        for e in entries {
+            let v = &mut self.servers;
+            while v.known.len() <= e.tgt {
+                v.known.push(false);
+                v.live.push(false);
+                v.zone.push(0);
+                v.cell.push(0);
+                v.cold_since.push(f64::NEG_INFINITY);
+                v.came_up.push(0.0);
+                v.out.push(0.0);
+                v.places.push(2.0);
+                v.shrunk.push(f64::NEG_INFINITY);
+                v.slow.push(CALM / 2.0);
+                v.bad.push(0.0);
+                v.quiet_since.push(0.0);
+                v.rest_until.push(0.0);
+                v.rest.push(0.0);
+                v.on_trial.push(false);
+                v.paced_until.push(0.0);
+            }
+            let s = e.tgt;
+            if e.came_up > v.came_up[s] {
+                // A new start: cold, and nothing learned of the old process holds.
+                v.cold_since[s] = v.cold_since[s].max(e.came_up);
+                v.places[s] = 2.0;
+                v.shrunk[s] = f64::NEG_INFINITY;
+                v.slow[s] = self.fleet_slow;
+                (v.bad[s], v.rest_until[s], v.rest[s], v.on_trial[s]) = (0.0, 0.0, 0.0, false);
+            }
+            v.came_up[s] = e.came_up;
+            v.known[s] = true;
+            v.live[s] = e.readiness == Readiness::Live;
+            v.zone[s] = e.zone;
+            v.cell[s] = e.cell;
+        }
+        self.ask_front();
+    }
+
+    /// The roster's subscription failed or broke.
+    pub fn roster_lost(&mut self) {
+        if self.watch {
+            self.acts.push_back(Act::Tick(self.objective * (1.0 + self.rng.unit())));
+        }
+    }
+
+    pub fn tick(&mut self) {
+        if self.watch {
+            self.acts.push_back(Act::WatchRoster);
+        }
+    }
+}
+
+/// Windows are staggered over customers, so that leases do not all end together.
+fn phase(customer: u64) -> f64 {
+    (mix(customer, 7) >> 11) as f64 / 9007199254740992.0 * WINDOW
+}
+
+fn window_of(customer: u64, now: f64) -> i64 {
+    ((now + phase(customer)) / WINDOW).floor() as i64
+}
+
+fn window_start(customer: u64, window: i64) -> f64 {
+    window as f64 * WINDOW - phase(customer)
+}
