Grow a server's places only while its mean answer stays quick

Cause: places grew on any answer within half an objective, so the first second put some 18 invocations at each server; servers slow down under what they hold and stay slow.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,8 +14,11 @@
 const WINDOW: f64 = NAME_LIFE / 2.0;
 /// Near the limit a grant is the headroom over the customer's gateways and this (the paper's factor).
 const SHRINK: f64 = 2.0;
-/// Share of the latency objective that a healthy answer stays within; places at a server shrink past it.
+/// Share of the latency objective that a healthy answer stays within.
 const CALM: f64 = 0.5;
+/// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
+/// work where the objective leaves room for the slowest in a hundred.
+const FULL: f64 = 0.33;
 /// Share of the latency objective that the line may hold an invocation.
 const LINE: f64 = 0.4;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
@@ -819,16 +822,18 @@
                 v.places[tgt] = 1.0;
                 v.cold_since[tgt] = v.cold_since[tgt].max(now - self.cold_for / 2.0);
             }
-            if share < CALM {
-                let fresh = v.shrunk[tgt] == f64::NEG_INFINITY;
-                v.places[tgt] += if fresh { 1.0 } else { 1.0 / v.places[tgt] };
-                v.places[tgt] = v.places[tgt].min(2.0 * v.out[tgt] + 4.0);
-            }
         }
-        // Places shrink once for what was sent before the last shrink told.
-        if late && at > v.shrunk[tgt] {
-            v.shrunk[tgt] = now;
-            v.places[tgt] = (v.places[tgt] * 0.75).max(1.0);
+        // Guards against servers that slow down under what they hold, and stay slow: places grow by one
+        // while the mean answer is quick and all are in use, and shrink once for what was sent since the
+        // last shrink. A fresh server's cap doubles as fast; one with slow work of its own gets less.
+        let was = v.out[tgt] + 1.0;
+        if late || v.slow[tgt] > FULL {
+            if at > v.shrunk[tgt] {
+                v.shrunk[tgt] = now;
+                v.places[tgt] = (v.places[tgt] * 0.8).max(1.0);
+            }
+        } else if outcome.ending == Ending::Succeeded && was + 1.0 > v.places[tgt] {
+            v.places[tgt] += 1.0 / v.places[tgt];
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
         // fault. Covers crashes, hangs, cut links and quick errors; hurts a server that had bad luck.
