--- a/src/rules.rs
+++ b/src/rules.rs
@@ -863,7 +863,7 @@
                 v.cold_since.push(f64::NEG_INFINITY);
                 v.came_up.push(0.0);
                 v.out.push(0.0);
-                v.places.push(2.0);
+                v.places.push(1.0);
                 v.shrunk.push(f64::NEG_INFINITY);
                 v.slow.push(CALM / 2.0);
                 v.bad.push(0.0);
@@ -877,7 +877,7 @@
             if e.came_up > v.came_up[s] {
                 // A new start: cold, and nothing learned of the old process holds.
                 v.cold_since[s] = v.cold_since[s].max(e.came_up);
-                v.places[s] = 2.0;
+                v.places[s] = 1.0;
                 v.shrunk[s] = f64::NEG_INFINITY;
                 v.slow[s] = self.fleet_slow;
                 (v.bad[s], v.rest_until[s], v.rest[s], v.on_trial[s]) = (0.0, 0.0, 0.0, false);
