--- a/src/rules.rs
+++ b/src/rules.rs
@@ -830,15 +830,10 @@
         if late || v.slow[tgt] > FULL {
             if at > v.shrunk[tgt] {
                 v.shrunk[tgt] = now;
-                v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / f64::from(self.fleet));
+                v.places[tgt] = (v.places[tgt] * 0.8).max(1.0);
             }
         } else if outcome.ending == Ending::Succeeded && was + 1.0 > v.places[tgt] {
-            v.places[tgt] += 1.0 / v.places[tgt].max(1.0);
-        }
-        // Less than one place is one with pauses, so that many limiters can share a slow server.
-        if v.places[tgt] < 1.0 {
-            let pause = outcome.spent.min(objective) * (1.0 / v.places[tgt] - 1.0);
-            v.paced_until[tgt] = v.paced_until[tgt].max(now + pause);
+            v.places[tgt] += 1.0 / v.places[tgt];
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
         // fault. Covers crashes, hangs, cut links and quick errors; hurts a server that had bad luck.
