Share out a server's first places over the limiters; under one place a server rests now and then

Cause: one place of each of eight limiters is eight invocations at a server with three cores. The fleet's mean answer is now followed twice as fast.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,8 @@
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
 const SICK: f64 = 0.5;
+/// Places that all limiters together start with at one server, shared evenly: enough to learn from.
+const START: f64 = 3.0;
 /// Weight of one new reading in the running figures.
 const NEWEST: f64 = 0.1;
 /// Deliveries beyond the first while there is no overload (the users' present system).
@@ -661,6 +663,16 @@
             .count();
         // Guards against a signal that condemns the whole fleet: a quarter of it always stays in use.
         let rest = (live - resting) * 4 >= live;
+        // A server's places may be under one where many limiters share it: then not all are in use at once.
+        let v = &self.servers;
+        let (mut out, mut places) = (0.0, 0.0);
+        for s in (0..v.live.len()).filter(|&s| v.live[s] && !(rest && v.rest_until[s] > now)) {
+            out += v.out[s];
+            places += v.places[s];
+        }
+        if out + 1.0 > places.max(1.0) {
+            return None;
+        }
         let mut best = None;
         for again in [false, true] {
             let mut least = f64::INFINITY;
@@ -687,7 +699,7 @@
 
     fn usable(&self, s: usize, rest: bool, now: f64) -> bool {
         let v = &self.servers;
-        if !v.live[s] || v.out[s] + 1.0 > v.places[s].max(1.0) || v.paced_until[s] > now {
+        if !v.live[s] || v.out[s] + 1.0 > v.places[s].max(1.0).ceil() || v.paced_until[s] > now {
             return false;
         }
         if rest && v.rest_until[s] > now {
@@ -792,6 +804,7 @@
         if matches!(outcome.ending, Ending::Moot | Ending::Cancelled) {
             return;
         }
+        let fleet = f64::from(self.fleet);
         let objective = self.operations[inv.operation].objective;
         let share = outcome.spent / objective;
         let failed =
@@ -811,7 +824,7 @@
         if matches!(outcome.ending, Ending::Succeeded | Ending::Timeout) {
             let share = share.min(2.0);
             v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
-            self.fleet_slow += NEWEST / 4.0 * (share - self.fleet_slow);
+            self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
         }
         if outcome.ending == Ending::Succeeded {
             v.rest[tgt] = 0.0;
@@ -819,7 +832,7 @@
                 // Trust returns slowly: the server may be back cold before the roster says so.
                 v.on_trial[tgt] = false;
                 v.bad[tgt] = SICK / 2.0;
-                v.places[tgt] = 1.0;
+                v.places[tgt] = START / fleet;
                 v.cold_since[tgt] = v.cold_since[tgt].max(now - self.cold_for / 2.0);
             }
         }
@@ -830,10 +843,11 @@
         if late || v.slow[tgt] > FULL {
             if at > v.shrunk[tgt] {
                 v.shrunk[tgt] = now;
-                v.places[tgt] = (v.places[tgt] * 0.8).max(1.0);
+                v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
             }
-        } else if outcome.ending == Ending::Succeeded && was + 1.0 > v.places[tgt] {
-            v.places[tgt] += 1.0 / v.places[tgt];
+        } else if outcome.ending == Ending::Succeeded && (was + 1.0 > v.places[tgt] || !self.line.is_empty())
+        {
+            v.places[tgt] += 1.0 / (fleet * v.places[tgt].max(1.0));
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
         // fault. Covers crashes, hangs, cut links and quick errors; hurts a server that had bad luck.
@@ -863,7 +877,7 @@
                 v.cold_since.push(f64::NEG_INFINITY);
                 v.came_up.push(0.0);
                 v.out.push(0.0);
-                v.places.push(1.0);
+                v.places.push(START / f64::from(self.fleet));
                 v.shrunk.push(f64::NEG_INFINITY);
                 v.slow.push(CALM / 2.0);
                 v.bad.push(0.0);
@@ -877,7 +891,7 @@
             if e.came_up > v.came_up[s] {
                 // A new start: cold, and nothing learned of the old process holds.
                 v.cold_since[s] = v.cold_since[s].max(e.came_up);
-                v.places[s] = 1.0;
+                v.places[s] = START / f64::from(self.fleet);
                 v.shrunk[s] = f64::NEG_INFINITY;
                 v.slow[s] = self.fleet_slow;
                 (v.bad[s], v.rest_until[s], v.rest[s], v.on_trial[s]) = (0.0, 0.0, 0.0, false);
