Return leftover units with the next add and shrink grants to one invocation

Cause: units left when a lease lapsed stayed on the counter, so a third of the tries were throttled with half of the quota unused.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -103,8 +103,12 @@
     account: usize,
     add: f64,
     asked: f64,
+    /// Units of the invocation that caused it.
+    needs: f64,
+    /// Backlog brought over into a new name, units let in unleased, and units returned.
     carried: f64,
     debt: f64,
+    back: f64,
     window: i64,
 }
 
@@ -259,10 +263,7 @@
                 return self.beyond(inv, self.objective, now);
             }
             if plan.rate > 0.0 {
-                if now >= account.lapses {
-                    account.lease = 0.0;
-                }
-                if account.lease + 1e-6 < inv.units {
+                if now >= account.lapses || account.lease + 1e-6 < inv.units {
                     if account.asking {
                         if !account.waiting.contains(&inv.num) {
                             account.waiting.push(inv.num);
@@ -374,11 +375,13 @@
         };
         // A new name starts at nothing: the backlog known here goes over with the first add.
         let carried = if account.window == window { 0.0 } else { backlog };
+        // Units left of the last lease go back with the same add.
+        let back = account.lease.min(backlog).max(0.0);
+        let debt = std::mem::take(&mut account.debt);
         account.lease = 0.0;
         account.asking = true;
-        let debt = account.debt;
-        account.debt = 0.0;
-        self.count(Call { account: a, add: asked + carried + debt, asked, carried, debt, window });
+        let add = asked + carried + debt - back;
+        self.count(Call { account: a, add, asked, needs: units, carried, debt, back, window });
     }
 
     fn count(&mut self, call: Call) {
@@ -406,6 +409,7 @@
                 account.asking = false;
                 if counted == Counted::Refused {
                     account.debt += call.debt;
+                    account.lease += call.back;
                 }
                 self.wake(a);
             }
@@ -423,23 +427,21 @@
         // what is known here is put back. Gives a peer's large return back too late by one span at worst.
         let known = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let forgot = account.window == call.window && before - line < known - plan.burst;
-        let floor = if forgot { known } else { call.carried };
+        let floor = (if forgot { known } else { call.carried } - call.back).max(0.0);
         // An idle customer's store holds the burst at most: under the line, the rest is written off, as
         // soon as demand could use it.
-        let base = (before - line).max(floor);
+        let base = (before - call.back - line).max(floor);
         let room = plan.burst - base - call.debt;
-        let least = account.demand.min(call.asked).max(0.0);
         let mut grant = call.asked;
         if grant * account.doors > room {
-            grant = grant.min((room / account.doors / SHRINK).max(least.min(room)).max(0.0));
+            grant = grant.min((room / account.doors / SHRINK).max(call.needs));
         }
-        let first = account.waiting.len();
-        if grant < call.asked && first == 0 {
+        if grant > room {
             grant = 0.0;
         }
         let target = line + base + call.debt + grant;
         let off = target - total;
-        let hot = account.demand * account.doors > plan.burst / 2.0;
+        let hot = account.demand * account.doors > plan.burst;
         account.window = call.window;
         account.heard = now;
         account.lease = grant.max(0.0);
@@ -448,14 +450,7 @@
         let correct = off < -0.5 || (off > 0.5 && (hot || floor > 0.0));
         account.backlog = if correct { target } else { total } - line;
         if correct {
-            self.count(Call {
-                account: a,
-                add: off,
-                asked: 0.0,
-                carried: 0.0,
-                debt: 0.0,
-                window: call.window,
-            });
+            self.count(Call { add: off, asked: 0.0, ..call });
         }
         self.wake(a);
     }
