Spend timed-out adds as if they counted and make up for refused ones

Cause: units of an add without an answer were lost to the customer, and debts from a silence weighed on it long after it had earned them again. Covers slow, crowded and refusing counters; a silent one that drops the call puts the customer one lease ahead.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -85,8 +85,9 @@
     backlog: f64,
     heard: f64,
     window: i64,
-    /// Units let in without a lease, to be reported with the next add.
+    /// Units to report with the next add: let in without a lease, or a correction that was refused.
     debt: f64,
+    debt_at: f64,
     asking: bool,
     waiting: Vec<u64>,
     /// The local share that stands in for a silent counter.
@@ -98,6 +99,19 @@
     open: f64,
 }
 
+impl Account {
+    /// What the next add reports; what was let in a while ago has been earned again at an even share.
+    fn owed(&mut self, plan: &Plan, now: f64) -> f64 {
+        let earned = plan.rate / self.doors * (now - self.debt_at);
+        self.debt_at = now;
+        if self.debt > 0.0 {
+            (self.debt - earned).max(0.0)
+        } else {
+            self.debt
+        }
+    }
+}
+
 /// One add on its way; corrections ask for nothing.
 struct Call {
     account: usize,
@@ -377,7 +391,8 @@
         let carried = if account.window == window { 0.0 } else { backlog };
         // Units left of the last lease go back with the same add.
         let back = account.lease.min(backlog).max(0.0);
-        let debt = std::mem::take(&mut account.debt);
+        let debt = account.owed(plan, now);
+        account.debt = 0.0;
         account.lease = 0.0;
         account.asking = true;
         let add = asked + carried + debt - back;
@@ -400,17 +415,26 @@
         }
         let a = call.account;
         let Counted::Total(total) = counted else {
-            // A refused add did not count, a silent one may have: it stays on the books as spent.
             self.failures += 1;
             let wait = (self.count_wait * f64::from(1u32 << self.failures.min(5))).min(1.0);
             self.retest = now + wait * (0.75 + self.rng.unit() / 2.0);
+            let account = &mut self.accounts[a];
+            let plan = &self.plans[account.plan];
+            if counted == Counted::Refused {
+                // Nothing was added: what the call was to report or return goes with the next one.
+                let correction = if call.asked > 0.0 { 0.0 } else { call.add };
+                account.debt = account.owed(plan, now) + call.debt + correction;
+                account.lease += call.back;
+            } else if call.asked > 0.0 {
+                // A silent add may have counted, and a slow counter does work it off: its units are spent
+                // as if it had. Where it had not, the customer is ahead by one lease.
+                account.backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0) + call.asked;
+                account.heard = now;
+                account.lease = call.asked;
+                account.lapses = now + plan.span;
+            }
             if call.asked > 0.0 {
-                let account = &mut self.accounts[a];
                 account.asking = false;
-                if counted == Counted::Refused {
-                    account.debt += call.debt;
-                    account.lease += call.back;
-                }
                 self.wake(a);
             }
             return;
@@ -450,7 +474,7 @@
         let correct = off < -0.5 || (off > 0.5 && (hot || floor > 0.0));
         account.backlog = if correct { target } else { total } - line;
         if correct {
-            self.count(Call { add: off, asked: 0.0, ..call });
+            self.count(Call { add: off, asked: 0.0, debt: 0.0, back: 0.0, ..call });
         }
         self.wake(a);
     }
@@ -495,7 +519,7 @@
             return false;
         }
         account.share -= units;
-        account.debt = (account.debt + units).min(plan.burst);
+        account.debt = (account.owed(plan, now) + units).min(plan.burst);
         account.lease = units;
         account.lapses = now + plan.span;
         true
@@ -566,6 +590,7 @@
             heard: 0.0,
             window: i64::MIN,
             debt: 0.0,
+            debt_at: now,
             asking: false,
             waiting: Vec::new(),
             share: 0.0,
