Hold the line only as long as slow answers leave of the objective

Cause: with servers full, four tenths of the objective in line plus a slow answer came late and counted for nothing.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,8 +19,10 @@
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.33;
-/// Share of the latency objective that the line may hold an invocation.
+/// Share of the latency objective that the line may hold an invocation at most.
 const LINE: f64 = 0.4;
+/// The slowest answer in ten against the mean, of answer times spread like an exponential's.
+const TAIL: f64 = 2.3;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
@@ -632,8 +634,10 @@
         }
     }
 
+    /// How long the line may hold an invocation: what the slowest in ten at a server leave of the objective.
     fn line_span(&self, inv: &Invocation) -> f64 {
-        self.operations[inv.operation].objective * LINE
+        let left = 1.0 - TAIL * self.fleet_slow;
+        self.operations[inv.operation].objective * left.clamp(NEWEST, LINE)
     }
 
     fn ask_front(&mut self) {
