--- a/src/rules.rs
+++ b/src/rules.rs
@@ -467,7 +467,7 @@
         }
         let target = line + base + call.debt + grant;
         let off = target - total;
-        let hot = account.demand * account.doors > plan.burst;
+        let hot = account.demand * account.doors > plan.burst / 2.0;
         account.window = call.window;
         account.heard = now;
         account.lease = grant.max(0.0);
