--- a/src/rules.rs
+++ b/src/rules.rs
@@ -383,7 +383,7 @@
         let window = window_of(account.customer, now);
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
-        let want = units;
+        let want = account.demand.max(units).min(plan.burst.max(units));
         let asked = if want * account.doors > room {
             want.min((room / account.doors / SHRINK).max(units))
         } else {
