--- a/src/rules.rs
+++ b/src/rules.rs
@@ -783,14 +783,7 @@
         let ends = inv.came + operation.objective;
         let room = (ends - now) * CALM;
         let patience = room.max(4.0 * self.fleet_slow * operation.objective);
-        // Waiting past the objective where late pays nothing only keeps a place from another: guards
-        // against servers that lose a part of what they take. The client may ask once more for it.
-        let last = if operation.pays_late {
-            inv.until
-        } else {
-            inv.until.min(ends.max(now + CALM * operation.objective))
-        };
-        inv.limit = if more && now + patience < ends { now + patience } else { last };
+        inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
         let span = self.flow_span(now);
         let v = &mut self.servers;
         if v.out[tgt] <= 0.0 {
