--- a/src/rules.rs
+++ b/src/rules.rs
@@ -845,8 +845,7 @@
         if v.bad[tgt] < SICK {
             self.pressure += NEWEST / 2.0 * (if late { 1.0 } else { 0.0 } - self.pressure);
         }
-        // Only answers tell how quick a server is: one that loses a part of what it takes may be quick.
-        if outcome.ending == Ending::Succeeded {
+        if matches!(outcome.ending, Ending::Succeeded | Ending::Timeout) {
             let share = share.min(2.0);
             v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
             self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
