Pace deliveries to a quiet server instead of stopping them

Cause: a server with one lost delivery out got nothing more, so gave no answers, until the delivery ran out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -146,6 +146,7 @@
     bad: Vec<f64>,
     /// Earliest time since which something is out there with no answer of any kind.
     quiet_since: Vec<f64>,
+    sent_at: Vec<f64>,
     rest_until: Vec<f64>,
     rest: Vec<f64>,
     on_trial: Vec<bool>,
@@ -733,8 +734,12 @@
             return false;
         }
         // Guards against servers that take work and answer nothing, before any time-out tells: with
-        // something out and no answer for half an objective, no more goes there. Long work hides there too.
-        !(v.out[s] > 0.0 && now - v.quiet_since[s] > CALM * self.objective)
+        // something out and no answer for half an objective, each further delivery waits another half for
+        // each that is out. So one that loses a part of what it takes stays in use, a hung one hardly.
+        let quiet = now - v.quiet_since[s].max(v.sent_at[s]);
+        v.out[s] <= 0.0
+            || now - v.quiet_since[s] <= CALM * self.objective
+            || quiet > CALM * self.objective * v.out[s]
     }
 
     fn in_group(&self, inv: &Invocation, s: usize) -> bool {
@@ -789,6 +794,7 @@
         if v.out[tgt] <= 0.0 {
             v.quiet_since[tgt] = now;
         }
+        v.sent_at[tgt] = now;
         v.out[tgt] += 1.0;
         // A cold server gets no more than its present part of what a warm one gets, evenly paced: far
         // under the multiple that pushes it over, whatever the other limiters do alike.
@@ -906,6 +912,7 @@
                 v.slow.push(CALM / 2.0);
                 v.bad.push(0.0);
                 v.quiet_since.push(0.0);
+                v.sent_at.push(0.0);
                 v.rest_until.push(0.0);
                 v.rest.push(0.0);
                 v.on_trial.push(false);
