Let figures about a server fade and give rested ones their trial at once

Cause: servers once slow or failing were passed over for good, so nothing could clear them, and one good server took six times its part. Covers any trouble that ends unseen; hurts by one delivery now and then to a server that stays bad.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const SICK: f64 = 0.5;
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
+/// Latency objectives over which figures about a server fade.
+const FADE: f64 = 8.0;
 /// Weight of one new reading in the running figures.
 const NEWEST: f64 = 0.1;
 /// Deliveries beyond the first while there is no overload (the users' present system).
@@ -180,6 +182,7 @@
     line: VecDeque<u64>,
     pressure: f64,
     fleet_bad: f64,
+    faded_at: f64,
     fleet_slow: f64,
     sends: f64,
     ends: f64,
@@ -232,6 +235,7 @@
             line: VecDeque::new(),
             pressure: 0.0,
             fleet_bad: 0.0,
+            faded_at: now,
             fleet_slow: CALM / 2.0,
             sends: 0.0,
             ends: 0.0,
@@ -682,6 +686,7 @@
 
     /// The server for the next piece: the one with a free place that should answer soonest.
     fn pick(&mut self, inv: &Invocation, now: f64) -> Option<usize> {
+        self.fade(now);
         let live = self.servers.live.iter().filter(|&&l| l).count();
         let resting = (0..self.servers.live.len())
             .filter(|&s| self.servers.live[s] && self.servers.rest_until[s] > now)
@@ -710,7 +715,8 @@
                 let far = if v.zone[s] == self.zone { 1.0 } else { 1.05 };
                 let good = (1.0 - v.bad[s]).max(0.05);
                 let soon = (v.out[s] + 1.0) * v.slow[s].max(0.02) * far / (good * good);
-                let soon = soon * (1.0 + 0.1 * self.rng.unit());
+                // One whose rest is over gets its trial at once, with one delivery.
+                let soon = if v.on_trial[s] { 0.0 } else { soon * (1.0 + 0.1 * self.rng.unit()) };
                 if soon < least {
                     (least, best) = (soon, Some(s));
                 }
@@ -722,6 +728,21 @@
         best
     }
 
+    /// Guards against figures that outlive their cause: a server that was slow or failing gets too little
+    /// to show that it recovered, so what is known of it fades to the fleet's over a few objectives. A
+    /// server that stays bad costs one delivery now and then.
+    fn fade(&mut self, now: f64) {
+        let step = 1.0 - ((self.faded_at - now) / (FADE * self.objective)).exp();
+        self.faded_at = now;
+        let first = START / f64::from(self.fleet);
+        let v = &mut self.servers;
+        for s in 0..v.live.len() {
+            v.slow[s] += (self.fleet_slow - v.slow[s]).min(0.0) * step;
+            v.bad[s] -= v.bad[s] * step;
+            v.places[s] += (first - v.places[s]).max(0.0) * step;
+        }
+    }
+
     fn usable(&self, s: usize, rest: bool, now: f64) -> bool {
         let v = &self.servers;
         if !v.live[s] || v.out[s] + 1.0 > v.places[s].max(1.0).ceil() || v.paced_until[s] > now {
