--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,7 @@
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
 const SICK: f64 = 0.5;
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
-const START: f64 = 2.0;
+const START: f64 = 3.0;
 /// Latency objectives over which figures about a server fade.
 const FADE: f64 = 8.0;
 /// Weight of one new reading in the running figures.
