--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,7 @@
 const CALM: f64 = 0.5;
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
-const FULL: f64 = 0.25;
+const FULL: f64 = 0.28;
 /// Share of the latency objective that the line may hold an invocation at most.
 const LINE: f64 = 0.4;
 /// The slowest answer in ten against the mean, of answer times spread like an exponential's.
