Let dearer operations go first in the line

Cause: under overload entrega, worth three times consulta and less work, was refused as often. Which customers are refused does not change: plans keep their order of arrival. It might hurt where a dear operation alone overloads the servers: the cheap ones then wait in vain.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,7 @@
 struct Operation {
     effect: Effect,
     objective: f64,
+    value: f64,
     pays_late: bool,
 }
 
@@ -179,7 +180,8 @@
     calls: HashMap<u64, VecDeque<Call>>,
     failures: u32,
     retest: f64,
-    line: VecDeque<u64>,
+    /// Billed value of the operation and number of those that wait for a place, the dearest first.
+    line: VecDeque<(f64, u64)>,
     pressure: f64,
     fleet_bad: f64,
     faded_at: f64,
@@ -205,6 +207,7 @@
         let operations = s.operations.iter().map(|o| Operation {
             effect: o.effect,
             objective: o.objective.min(o.integration_timeout),
+            value: o.billed_value,
             pays_late: o.late_share > 0.0,
         });
         let operations: Vec<Operation> = operations.collect();
@@ -313,15 +316,14 @@
         // In line for a place at a server; a line too long to clear in time is refused at once.
         if inv.stage != Stage::Line {
             inv.stage = Stage::Line;
-            let clears = self.line.len() as f64 / self.per_second(self.ends, now).max(1.0);
+            let ahead = self.join(inv, false);
+            let clears = ahead as f64 / self.per_second(self.ends, now).max(1.0);
             if clears > self.line_span(inv) {
                 return self.refuse(inv, clears, now);
             }
-            if !self.line.is_empty() {
-                self.line.push_back(inv.num);
+            if ahead > 0 {
                 return Answer::Hold;
             }
-            self.line.push_back(inv.num);
         }
         match self.pick(inv, now) {
             Some(tgt) => self.send(inv, tgt, now),
@@ -361,7 +363,7 @@
             if let Some(tgt) = self.pick(inv, now) {
                 return self.send(inv, tgt, now);
             }
-            self.line.push_front(inv.num);
+            self.join(inv, true);
             return Answer::Hold;
         }
         if inv.may_have_run.is_none() {
@@ -645,8 +647,18 @@
         self.operations[inv.operation].objective * left.clamp(NEWEST, LINE)
     }
 
+    /// Joins the line behind those of the same or a higher billed value, or before its equals when it
+    /// was out already; returns how many are ahead. Dearer operations go first, whatever the plan: under
+    /// overload the cheaper ones are those given up.
+    fn join(&mut self, inv: &Invocation, again: bool) -> usize {
+        let value = self.operations[inv.operation].value;
+        let ahead = self.line.partition_point(|&(v, _)| v > value || (v == value && !again));
+        self.line.insert(ahead, (value, inv.num));
+        ahead
+    }
+
     fn ask_front(&mut self) {
-        if let Some(&num) = self.line.front() {
+        if let Some(&(_, num)) = self.line.front() {
             self.acts.push_back(Act::Ask(num));
         }
     }
@@ -671,7 +683,7 @@
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
         if inv.stage == Stage::Line {
-            self.line.retain(|&num| num != inv.num);
+            self.line.retain(|&(_, num)| num != inv.num);
         }
         inv.stage = Stage::Done;
         answer
