--- /dev/null
+++ b/tests/front/mod.rs
@@ -0,0 +1,271 @@
+//! A front for the tests: several limiters, a counter and servers that answer only when told to.
+#![allow(dead_code)]
+
+use dunespur::rules::Limiter;
+use dunespur::types::*;
+use std::collections::BTreeMap;
+
+/// What a front did or saw, in order; rules are checked against this alone.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    Took { inv: Invocation },
+    Sent { gate: usize, num: u64, n: usize, tgt: usize },
+    Ended { gate: usize, num: u64, n: usize, ending: Ending, done: bool },
+    Final { gate: usize, num: u64, answer: Answer },
+    Left { gate: usize, num: u64 },
+    Killed { gate: usize },
+    Told { gate: usize, entry: Server },
+    Withdrawn { gate: usize, tgt: usize },
+}
+
+#[derive(Clone, Debug)]
+pub struct Out {
+    pub gate: usize,
+    pub num: u64,
+    pub n: usize,
+    pub tgt: usize,
+    pub at: f64,
+    pub limit: f64,
+}
+
+pub struct Front {
+    pub now: f64,
+    pub settings: Settings,
+    pub gates: Vec<Limiter>,
+    pub lists: Vec<Vec<Server>>,
+    pub counter: BTreeMap<u64, f64>,
+    pub calls: Vec<(usize, u64, f64)>,
+    pub out: Vec<Out>,
+    pub held: BTreeMap<u64, (usize, Invocation, f64)>,
+    pub seen: Vec<(f64, usize, Seen)>,
+    pub counts: usize,
+    /// The counter answers at once.
+    pub quick: bool,
+    last: u64,
+    lives: u64,
+}
+
+pub fn operation(effect: Effect, billed_value: f64) -> OperationSettings {
+    OperationSettings { effect, objective: 0.6, integration_timeout: 2.0, billed_value, late_share: 0.0 }
+}
+
+pub fn rate_plan(rate: f64, burst: f64) -> PlanSettings {
+    PlanSettings { rate, burst, beyond_costs: 1.0, ..PlanSettings::default() }
+}
+
+pub fn settings(fleet: u32) -> Settings {
+    Settings {
+        seed: 7,
+        slot: 0,
+        fleet,
+        zone: 0,
+        operations: vec![operation(Effect::Idempotent, 1.0)],
+        plans: vec![rate_plan(1000.0, 1000.0)],
+        counter: true,
+        count_wait: 0.05,
+        max_pause: 0.5,
+        most_deliveries: 6,
+        cold_from: 0.2,
+        cold_for: 10.0,
+        answer_slack: 0.02,
+        ask_roster: false,
+    }
+}
+
+pub fn server(tgt: usize) -> Server {
+    Server { tgt, zone: tgt % 2, cell: tgt as u64 / 2, came_up: 0.0, readiness: Readiness::Live }
+}
+
+impl Front {
+    pub fn new(settings: Settings, servers: usize) -> Self {
+        let mut front = Front {
+            now: 100.0,
+            gates: Vec::new(),
+            lists: vec![(0..servers).map(server).collect(); settings.fleet as usize],
+            settings,
+            counter: BTreeMap::new(),
+            calls: Vec::new(),
+            out: Vec::new(),
+            held: BTreeMap::new(),
+            seen: Vec::new(),
+            counts: 0,
+            quick: true,
+            last: 0,
+            lives: 0,
+        };
+        for gate in 0..front.settings.fleet as usize {
+            let limiter = front.limiter(gate);
+            front.gates.push(limiter);
+            front.roster(gate, front.lists[gate].clone(), true);
+        }
+        front
+    }
+
+    fn limiter(&mut self, gate: usize) -> Limiter {
+        self.lives += 1;
+        Limiter::new(&Settings { seed: self.lives, slot: gate as u32, ..self.settings.clone() }, self.now)
+    }
+
+    fn see(&mut self, seen: Seen) {
+        self.seen.push((self.now, self.seen.len(), seen));
+    }
+
+    /// A killed limiter starts anew with its last list.
+    pub fn restart(&mut self, gate: usize) {
+        self.see(Seen::Killed { gate });
+        self.held.retain(|_, (g, _, _)| *g != gate);
+        self.out.retain(|o| o.gate != gate);
+        self.calls.retain(|c| c.0 != gate);
+        self.gates[gate] = self.limiter(gate);
+        self.roster(gate, self.lists[gate].clone(), true);
+    }
+
+    pub fn roster(&mut self, gate: usize, entries: Vec<Server>, complete: bool) {
+        if complete {
+            for old in std::mem::take(&mut self.lists[gate]) {
+                if !entries.iter().any(|e| e.tgt == old.tgt) {
+                    self.see(Seen::Withdrawn { gate, tgt: old.tgt });
+                }
+            }
+        }
+        for &entry in &entries {
+            self.see(Seen::Told { gate, entry });
+            self.lists[gate].retain(|e| e.tgt != entry.tgt);
+            self.lists[gate].push(entry);
+        }
+        self.gates[gate].roster(&entries, complete, self.now);
+        self.carry_out(gate);
+    }
+
+    /// One invocation comes in at a gate; its number.
+    pub fn take(&mut self, gate: usize, customer: u64, plan: usize, operation: usize, units: f64) -> u64 {
+        self.last += 1;
+        let until = self.now + self.settings.operations[operation].integration_timeout;
+        let doors = (0, self.settings.fleet);
+        let inv = Invocation::new(self.last, customer, plan, operation, units, doors, self.now, until);
+        self.see(Seen::Took { inv: inv.clone() });
+        self.held.insert(self.last, (gate, inv, f64::INFINITY));
+        let num = self.last;
+        self.place(num);
+        self.carry_out(gate);
+        num
+    }
+
+    fn place(&mut self, num: u64) {
+        let Some((gate, inv, _)) = self.held.get_mut(&num) else { return };
+        if matches!(inv.stage, Stage::Out | Stage::Done) {
+            return;
+        }
+        let answer = self.gates[*gate].place(inv, self.now);
+        self.answer(num, answer);
+    }
+
+    fn answer(&mut self, num: u64, answer: Answer) {
+        let (gate, inv, due) = self.held.get_mut(&num).unwrap();
+        let gate = *gate;
+        let wait = self.gates[gate].wait(inv, self.now);
+        *due =
+            if answer == Answer::Hold && inv.stage != Stage::Out { self.now + wait } else { f64::INFINITY };
+        let finished = inv.stage == Stage::Done && inv.out == 0;
+        match answer {
+            Answer::Send(tgt) => {
+                let n = inv.sent.len() - 1;
+                let limit = (self.now + wait).min(inv.until);
+                self.out.push(Out { gate, num, n, tgt, at: self.now, limit });
+                self.see(Seen::Sent { gate, num, n, tgt });
+            }
+            Answer::Throttle { .. } | Answer::Error => self.see(Seen::Final { gate, num, answer }),
+            Answer::Hold | Answer::Done => {}
+        }
+        if finished {
+            self.held.remove(&num);
+        }
+    }
+
+    fn carry_out(&mut self, gate: usize) {
+        loop {
+            while let Some(act) = self.gates[gate].next_act() {
+                match act {
+                    Act::Ask(num) => self.place(num),
+                    Act::Count { name, add, .. } => {
+                        self.counts += 1;
+                        self.calls.push((gate, name, add));
+                    }
+                    Act::WatchRoster | Act::Tick(_) => {}
+                }
+            }
+            let Some(at) = self.calls.iter().position(|c| self.quick && c.0 == gate) else { return };
+            self.count(at, true, true);
+        }
+    }
+
+    /// Ends the call at this place in the line: whether it was added and whether the answer came.
+    pub fn count(&mut self, at: usize, added: bool, told: bool) {
+        let (gate, name, add) = self.calls.remove(at);
+        let total = self.counter.entry(name).or_insert(0.0);
+        *total += if added { add } else { 0.0 };
+        let counted = match (added, told) {
+            (true, true) => Counted::Total(*total),
+            (false, true) => Counted::Refused,
+            _ => Counted::Silent,
+        };
+        self.gates[gate].counted(name, counted, self.now);
+        self.carry_out(gate);
+    }
+
+    /// Ends one delivery.
+    pub fn end(&mut self, at: usize, ending: Ending) {
+        let out = self.out.remove(at);
+        let Some((_, inv, _)) = self.held.get_mut(&out.num) else { return };
+        let done = inv.stage == Stage::Done || ending == Ending::Succeeded;
+        let (n, gate, num, spent) = (out.n, out.gate, out.num, self.now - out.at);
+        let outcome = Outcome { n, ending, spent, done, used: None, settled: None, waiting: None };
+        self.seen.push((self.now, self.seen.len(), Seen::Ended { gate, num, n, ending, done }));
+        let answer = self.gates[gate].after(inv, &outcome, self.now);
+        self.answer(num, answer);
+        self.carry_out(gate);
+    }
+
+    pub fn leave(&mut self, num: u64) {
+        let Some((gate, inv, _)) = self.held.get_mut(&num) else { return };
+        let gate = *gate;
+        self.gates[gate].gone(inv);
+        self.see(Seen::Left { gate, num });
+        self.answer(num, Answer::Done);
+        self.carry_out(gate);
+    }
+
+    /// Lets time pass: held invocations are asked again and deliveries abandoned when they come due.
+    pub fn pass(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        loop {
+            let asked = self.held.iter().map(|(&num, h)| (h.2, num)).min_by(|a, b| a.partial_cmp(b).unwrap());
+            let late = self.out.iter().map(|o| o.limit).enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+            let (asked, late) = (asked.unwrap_or((f64::INFINITY, 0)), late.unwrap_or((0, f64::INFINITY)));
+            if asked.0.min(late.1) > end {
+                break;
+            }
+            self.now = self.now.max(asked.0.min(late.1));
+            if late.1 <= asked.0 {
+                self.end(late.0, Ending::Timeout);
+            } else {
+                let gate = self.held[&asked.1].0;
+                self.place(asked.1);
+                self.carry_out(gate);
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn sends(&self) -> Vec<usize> {
+        self.seen
+            .iter()
+            .filter_map(|s| if let Seen::Sent { tgt, .. } = s.2 { Some(tgt) } else { None })
+            .collect()
+    }
+
+    pub fn throttles(&self) -> usize {
+        let throttle = |s: &Seen| matches!(s, Seen::Final { answer: Answer::Throttle { .. }, .. });
+        self.seen.iter().filter(|s| throttle(&s.2)).count()
+    }
+}
--- /dev/null
+++ b/tests/rules_model.rs
@@ -0,0 +1,253 @@
+//! A slow, plain model of the five rules beside several limiters, on generated sequences.
+
+mod front;
+
+use dunespur::types::*;
+use front::*;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+
+const GRACE: f64 = 0.25;
+const MULTIPLE: f64 = 3.0;
+const TIP: f64 = 1.0;
+/// What a warm server of the generated fleets can do in a second, more than any load they are offered.
+const CAPACITY: f64 = 40.0;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Take { gate: usize, customer: u64, operation: usize, many: usize },
+    Pass(f64),
+    End { at: usize, ending: Ending },
+    Count { at: usize, added: bool, told: bool },
+    Empty,
+    Quick(bool),
+    Tell { gate: usize, tgt: usize, readiness: Readiness, fresh: bool },
+    List { gate: usize, none: bool },
+    Restart(usize),
+    Leave(u64),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let mut of = |n: usize| usize::arbitrary(g) % n;
+        let gate = of(3);
+        match of(40) {
+            0..=11 => {
+                let many = [1, 1, 2, 4][of(4)];
+                Step::Take { gate, customer: of(5) as u64, operation: of(5), many }
+            }
+            12..=19 => Step::Pass([0.001, 0.02, 0.1, 0.4, 2.0][of(5)]),
+            20..=30 => {
+                use Ending::*;
+                let all =
+                    [Succeeded, Succeeded, Succeeded, Succeeded, Error, Full, ConnectFailed, Reset, Moot];
+                Step::End { at: of(50), ending: all[of(9)] }
+            }
+            31..=33 => Step::Count { at: of(50), added: of(4) > 0, told: of(4) > 0 },
+            34 => Step::Empty,
+            35 => Step::Quick(of(3) > 0),
+            36 | 37 => {
+                let readiness = [Readiness::Live, Readiness::Draining, Readiness::Gone][of(3)];
+                Step::Tell { gate, tgt: of(5), readiness, fresh: of(2) == 0 }
+            }
+            38 => match of(3) {
+                0 => Step::List { gate, none: of(3) == 0 },
+                _ => Step::Leave(of(60) as u64),
+            },
+            _ => Step::Restart(gate),
+        }
+    }
+}
+
+fn world() -> Settings {
+    let tokened = |group| Effect::Tokened { group, window: 0.8 };
+    let hard = PlanSettings { hard_rate: 6.0, hard_burst: 12.0, ..rate_plan(4.0, 8.0) };
+    Settings {
+        operations: vec![
+            operation(Effect::Idempotent, 1.0),
+            operation(Effect::NonIdempotent, 2.0),
+            operation(tokened(Group::All), 1.0),
+            operation(tokened(Group::Zone), 3.0),
+            operation(tokened(Group::Cell), 1.0),
+        ],
+        plans: vec![
+            hard.clone(),
+            rate_plan(30.0, 30.0),
+            PlanSettings { over_worth: 1.0, beyond_costs: 0.0, ..hard },
+            PlanSettings { open: 4.0, ..PlanSettings::default() },
+            rate_plan(30.0, 60.0),
+        ],
+        ..settings(3)
+    }
+}
+
+fn play(steps: &[Step]) -> Front {
+    let mut f = Front::new(world(), 5);
+    for step in steps {
+        match *step {
+            Step::Take { gate, customer, operation, many } => (0..many).for_each(|_| {
+                f.take(gate, customer, customer as usize, operation, 1.0 + (customer % 2) as f64);
+            }),
+            Step::Pass(seconds) => f.pass(seconds),
+            Step::End { at, ending } if !f.out.is_empty() => {
+                f.pass(0.005);
+                let n = f.out.len();
+                if n > 0 {
+                    f.end(at % n, ending);
+                }
+            }
+            Step::Count { at, added, told } if !f.calls.is_empty() => {
+                let (gate, name, _) = f.calls[at % f.calls.len()];
+                let first = f.calls.iter().position(|c| c.0 == gate && c.1 == name).unwrap();
+                f.count(first, added, told);
+            }
+            Step::Empty => f.counter.clear(),
+            Step::Quick(quick) => f.quick = quick,
+            Step::Tell { gate, tgt, readiness, fresh } => {
+                let came_up = if fresh { f.now } else { 0.0 };
+                f.roster(gate, vec![Server { readiness, came_up, ..server(tgt) }], false);
+            }
+            Step::List { gate, none } => {
+                let all = (0..if none { 0 } else { 4 }).map(server).collect();
+                f.roster(gate, all, true);
+            }
+            Step::Restart(gate) => f.restart(gate),
+            Step::Leave(num) => f.leave(num),
+            _ => {}
+        }
+    }
+    f.pass(5.0);
+    f
+}
+
+#[derive(Default)]
+struct Life {
+    until: f64,
+    operation: usize,
+    answers: usize,
+    closed: bool,
+    /// Server, time and, once known, whether it never ran.
+    deliveries: Vec<(usize, f64, Option<bool>)>,
+}
+
+/// The rules in the words of their page, over what the front saw.
+fn broken(f: &Front) -> Option<String> {
+    let mut lives: BTreeMap<u64, Life> = BTreeMap::new();
+    let mut customers: BTreeMap<u64, (u64, usize, f64)> = BTreeMap::new();
+    let mut told: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+    let mut up: BTreeMap<usize, f64> = BTreeMap::new();
+    let mut stores: BTreeMap<u64, (f64, f64)> = BTreeMap::new();
+    let mut cold: Vec<(usize, f64)> = Vec::new();
+    for (now, _, seen) in &f.seen {
+        match seen {
+            Seen::Took { inv } => {
+                let life = Life { until: inv.until, operation: inv.operation, ..Life::default() };
+                lives.insert(inv.num, life);
+                customers.insert(inv.num, (inv.customer, inv.plan, inv.units));
+            }
+            Seen::Told { gate, entry } => {
+                match entry.readiness {
+                    Readiness::Live => told.remove(&(*gate, entry.tgt)),
+                    _ => Some(*told.entry((*gate, entry.tgt)).or_insert(*now)),
+                };
+                if entry.came_up > 0.0 {
+                    up.insert(entry.tgt, entry.came_up);
+                }
+            }
+            Seen::Withdrawn { gate, tgt } => {
+                told.entry((*gate, *tgt)).or_insert(*now);
+            }
+            Seen::Killed { gate } => {
+                // What it held is void; its clients may come again.
+                for (_, _, s) in &f.seen {
+                    if let Seen::Sent { gate: g, num, .. } = s {
+                        if g == gate {
+                            lives.get_mut(num).into_iter().for_each(|l| l.closed |= l.answers == 0);
+                        }
+                    }
+                }
+            }
+            Seen::Sent { gate, num, n, tgt } => {
+                let life = lives.get_mut(num)?;
+                if life.answers > 0 || (life.closed && *n > 0) || *now > life.until {
+                    return Some(format!("rule 1: {num} sent after its end"));
+                }
+                let effect = f.settings.operations[life.operation].effect;
+                for &(first, at, never) in &life.deliveries {
+                    let may = never != Some(true);
+                    let fits = match effect {
+                        Effect::Idempotent => true,
+                        Effect::NonIdempotent => !may,
+                        Effect::Tokened { group, window } => {
+                            let same = match group {
+                                Group::All => true,
+                                Group::Zone => server(first).zone == server(*tgt).zone,
+                                Group::Cell => server(first).cell == server(*tgt).cell,
+                            };
+                            !may || (same && *now <= at + window)
+                        }
+                    };
+                    if !fits || never.is_none() {
+                        return Some(format!("rule 2: {num} sent again"));
+                    }
+                }
+                life.deliveries.push((*tgt, *now, None));
+                if told.get(&(*gate, *tgt)).is_some_and(|&t| *now > t + GRACE) {
+                    return Some(format!("rule 3: {tgt} got {num} while draining or gone"));
+                }
+                if let Some(&came_up) = up.get(tgt).filter(|&&t| *now < t + f.settings.cold_for) {
+                    cold.push((*tgt, *now));
+                    let part = |t: f64| 0.2 + 0.8 * (t - came_up) / f.settings.cold_for;
+                    let within = cold.iter().filter(|c| c.0 == *tgt && c.1 > *now - TIP).count() as f64;
+                    if within > MULTIPLE * CAPACITY * part((*now - TIP).max(came_up)) * TIP {
+                        return Some(format!("rule 4: {within} sent to {tgt} within {TIP} s"));
+                    }
+                }
+                let (customer, plan, units) = customers[num];
+                let plan = &f.settings.plans[plan];
+                if *n == 0 && plan.hard_rate > 0.0 {
+                    let (left, at) = stores.get(&customer).copied().unwrap_or((plan.hard_burst, *now));
+                    let left = (left + plan.hard_rate * (now - at)).min(plan.hard_burst) - units;
+                    stores.insert(customer, (left, *now));
+                    if left < -1e-6 {
+                        return Some(format!("rule 5: customer {customer} at {left}"));
+                    }
+                }
+            }
+            Seen::Ended { num, n, ending, done, .. } => {
+                let life = lives.get_mut(num)?;
+                life.deliveries[*n].2 = Some(ending.never_ran());
+                if *done && *ending == Ending::Succeeded && !life.closed {
+                    life.answers += 1;
+                }
+            }
+            Seen::Final { num, answer, .. } => {
+                let life = lives.get_mut(num)?;
+                life.answers += 1;
+                if life.answers > 1 || life.closed || *now > life.until + f.settings.answer_slack {
+                    return Some(format!("rule 1: {num} answered {} times, at {now}", life.answers));
+                }
+                let may = life.deliveries.iter().any(|d| d.2 != Some(true));
+                let risky = match f.settings.operations[life.operation].effect {
+                    Effect::Idempotent | Effect::Tokened { group: Group::All, .. } => false,
+                    _ => may,
+                };
+                if risky && matches!(answer, Answer::Throttle { .. }) {
+                    return Some(format!("rule 2: {num} throttled though it may have run"));
+                }
+            }
+            Seen::Left { num, .. } => lives.get_mut(num)?.closed = true,
+        }
+    }
+    let owed = f.held.values().find(|h| h.1.stage != Stage::Done);
+    owed.map(|h| format!("rule 1: {} still owed an answer", h.1.num))
+}
+
+#[test]
+fn limiters_and_model_agree_on_what_is_allowed() {
+    fn agrees(steps: Vec<Step>) -> Result<(), String> {
+        broken(&play(&steps)).map_or(Ok(()), Err)
+    }
+    let gen = Gen::from_size_and_seed(400, 20261201);
+    QuickCheck::new().rng(gen).tests(400).max_tests(400).quickcheck(agrees as fn(Vec<Step>) -> _);
+}
