--- a/crates/drill/tests/transcripts.rs
+++ b/crates/drill/tests/transcripts.rs
@@ -69,7 +69,8 @@
 #[test]
 fn a_list_number_is_taken_anew_within_a_batch() {
     let again = "MARK 9 2\nINVENTORY 0 1\nROW 8.9 a quiescing 0 10.0.0.1:80 std 1\nVIEW limiter/0 0 incr 2\n\
-                 INVENTORY 0 0\nVIEW limiter/0 0 total 3\nVIEW limiter/0 0 lost 3\nSTOP limiter/0\nEOF_BATCH\n";
+                 INVENTORY 0 0\nVIEW limiter/0 0 total 3\nVIEW limiter/0 0 lost 3\n\
+                 STOP limiter/0\nEOF_BATCH\n";
     assert!(run(&(started() + again)).status.success());
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -134,7 +134,6 @@
 /// Figures about servers, by dense index.
 #[derive(Default)]
 struct Servers {
-    known: Vec<bool>,
     live: Vec<bool>,
     zone: Vec<usize>,
     cell: Vec<u64>,
@@ -267,21 +266,19 @@
         if matches!(inv.stage, Stage::Out | Stage::Done) {
             return if inv.stage == Stage::Done { Answer::Done } else { Answer::Hold };
         }
-        let fresh = inv.stage == Stage::New;
         let a = self.account(inv, now);
-        if fresh {
-            let span = self.plans[inv.plan].span;
+        if inv.stage == Stage::New {
             let account = &mut self.accounts[a];
-            account.demand = account.demand * (-(now - account.seen) / span).exp() + inv.units;
+            let keep = (-(now - account.seen) / self.plans[inv.plan].span).exp();
+            account.demand = account.demand * keep + inv.units;
             account.seen = now;
         }
         if now >= self.give_up(inv) {
             return self.refuse(inv, self.objective, now);
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
-        if !inv.drawn && self.ceiling(a, now) < inv.units {
-            let short = (inv.units - self.accounts[a].hard) / self.hard_rate(a);
-            return self.refuse(inv, short, now);
+        if let Some(pause) = self.over_ceiling(a, inv, now) {
+            return self.refuse(inv, pause, now);
         }
         if !inv.paid && !inv.beyond {
             // Admit from the lease while its units cover the invocation; refill it when they do not.
@@ -502,10 +499,7 @@
     /// Guards against a counter that is silent, refusing or crowded: after failures in a row one call in
     /// a while is let out as a test. Hurts when single calls fail by chance, for a few waits at most.
     fn counter_open(&mut self, now: f64) -> bool {
-        if !self.counter {
-            return false;
-        }
-        if self.failures > 0 && now < self.retest {
+        if !self.counter || (self.failures > 0 && now < self.retest) {
             return false;
         }
         if self.failures > 0 {
@@ -541,9 +535,7 @@
 
     /// Deliveries that this limiter may have out for a customer: an even part of the plan's limit.
     fn open_share(&self, inv: &Invocation) -> f64 {
-        let open = self.plans[inv.plan].open as u32;
-        let doors = inv.doors.max(1);
-        f64::from((open / doors).max(1))
+        (self.plans[inv.plan].open / f64::from(inv.doors.max(1))).floor().max(1.0)
     }
 
     /// Beyond the quota: throttled at once, unless the plan says that an excess pays and servers idle.
@@ -551,36 +543,28 @@
         let idle = self.line.is_empty() && self.pressure < PRESSED / 2.0;
         if self.plans[inv.plan].beyond_pays && idle {
             inv.beyond = true;
-            return self.place_beyond(inv, now);
+            if let Some(tgt) = self.pick(inv, now) {
+                return self.send(inv, tgt, now);
+            }
         }
         self.refuse(inv, pause, now)
     }
 
-    fn place_beyond(&mut self, inv: &mut Invocation, now: f64) -> Answer {
-        match self.pick(inv, now) {
-            Some(tgt) => self.send(inv, tgt, now),
-            None => self.refuse(inv, self.objective, now),
-        }
-    }
-
     // ---- Ceilings ----
 
-    fn hard_rate(&self, a: usize) -> f64 {
-        self.plans[self.accounts[a].plan].hard_rate / self.accounts[a].doors
-    }
-
-    /// Units left of this limiter's own part of the ceiling, so that no counter, restart or uneven entry
-    /// can add up past it. It starts at nothing with the limiter: an earlier life may have spent the rest.
-    fn ceiling(&mut self, a: usize, now: f64) -> f64 {
-        let rate = self.hard_rate(a);
+    /// This limiter draws on its own part of the ceiling, so that no counter, restart or uneven entry can
+    /// add up past it. It starts at nothing with the limiter: an earlier life may have spent the rest.
+    /// Over it, the time until the part covers the invocation.
+    fn over_ceiling(&mut self, a: usize, inv: &Invocation, now: f64) -> Option<f64> {
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        if plan.hard_rate <= 0.0 {
-            return f64::INFINITY;
+        if inv.drawn || plan.hard_rate <= 0.0 {
+            return None;
         }
+        let rate = plan.hard_rate / account.doors;
         account.hard = (account.hard + rate * (now - account.hard_at)).min(plan.hard_burst / account.doors);
         account.hard_at = now;
-        account.hard
+        (account.hard < inv.units).then(|| (inv.units - account.hard) / rate)
     }
 
     /// The customer's books, opened on first sight. Each opening closes idle ones, so that customers seen
@@ -805,11 +789,10 @@
             return self.finish(inv, Answer::Error);
         }
         let a = self.account(inv, now);
+        if let Some(pause) = self.over_ceiling(a, inv, now) {
+            return self.refuse(inv, pause, now);
+        }
         if !inv.drawn {
-            if self.ceiling(a, now) < inv.units {
-                let short = (inv.units - self.accounts[a].hard) / self.hard_rate(a);
-                return self.refuse(inv, short, now);
-            }
             self.accounts[a].hard -= inv.units;
             inv.drawn = true;
         }
@@ -938,8 +921,7 @@
         }
         for e in entries {
             let v = &mut self.servers;
-            while v.known.len() <= e.tgt {
-                v.known.push(false);
+            while v.live.len() <= e.tgt {
                 v.live.push(false);
                 v.zone.push(0);
                 v.cell.push(0);
@@ -971,7 +953,6 @@
                 (v.bad[s], v.rest_until[s], v.rest[s], v.on_trial[s]) = (0.0, 0.0, 0.0, false);
             }
             v.came_up[s] = e.came_up;
-            v.known[s] = true;
             v.live[s] = e.readiness == Readiness::Live;
             v.zone[s] = e.zone;
             v.cell[s] = e.cell;
