Count a delivery turned away as a failed one

Cause: a server that says no at once looked the least busy and drew nearly four times its part. Also covers connection limits that a server answers with a quick no; hurts where all are full, and there the fleet's mean keeps any from resting.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -859,8 +859,8 @@
         let fleet = f64::from(self.fleet);
         let objective = self.operations[inv.operation].objective;
         let share = outcome.spent / objective;
-        let failed =
-            matches!(outcome.ending, Ending::Error | Ending::Timeout | Ending::ConnectFailed | Ending::Reset);
+        // Turned away counts as failed: a server that is quick to say no would draw ever more.
+        let failed = outcome.ending != Ending::Succeeded;
         let late = outcome.ending == Ending::Full
             || (matches!(outcome.ending, Ending::Timeout | Ending::Succeeded) && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -216,3 +216,21 @@
     }
     assert!(f.gates[0].customers() < 2_000, "{} books open", f.gates[0].customers());
 }
+
+#[test]
+fn a_server_that_turns_all_away_draws_no_more_than_its_part() {
+    let mut f = Front::new(settings(1), 4);
+    for _ in 0..300 {
+        for _ in 0..3 {
+            f.take(0, 1, 0, 0, 1.0);
+        }
+        f.pass(0.002);
+        while let Some(at) = f.out.iter().position(|o| o.tgt == 0) {
+            f.end(at, Ending::Full);
+        }
+        f.pass(0.03);
+        answer_all(&mut f, Ending::Succeeded);
+    }
+    let refused = f.sends().iter().filter(|&&s| s == 0).count();
+    assert!(refused < f.sends().len() / 10, "{refused} of {} sent to a full server", f.sends().len());
+}
