--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,8 +33,6 @@
 const FADE: f64 = 8.0;
 /// Weight of one new reading in the running figures.
 const NEWEST: f64 = 0.1;
-/// Failed calls in a row from which the counter counts as silent, not just crowded.
-const SILENT: u32 = 3;
 /// Deliveries beyond the first while there is no overload (the users' present system).
 const FURTHER: usize = 2;
 
@@ -429,7 +427,7 @@
         let a = call.account;
         let Counted::Total(total) = counted else {
             self.failures += 1;
-            let wait = (self.count_wait * f64::from(1u32 << self.failures.min(7))).min(1.0);
+            let wait = (self.count_wait * f64::from(1u32 << self.failures.min(5))).min(1.0);
             self.retest = now + wait * (0.75 + self.rng.unit() / 2.0);
             let account = &mut self.accounts[a];
             let plan = &self.plans[account.plan];
@@ -501,10 +499,10 @@
     /// Guards against a counter that is silent, refusing or crowded: after failures in a row one call in
     /// a while is let out as a test. Hurts when single calls fail by chance, for a few waits at most.
     fn counter_open(&mut self, now: f64) -> bool {
-        if !self.counter || (self.failures >= SILENT && now < self.retest) {
+        if !self.counter || (self.failures > 0 && now < self.retest) {
             return false;
         }
-        if self.failures >= SILENT {
+        if self.failures > 0 {
             self.retest = now + self.count_wait * 2.0;
         }
         true
