--- a/src/rules.rs
+++ b/src/rules.rs
@@ -146,8 +146,6 @@
     /// Recent answer time as a share of the latency objective.
     slow: Vec<f64>,
     bad: Vec<f64>,
-    /// Waiting there by its last report, where servers report it.
-    waiting: Vec<f64>,
     /// Earliest time since which something is out there with no answer of any kind.
     quiet_since: Vec<f64>,
     sent_at: Vec<f64>,
@@ -720,7 +718,7 @@
                 let v = &self.servers;
                 let far = if v.zone[s] == self.zone { 1.0 } else { 1.05 };
                 let good = (1.0 - v.bad[s]).max(0.05);
-                let soon = (v.out[s] + 1.0 + v.waiting[s]) * v.slow[s].max(0.02) * far / (good * good);
+                let soon = (v.out[s] + 1.0) * v.slow[s].max(0.02) * far / (good * good);
                 // One whose rest is over gets its trial at once, with one delivery.
                 let soon = if v.on_trial[s] { 0.0 } else { soon * (1.0 + 0.1 * self.rng.unit()) };
                 if soon < least {
@@ -745,7 +743,6 @@
         for s in 0..v.live.len() {
             v.slow[s] += (self.fleet_slow - v.slow[s]).min(0.0) * step;
             v.bad[s] -= v.bad[s] * step;
-            v.waiting[s] -= v.waiting[s] * step;
             v.places[s] += (first - v.places[s]).max(0.0) * step;
         }
     }
@@ -866,7 +863,6 @@
             return;
         }
         let fleet = f64::from(self.fleet);
-        v.waiting[tgt] = outcome.waiting.unwrap_or(v.waiting[tgt]);
         let objective = self.operations[inv.operation].objective;
         let share = outcome.spent / objective;
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
@@ -932,27 +928,22 @@
         for e in entries {
             let v = &mut self.servers;
             while v.live.len() <= e.tgt {
-                for figure in [
-                    &mut v.came_up,
-                    &mut v.out,
-                    &mut v.bad,
-                    &mut v.quiet_since,
-                    &mut v.sent_at,
-                    &mut v.rest_until,
-                    &mut v.rest,
-                    &mut v.paced_until,
-                    &mut v.waiting,
-                ] {
-                    figure.push(0.0);
-                }
                 v.live.push(false);
                 v.zone.push(0);
                 v.cell.push(0);
                 v.cold_since.push(f64::NEG_INFINITY);
+                v.came_up.push(0.0);
+                v.out.push(0.0);
                 v.places.push(START / f64::from(self.fleet));
                 v.shrunk.push(f64::NEG_INFINITY);
                 v.slow.push(CALM / 2.0);
+                v.bad.push(0.0);
+                v.quiet_since.push(0.0);
+                v.sent_at.push(0.0);
+                v.rest_until.push(0.0);
+                v.rest.push(0.0);
                 v.on_trial.push(false);
+                v.paced_until.push(0.0);
             }
             let s = e.tgt;
             if e.came_up > v.came_up[s] {
