Hold the line a fifth of the objective at most

Cause: under lasting overload the line never empties, so a longer one only makes answers late. It might hurt a short spike that a longer line would have carried.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,7 +20,7 @@
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.28;
 /// Share of the latency objective that the line may hold an invocation at most.
-const LINE: f64 = 0.4;
+const LINE: f64 = 0.2;
 /// The slowest answer in ten against the mean, of answer times spread like an exponential's.
 const TAIL: f64 = 2.3;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
