--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,10 +19,8 @@
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.28;
-/// Share of the latency objective that the line may hold an invocation at most.
-const LINE: f64 = 0.2;
-/// The slowest answer in ten against the mean, of answer times spread like an exponential's.
-const TAIL: f64 = 2.3;
+/// Share of the latency objective that the line may hold an invocation.
+const LINE: f64 = 0.1;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
@@ -633,10 +631,9 @@
         }
     }
 
-    /// How long the line may hold an invocation: what the slowest in ten at a server leave of the objective.
+    /// How long the line may hold an invocation: a longer line under lasting overload only makes it late.
     fn line_span(&self, inv: &Invocation) -> f64 {
-        let left = 1.0 - TAIL * self.fleet_slow;
-        self.operations[inv.operation].objective * left.clamp(NEWEST, LINE)
+        self.operations[inv.operation].objective * LINE
     }
 
     /// Joins the line behind those of the same or a higher billed value, or before its equals when it
