--- a/src/rules.rs
+++ b/src/rules.rs
@@ -18,7 +18,7 @@
 const CALM: f64 = 0.5;
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
-const FULL: f64 = 0.28;
+const FULL: f64 = 0.25;
 /// Share of the latency objective that the line may hold an invocation.
 const LINE: f64 = 0.1;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
