Let a meter over the rate close the local share while the counter is silent

Cause: with a fifth of the counter's calls lost, twelve even shares with openings went beyond quotas together. Covers any silence where answers carry the meter; might hurt a customer whose use just fell, for the meter's delay. The load report, which nothing reads, leaves the interface.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -281,10 +281,9 @@
                 let used = Some(parts.number("usePct")?).filter(|&u| u > 0.0).map(|u| (u - 1.0) / 100.0);
                 let cost = parts.number("cost")?;
                 let settled = Some(cost).filter(|&c| host.read.settles && c > 0.0);
-                let waiting = report(parts.0.next(), &host.read.reports)?;
                 let Some(&num) = host.by_id.get(id) else { return Ok(()) };
                 let Some((_, inv)) = host.held.get_mut(&num) else { return Ok(()) };
-                let outcome = Outcome { n, ending, spent, done, used, settled, waiting };
+                let outcome = Outcome { n, ending, spent, done, used, settled };
                 let answer = host.limiter.after(inv, &outcome, now);
                 host.answer(name, num, answer, now, out).map_err(io)
             }
@@ -325,13 +324,3 @@
         }
     }
 }
-
-/// The number waiting at the server, out of its load report.
-fn report(part: Option<&str>, fields: &[String]) -> Result<Option<f64>, String> {
-    let Some(values) = part.filter(|p| !p.is_empty() && *p != "-") else { return Ok(None) };
-    let Some(at) = fields.iter().position(|f| f == "pending") else { return Ok(None) };
-    match values.split(',').nth(at) {
-        None | Some("-") => Ok(None),
-        Some(s) => s.parse().map(Some).map_err(|_| format!("load report '{values}' is not made of numbers")),
-    }
-}
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -10,7 +10,6 @@
     pub plans: Vec<String>,
     pub operations: Vec<String>,
     pub zones: Vec<String>,
-    pub reports: Vec<String>,
     pub settles: bool,
 }
 
@@ -106,7 +105,6 @@
         plans: names_of(&v, "contracts")?,
         operations: names_of(&v, "classes")?,
         zones,
-        reports: if v["loadInfo"].is_null() { Vec::new() } else { names(&v["loadInfo"], "fields")? },
         settles: domain["settles"].as_bool().unwrap_or(false),
     })
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -348,6 +348,10 @@
         if let Some(&a) = self.by_customer.get(&inv.customer) {
             let account = &mut self.accounts[a];
             account.open = (account.open - 1.0).max(0.0);
+            // With the counter silent, a meter over the rate tells that the shares are too much together.
+            if self.failures > 0 && outcome.used.is_some_and(|used| used > 1.0) {
+                account.share = 0.0;
+            }
             if let (Some(units), true) = (outcome.settled, inv.paid) {
                 account.debt += units - inv.units;
             }
--- a/src/types.rs
+++ b/src/types.rs
@@ -181,8 +181,6 @@
     pub used: Option<f64>,
     /// The settled units, where they were an estimate.
     pub settled: Option<f64>,
-    /// Invocations waiting at the server, where it reports them.
-    pub waiting: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -235,3 +235,22 @@
     let refused = f.sends().iter().filter(|&&s| s == 0).count();
     assert!(refused < f.sends().len() / 10, "{refused} of {} sent to a full server", f.sends().len());
 }
+
+#[test]
+fn a_meter_over_the_rate_closes_the_share_in_a_silence() {
+    let let_in = |used| {
+        let mut f = with_plan(rate_plan(4.0, 8.0), 2, 10);
+        (f.quick, f.used) = (false, used);
+        for _ in 0..100 {
+            f.take(0, 1, 0, 0, 1.0);
+            while !f.calls.is_empty() {
+                f.count(0, false, true);
+            }
+            answer_all(&mut f, Ending::Succeeded);
+            f.pass(0.05);
+        }
+        f.sends().len()
+    };
+    let (unmetered, over) = (let_in(None), let_in(Some(2.0)));
+    assert!(over < unmetered, "{over} let in with the meter over the rate, {unmetered} without");
+}
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -41,6 +41,8 @@
     pub counts: usize,
     /// The counter answers at once.
     pub quick: bool,
+    /// What the meter says with each answer.
+    pub used: Option<f64>,
     last: u64,
     lives: u64,
 }
@@ -91,6 +93,7 @@
             seen: Vec::new(),
             counts: 0,
             quick: true,
+            used: None,
             last: 0,
             lives: 0,
         };
@@ -220,7 +223,7 @@
         let Some((_, inv, _)) = self.held.get_mut(&out.num) else { return };
         let done = inv.stage == Stage::Done || ending == Ending::Succeeded;
         let (n, gate, num, spent) = (out.n, out.gate, out.num, self.now - out.at);
-        let outcome = Outcome { n, ending, spent, done, used: None, settled: None, waiting: None };
+        let outcome = Outcome { n, ending, spent, done, used: self.used, settled: None };
         self.seen.push((self.now, self.seen.len(), Seen::Ended { gate, num, n, ending, done }));
         let answer = self.gates[gate].after(inv, &outcome, self.now);
         self.answer(num, answer);
