--- a/src/rules.rs
+++ b/src/rules.rs
@@ -868,9 +868,8 @@
         let share = outcome.spent / objective;
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
         let failed = outcome.ending != Ending::Succeeded;
-        // A time-out beside quick answers is a loss, not overload.
-        let slow = !failed || (outcome.ending == Ending::Timeout && self.fleet_slow > FULL);
-        let late = outcome.ending == Ending::Full || (slow && share > 1.5 * CALM);
+        let late = outcome.ending == Ending::Full
+            || (matches!(outcome.ending, Ending::Timeout | Ending::Succeeded) && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
             v.quiet_since[tgt] = now;
         }
