--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,7 @@
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
 /// Latency objectives over which figures about a server fade.
-const FADE: f64 = 8.0;
+const FADE: f64 = 4.0;
 /// Weight of one new reading in the running figures.
 const NEWEST: f64 = 0.1;
 /// Deliveries beyond the first while there is no overload (the users' present system).
