Put a share of the refills to the counter that its answers set

Now a slow or failed call cuts the share of refills that is asked, and without the counter one unit is let in for each span unless the counter last left no room. Also covers silent, refusing and slow counters; hurts when single calls fail by chance, and customers over quota that no gateway has asked for get one unit a gateway and span.

--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -315,7 +315,8 @@
                     "timeout" => Counted::Silent,
                     other => return Err(format!("result '{other}' is unknown")),
                 };
-                host.limiter.counted(count, counted, now);
+                let spent = parts.number("spentS")?;
+                host.limiter.counted(count, counted, spent, now);
                 Ok(())
             }
             // Nothing is probed, told to peers or streamed yet: these arrive, if at all, unasked.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,8 @@
 const SICK: f64 = 0.5;
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
+/// Least share of the refills that goes to the counter, as a test.
+const FEWEST: f64 = 1.0 / 16.0;
 /// Latency objectives over which figures about a server fade.
 const FADE: f64 = 4.0;
 /// Weight of one new reading in the running figures.
@@ -91,6 +93,8 @@
     /// Units to report with the next add: let in without a lease, or a correction that was refused.
     debt: f64,
     debt_at: f64,
+    /// The counter's last answer left no room.
+    over: bool,
     asking: bool,
     waiting: Vec<u64>,
     /// The local share that stands in for a silent counter.
@@ -176,8 +180,8 @@
     accounts: Vec<Account>,
     hand: usize,
     calls: HashMap<u64, VecDeque<Call>>,
-    failures: u32,
-    retest: f64,
+    /// Share of the refills that are put to the counter.
+    asks: f64,
     /// Billed value of the operation and number of those that wait for a place, the dearest first.
     line: VecDeque<(f64, u64)>,
     pressure: f64,
@@ -233,8 +237,7 @@
             accounts: Vec::new(),
             hand: 0,
             calls: HashMap::new(),
-            failures: 0,
-            retest: 0.0,
+            asks: 1.0,
             line: VecDeque::new(),
             pressure: 0.0,
             fleet_bad: 0.0,
@@ -302,7 +305,7 @@
                     if account.heard > 0.0 && room < inv.units {
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
-                    if self.counter_open(now) {
+                    if self.counter_open() {
                         self.refill(a, inv.units, now);
                         self.accounts[a].waiting.push(inv.num);
                         inv.stage = Stage::Quota;
@@ -349,7 +352,7 @@
             let account = &mut self.accounts[a];
             account.open = (account.open - 1.0).max(0.0);
             // With the counter silent, a meter over the rate tells that the shares are too much together.
-            if self.failures > 0 && outcome.used.is_some_and(|used| used > 1.0) {
+            if self.asks < CALM && outcome.used.is_some_and(|used| used > 1.0) {
                 account.share = 0.0;
             }
             if let (Some(units), true) = (outcome.settled, inv.paid) {
@@ -423,17 +426,21 @@
 
     /// The counter's answer. The name holds units let in since the window began; what stands above the
     /// line of the rate is backlog, and the burst is the most that it may be.
-    pub fn counted(&mut self, name: u64, counted: Counted, now: f64) {
+    pub fn counted(&mut self, name: u64, counted: Counted, spent: f64, now: f64) {
         let Some(queue) = self.calls.get_mut(&name) else { return };
         let Some(call) = queue.pop_front() else { return };
         if queue.is_empty() {
             self.calls.remove(&name);
         }
         let a = call.account;
+        // Guards against a counter that is silent, refusing or crowded by all limiters together: each puts
+        // a smaller share of its refills to it until answers are quick. Hurts when calls fail by chance.
+        if matches!(counted, Counted::Total(_)) && spent < CALM * self.count_wait {
+            self.asks = (self.asks + NEWEST / 4.0).min(1.0);
+        } else {
+            self.asks = (self.asks * (1.0 - CALM * CALM)).max(FEWEST);
+        }
         let Counted::Total(total) = counted else {
-            self.failures += 1;
-            let wait = (self.count_wait * f64::from(1u32 << self.failures.min(5))).min(1.0);
-            self.retest = now + wait * (0.75 + self.rng.unit() / 2.0);
             let account = &mut self.accounts[a];
             let plan = &self.plans[account.plan];
             if counted == Counted::Refused {
@@ -455,7 +462,6 @@
             }
             return;
         };
-        self.failures = 0;
         if call.asked <= 0.0 {
             return;
         }
@@ -485,6 +491,7 @@
         account.window = call.window;
         account.heard = now;
         account.lease = grant.max(0.0);
+        account.over = grant <= 0.0;
         account.lapses = now + plan.span;
         account.asking = false;
         let correct = off < -0.5 || (off > 0.5 && (hot || floor > 0.0));
@@ -501,20 +508,13 @@
         }
     }
 
-    /// Guards against a counter that is silent, refusing or crowded: after failures in a row one call in
-    /// a while is let out as a test. Hurts when single calls fail by chance, for a few waits at most.
-    fn counter_open(&mut self, now: f64) -> bool {
-        if !self.counter || (self.failures > 0 && now < self.retest) {
-            return false;
-        }
-        if self.failures > 0 {
-            self.retest = now + self.count_wait * 2.0;
-        }
-        true
+    fn counter_open(&mut self) -> bool {
+        self.counter && self.rng.unit() < self.asks
     }
 
-    /// While the counter is silent each limiter admits its share of the quota, opened as far as the
-    /// plan's price of an excess allows. What it lets in is owed to the counter.
+    /// Without the counter each limiter admits its share of the quota, opened as far as the plan's price of
+    /// an excess allows. Guards against sets so long that no share covers one invocation: unless the
+    /// counter last left no room, one is let in for each span. What it lets in is owed to the counter.
     fn local_share(&mut self, a: usize, units: f64, now: f64) -> bool {
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
@@ -523,7 +523,8 @@
         let since = now - account.share_at;
         if since > plan.span {
             let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
-            account.share = (room * part).max(0.0);
+            let floor = if account.over { 0.0 } else { units.min(room) };
+            account.share = (room * part).max(floor);
         } else {
             account.share = (account.share + since * plan.rate * part).min(most);
         }
@@ -594,6 +595,7 @@
             window: i64::MIN,
             debt: 0.0,
             debt_at: now,
+            over: false,
             asking: false,
             waiting: Vec::new(),
             share: 0.0,
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -216,7 +216,7 @@
             (false, true) => Counted::Refused,
             _ => Counted::Silent,
         };
-        self.gates[gate].counted(name, counted, self.now);
+        self.gates[gate].counted(name, counted, 0.0, self.now);
         self.carry_out(gate);
     }
 
