--- a/src/rules.rs
+++ b/src/rules.rs
@@ -187,8 +187,9 @@
     pressure: f64,
     fleet_bad: f64,
     faded_at: f64,
-    /// Places at all servers in use, when last counted.
+    /// Places at all servers in use, when last counted, and when those under one last shrank.
     window: f64,
+    shrunk: f64,
     fleet_slow: f64,
     /// Recent sends to warm servers, and recent answers.
     sends: f64,
@@ -245,6 +246,7 @@
             fleet_bad: 0.0,
             faded_at: now,
             window: 0.0,
+            shrunk: now,
             fleet_slow: CALM / 2.0,
             sends: 0.0,
             ends: 0.0,
@@ -905,7 +907,12 @@
         // while the mean answer is quick and all are in use, and shrink once for what was sent since the
         // last shrink. A fresh server's cap doubles as fast; one with slow work of its own gets less.
         let was = v.out[tgt] + 1.0;
-        if late || v.slow[tgt] > FULL {
+        if v.places[tgt] < 1.0 && self.fleet_slow > 1.5 * FULL {
+            if at > self.shrunk {
+                self.shrunk = now;
+                v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * 0.8).max(1.0 / fleet));
+            }
+        } else if late || v.slow[tgt] > FULL {
             if at > v.shrunk[tgt] {
                 v.shrunk[tgt] = now;
                 v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
