--- a/src/rules.rs
+++ b/src/rules.rs
@@ -487,14 +487,17 @@
         }
         let target = line + base + call.debt + grant;
         let off = target - total;
-        let hot = account.demand * account.doors > plan.burst / 2.0;
+        // In a long set one invocation says little: then only a burst's worth is written off, or a call would
+        // follow each answer.
+        let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
+        let idle = hot || floor > 0.0 || off > plan.burst;
         account.window = call.window;
         account.heard = now;
         account.lease = grant.max(0.0);
         account.over = grant <= 0.0;
         account.lapses = now + plan.span;
         account.asking = false;
-        let correct = off < -0.5 || (off > 0.5 && (hot || floor > 0.0));
+        let correct = off < -0.5 || (off > 0.5 && idle);
         account.backlog = if correct { target } else { total } - line;
         if correct {
             self.count(Call { add: off, asked: 0.0, debt: 0.0, back: 0.0, ..call });
