--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const START: f64 = 3.0;
 /// Least share of the refills that goes to the counter, as a test.
 const FEWEST: f64 = 1.0 / 16.0;
+/// Least burst, in units, that may be leased in halves.
+const COARSE: f64 = 16.0;
 /// Latency objectives over which figures about a server fade.
 const FADE: f64 = 4.0;
 /// Weight of one new reading in the running figures.
@@ -69,8 +71,12 @@
     open: f64,
     /// A lease's life, and the span over which demand is measured.
     span: f64,
+    /// The part of the ceiling that is shared out evenly.
     hard_rate: f64,
     hard_burst: f64,
+    /// Length of the windows that leases are counted in, and whether each stands for half a burst alone.
+    window: f64,
+    short: bool,
     /// One beyond the quota earns more than it costs.
     beyond_pays: bool,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
@@ -197,15 +203,24 @@
 
 impl Limiter {
     pub fn new(s: &Settings, now: f64) -> Self {
-        let plans = s.plans.iter().map(|p| Plan {
-            rate: p.rate,
-            burst: p.burst,
-            open: p.open,
-            span: if p.rate > 0.0 { (p.burst / p.rate).max(1e-3) } else { WINDOW },
-            hard_rate: p.hard_rate,
-            hard_burst: p.hard_burst,
-            beyond_pays: p.over_worth > p.beyond_costs,
-            openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
+        let plans = s.plans.iter().map(|p| {
+            let span = if p.rate > 0.0 { (p.burst / p.rate).max(1e-3) } else { WINDOW };
+            // Where half a burst holds enough, counting in windows of half a span bounds what is leased by
+            // rate and burst whatever is forgotten, and only the rest of the ceiling needs sharing out.
+            let short = s.counter && p.rate > 0.0 && p.burst >= COARSE;
+            let short = short && p.hard_rate > p.rate && p.hard_burst > p.burst;
+            Plan {
+                rate: p.rate,
+                burst: p.burst,
+                open: p.open,
+                span,
+                hard_rate: p.hard_rate - if short { p.rate } else { 0.0 },
+                hard_burst: p.hard_burst - if short { p.burst } else { 0.0 },
+                window: if short { span / 2.0 } else { WINDOW },
+                short,
+                beyond_pays: p.over_worth > p.beyond_costs,
+                openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
+            }
         });
         let operations = s.operations.iter().map(|o| Operation {
             effect: o.effect,
@@ -281,7 +296,8 @@
             return self.refuse(inv, self.objective, now);
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
-        if let Some(pause) = self.over_ceiling(a, inv, now) {
+        let short = self.plans[inv.plan].short;
+        if let (false, Some(pause)) = (short, self.over_ceiling(a, inv, now)) {
             return self.refuse(inv, pause, now);
         }
         if !inv.paid && !inv.beyond {
@@ -311,9 +327,13 @@
                         inv.stage = Stage::Quota;
                         return Answer::Hold;
                     }
-                    if !self.local_share(a, inv.units, now) {
+                    let closed = short && self.over_ceiling(a, inv, now).is_some();
+                    if closed || !self.local_share(a, inv.units, now) {
                         return self.beyond(inv, self.max_pause, now);
                     }
+                } else {
+                    // What was leased in a short window lies under the ceiling by itself.
+                    inv.drawn = short;
                 }
                 self.accounts[a].lease -= inv.units;
             }
@@ -397,7 +417,7 @@
     fn refill(&mut self, a: usize, units: f64, now: f64) {
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        let window = window_of(account.customer, now);
+        let window = window_of(account.customer, now, plan.window);
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
         let want = account.demand.max(units).min(plan.burst.max(units));
@@ -407,9 +427,10 @@
             want
         };
         // A new name starts at nothing: the backlog known here goes over with the first add.
-        let carried = if account.window == window { 0.0 } else { backlog };
+        let carried = if account.window == window || plan.short { 0.0 } else { backlog };
         // Units left of the last lease go back with the same add.
-        let back = account.lease.min(backlog).max(0.0);
+        let fresh = account.window == window || !plan.short;
+        let back = if fresh { account.lease.min(backlog).max(0.0) } else { 0.0 };
         let debt = account.owed(plan, now);
         account.debt = 0.0;
         account.lease = 0.0;
@@ -448,7 +469,7 @@
                 let correction = if call.asked > 0.0 { 0.0 } else { call.add };
                 account.debt = account.owed(plan, now) + call.debt + correction;
                 account.lease += call.back;
-            } else if call.asked > 0.0 {
+            } else if call.asked > 0.0 && !plan.short {
                 // A silent add may have counted, and a slow counter does work it off: its units are spent
                 // as if it had. Where it had not, the customer is ahead by one lease.
                 account.backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0) + call.asked;
@@ -467,7 +488,26 @@
         }
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        let line = plan.rate * (now - window_start(account.customer, call.window));
+        let start = window_start(account.customer, call.window, plan.window);
+        let ends = start + plan.window;
+        if plan.short {
+            // The name holds what was leased in its window, and half the burst is the most that it may be.
+            let room = (plan.burst / 2.0 - (total - call.add) + call.back - call.debt).max(0.0);
+            let tight = call.asked * account.doors > room;
+            let grant = if tight { (room / account.doors / SHRINK).max(call.needs) } else { call.asked };
+            let grant = if now < ends && grant.min(call.asked) <= room { grant.min(call.asked) } else { 0.0 };
+            account.over = grant <= 0.0;
+            let shut = if account.over { plan.rate * (ends - now) } else { 0.0 };
+            account.backlog = plan.burst - (room - grant) + shut;
+            (account.window, account.heard, account.asking) = (call.window, now, false);
+            (account.lease, account.lapses) = (grant, ends);
+            if grant < call.asked {
+                let add = grant - call.asked;
+                self.count(Call { add, asked: 0.0, debt: 0.0, back: 0.0, ..call });
+            }
+            return self.wake(a);
+        }
+        let line = plan.rate * (now - start);
         let before = total - call.add;
         // Guards against an emptied counter: a total far under the last one heard lost its units, so
         // what is known here is put back. Gives a peer's large return back too late by one span at worst.
@@ -987,14 +1027,14 @@
 }
 
 /// Windows are staggered over customers, so that leases do not all end together.
-fn phase(customer: u64) -> f64 {
-    (mix(customer, 7) >> 11) as f64 / 9007199254740992.0 * WINDOW
+fn phase(customer: u64, window: f64) -> f64 {
+    (mix(customer, 7) >> 11) as f64 / 9007199254740992.0 * window
 }
 
-fn window_of(customer: u64, now: f64) -> i64 {
-    ((now + phase(customer)) / WINDOW).floor() as i64
+fn window_of(customer: u64, now: f64, window: f64) -> i64 {
+    ((now + phase(customer, window)) / window).floor() as i64
 }
 
-fn window_start(customer: u64, window: i64) -> f64 {
-    window as f64 * WINDOW - phase(customer)
+fn window_start(customer: u64, index: i64, window: f64) -> f64 {
+    index as f64 * window - phase(customer, window)
 }
