--- a/src/rules.rs
+++ b/src/rules.rs
@@ -193,6 +193,9 @@
     pressure: f64,
     fleet_bad: f64,
     faded_at: f64,
+    /// Places at all servers in use, when last counted, and when those under one last shrank.
+    window: f64,
+    shrunk: f64,
     fleet_slow: f64,
     /// Recent sends to warm servers, and recent answers.
     sends: f64,
@@ -257,6 +260,8 @@
             pressure: 0.0,
             fleet_bad: 0.0,
             faded_at: now,
+            window: 0.0,
+            shrunk: now,
             fleet_slow: CALM / 2.0,
             sends: 0.0,
             ends: 0.0,
@@ -750,6 +755,7 @@
             out += v.out[s];
             places += v.places[s];
         }
+        self.window = places;
         if out + 1.0 > places.max(1.0) {
             return None;
         }
@@ -944,14 +950,25 @@
         // while the mean answer is quick and all are in use, and shrink once for what was sent since the
         // last shrink. A fresh server's cap doubles as fast; one with slow work of its own gets less.
         let was = v.out[tgt] + 1.0;
-        if late || v.slow[tgt] > FULL {
+        let used = v.out.iter().sum::<f64>() + 2.0 > self.window || !self.line.is_empty();
+        if v.places[tgt] < 1.0 {
+            // Guards against figures that rest on a handful of answers: where many limiters share a server
+            // and each has under one place there, one answer speaks for all servers.
+            let mut scale = 1.0;
+            if late && at > self.shrunk {
+                (scale, self.shrunk) = (0.8, now);
+            } else if outcome.ending == Ending::Succeeded && !late && used {
+                scale += v.live.len() as f64 / fleet / (self.window * self.window).max(1.0);
+            }
+            v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * scale).max(1.0 / fleet));
+        } else if late || v.slow[tgt] > FULL {
             if at > v.shrunk[tgt] {
                 v.shrunk[tgt] = now;
                 v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
             }
         } else if outcome.ending == Ending::Succeeded && (was + 1.0 > v.places[tgt] || !self.line.is_empty())
         {
-            v.places[tgt] += 1.0 / (fleet * v.places[tgt].max(1.0));
+            v.places[tgt] += 1.0 / (fleet * v.places[tgt]);
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
         // fault. Covers crashes, hangs, cut links and quick errors; hurts a server that had bad luck.
