Let places under one speak for all servers, and shrink with deliveries given up on

Those given up on are not late, yet their server works on. Also meant for hung servers and lost answers at many limiters; hurts when answers are lost without load: places stay few.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -196,8 +196,6 @@
     /// Places at all servers in use, when last counted, and when those under one last shrank.
     window: f64,
     shrunk: f64,
-    /// Lowest mean answer so far.
-    bare: f64,
     fleet_slow: f64,
     /// Recent sends to warm servers, and recent answers.
     sends: f64,
@@ -264,7 +262,6 @@
             faded_at: now,
             window: 0.0,
             shrunk: now,
-            bare: CALM / 2.0,
             fleet_slow: CALM / 2.0,
             sends: 0.0,
             ends: 0.0,
@@ -938,7 +935,6 @@
             let share = share.min(2.0);
             v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
             self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
-            self.bare = self.bare.min(self.fleet_slow);
         }
         if outcome.ending == Ending::Succeeded {
             v.rest[tgt] = 0.0;
@@ -959,7 +955,8 @@
             // Guards against figures that rest on a handful of answers: where many limiters share a server
             // and each has under one place there, one answer speaks for all servers.
             let mut scale = 1.0;
-            if late || self.fleet_slow > 3.0 * self.bare {
+            // A delivery that was given up on, by whomever, was not quick, and its server still works on it.
+            if late || outcome.ending == Ending::Timeout {
                 if at > self.shrunk {
                     (scale, self.shrunk) = (0.8, now);
                 }
