--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const START: f64 = 3.0;
 /// Least share of the refills that goes to the counter, as a test.
 const FEWEST: f64 = 1.0 / 16.0;
+/// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
+const RATHER: f64 = 4.0;
 /// Least burst, in units, that may be leased in halves.
 const COARSE: f64 = 16.0;
 /// Latency objectives over which figures about a server fade.
@@ -326,16 +328,23 @@
                     if account.heard > 0.0 && room < inv.units {
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
-                    if self.counter_open() {
+                    // A crowded counter is asked first for those who would be throttled without it.
+                    let mut ask = self.counter_open(1.0);
+                    if !ask {
+                        let closed = short && self.over_ceiling(a, inv, now).is_some();
+                        if closed || !self.local_share(a, inv.units, now) {
+                            ask = self.counter_open(RATHER);
+                            if !ask {
+                                return self.beyond(inv, self.max_pause, now);
+                            }
+                        }
+                    }
+                    if ask {
                         self.refill(a, inv.units, now);
                         self.accounts[a].waiting.push(inv.num);
                         inv.stage = Stage::Quota;
                         return Answer::Hold;
                     }
-                    let closed = short && self.over_ceiling(a, inv, now).is_some();
-                    if closed || !self.local_share(a, inv.units, now) {
-                        return self.beyond(inv, self.max_pause, now);
-                    }
                 } else {
                     // What was leased in a short window lies under the ceiling by itself.
                     inv.drawn = short;
@@ -556,8 +565,8 @@
         }
     }
 
-    fn counter_open(&mut self) -> bool {
-        self.counter && self.rng.unit() < self.asks
+    fn counter_open(&mut self, times: f64) -> bool {
+        self.counter && self.rng.unit() < self.asks * times
     }
 
     /// Without the counter each limiter admits its share of the quota, opened as far as the plan's price of
