--- a/src/rules.rs
+++ b/src/rules.rs
@@ -385,9 +385,11 @@
         if let Some(&a) = self.by_customer.get(&inv.customer) {
             let account = &mut self.accounts[a];
             account.open = (account.open - 1.0).max(0.0);
-            // With the counter silent, a meter over the rate tells that the shares are too much together.
-            if self.asks < CALM && outcome.used.is_some_and(|used| used > 1.0) {
-                account.share = 0.0;
+            // A meter over the rate by more than this invocation tells without the counter that the
+            // limiters let in too much together.
+            let rate = self.plans[inv.plan].rate;
+            if outcome.used.is_some_and(|used| used * rate > rate + inv.units) {
+                (account.share, account.over) = (0.0, true);
             }
             if let (Some(units), true) = (outcome.settled, inv.paid) {
                 account.debt += units - inv.units;
