--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,18 +73,24 @@
     open: f64,
     /// A lease's life, and the span over which demand is measured.
     span: f64,
-    /// The part of the ceiling that is shared out evenly.
     hard_rate: f64,
     hard_burst: f64,
-    /// Length of the windows that leases are counted in, and whether each stands for half a burst alone.
-    window: f64,
-    short: bool,
+    /// Leases may be counted in short windows.
+    halves: bool,
     /// One beyond the quota earns more than it costs.
     beyond_pays: bool,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
     openness: f64,
 }
 
+impl Plan {
+    /// One limiter's even part of the ceiling; what short windows lease is kept out of it.
+    fn part(&self, doors: f64, short: bool) -> (f64, f64) {
+        let (rate, burst) = if short { (self.rate, self.burst) } else { (0.0, 0.0) };
+        ((self.hard_rate - rate) / doors, (self.hard_burst - burst) / doors)
+    }
+}
+
 /// One customer's books at this limiter.
 struct Account {
     customer: u64,
@@ -108,6 +114,9 @@
     /// The local share that stands in for a silent counter.
     share: f64,
     share_at: f64,
+    /// Leases are counted in short windows, of this length.
+    short: bool,
+    length: f64,
     /// This limiter's part of the hard ceiling.
     hard: f64,
     hard_at: f64,
@@ -210,19 +219,15 @@
     pub fn new(s: &Settings, now: f64) -> Self {
         let plans = s.plans.iter().map(|p| {
             let span = if p.rate > 0.0 { (p.burst / p.rate).max(1e-3) } else { WINDOW };
-            // Where half a burst holds enough, counting in windows of half a span bounds what is leased by
-            // rate and burst whatever is forgotten, and only the rest of the ceiling needs sharing out.
-            let short = s.counter && p.rate > 0.0 && p.burst >= COARSE;
-            let short = short && p.hard_rate > p.rate && p.hard_burst > p.burst;
+            let halves = s.counter && p.rate > 0.0 && p.burst >= COARSE;
             Plan {
                 rate: p.rate,
                 burst: p.burst,
                 open: p.open,
                 span,
-                hard_rate: p.hard_rate - if short { p.rate } else { 0.0 },
-                hard_burst: p.hard_burst - if short { p.burst } else { 0.0 },
-                window: if short { span / 2.0 } else { WINDOW },
-                short,
+                hard_rate: p.hard_rate,
+                hard_burst: p.hard_burst,
+                halves: halves && p.hard_rate > p.rate && p.hard_burst > p.burst,
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
             }
@@ -303,7 +308,7 @@
             return self.refuse(inv, self.objective, now);
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
-        let short = self.plans[inv.plan].short;
+        let short = self.accounts[a].short;
         if let (false, Some(pause)) = (short, self.over_ceiling(a, inv, now)) {
             return self.refuse(inv, pause, now);
         }
@@ -433,7 +438,7 @@
     fn refill(&mut self, a: usize, units: f64, now: f64) {
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        let window = window_of(account.customer, now, plan.window);
+        let window = window_of(account.customer, now, account.length);
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
         let want = account.demand.max(units).min(plan.burst.max(units));
@@ -443,9 +448,9 @@
             want
         };
         // A new name starts at nothing: the backlog known here goes over with the first add.
-        let carried = if account.window == window || plan.short { 0.0 } else { backlog };
+        let carried = if account.window == window || account.short { 0.0 } else { backlog };
         // Units left of the last lease go back with the same add.
-        let fresh = account.window == window || !plan.short;
+        let fresh = account.window == window || !account.short;
         let back = if fresh { account.lease.min(backlog).max(0.0) } else { 0.0 };
         let debt = account.owed(plan, now);
         account.debt = 0.0;
@@ -485,7 +490,7 @@
                 let correction = if call.asked > 0.0 { 0.0 } else { call.add };
                 account.debt = account.owed(plan, now) + call.debt + correction;
                 account.lease += call.back;
-            } else if call.asked > 0.0 && !plan.short {
+            } else if call.asked > 0.0 && !account.short {
                 // A silent add may have counted, and a slow counter does work it off: its units are spent
                 // as if it had. Where it had not, the customer is ahead by one lease.
                 account.backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0) + call.asked;
@@ -504,9 +509,9 @@
         }
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        let start = window_start(account.customer, call.window, plan.window);
-        let ends = start + plan.window;
-        if plan.short {
+        let start = window_start(account.customer, call.window, account.length);
+        let ends = start + account.length;
+        if account.short {
             // The name holds what was leased in its window, and half the burst is the most that it may be.
             let room = (plan.burst / 2.0 - (total - call.add) + call.back - call.debt).max(0.0);
             let tight = call.asked * account.doors > room;
@@ -626,8 +631,8 @@
         if inv.drawn || plan.hard_rate <= 0.0 {
             return None;
         }
-        let rate = plan.hard_rate / account.doors;
-        account.hard = (account.hard + rate * (now - account.hard_at)).min(plan.hard_burst / account.doors);
+        let (rate, burst) = plan.part(account.doors, account.short);
+        account.hard = (account.hard + rate * (now - account.hard_at)).min(burst);
         account.hard_at = now;
         (account.hard < inv.units).then(|| (inv.units - account.hard) / rate)
     }
@@ -640,7 +645,10 @@
         }
         let plan = &self.plans[inv.plan];
         let doors = f64::from(inv.doors.clamp(1, self.fleet));
-        let earned = plan.hard_rate * (now - self.born);
+        // Where a part of the ceiling would cover little, counting in windows of half a span, each good for
+        // half a burst, bounds what is leased by rate and burst whatever is forgotten.
+        let short = plan.halves && plan.hard_burst < COARSE * doors;
+        let (hard_rate, hard_burst) = plan.part(doors, short);
         let account = Account {
             customer: inv.customer,
             plan: inv.plan,
@@ -659,7 +667,9 @@
             waiting: Vec::new(),
             share: 0.0,
             share_at: f64::NEG_INFINITY,
-            hard: earned.min(plan.hard_burst) / doors,
+            short,
+            length: if short { plan.span / 2.0 } else { WINDOW },
+            hard: (hard_rate * (now - self.born)).min(hard_burst),
             hard_at: now,
             open: 0.0,
         };
