--- a/src/rules.rs
+++ b/src/rules.rs
@@ -208,9 +208,8 @@
     window: f64,
     shrunk: f64,
     fleet_slow: f64,
-    /// Recent sends to warm servers, and recent answers.
+    /// Recent sends to warm servers.
     sends: f64,
-    ends: f64,
     flow_at: f64,
     acts: VecDeque<Act>,
 }
@@ -271,7 +270,6 @@
             shrunk: now,
             fleet_slow: CALM / 2.0,
             sends: 0.0,
-            ends: 0.0,
             flow_at: now,
             acts: VecDeque::new(),
         };
@@ -362,7 +360,8 @@
         if inv.stage != Stage::Line {
             inv.stage = Stage::Line;
             let ahead = self.join(inv, false);
-            let clears = ahead as f64 / self.per_second(self.ends, now).max(1.0);
+            let mean = self.fleet_slow * self.operations[inv.operation].objective;
+            let clears = ahead as f64 * mean / self.window.max(1.0);
             if clears > self.line_span(inv) {
                 return self.refuse(inv, clears, now);
             }
@@ -912,22 +911,13 @@
         Answer::Send(tgt)
     }
 
-    /// Decays the counts of sends and answers, over two latency objectives.
+    /// Decays the count of sends, over two latency objectives.
     fn flow(&mut self, now: f64) {
         let keep = (-(now - self.flow_at) / (2.0 * self.objective)).exp();
         self.sends *= keep;
-        self.ends *= keep;
         self.flow_at = now;
     }
 
-    fn flow_span(&self, now: f64) -> f64 {
-        (2.0 * self.objective).min(now - self.born + NEWEST)
-    }
-
-    fn per_second(&self, count: f64, now: f64) -> f64 {
-        count * (-(now - self.flow_at) / (2.0 * self.objective)).exp() / self.flow_span(now)
-    }
-
     /// Takes one outcome into the figures of its server and of the fleet.
     fn learn(&mut self, tgt: usize, inv: &Invocation, outcome: &Outcome, at: f64, now: f64) {
         let v = &mut self.servers;
@@ -1001,10 +991,6 @@
             v.rest_until[tgt] = now + v.rest[tgt] * (0.75 + self.rng.unit() / 2.0);
             v.on_trial[tgt] = true;
         }
-        self.flow(now);
-        if !failed {
-            self.ends += 1.0;
-        }
     }
 
     /// The roster: changed entries, or the complete list.
