--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,7 @@
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
 /// Least share of the refills that goes to the counter, as a test.
-const FEWEST: f64 = 1.0 / 32.0;
+const FEWEST: f64 = 1.0 / 16.0;
 /// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
 const RATHER: f64 = 4.0;
 /// Least burst, in units, that may be leased in halves.
@@ -477,9 +477,9 @@
         // Guards against a counter that is silent, refusing or crowded by all limiters together: each puts
         // a smaller share of its refills to it until answers are quick. Hurts when calls fail by chance.
         if matches!(counted, Counted::Total(_)) && spent < CALM * self.count_wait {
-            self.asks = (self.asks * (1.0 + NEWEST)).min(1.0);
+            self.asks = (self.asks + NEWEST / 4.0).min(1.0);
         } else {
-            self.asks = (self.asks * CALM).max(FEWEST);
+            self.asks = (self.asks * (1.0 - CALM * CALM)).max(FEWEST);
         }
         let Counted::Total(total) = counted else {
             let account = &mut self.accounts[a];
