--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,8 @@
 const FEWEST: f64 = 1.0 / 16.0;
 /// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
 const RATHER: f64 = 4.0;
+/// Spans that a lease lives: its units are counted, and a long set uses them slowly.
+const HOLD: f64 = 4.0;
 /// Least burst, in units, that may be leased in halves.
 const COARSE: f64 = 16.0;
 /// Latency objectives over which figures about a server fade.
@@ -495,7 +497,7 @@
                 account.backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0) + call.asked;
                 account.heard = now;
                 account.lease = call.asked;
-                account.lapses = now + plan.span;
+                account.lapses = now + HOLD * plan.span;
             }
             if call.asked > 0.0 {
                 account.asking = false;
@@ -555,7 +557,7 @@
         account.heard = now;
         account.lease = grant.max(0.0);
         account.over = grant <= 0.0;
-        account.lapses = now + plan.span;
+        account.lapses = now + HOLD * plan.span;
         account.asking = false;
         let correct = off < -0.5 || (off > 0.5 && idle);
         account.backlog = if correct { target } else { total } - line;
@@ -598,7 +600,7 @@
         account.share -= units;
         account.debt = (account.owed(plan, now) + units).min(plan.burst);
         account.lease = units;
-        account.lapses = now + plan.span;
+        account.lapses = now + HOLD * plan.span;
         true
     }
 
