Without the counter, give customers last heard under their rate the whole of it

Hurts when a calm customer turns heavy while the counter is silent: each limiter may give it the whole rate.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -109,8 +109,9 @@
     /// Units to report with the next add: let in without a lease, or a correction that was refused.
     debt: f64,
     debt_at: f64,
-    /// The counter's last answer left no room.
+    /// The counter's last answer left no room, or showed less use than the rate.
     over: bool,
+    calm: bool,
     asking: bool,
     waiting: Vec<u64>,
     /// The local share that stands in for a silent counter.
@@ -395,7 +396,7 @@
             // limiters let in too much together.
             let rate = self.plans[inv.plan].rate;
             if outcome.used.is_some_and(|used| used * rate > rate + inv.units) {
-                (account.share, account.over) = (0.0, true);
+                (account.share, account.over, account.calm) = (0.0, true, false);
             }
             if let (Some(units), true) = (outcome.settled, inv.paid) {
                 account.debt += units - inv.units;
@@ -518,7 +519,7 @@
             let tight = call.asked * account.doors > room;
             let grant = if tight { (room / account.doors / SHRINK).max(call.needs) } else { call.asked };
             let grant = if now < ends && grant.min(call.asked) <= room { grant.min(call.asked) } else { 0.0 };
-            account.over = grant <= 0.0;
+            (account.over, account.calm) = (grant <= 0.0, room > plan.burst / 4.0);
             let shut = if account.over { plan.rate * (ends - now) } else { 0.0 };
             account.backlog = plan.burst - (room - grant) + shut;
             (account.window, account.heard, account.asking) = (call.window, now, false);
@@ -557,6 +558,7 @@
         account.heard = now;
         account.lease = grant.max(0.0);
         account.over = grant <= 0.0;
+        account.calm = before + call.asked < line;
         account.lapses = now + HOLD * plan.span;
         account.asking = false;
         let correct = off < -0.5 || (off > 0.5 && idle);
@@ -583,7 +585,8 @@
     fn local_share(&mut self, a: usize, units: f64, now: f64) -> bool {
         let account = &mut self.accounts[a];
         let plan = &self.plans[account.plan];
-        let part = (plan.openness / account.doors).min(1.0);
+        // One that was heard to use less than its rate may come unevenly: here it gets the whole.
+        let part = if account.calm { 1.0 } else { (plan.openness / account.doors).min(1.0) };
         let most = (plan.burst * part).max(units);
         let since = now - account.share_at;
         if since > plan.span {
@@ -664,6 +667,7 @@
             debt: 0.0,
             debt_at: now,
             over: false,
+            calm: false,
             asking: false,
             waiting: Vec::new(),
             share: 0.0,
