Let nobody of a plan in unasked while too few of those asked about have room

Cause: while a plan's clients ask again at once, most of their tries are beyond the quota, and letting in an unknown one costs more than it earns.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -81,6 +81,9 @@
     halves: bool,
     /// One beyond the quota earns more than it costs.
     beyond_pays: bool,
+    /// Share of those asked about that had room of late, and from which one not asked about pays.
+    had_room: f64,
+    pays_from: f64,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
     openness: f64,
 }
@@ -230,6 +233,8 @@
                 hard_rate: p.hard_rate,
                 hard_burst: p.hard_burst,
                 halves: halves && p.hard_rate > p.rate && p.hard_burst > p.burst,
+                had_room: 1.0,
+                pays_from: p.beyond_costs / (1.0 + p.beyond_costs),
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
             }
@@ -510,7 +515,7 @@
             return;
         }
         let account = &mut self.accounts[a];
-        let plan = &self.plans[account.plan];
+        let plan = &mut self.plans[account.plan];
         let start = window_start(account.customer, call.window, account.length);
         let ends = start + account.length;
         if account.short {
@@ -521,6 +526,7 @@
             let grant = if now < ends && grant.min(call.asked) <= room { grant.min(call.asked) } else { 0.0 };
             (account.over, account.calm) = (grant <= 0.0, room > plan.burst / 4.0);
             let shut = if account.over { plan.rate * (ends - now) } else { 0.0 };
+            plan.had_room += NEWEST * (if account.over { 0.0 } else { 1.0 } - plan.had_room);
             account.backlog = plan.burst - (room - grant) + shut;
             (account.window, account.heard, account.asking) = (call.window, now, false);
             (account.lease, account.lapses) = (grant, ends);
@@ -558,6 +564,7 @@
         account.heard = now;
         account.lease = grant.max(0.0);
         account.over = grant <= 0.0;
+        plan.had_room += NEWEST * (if account.over { 0.0 } else { 1.0 } - plan.had_room);
         account.calm = before + call.asked < line;
         account.lapses = now + HOLD * plan.span;
         account.asking = false;
@@ -591,7 +598,8 @@
         let since = now - account.share_at;
         if since > plan.span {
             let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
-            let floor = if account.over { 0.0 } else { units.min(room) };
+            let blind = !account.over && plan.had_room > plan.pays_from;
+            let floor = if blind { units.min(room) } else { 0.0 };
             account.share = (room * part).max(floor);
         } else {
             account.share = (account.share + since * plan.rate * part).min(most);
