--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,8 +27,10 @@
 const SICK: f64 = 0.5;
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
-/// Least share of the refills that goes to the counter, as a test.
-const FEWEST: f64 = 1.0 / 16.0;
+/// Share of the refills that goes to the counter from its first answer after a silence.
+const FEW: f64 = 1.0 / 16.0;
+/// Time-outs of a counter after which one refill is let out as a test, whatever its share.
+const TEST: f64 = 20.0;
 /// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
 const RATHER: f64 = 4.0;
 /// Spans that a lease lives: its units are counted, and a long set uses them slowly.
@@ -205,6 +207,7 @@
     calls: HashMap<u64, VecDeque<Call>>,
     /// Share of the refills that are put to the counter.
     asks: f64,
+    retest: f64,
     /// Billed value of the operation and number of those that wait for a place, the dearest first.
     line: VecDeque<(f64, u64)>,
     pressure: f64,
@@ -270,6 +273,7 @@
             hand: 0,
             calls: HashMap::new(),
             asks: 1.0,
+            retest: 0.0,
             line: VecDeque::new(),
             pressure: 0.0,
             fleet_bad: 0.0,
@@ -340,11 +344,11 @@
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
                     // A crowded counter is asked first for those who would be throttled without it.
-                    let mut ask = self.counter_open(1.0);
+                    let mut ask = self.counter_open(1.0, now);
                     if !ask {
                         let closed = short && self.over_ceiling(a, inv, now).is_some();
                         if closed || !self.local_share(a, inv.units, now) {
-                            ask = self.counter_open(RATHER);
+                            ask = self.counter_open(RATHER, now);
                             if !ask {
                                 return self.beyond(inv, self.max_pause, now);
                             }
@@ -485,9 +489,9 @@
         // Guards against a counter that is silent, refusing or crowded by all limiters together: each puts
         // a smaller share of its refills to it until answers are quick. Hurts when calls fail by chance.
         if matches!(counted, Counted::Total(_)) && spent < CALM * self.count_wait {
-            self.asks = (self.asks + NEWEST / 4.0).min(1.0);
+            self.asks = (self.asks.max(FEW) + NEWEST / 4.0).min(1.0);
         } else {
-            self.asks = (self.asks * (1.0 - CALM * CALM)).max(FEWEST);
+            self.asks *= 1.0 - CALM * CALM;
         }
         let Counted::Total(total) = counted else {
             let account = &mut self.accounts[a];
@@ -582,8 +586,12 @@
         }
     }
 
-    fn counter_open(&mut self, times: f64) -> bool {
-        self.counter && self.rng.unit() < self.asks * times
+    fn counter_open(&mut self, times: f64, now: f64) -> bool {
+        let open = self.counter && (self.rng.unit() < self.asks * times || now >= self.retest);
+        if open {
+            self.retest = now + TEST * self.count_wait * (0.75 + self.rng.unit() / 2.0);
+        }
+        open
     }
 
     /// Without the counter each limiter admits its share of the quota, opened as far as the plan's price of
