--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,9 +83,8 @@
     halves: bool,
     /// One beyond the quota earns more than it costs.
     beyond_pays: bool,
-    /// Share of those asked about that had room of late, and from which one not asked about pays.
+    /// Share of those asked about that had room of late.
     had_room: f64,
-    pays_from: f64,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
     openness: f64,
 }
@@ -237,7 +236,6 @@
                 hard_burst: p.hard_burst,
                 halves: halves && p.hard_rate > p.rate && p.hard_burst > p.burst,
                 had_room: 1.0,
-                pays_from: p.beyond_costs / (1.0 + p.beyond_costs),
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
             }
@@ -606,7 +604,7 @@
         let since = now - account.share_at;
         if since > plan.span {
             let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
-            let blind = !account.over && plan.had_room > plan.pays_from;
+            let blind = !account.over && plan.had_room > CALM;
             let floor = if blind { units.min(room) } else { 0.0 };
             account.share = (room * part).max(floor);
         } else {
