--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -254,3 +254,90 @@
     let (unmetered, over) = (let_in(None), let_in(Some(2.0)));
     assert!(over < unmetered, "{over} let in with the meter over the rate, {unmetered} without");
 }
+
+#[test]
+fn a_long_set_lets_one_in_without_the_counter() {
+    // An even share of a hundred gateways covers no invocation: half of all tries were throttled.
+    let mut f = with_plan(rate_plan(1.0, 4.0), 100, 20);
+    f.quick = false;
+    for i in 0..200u64 {
+        f.take(0, i, 0, 0, 1.0);
+        while !f.calls.is_empty() {
+            f.count(0, false, false);
+        }
+        answer_all(&mut f, Ending::Succeeded);
+        f.pass(0.1);
+    }
+    assert!(f.sends().len() > 180, "only {} of 200 first invocations let in", f.sends().len());
+}
+
+#[test]
+fn a_plan_whose_asked_have_no_room_lets_no_unknown_in() {
+    let let_in = |told| {
+        let mut f = with_plan(rate_plan(1.0, 4.0), 100, 20);
+        f.quick = false;
+        for i in 0..300u64 {
+            f.take(0, i, 0, 0, 1.0);
+            while let Some(&(_, name, _)) = f.calls.first() {
+                f.counter.insert(name, 1000.0);
+                f.count(0, told, told);
+            }
+            answer_all(&mut f, Ending::Succeeded);
+            if i == 100 {
+                f.seen.clear();
+            }
+            f.pass(0.01);
+        }
+        f.sends().len()
+    };
+    let (full, silent) = (let_in(true), let_in(false));
+    assert!(full * 10 < silent, "{full} let in of a plan that is full, {silent} with a silent counter");
+}
+
+#[test]
+fn an_uneven_customer_under_its_ceiling_is_not_throttled() {
+    // A fortieth of the ceiling at each gateway throttled customers far under their quota.
+    let hard = PlanSettings { hard_rate: 40.0, hard_burst: 80.0, ..rate_plan(20.0, 40.0) };
+    let mut f = with_plan(hard, 40, 40);
+    for _ in 0..200 {
+        f.take(0, 1, 0, 0, 1.0);
+        f.pass(0.1);
+        answer_all(&mut f, Ending::Succeeded);
+    }
+    assert_eq!(f.throttles(), 0, "throttled at half of the quota");
+}
+
+#[test]
+fn few_answers_teach_a_limiter_among_hundreds() {
+    // With a hundredth of a place a server, none ever had more than one delivery out.
+    let mut f = Front::new(settings(300), 60);
+    for round in 0..40 {
+        f.take(0, 1, 0, 0, 1.0);
+        f.take(0, 1, 0, 0, 1.0);
+        f.pass(0.05);
+        answer_all(&mut f, if round < 30 { Ending::Succeeded } else { Ending::Timeout });
+        if round == 29 {
+            (0..8).for_each(|_| drop(f.take(0, 1, 0, 0, 1.0)));
+            assert!(f.out.len() > 1, "one out after 30 quick rounds");
+            answer_all(&mut f, Ending::Succeeded);
+        }
+    }
+    (0..8).for_each(|_| drop(f.take(0, 1, 0, 0, 1.0)));
+    assert_eq!(f.out.len(), 1, "deliveries given up on take places away");
+}
+
+#[test]
+fn a_storm_leaves_the_counter_a_test_now_and_then() {
+    // The least share of a storm of tries was more than a crowded counter could ever work off.
+    let mut f = with_plan(rate_plan(0.1, 1.0), 100, 20);
+    f.quick = false;
+    for i in 0..4000u64 {
+        f.take(0, i, 0, 0, 1.0);
+        while !f.calls.is_empty() {
+            f.count(0, false, true);
+        }
+        answer_all(&mut f, Ending::Succeeded);
+        f.pass(0.005);
+    }
+    assert!((10..100).contains(&f.counts), "{} calls in 20 s to a counter that refuses", f.counts);
+}
