--- a/src/rules.rs
+++ b/src/rules.rs
@@ -499,13 +499,6 @@
                 let correction = if call.asked > 0.0 { 0.0 } else { call.add };
                 account.debt = account.owed(plan, now) + call.debt + correction;
                 account.lease += call.back;
-            } else if call.asked > 0.0 && !account.short && self.asks > CALM * CALM {
-                // A silent add may have counted, and a slow counter does work it off: its units are spent
-                // as if it had, unless most calls fail. Where it had not, the customer is ahead by one lease.
-                account.backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0) + call.asked;
-                account.heard = now;
-                account.lease = call.asked;
-                account.lapses = now + HOLD * plan.span;
             }
             if call.asked > 0.0 {
                 account.asking = false;
