--- a/src/rules.rs
+++ b/src/rules.rs
@@ -90,10 +90,12 @@
 }
 
 impl Plan {
-    /// One limiter's even part of the ceiling; what short windows lease is kept out of it.
+    /// One limiter's even part of the ceiling; where short windows lease the quota, what that leaves, but
+    /// one unit at least.
     fn part(&self, doors: f64, short: bool) -> (f64, f64) {
         let (rate, burst) = if short { (self.rate, self.burst) } else { (0.0, 0.0) };
-        ((self.hard_rate - rate) / doors, (self.hard_burst - burst) / doors)
+        let least = if short { 1.0 } else { 0.0 };
+        ((self.hard_rate - rate) / doors, ((self.hard_burst - burst) / doors).max(least))
     }
 }
 
@@ -515,7 +517,8 @@
         let ends = start + account.length;
         if account.short {
             // The name holds what was leased in its window, and half the burst is the most that it may be.
-            let room = (plan.burst / 2.0 - (total - call.add) + call.back - call.debt).max(0.0);
+            let most = plan.burst.min(plan.hard_burst - plan.part(account.doors, true).1 * account.doors);
+            let room = (most / 2.0 - (total - call.add) + call.back - call.debt).max(0.0);
             let tight = call.asked * account.doors > room;
             let grant = if tight { (room / account.doors / SHRINK).max(call.needs) } else { call.asked };
             let grant = if now < ends && grant.min(call.asked) <= room { grant.min(call.asked) } else { 0.0 };
