--- a/src/rules.rs
+++ b/src/rules.rs
@@ -488,7 +488,7 @@
         let a = call.account;
         // Guards against a counter that is silent, refusing or crowded by all limiters together: each puts
         // a smaller share of its refills to it until answers are quick. Hurts when calls fail by chance.
-        if matches!(counted, Counted::Total(_)) && spent < FULL * self.count_wait {
+        if matches!(counted, Counted::Total(_)) {
             self.asks = (self.asks.max(FEW) + NEWEST / 4.0).min(1.0);
         } else {
             self.asks *= 1.0 - CALM * CALM;
