--- a/src/rules.rs
+++ b/src/rules.rs
@@ -344,11 +344,13 @@
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
                     // A crowded counter is asked first for those who would be throttled without it.
-                    let mut ask = self.counter_open(1.0, now);
+                    // One that waited for a silent call is not held for another.
+                    let again = now > inv.came + CALM * self.count_wait;
+                    let mut ask = !again && self.counter_open(1.0, now);
                     if !ask {
                         let closed = short && self.over_ceiling(a, inv, now).is_some();
                         if closed || !self.local_share(a, inv.units, now) {
-                            ask = self.counter_open(RATHER, now);
+                            ask = !again && self.counter_open(RATHER, now);
                             if !ask {
                                 return self.beyond(inv, self.max_pause, now);
                             }
@@ -488,7 +490,7 @@
         let a = call.account;
         // Guards against a counter that is silent, refusing or crowded by all limiters together: each puts
         // a smaller share of its refills to it until answers are quick. Hurts when calls fail by chance.
-        if matches!(counted, Counted::Total(_)) {
+        if matches!(counted, Counted::Total(_)) && spent < CALM * self.count_wait {
             self.asks = (self.asks.max(FEW) + NEWEST / 4.0).min(1.0);
         } else {
             self.asks *= 1.0 - CALM * CALM;
