--- a/src/rules.rs
+++ b/src/rules.rs
@@ -344,13 +344,11 @@
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
                     // A crowded counter is asked first for those who would be throttled without it.
-                    // One that waited for a silent call is not held for another.
-                    let again = now > inv.came + CALM * self.count_wait;
-                    let mut ask = !again && self.counter_open(1.0, now);
+                    let mut ask = self.counter_open(1.0, now);
                     if !ask {
                         let closed = short && self.over_ceiling(a, inv, now).is_some();
                         if closed || !self.local_share(a, inv.units, now) {
-                            ask = !again && self.counter_open(RATHER, now);
+                            ask = self.counter_open(RATHER, now);
                             if !ask {
                                 return self.beyond(inv, self.max_pause, now);
                             }
