--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,7 +20,7 @@
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.25;
 /// Share of the latency objective that the line may hold an invocation.
-const LINE: f64 = 0.15;
+const LINE: f64 = 0.2;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
@@ -45,6 +45,7 @@
 const FURTHER: usize = 2;
 
 /// A permuted congruential generator (PCG-XSH-RR).
+#[derive(Default)]
 struct Pcg(u64);
 
 impl Pcg {
@@ -100,6 +101,7 @@
 }
 
 /// One customer's books at this limiter.
+#[derive(Default)]
 struct Account {
     customer: u64,
     plan: usize,
@@ -183,6 +185,7 @@
     paced_until: Vec<f64>,
 }
 
+#[derive(Default)]
 pub struct Limiter {
     operations: Vec<Operation>,
     plans: Vec<Plan>,
@@ -267,23 +270,12 @@
             operations,
             born: now,
             rng: Pcg(mix(s.seed, 1)),
-            servers: Servers::default(),
-            by_customer: HashMap::new(),
-            accounts: Vec::new(),
-            hand: 0,
-            calls: HashMap::new(),
             asks: 1.0,
-            retest: 0.0,
-            line: VecDeque::new(),
-            pressure: 0.0,
-            fleet_bad: 0.0,
             faded_at: now,
-            window: 0.0,
             shrunk: now,
             fleet_slow: CALM / 2.0,
-            sends: 0.0,
             flow_at: now,
-            acts: VecDeque::new(),
+            ..Limiter::default()
         };
         if limiter.watch {
             limiter.acts.push_back(Act::WatchRoster);
@@ -324,10 +316,10 @@
         }
         if !inv.paid && !inv.beyond {
             // Admit from the lease while its units cover the invocation; refill it when they do not.
-            let open = self.open_share(inv);
             let account = &mut self.accounts[a];
             let plan = &self.plans[inv.plan];
-            if plan.open > 0.0 && account.open >= open {
+            // A plan limited by open deliveries gets an even whole part of the limit, at least one.
+            if plan.open > 0.0 && account.open >= (plan.open / account.doors).floor().max(1.0) {
                 return self.beyond(inv, self.objective, now);
             }
             if plan.rate > 0.0 {
@@ -515,41 +507,27 @@
         let plan = &mut self.plans[account.plan];
         let start = window_start(account.customer, call.window, account.length);
         let ends = start + account.length;
-        if account.short {
-            // The name holds what was leased in its window, and half the burst is the most that it may be.
-            let most = plan.burst.min(plan.hard_burst - plan.part(account.doors, true).1 * account.doors);
-            let room = (most / 2.0 - (total - call.add) + call.back - call.debt).max(0.0);
-            let tight = call.asked * account.doors > room;
-            let grant = if tight { (room / account.doors / SHRINK).max(call.needs) } else { call.asked };
-            let grant = if now < ends && grant.min(call.asked) <= room { grant.min(call.asked) } else { 0.0 };
-            (account.over, account.calm) = (grant <= 0.0, room > plan.burst / 4.0);
-            let shut = if account.over { plan.rate * (ends - now) } else { 0.0 };
-            plan.had_room += NEWEST * (if account.over { 0.0 } else { 1.0 } - plan.had_room);
-            account.backlog = plan.burst - (room - grant) + shut;
-            (account.window, account.heard, account.asking) = (call.window, now, false);
-            (account.lease, account.lapses) = (grant, ends);
-            if grant < call.asked {
-                let add = grant - call.asked;
-                self.count(Call { add, asked: 0.0, debt: 0.0, back: 0.0, ..call });
-            }
-            return self.wake(a);
-        }
-        let line = plan.rate * (now - start);
+        // A short window holds what was leased in it, and half a burst is the most that it may be.
+        let part = plan.part(account.doors, true).1 * account.doors;
+        let (line, most) = match account.short {
+            true => (0.0, plan.burst.min(plan.hard_burst - part) / 2.0),
+            false => (plan.rate * (now - start), plan.burst),
+        };
         let before = total - call.add;
         // Guards against an emptied counter: a total far under the last one heard lost its units, so
         // what is known here is put back. Gives a peer's large return back too late by one span at worst.
         let known = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
-        let forgot = account.window == call.window && before - line < known - plan.burst;
+        let forgot = !account.short && account.window == call.window && before - line < known - plan.burst;
         let floor = (if forgot { known } else { call.carried } - call.back).max(0.0);
         // An idle customer's store holds the burst at most: under the line, the rest is written off, as
         // soon as demand could use it.
         let base = (before - call.back - line).max(floor);
-        let room = plan.burst - base - call.debt;
+        let room = most - base - call.debt;
         let mut grant = call.asked;
         if grant * account.doors > room {
             grant = grant.min((room / account.doors / SHRINK).max(call.needs));
         }
-        if grant > room {
+        if grant > room || (account.short && now >= ends) {
             grant = 0.0;
         }
         let target = line + base + call.debt + grant;
@@ -558,16 +536,22 @@
         // follow each answer.
         let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
         let idle = hot || floor > 0.0 || off > plan.burst;
+        let correct = off < -0.5 || (off > 0.5 && idle && !account.short);
         account.window = call.window;
         account.heard = now;
-        account.lease = grant.max(0.0);
+        account.lease = grant;
+        account.asking = false;
         account.over = grant <= 0.0;
+        account.calm = if account.short { room > most / 2.0 } else { before + call.asked < line };
         plan.had_room += NEWEST * (if account.over { 0.0 } else { 1.0 } - plan.had_room);
-        account.calm = before + call.asked < line;
-        account.lapses = now + HOLD * plan.span;
-        account.asking = false;
-        let correct = off < -0.5 || (off > 0.5 && idle);
-        account.backlog = if correct { target } else { total } - line;
+        if account.short {
+            let shut = if account.over { plan.rate * (ends - now) } else { 0.0 };
+            account.backlog = plan.burst - (room - grant) + shut;
+            account.lapses = ends;
+        } else {
+            account.backlog = if correct { target } else { total } - line;
+            account.lapses = now + HOLD * plan.span;
+        }
         if correct {
             self.count(Call { add: off, asked: 0.0, debt: 0.0, back: 0.0, ..call });
         }
@@ -617,11 +601,6 @@
         true
     }
 
-    /// Deliveries that this limiter may have out for a customer: an even part of the plan's limit.
-    fn open_share(&self, inv: &Invocation) -> f64 {
-        (self.plans[inv.plan].open / f64::from(inv.doors.max(1))).floor().max(1.0)
-    }
-
     /// Beyond the quota: throttled at once, unless the plan says that an excess pays and servers idle.
     fn beyond(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
         let idle = self.line.is_empty() && self.pressure < PRESSED / 2.0;
@@ -667,26 +646,15 @@
             customer: inv.customer,
             plan: inv.plan,
             doors,
-            demand: 0.0,
             seen: now,
-            lease: 0.0,
-            lapses: 0.0,
-            backlog: 0.0,
-            heard: 0.0,
             window: i64::MIN,
-            debt: 0.0,
             debt_at: now,
-            over: false,
-            calm: false,
-            asking: false,
-            waiting: Vec::new(),
-            share: 0.0,
             share_at: f64::NEG_INFINITY,
             short,
             length: if short { plan.span / 2.0 } else { WINDOW },
             hard: (hard_rate * (now - self.born)).min(hard_burst),
             hard_at: now,
-            open: 0.0,
+            ..Account::default()
         };
         for _ in 0..2.min(self.accounts.len()) {
             self.hand = (self.hand + 1) % self.accounts.len();
@@ -889,7 +857,9 @@
         }
         self.accounts[a].open += 1.0;
         self.finish(inv, Answer::Done);
-        self.flow(now);
+        let span = 2.0 * self.objective;
+        self.sends *= (-(now - self.flow_at) / span).exp();
+        self.flow_at = now;
         let operation = &self.operations[inv.operation];
         // Leaves room for another delivery where one could follow; else this one has until the end.
         let more = self.pressure < PRESSED
@@ -900,8 +870,6 @@
         let room = (ends - now) * CALM;
         let patience = room.max(4.0 * self.fleet_slow * operation.objective);
         inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
-        // Not over a young limiter's shorter span: a few sends in its first moments are no rate.
-        let span = 2.0 * self.objective;
         let v = &mut self.servers;
         if v.out[tgt] <= 0.0 {
             v.quiet_since[tgt] = now;
@@ -927,13 +895,6 @@
         Answer::Send(tgt)
     }
 
-    /// Decays the count of sends, over two latency objectives.
-    fn flow(&mut self, now: f64) {
-        let keep = (-(now - self.flow_at) / (2.0 * self.objective)).exp();
-        self.sends *= keep;
-        self.flow_at = now;
-    }
-
     /// Takes one outcome into the figures of its server and of the fleet.
     fn learn(&mut self, tgt: usize, inv: &Invocation, outcome: &Outcome, at: f64, now: f64) {
         let v = &mut self.servers;
@@ -1018,21 +979,17 @@
             let v = &mut self.servers;
             while v.live.len() <= e.tgt {
                 v.live.push(false);
+                v.on_trial.push(false);
                 v.zone.push(0);
                 v.cell.push(0);
-                v.cold_since.push(f64::NEG_INFINITY);
-                v.came_up.push(0.0);
-                v.out.push(0.0);
                 v.places.push(START / f64::from(self.fleet));
-                v.shrunk.push(f64::NEG_INFINITY);
                 v.slow.push(CALM / 2.0);
-                v.bad.push(0.0);
-                v.quiet_since.push(0.0);
-                v.sent_at.push(0.0);
-                v.rest_until.push(0.0);
-                v.rest.push(0.0);
-                v.on_trial.push(false);
-                v.paced_until.push(0.0);
+                v.cold_since.push(f64::NEG_INFINITY);
+                v.shrunk.push(f64::NEG_INFINITY);
+                let times = [&mut v.quiet_since, &mut v.sent_at, &mut v.rest_until, &mut v.paced_until];
+                times.into_iter().for_each(|column| column.push(0.0));
+                let rest = [&mut v.came_up, &mut v.out, &mut v.bad, &mut v.rest];
+                rest.into_iter().for_each(|column| column.push(0.0));
             }
             let s = e.tgt;
             if e.came_up > v.came_up[s] {
