Choose a server in one pass, and keep units of a short window out of the next

A unit let in by the even share and refused in line came back as a leased one and escaped the ceiling's part.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.25;
-/// Share of the latency objective that the line may hold an invocation.
+/// Share of the latency objective that the line may hold an invocation; more only makes all late.
 const LINE: f64 = 0.2;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
@@ -139,11 +139,7 @@
     fn owed(&mut self, plan: &Plan, now: f64) -> f64 {
         let earned = plan.rate / self.doors * (now - self.debt_at);
         self.debt_at = now;
-        if self.debt > 0.0 {
-            (self.debt - earned).max(0.0)
-        } else {
-            self.debt
-        }
+        (self.debt - earned).max(self.debt.min(0.0))
     }
 }
 
@@ -336,17 +332,12 @@
                         return self.beyond(inv, (inv.units - room) / plan.rate, now);
                     }
                     // A crowded counter is asked first for those who would be throttled without it.
-                    let mut ask = self.counter_open(1.0, now);
-                    if !ask {
-                        let closed = short && self.over_ceiling(a, inv, now).is_some();
-                        if closed || !self.local_share(a, inv.units, now) {
-                            ask = self.counter_open(RATHER, now);
-                            if !ask {
-                                return self.beyond(inv, self.max_pause, now);
-                            }
+                    let ask = self.counter_open(1.0, now);
+                    let closed = short && self.over_ceiling(a, inv, now).is_some();
+                    if ask || closed || !self.local_share(a, inv.units, now) {
+                        if !ask && !self.counter_open(RATHER, now) {
+                            return self.beyond(inv, self.max_pause, now);
                         }
-                    }
-                    if ask {
                         self.refill(a, inv.units, now);
                         self.accounts[a].waiting.push(inv.num);
                         inv.stage = Stage::Quota;
@@ -366,7 +357,7 @@
             let ahead = self.join(inv, false);
             let mean = self.fleet_slow * self.operations[inv.operation].objective;
             let clears = ahead as f64 * mean / self.window.max(1.0);
-            if clears > self.line_span(inv) {
+            if clears > LINE * self.operations[inv.operation].objective {
                 return self.refuse(inv, clears, now);
             }
             if ahead > 0 {
@@ -430,7 +421,6 @@
     pub fn wait(&self, inv: &Invocation, now: f64) -> f64 {
         match inv.stage {
             Stage::Out => (inv.limit - now).max(0.0),
-            Stage::Quota => (self.count_wait * 2.0).min((self.give_up(inv) - now).max(0.0)),
             _ => (self.objective * NEWEST).min((self.give_up(inv) - now).max(0.0)),
         }
     }
@@ -445,11 +435,8 @@
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
         let want = account.demand.max(units).min(plan.burst.max(units));
-        let asked = if want * account.doors > room {
-            want.min((room / account.doors / SHRINK).max(units))
-        } else {
-            want
-        };
+        let tight = want * account.doors > room;
+        let asked = if tight { want.min((room / account.doors / SHRINK).max(units)) } else { want };
         // A new name starts at nothing: the backlog known here goes over with the first add.
         let carried = if account.window == window || account.short { 0.0 } else { backlog };
         // Units left of the last lease go back with the same add.
@@ -537,10 +524,7 @@
         let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
         let idle = hot || floor > 0.0 || off > plan.burst;
         let correct = off < -0.5 || (off > 0.5 && idle && !account.short);
-        account.window = call.window;
-        account.heard = now;
-        account.lease = grant;
-        account.asking = false;
+        (account.window, account.heard, account.lease, account.asking) = (call.window, now, grant, false);
         account.over = grant <= 0.0;
         account.calm = if account.short { room > most / 2.0 } else { before + call.asked < line };
         plan.had_room += NEWEST * (if account.over { 0.0 } else { 1.0 } - plan.had_room);
@@ -679,19 +663,10 @@
     /// When an unsent invocation, or one between deliveries, can no longer be answered in time.
     fn give_up(&self, inv: &Invocation) -> f64 {
         let operation = &self.operations[inv.operation];
-        let ends =
-            if operation.pays_late { inv.until } else { inv.until.min(inv.came + operation.objective) };
-        let takes = (self.fleet_slow.min(CALM)) * operation.objective / 2.0;
-        if inv.sent.is_empty() {
-            (inv.came + self.line_span(inv)).min(ends - takes)
-        } else {
-            ends - takes
-        }
-    }
-
-    /// How long the line may hold an invocation: a longer line under lasting overload only makes it late.
-    fn line_span(&self, inv: &Invocation) -> f64 {
-        self.operations[inv.operation].objective * LINE
+        let late = if operation.pays_late { f64::INFINITY } else { inv.came + operation.objective };
+        let ends = inv.until.min(late) - self.fleet_slow.min(CALM) * operation.objective / 2.0;
+        let line = if inv.sent.is_empty() { inv.came + LINE * operation.objective } else { f64::INFINITY };
+        ends.min(line)
     }
 
     /// Joins the line behind those of the same or a higher billed value, or before its equals when it
@@ -711,21 +686,19 @@
     }
 
     fn refuse(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
-        let harmless = match self.operations[inv.operation].effect {
-            Effect::Idempotent => true,
-            Effect::Tokened { group, .. } => {
-                (inv.may_have_run.is_none() && inv.out == 0) || group == Group::All
-            }
-            Effect::NonIdempotent => inv.may_have_run.is_none() && inv.out == 0,
-        };
-        // Units leased for one that was never sent go back to the lease.
+        let unrun = inv.may_have_run.is_none() && inv.out == 0;
+        let effect = self.operations[inv.operation].effect;
+        let all = matches!(effect, Effect::Idempotent | Effect::Tokened { group: Group::All, .. });
+        // Units leased for one that was never sent go back to the lease, but not into another short window.
         if let (true, true, Some(&a)) = (inv.paid, inv.sent.is_empty(), self.by_customer.get(&inv.customer)) {
-            if now < self.accounts[a].lapses {
-                self.accounts[a].lease += inv.units;
+            let account = &mut self.accounts[a];
+            let same = inv.drawn && inv.came >= account.lapses - account.length;
+            if now < account.lapses && (same || !account.short) {
+                account.lease += inv.units;
             }
         }
         let pause = pause.max(0.0).min(self.max_pause);
-        self.finish(inv, if harmless { Answer::Throttle { pause } } else { Answer::Error })
+        self.finish(inv, if unrun || all { Answer::Throttle { pause } } else { Answer::Error })
     }
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
@@ -746,46 +719,35 @@
     /// The server for the next piece: the one with a free place that should answer soonest.
     fn pick(&mut self, inv: &Invocation, now: f64) -> Option<usize> {
         self.fade(now);
-        let live = self.servers.live.iter().filter(|&&l| l).count();
-        let resting = (0..self.servers.live.len())
-            .filter(|&s| self.servers.live[s] && self.servers.rest_until[s] > now)
-            .count();
         // Guards against a signal that condemns the whole fleet: a quarter of it always stays in use.
-        let rest = (live - resting) * 4 >= live;
-        // A server's places may be under one where many limiters share it: then not all are in use at once.
         let v = &self.servers;
-        let (mut out, mut places) = (0.0, 0.0);
-        for s in (0..v.live.len()).filter(|&s| v.live[s] && !(rest && v.rest_until[s] > now)) {
-            out += v.out[s];
-            places += v.places[s];
+        let mut used: Vec<usize> = (0..v.live.len()).filter(|&s| v.live[s]).collect();
+        let resting = used.iter().filter(|&&s| v.rest_until[s] > now).count();
+        if (used.len() - resting) * 4 >= used.len() {
+            used.retain(|&s| v.rest_until[s] <= now);
         }
-        self.window = places;
-        if out + 1.0 > places.max(1.0) {
+        // A server's places may be under one where many limiters share it: then not all are in use at once.
+        self.window = used.iter().map(|&s| v.places[s]).sum();
+        if used.iter().map(|&s| v.out[s]).sum::<f64>() + 1.0 > self.window.max(1.0) {
             return None;
         }
-        let mut best = None;
-        for again in [false, true] {
-            let mut least = f64::INFINITY;
-            for s in 0..self.servers.live.len() {
-                let tried = inv.sent.iter().any(|&(t, _)| t == s);
-                if tried != again || !self.usable(s, rest, now) || !self.in_group(inv, s) {
-                    continue;
-                }
-                let v = &self.servers;
-                let far = if v.zone[s] == self.zone { 1.0 } else { 1.05 };
-                let good = (1.0 - v.bad[s]).max(0.05);
-                let soon = (v.out[s] + 1.0) * v.slow[s].max(0.02) * far / (good * good);
-                // One whose rest is over gets its trial at once, with one delivery.
-                let soon = if v.on_trial[s] { 0.0 } else { soon * (1.0 + 0.1 * self.rng.unit()) };
-                if soon < least {
-                    (least, best) = (soon, Some(s));
-                }
+        let mut best: Option<((bool, f64), usize)> = None;
+        for s in used {
+            if !self.usable(s, now) || !self.in_group(inv, s) {
+                continue;
             }
-            if best.is_some() {
-                break;
+            let v = &self.servers;
+            let far = if v.zone[s] == self.zone { 1.0 } else { 1.05 };
+            let good = (1.0 - v.bad[s]).max(0.05);
+            let soon = (v.out[s] + 1.0) * v.slow[s].max(0.02) * far / (good * good);
+            // One whose rest is over gets its trial at once, with one delivery.
+            let soon = if v.on_trial[s] { 0.0 } else { soon * (1.0 + 0.1 * self.rng.unit()) };
+            let key = (inv.sent.iter().any(|&(t, _)| t == s), soon);
+            if best.is_none_or(|(least, _)| key < least) {
+                best = Some((key, s));
             }
         }
-        best
+        best.map(|(_, s)| s)
     }
 
     /// Guards against figures that outlive their cause: a server that was slow or failing gets too little
@@ -803,15 +765,10 @@
         }
     }
 
-    fn usable(&self, s: usize, rest: bool, now: f64) -> bool {
+    fn usable(&self, s: usize, now: f64) -> bool {
         let v = &self.servers;
-        if !v.live[s] || v.out[s] + 1.0 > v.places[s].max(1.0).ceil() || v.paced_until[s] > now {
-            return false;
-        }
-        if rest && v.rest_until[s] > now {
-            return false;
-        }
-        if v.on_trial[s] && v.out[s] > 0.0 {
+        let free = v.out[s] + 1.0 <= v.places[s].max(1.0).ceil() && !(v.on_trial[s] && v.out[s] > 0.0);
+        if !free || v.paced_until[s] > now {
             return false;
         }
         // Guards against servers that take work and answer nothing, before any time-out tells: with
