--- a/src/rules.rs
+++ b/src/rules.rs
@@ -695,6 +695,8 @@
             let same = inv.drawn && inv.came >= account.lapses - account.length;
             if now < account.lapses && (same || !account.short) {
                 account.lease += inv.units;
+            } else {
+                account.share += inv.units;
             }
         }
         let pause = pause.max(0.0).min(self.max_pause);
