--- a/src/rules.rs
+++ b/src/rules.rs
@@ -94,7 +94,7 @@
     /// One limiter's even part of the ceiling; where short windows lease the quota, what that leaves, but
     /// one unit at least.
     fn part(&self, doors: f64, short: bool) -> (f64, f64) {
-        let (rate, burst) = if short { (self.rate * CALM, self.burst * CALM) } else { (0.0, 0.0) };
+        let (rate, burst) = if short { (self.rate, self.burst) } else { (0.0, 0.0) };
         let least = if short { 1.0 } else { 0.0 };
         ((self.hard_rate - rate) / doors, ((self.hard_burst - burst) / doors).max(least))
     }
@@ -497,7 +497,7 @@
         // A short window holds what was leased in it, and half a burst is the most that it may be.
         let part = plan.part(account.doors, true).1 * account.doors;
         let (line, most) = match account.short {
-            true => (0.0, (plan.burst * CALM).min(plan.hard_burst - part) / 2.0),
+            true => (0.0, plan.burst.min(plan.hard_burst - part) / 2.0),
             false => (plan.rate * (now - start), plan.burst),
         };
         let before = total - call.add;
