--- a/src/rules.rs
+++ b/src/rules.rs
@@ -903,11 +903,11 @@
             // and each has under one place there, one answer speaks for all servers.
             let mut scale = 1.0;
             // A delivery that was given up on, by whomever, was not quick, and its server still works on it.
-            if late || outcome.ending == Ending::Timeout {
+            if late || outcome.ending == Ending::Timeout || self.fleet_slow > CALM {
                 if at > self.shrunk {
                     (scale, self.shrunk) = (0.8, now);
                 }
-            } else if outcome.ending == Ending::Succeeded && used {
+            } else if outcome.ending == Ending::Succeeded && used && self.fleet_slow < FULL {
                 scale += v.live.len() as f64 / fleet / (self.window * self.window).max(1.0);
             }
             v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * scale).max(1.0 / fleet));
