--- a/src/rules.rs
+++ b/src/rules.rs
@@ -907,7 +907,7 @@
                 if at > self.shrunk {
                     (scale, self.shrunk) = (0.8, now);
                 }
-            } else if outcome.ending == Ending::Succeeded && used && self.fleet_slow < FULL {
+            } else if outcome.ending == Ending::Succeeded && used && self.fleet_slow < 1.5 * FULL {
                 scale += v.live.len() as f64 / fleet / (self.window * self.window).max(1.0);
             }
             v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * scale).max(1.0 / fleet));
