--- a/src/rules.rs
+++ b/src/rules.rs
@@ -227,7 +227,7 @@
     pub fn new(s: &Settings, now: f64) -> Self {
         let plans = s.plans.iter().map(|p| {
             let span = if p.rate > 0.0 { (p.burst / p.rate).max(1e-3) } else { WINDOW };
-            let halves = s.counter && p.rate > 0.0 && p.burst >= COARSE;
+            let room = p.hard_rate > p.rate && p.hard_burst > p.burst;
             Plan {
                 rate: p.rate,
                 burst: p.burst,
@@ -235,7 +235,7 @@
                 span,
                 hard_rate: p.hard_rate,
                 hard_burst: p.hard_burst,
-                halves: halves && p.hard_rate > p.rate && p.hard_burst > p.burst,
+                halves: s.counter && p.rate > 0.0 && p.burst >= COARSE && room,
                 had_room: 1.0,
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
@@ -249,7 +249,7 @@
         });
         let operations: Vec<Operation> = operations.collect();
         let objective = operations.iter().map(|o| o.objective).fold(f64::INFINITY, f64::min);
-        let mut limiter = Limiter {
+        Limiter {
             plans: plans.collect(),
             fleet: s.fleet.max(1),
             zone: s.zone,
@@ -271,12 +271,9 @@
             shrunk: now,
             fleet_slow: CALM / 2.0,
             flow_at: now,
+            acts: s.ask_roster.then_some(Act::WatchRoster).into_iter().collect(),
             ..Limiter::default()
-        };
-        if limiter.watch {
-            limiter.acts.push_back(Act::WatchRoster);
         }
-        limiter
     }
 
     pub fn next_act(&mut self) -> Option<Act> {
@@ -543,9 +540,7 @@
     }
 
     fn wake(&mut self, a: usize) {
-        for num in std::mem::take(&mut self.accounts[a].waiting) {
-            self.acts.push_back(Act::Ask(num));
-        }
+        self.acts.extend(self.accounts[a].waiting.drain(..).map(Act::Ask));
     }
 
     fn counter_open(&mut self, times: f64, now: f64) -> bool {
@@ -680,9 +675,7 @@
     }
 
     fn ask_front(&mut self) {
-        if let Some(&(_, num)) = self.line.front() {
-            self.acts.push_back(Act::Ask(num));
-        }
+        self.acts.extend(self.line.front().map(|&(_, num)| Act::Ask(num)));
     }
 
     fn refuse(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
