--- a/src/rules.rs
+++ b/src/rules.rs
@@ -828,17 +828,12 @@
         }
         v.sent_at[tgt] = now;
         v.out[tgt] += 1.0;
-        // A cold server gets its present part of what a warm one gets and a lead on it, evenly paced: half
-        // of what pushes it over when the warm ones are full, if the other limiters do alike.
-        let warm = (0..v.live.len()).filter(|&s| v.live[s] && now - v.cold_since[s] >= self.cold_for).count();
-        let age = now - v.cold_since[tgt];
-        if age < self.cold_for {
-            let part = self.cold_from + (1.0 - self.cold_from) * age / self.cold_for;
-            let each = self.sends / span / warm.max(1) as f64;
-            let each = each.max(1.0 / self.objective / f64::from(self.fleet));
-            v.paced_until[tgt] = now + 1.0 / (each * part * self.lead);
-        }
-        if age >= self.cold_for || warm == 0 {
+        let cold = now - v.cold_since[tgt] < self.cold_for;
+        let (pace, none_warm) = self.pace(tgt, now);
+        if cold {
+            self.servers.paced_until[tgt] = now + pace;
+        }
+        if !cold || none_warm {
             self.sends += 1.0;
         }
         inv.stage = Stage::Out;
@@ -847,6 +842,17 @@
         Answer::Send(tgt)
     }
 
+    /// Time between sends to a cold server: it gets its present part of what a warm one gets and a lead on
+    /// it, half of what pushes it over when the warm ones are full, if the other limiters do alike.
+    fn pace(&self, tgt: usize, now: f64) -> (f64, bool) {
+        let v = &self.servers;
+        let warm = (0..v.live.len()).filter(|&s| v.live[s] && now - v.cold_since[s] >= self.cold_for).count();
+        let part = self.cold_from + (1.0 - self.cold_from) * (now - v.cold_since[tgt]) / self.cold_for;
+        let each = self.sends / (2.0 * self.objective) / warm.max(1) as f64;
+        let each = each.max(1.0 / self.objective / f64::from(self.fleet));
+        (1.0 / (each * part * self.lead), warm == 0)
+    }
+
     /// Takes one outcome into the figures of its server and of the fleet.
     fn learn(&mut self, tgt: usize, inv: &Invocation, outcome: &Outcome, at: f64, now: f64) {
         let v = &mut self.servers;
@@ -945,17 +951,19 @@
             }
             let s = e.tgt;
             if e.came_up > v.came_up[s] {
-                // A new start: cold, and nothing learned of the old process holds. Limiters do not all send
-                // to it at once, also those that just started.
-                if now < e.came_up + self.cold_for {
-                    v.paced_until[s] = now + self.objective * self.rng.unit();
-                }
+                // A new start: cold, and nothing learned of the old process holds.
                 v.cold_since[s] = v.cold_since[s].max(e.came_up);
                 v.places[s] = START / f64::from(self.fleet);
                 v.shrunk[s] = f64::NEG_INFINITY;
                 v.slow[s] = self.fleet_slow;
                 (v.bad[s], v.rest_until[s], v.rest[s], v.on_trial[s]) = (0.0, 0.0, 0.0, false);
+                // Hundreds of limiters that each send one at once push it over: first sends are spread out.
+                if now < e.came_up + self.cold_for {
+                    let first = self.pace(s, now).0.max(self.objective);
+                    self.servers.paced_until[s] = now + first * self.rng.unit();
+                }
             }
+            let v = &mut self.servers;
             v.came_up[s] = e.came_up;
             v.live[s] = e.readiness == Readiness::Live;
             v.zone[s] = e.zone;
