--- a/src/rules.rs
+++ b/src/rules.rs
@@ -280,7 +280,6 @@
         self.acts.pop_front()
     }
 
-    /// Customers whose books are open.
     pub fn customers(&self) -> usize {
         self.by_customer.len()
     }
@@ -398,8 +397,7 @@
             return Answer::Hold;
         }
         // Another delivery only where it is allowed, can still earn, and adds nothing to an overload.
-        let calm = self.pressure < PRESSED;
-        let left = inv.sent.len() < self.most_deliveries && (calm && inv.sent.len() <= FURTHER);
+        let left = inv.sent.len() < self.most_deliveries.min(FURTHER + 1) && self.pressure < PRESSED;
         if left && outcome.ending != Ending::Moot && now < self.give_up(inv) && self.resendable(inv, now) {
             inv.stage = Stage::Line;
             if let Some(tgt) = self.pick(inv, now) {
@@ -503,8 +501,7 @@
         let known = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let forgot = !account.short && account.window == call.window && before - line < known - plan.burst;
         let floor = (if forgot { known } else { call.carried } - call.back).max(0.0);
-        // An idle customer's store holds the burst at most: under the line, the rest is written off, as
-        // soon as demand could use it.
+        // An idle customer's store holds the burst at most: the rest is written off once demand could use it.
         let base = (before - call.back - line).max(floor);
         let room = most - base - call.debt;
         let mut grant = call.asked;
@@ -516,8 +513,7 @@
         }
         let target = line + base + call.debt + grant;
         let off = target - total;
-        // In a long set one invocation says little: then only a burst's worth is written off, or a call would
-        // follow each answer.
+        // In a long set one invocation says little: else a call would follow each answer.
         let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
         let idle = hot || floor > 0.0 || off > plan.burst;
         let correct = off < -0.5 || (off > 0.5 && idle && !account.short);
@@ -692,8 +688,8 @@
                 account.share += inv.units;
             }
         }
-        let pause = pause.max(0.0).min(self.max_pause);
-        self.finish(inv, if unrun || all { Answer::Throttle { pause } } else { Answer::Error })
+        let throttle = Answer::Throttle { pause: pause.max(0.0).min(self.max_pause) };
+        self.finish(inv, if unrun || all { throttle } else { Answer::Error })
     }
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
@@ -823,9 +819,7 @@
         let patience = room.max(4.0 * self.fleet_slow * operation.objective);
         inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
         let v = &mut self.servers;
-        if v.out[tgt] <= 0.0 {
-            v.quiet_since[tgt] = now;
-        }
+        v.quiet_since[tgt] = if v.out[tgt] <= 0.0 { now } else { v.quiet_since[tgt] };
         v.sent_at[tgt] = now;
         v.out[tgt] += 1.0;
         let cold = now - v.cold_since[tgt] < self.cold_for;
@@ -864,7 +858,7 @@
         let objective = self.operations[inv.operation].objective;
         let share = outcome.spent / objective;
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
-        let failed = outcome.ending != Ending::Succeeded;
+        let (ok, failed) = (outcome.ending == Ending::Succeeded, outcome.ending != Ending::Succeeded);
         let late = outcome.ending == Ending::Full
             || (matches!(outcome.ending, Ending::Timeout | Ending::Succeeded) && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
@@ -882,7 +876,7 @@
             v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
             self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
         }
-        if outcome.ending == Ending::Succeeded {
+        if ok {
             v.rest[tgt] = 0.0;
             if v.on_trial[tgt] {
                 // Trust returns slowly: the server may be back cold before the roster says so.
@@ -906,7 +900,7 @@
                 if at > self.shrunk {
                     (scale, self.shrunk) = (0.8, now);
                 }
-            } else if outcome.ending == Ending::Succeeded && used && self.fleet_slow < 1.5 * FULL {
+            } else if ok && used && self.fleet_slow < 1.5 * FULL {
                 scale += v.live.len() as f64 / fleet / (self.window * self.window).max(1.0);
             }
             v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * scale).max(1.0 / fleet));
@@ -915,8 +909,7 @@
                 v.shrunk[tgt] = now;
                 v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
             }
-        } else if outcome.ending == Ending::Succeeded && (was + 1.0 > v.places[tgt] || !self.line.is_empty())
-        {
+        } else if ok && (was + 1.0 > v.places[tgt] || !self.line.is_empty()) {
             v.places[tgt] += 1.0 / (fleet * v.places[tgt]);
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -317,12 +317,12 @@
         f.pass(0.05);
         answer_all(&mut f, if round < 30 { Ending::Succeeded } else { Ending::Timeout });
         if round == 29 {
-            (0..8).for_each(|_| drop(f.take(0, 1, 0, 0, 1.0)));
+            (0..8).for_each(|_| _ = f.take(0, 1, 0, 0, 1.0));
             assert!(f.out.len() > 1, "one out after 30 quick rounds");
             answer_all(&mut f, Ending::Succeeded);
         }
     }
-    (0..8).for_each(|_| drop(f.take(0, 1, 0, 0, 1.0)));
+    (0..8).for_each(|_| _ = f.take(0, 1, 0, 0, 1.0));
     assert_eq!(f.out.len(), 1, "deliveries given up on take places away");
 }
 
