--- a/src/rules.rs
+++ b/src/rules.rs
@@ -859,8 +859,9 @@
         let share = outcome.spent / objective;
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
         let (ok, failed) = (outcome.ending == Ending::Succeeded, outcome.ending != Ending::Succeeded);
-        let late = outcome.ending == Ending::Full
-            || (matches!(outcome.ending, Ending::Timeout | Ending::Succeeded) && share > 1.5 * CALM);
+        // Guards against answers that get lost: beside quick answers a time-out says nothing of load.
+        let timed = ok || (outcome.ending == Ending::Timeout && self.fleet_slow > FULL);
+        let late = outcome.ending == Ending::Full || (timed && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
             v.quiet_since[tgt] = now;
         }
@@ -871,7 +872,7 @@
         if v.bad[tgt] < SICK {
             self.pressure += NEWEST / 2.0 * (if late { 1.0 } else { 0.0 } - self.pressure);
         }
-        if matches!(outcome.ending, Ending::Succeeded | Ending::Timeout) {
+        if timed {
             let share = share.min(2.0);
             v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
             self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
@@ -896,7 +897,7 @@
             // and each has under one place there, one answer speaks for all servers.
             let mut scale = 1.0;
             // A delivery that was given up on, by whomever, was not quick, and its server still works on it.
-            if late || outcome.ending == Ending::Timeout || self.fleet_slow > CALM {
+            if late || (timed && failed) || self.fleet_slow > CALM {
                 if at > self.shrunk {
                     (scale, self.shrunk) = (0.8, now);
                 }
