Take a time-out after several quick means for a lost answer, not for load

Also covers links that lose and servers that hang; hurts where a server under load answers either quickly or never.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -859,8 +859,10 @@
         let share = outcome.spent / objective;
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
         let (ok, failed) = (outcome.ending == Ending::Succeeded, outcome.ending != Ending::Succeeded);
-        // Guards against answers that get lost: beside quick answers a time-out says nothing of load.
-        let timed = ok || (outcome.ending == Ending::Timeout && self.fleet_slow > FULL);
+        // Guards against answers that get lost: one awaited for several times a quick mean tells nothing of
+        // load. Clients that give up before that do.
+        let lost = self.fleet_slow < FULL && share > 3.0 * self.fleet_slow;
+        let timed = ok || (outcome.ending == Ending::Timeout && !lost);
         let late = outcome.ending == Ending::Full || (timed && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
             v.quiet_since[tgt] = now;
