--- a/src/rules.rs
+++ b/src/rules.rs
@@ -357,6 +357,7 @@
                 return self.refuse(inv, clears, now);
             }
             if ahead > 0 {
+                self.ask_front();
                 return Answer::Hold;
             }
         }
@@ -694,7 +695,9 @@
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
         if inv.stage == Stage::Line {
+            // Guards against a line that stands with nothing out: whoever leaves or joins asks its front.
             self.line.retain(|&(_, num)| num != inv.num);
+            self.ask_front();
         }
         inv.stage = Stage::Done;
         answer
