--- a/src/rules.rs
+++ b/src/rules.rs
@@ -877,10 +877,11 @@
         if v.bad[tgt] < SICK {
             self.pressure += NEWEST / 2.0 * (if late { 1.0 } else { 0.0 } - self.pressure);
         }
+        if ok || outcome.ending == Ending::Timeout {
+            v.slow[tgt] += NEWEST * (share.min(2.0) - v.slow[tgt]);
+        }
         if timed {
-            let share = share.min(2.0);
-            v.slow[tgt] += NEWEST * (share - v.slow[tgt]);
-            self.fleet_slow += NEWEST / 2.0 * (share - self.fleet_slow);
+            self.fleet_slow += NEWEST / 2.0 * (share.min(2.0) - self.fleet_slow);
         }
         if ok {
             v.rest[tgt] = 0.0;
