--- a/src/rules.rs
+++ b/src/rules.rs
@@ -864,7 +864,7 @@
         let (ok, failed) = (outcome.ending == Ending::Succeeded, outcome.ending != Ending::Succeeded);
         // Guards against answers that get lost: one awaited for several times a quick mean tells nothing of
         // load. Clients that give up before that do.
-        let lost = self.fleet_slow < FULL && share > 3.0 * self.fleet_slow;
+        let lost = self.fleet_slow < 0.75 * FULL && share > 3.0 * self.fleet_slow;
         let timed = ok || (outcome.ending == Ending::Timeout && !lost);
         let late = outcome.ending == Ending::Full || (timed && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
