--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,7 +20,7 @@
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.25;
 /// Share of the latency objective that the line may hold an invocation; more only makes all late.
-const LINE: f64 = 0.2;
+const LINE: f64 = 0.1;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
