--- a/src/rules.rs
+++ b/src/rules.rs
@@ -356,7 +356,6 @@
                 return self.refuse(inv, clears, now);
             }
             if ahead > 0 {
-                self.ask_front();
                 return Answer::Hold;
             }
         }
@@ -689,7 +688,7 @@
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
         if inv.stage == Stage::Line {
-            // Guards against a line that stands with nothing out: whoever leaves or joins asks its front.
+            // Guards against a line that stands with nothing out: whoever leaves asks its front.
             self.line.retain(|&(_, num)| num != inv.num);
             self.ask_front();
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -9,6 +9,14 @@
     Front::new(Settings { plans: vec![plan], ..settings(fleet) }, servers)
 }
 
+fn rounds(f: &mut Front, rounds: usize, many: usize, seconds: f64, ending: Ending) {
+    for _ in 0..rounds {
+        f.takes(0, many);
+        f.pass(seconds);
+        answer_all(f, ending);
+    }
+}
+
 fn answer_all(f: &mut Front, ending: Ending) {
     while !f.out.is_empty() {
         f.end(0, ending);
@@ -20,7 +28,7 @@
     // A third of the tries were throttled with half of the quota unused: leftovers stayed counted.
     let mut f = with_plan(rate_plan(2.0, 8.0), 1, 4);
     for _ in 0..60 {
-        f.take(0, 1, 0, 0, 1.0);
+        f.takes(0, 1);
         f.pass(0.05);
         answer_all(&mut f, Ending::Succeeded);
         f.pass(0.6);
@@ -45,7 +53,7 @@
     let mut f = with_plan(rate_plan(0.1, 10.0), 1, 40);
     for round in 0..2 {
         for _ in 0..40 {
-            f.take(0, 1, 0, 0, 1.0);
+            f.takes(0, 1);
             answer_all(&mut f, Ending::Succeeded);
         }
         if round == 0 {
@@ -62,9 +70,7 @@
     for i in 0..400u64 {
         f.take(0, i % 20, 0, 0, 1.0);
         f.pass(0.03);
-        while !f.calls.is_empty() {
-            f.count(0, false, false);
-        }
+        f.count_all(false, false);
         answer_all(&mut f, Ending::Succeeded);
     }
     assert!(f.counts < 120, "{} calls to a silent counter", f.counts);
@@ -84,16 +90,8 @@
 #[test]
 fn slow_answers_take_places_away() {
     let mut f = Front::new(settings(1), 2);
-    for _ in 0..60 {
-        for _ in 0..20 {
-            f.take(0, 1, 0, 0, 1.0);
-        }
-        f.pass(0.4);
-        answer_all(&mut f, Ending::Succeeded);
-    }
-    for _ in 0..20 {
-        f.take(0, 1, 0, 0, 1.0);
-    }
+    rounds(&mut f, 60, 20, 0.4, Ending::Succeeded);
+    f.takes(0, 20);
     assert!(f.out.len() <= 3, "{} out at two servers that answer late", f.out.len());
 }
 
@@ -101,13 +99,9 @@
 fn a_quiet_server_is_spared_but_not_forgotten() {
     let mut f = Front::new(settings(1), 2);
     for _ in 0..200 {
-        for _ in 0..3 {
-            f.take(0, 1, 0, 0, 1.0);
-        }
+        f.takes(0, 3);
         f.pass(0.02);
-        while let Some(at) = f.out.iter().position(|o| o.tgt == 0) {
-            f.end(at, Ending::Succeeded);
-        }
+        f.end_all_at(0, Ending::Succeeded);
     }
     let hung = f.sends().iter().filter(|&&s| s == 1).count();
     assert!((1..20).contains(&hung), "{hung} of 600 sent to a server that answers nothing");
@@ -116,17 +110,9 @@
 #[test]
 fn an_error_that_all_return_ejects_none() {
     let mut f = Front::new(settings(1), 6);
-    for _ in 0..200 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.pass(0.01);
-        answer_all(&mut f, Ending::Error);
-    }
+    rounds(&mut f, 200, 1, 0.01, Ending::Error);
     let before = f.sends().len();
-    for _ in 0..60 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.pass(0.05);
-        answer_all(&mut f, Ending::Succeeded);
-    }
+    rounds(&mut f, 60, 1, 0.05, Ending::Succeeded);
     assert!(f.sends().len() >= before + 55, "a fleet that recovers is used again");
 }
 
@@ -135,7 +121,7 @@
     // One that was slow or failing kept its figures for good, as it got nothing that could clear them.
     let mut f = Front::new(settings(1), 3);
     for round in 0..1500 {
-        f.take(0, 1, 0, 0, 1.0);
+        f.takes(0, 1);
         f.pass(0.02);
         while !f.out.is_empty() {
             let bad = f.out[0].tgt == 0 && round < 300;
@@ -149,21 +135,11 @@
 #[test]
 fn a_cold_server_is_fed_slowly() {
     let mut f = Front::new(settings(1), 3);
-    for _ in 0..100 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.pass(0.02);
-        answer_all(&mut f, Ending::Succeeded);
-    }
+    rounds(&mut f, 100, 1, 0.02, Ending::Succeeded);
     f.seen.clear();
     let cold = Server { came_up: f.now, ..server(0) };
     f.roster(0, vec![cold], false);
-    for _ in 0..300 {
-        for _ in 0..8 {
-            f.take(0, 1, 0, 0, 1.0);
-        }
-        f.pass(0.01);
-        answer_all(&mut f, Ending::Succeeded);
-    }
+    rounds(&mut f, 300, 8, 0.01, Ending::Succeeded);
     let got = |tgt: usize| f.sends().iter().filter(|&&s| s == tgt).count();
     let (cold, warm) = (got(0), got(1));
     assert!(cold > 0 && 2 * cold < warm, "{cold} to one that starts at a fifth, {warm} to a warm one");
@@ -174,9 +150,9 @@
     let operations = vec![operation(Effect::Idempotent, 1.0), operation(Effect::Idempotent, 3.0)];
     let mut f = Front::new(Settings { operations, ..settings(1) }, 1);
     while f.out.len() < 2 {
-        f.take(0, 1, 0, 0, 1.0);
+        f.takes(0, 1);
     }
-    f.take(0, 1, 0, 0, 1.0);
+    f.takes(0, 1);
     let dear = f.take(0, 1, 0, 1, 1.0);
     f.end(0, Ending::Succeeded);
     assert!(f.out.iter().any(|o| o.num == dear), "the dear one was sent");
@@ -185,9 +161,7 @@
 #[test]
 fn a_full_fleet_answers_its_line_in_time() {
     let mut f = Front::new(settings(1), 1);
-    for _ in 0..50 {
-        f.take(0, 1, 0, 0, 1.0);
-    }
+    f.takes(0, 50);
     f.pass(0.3);
     assert_eq!(f.throttles() + f.out.len(), 50, "what is not out by half the objective has its answer");
 }
@@ -201,7 +175,7 @@
         if i % 10 == 9 {
             f.restart(0);
         }
-        f.take(0, 1, 0, 0, 1.0);
+        f.takes(0, 1);
         answer_all(&mut f, Ending::Succeeded);
     }
     assert!(f.sends().len() <= 10, "{} let in by half of a ceiling of 20", f.sends().len());
@@ -222,13 +196,9 @@
 fn a_server_that_turns_all_away_draws_no_more_than_its_part() {
     let mut f = Front::new(settings(1), 4);
     for _ in 0..300 {
-        for _ in 0..3 {
-            f.take(0, 1, 0, 0, 1.0);
-        }
+        f.takes(0, 3);
         f.pass(0.002);
-        while let Some(at) = f.out.iter().position(|o| o.tgt == 0) {
-            f.end(at, Ending::Full);
-        }
+        f.end_all_at(0, Ending::Full);
         f.pass(0.03);
         answer_all(&mut f, Ending::Succeeded);
     }
@@ -242,10 +212,8 @@
         let mut f = with_plan(rate_plan(4.0, 8.0), 2, 10);
         (f.quick, f.used) = (false, used);
         for _ in 0..100 {
-            f.take(0, 1, 0, 0, 1.0);
-            while !f.calls.is_empty() {
-                f.count(0, false, true);
-            }
+            f.takes(0, 1);
+            f.count_all(false, true);
             answer_all(&mut f, Ending::Succeeded);
             f.pass(0.05);
         }
@@ -262,9 +230,7 @@
     f.quick = false;
     for i in 0..200u64 {
         f.take(0, i, 0, 0, 1.0);
-        while !f.calls.is_empty() {
-            f.count(0, false, false);
-        }
+        f.count_all(false, false);
         answer_all(&mut f, Ending::Succeeded);
         f.pass(0.1);
     }
@@ -299,11 +265,7 @@
     // A fortieth of the ceiling at each gateway throttled customers far under their quota.
     let hard = PlanSettings { hard_rate: 40.0, hard_burst: 80.0, ..rate_plan(20.0, 40.0) };
     let mut f = with_plan(hard, 40, 40);
-    for _ in 0..200 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.pass(0.1);
-        answer_all(&mut f, Ending::Succeeded);
-    }
+    rounds(&mut f, 200, 1, 0.1, Ending::Succeeded);
     assert_eq!(f.throttles(), 0, "throttled at half of the quota");
 }
 
@@ -312,30 +274,26 @@
     // With a hundredth of a place a server, none ever had more than one delivery out.
     let mut f = Front::new(settings(300), 60);
     for round in 0..40 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.take(0, 1, 0, 0, 1.0);
+        f.takes(0, 2);
         f.pass(0.05);
         answer_all(&mut f, if round < 30 { Ending::Succeeded } else { Ending::Timeout });
         if round == 29 {
-            (0..8).for_each(|_| _ = f.take(0, 1, 0, 0, 1.0));
+            f.takes(0, 8);
             assert!(f.out.len() > 1, "one out after 30 quick rounds");
             answer_all(&mut f, Ending::Succeeded);
         }
     }
-    (0..8).for_each(|_| _ = f.take(0, 1, 0, 0, 1.0));
+    f.takes(0, 8);
     assert_eq!(f.out.len(), 1, "deliveries given up on take places away");
 }
 
 #[test]
-fn a_storm_leaves_the_counter_a_test_now_and_then() {
-    // The least share of a storm of tries was more than a crowded counter could ever work off.
+fn a_storm_of_tries_leaves_a_crowded_counter_a_test_now_and_then() {
     let mut f = with_plan(rate_plan(0.1, 1.0), 100, 20);
     f.quick = false;
     for i in 0..4000u64 {
         f.take(0, i, 0, 0, 1.0);
-        while !f.calls.is_empty() {
-            f.count(0, false, true);
-        }
+        f.count_all(false, true);
         answer_all(&mut f, Ending::Succeeded);
         f.pass(0.005);
     }
@@ -346,42 +304,30 @@
 fn a_line_does_not_stand_with_nothing_out() {
     // The first in line found no place, nothing was out to ask it again, and all behind it were throttled.
     let mut f = Front::new(settings(1), 2);
-    let cold = |at| (0..2).map(|tgt| Server { came_up: at, ..server(tgt) }).collect();
-    let list = cold(f.now);
+    let list = (0..2).map(|tgt| Server { came_up: f.now, ..server(tgt) }).collect();
     f.roster(0, list, true);
-    for _ in 0..2000 {
-        f.take(0, 1, 0, 0, 1.0);
-        f.pass(0.01);
-        answer_all(&mut f, Ending::Succeeded);
-    }
+    rounds(&mut f, 2000, 1, 0.01, Ending::Succeeded);
     assert!(f.sends().len() > 1000, "{} of 2000 sent to two idle servers", f.sends().len());
 }
 
 #[test]
 fn lost_answers_take_no_places_away() {
     // A tenth to a third of the answers of most servers never came, and the fleet was taken for overloaded.
-    let throttled = |lost: usize| {
+    let throttled = |lost: u64| {
         let mut f = Front::new(settings(20), 40);
-        for i in 0..1500 {
-            f.take(0, 1, 0, 0, 1.0);
-            f.take(0, 1, 0, 0, 1.0);
+        for _ in 0..1500 {
+            f.takes(0, 2);
             f.pass(0.05);
-            let mut at = 0;
-            while at < f.out.len() {
-                if f.out[at].num % 5 < lost as u64 {
-                    at += 1;
-                } else {
+            for at in (0..f.out.len()).rev() {
+                if f.out[at].num % 5 >= lost {
                     f.end(at, Ending::Succeeded);
                 }
             }
-            if i == 200 {
-                f.seen.clear();
-            }
         }
         f.throttles()
     };
     let (none, fifth) = (throttled(0), throttled(1));
-    assert!(fifth < 260 + none, "{fifth} of 2600 throttled with a fifth lost, {none} with none");
+    assert!(fifth < 300 + none, "{fifth} of 3000 throttled with a fifth lost, {none} with none");
 }
 
 #[test]
@@ -401,5 +347,5 @@
         answer_all(&mut f, Ending::Succeeded);
     }
     let (cold, all) = (f.sends().iter().filter(|&&s| s == 0).count(), f.sends().len());
-    assert!(cold * 20 < all, "{cold} of {all} to the one of ten that starts at a fifth");
+    assert!(cold * 200 < all, "{cold} of {all} to the one of ten that starts at a fifth");
 }
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -158,6 +158,23 @@
         num
     }
 
+    /// The first customer's, for when nothing else matters.
+    pub fn takes(&mut self, gate: usize, many: usize) {
+        (0..many).for_each(|_| _ = self.take(gate, 1, 0, 0, 1.0));
+    }
+
+    pub fn end_all_at(&mut self, tgt: usize, ending: Ending) {
+        while let Some(at) = self.out.iter().position(|o| o.tgt == tgt) {
+            self.end(at, ending);
+        }
+    }
+
+    pub fn count_all(&mut self, added: bool, told: bool) {
+        while !self.calls.is_empty() {
+            self.count(0, added, told);
+        }
+    }
+
     fn place(&mut self, num: u64) {
         let Some((gate, inv, _)) = self.held.get_mut(&num) else { return };
         if matches!(inv.stage, Stage::Out | Stage::Done) {
