--- a/src/rules.rs
+++ b/src/rules.rs
@@ -510,7 +510,7 @@
         let off = target - total;
         // In a long set one invocation says little: else a call would follow each answer.
         let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
-        let idle = hot || floor > 0.0 || off > SHRINK * plan.burst;
+        let idle = hot || floor > 0.0 || off > plan.burst;
         let correct = off < -0.5 || (off > 0.5 && idle && !account.short);
         (account.window, account.heard, account.lease, account.asking) = (call.window, now, grant, false);
         account.over = grant <= 0.0;
