--- a/src/rules.rs
+++ b/src/rules.rs
@@ -86,6 +86,8 @@
     beyond_pays: bool,
     /// Share of those asked about that had room of late.
     had_room: f64,
+    /// Share of those without a lease that were let in unasked of late.
+    unasked: f64,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
     openness: f64,
 }
@@ -236,6 +238,7 @@
                 hard_burst: p.hard_burst,
                 halves: s.counter && p.rate > 0.0 && p.burst >= COARSE && room,
                 had_room: 1.0,
+                unasked: 0.0,
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
             }
@@ -423,7 +426,7 @@
     /// One add to the customer's window name, sized to local demand and shrunk near the limit.
     fn refill(&mut self, a: usize, units: f64, now: f64) {
         let account = &mut self.accounts[a];
-        let plan = &self.plans[account.plan];
+        let plan = &mut self.plans[account.plan];
         let window = window_of(account.customer, now, account.length);
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
@@ -435,7 +438,12 @@
         // Units left of the last lease go back with the same add.
         let fresh = account.window == window || !account.short;
         let back = if fresh { account.lease.min(backlog).max(0.0) } else { 0.0 };
-        let debt = account.owed(plan, now);
+        // Guards against a counter that reads low where customers meet a gateway once: one that is asked
+        // about stands for those of its plan that were let in unasked, when it owes nothing itself.
+        plan.unasked -= NEWEST * plan.unasked;
+        let others = units * plan.unasked / (1.0 - plan.unasked).max(FULL);
+        let owed = account.owed(plan, now);
+        let debt = if owed == 0.0 { others } else { owed };
         (account.debt, account.lease, account.asking) = (0.0, 0.0, true);
         let add = asked + carried + debt - back;
         self.count(Call { account: a, add, asked, needs: units, carried, debt, back, window });
@@ -547,7 +555,7 @@
     /// counter last left no room, one is let in for each span. What it lets in is owed to the counter.
     fn local_share(&mut self, a: usize, units: f64, now: f64) -> bool {
         let account = &mut self.accounts[a];
-        let plan = &self.plans[account.plan];
+        let plan = &mut self.plans[account.plan];
         // One that was heard to use less than its rate may come unevenly: here it gets the whole.
         let part = if account.calm { 1.0 } else { (plan.openness / account.doors).min(1.0) };
         let most = (plan.burst * part).max(units);
@@ -565,6 +573,7 @@
             return false;
         }
         account.share -= units;
+        plan.unasked += NEWEST * (1.0 - plan.unasked);
         account.debt = (account.owed(plan, now) + units).min(plan.burst);
         (account.lease, account.lapses) = (units, now + HOLD * plan.span);
         true
