--- a/src/rules.rs
+++ b/src/rules.rs
@@ -443,8 +443,7 @@
         plan.unasked -= NEWEST * plan.unasked;
         let others = units * plan.unasked / (1.0 - plan.unasked).max(FULL);
         let owed = account.owed(plan, now);
-        let new = owed == 0.0 && now - account.heard > HOLD * plan.span;
-        let debt = if new { others } else { owed };
+        let debt = if owed == 0.0 && account.heard == 0.0 { others } else { owed };
         (account.debt, account.lease, account.asking) = (0.0, 0.0, true);
         let add = asked + carried + debt - back;
         self.count(Call { account: a, add, asked, needs: units, carried, debt, back, window });
