--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,7 @@
 /// Places that all limiters together start with at one server, shared evenly: enough to learn from.
 const START: f64 = 3.0;
 /// Share of the refills that goes to the counter from its first answer after a silence.
-const FEW: f64 = 1.0 / 4.0;
+const FEW: f64 = 1.0 / 16.0;
 /// Time-outs of a counter after which one refill is let out as a test, whatever its share.
 const TEST: f64 = 20.0;
 /// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
@@ -904,7 +904,7 @@
                 scale += v.live.len() as f64 / fleet / (self.window * self.window).max(1.0);
             }
             v.places.iter_mut().filter(|p| **p < 1.0).for_each(|p| *p = (*p * scale).max(1.0 / fleet));
-        } else if late || v.slow[tgt] > FULL {
+        } else if late || (lost && !ok) || v.slow[tgt] > FULL {
             if at > v.shrunk[tgt] {
                 v.shrunk[tgt] = now;
                 v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
