--- a/src/rules.rs
+++ b/src/rules.rs
@@ -869,7 +869,7 @@
         self.fleet_bad += NEWEST / 4.0 * (bad - fleet_bad);
         v.bad[tgt] += 2.0 * NEWEST * (bad - v.bad[tgt]);
         if v.bad[tgt] < SICK {
-            self.pressure += NEWEST / 2.0 * (f64::from(u8::from(late || (lost && !ok))) - self.pressure);
+            self.pressure += NEWEST / 2.0 * (f64::from(u8::from(late)) - self.pressure);
         }
         if ok || outcome.ending == Ending::Timeout {
             v.slow[tgt] += NEWEST * (share.min(2.0) - v.slow[tgt]);
