--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,7 @@
 /// Time-outs of a counter after which one refill is let out as a test, whatever its share.
 const TEST: f64 = 20.0;
 /// How much rather a refill goes to a crowded counter when the invocation is throttled without it.
-const RATHER: f64 = 2.0;
+const RATHER: f64 = 4.0;
 /// Spans that a lease lives: its units are counted, and a long set uses them slowly.
 const HOLD: f64 = 4.0;
 /// Least burst, in units, that may be leased in halves.
