--- a/src/rules.rs
+++ b/src/rules.rs
@@ -214,6 +214,8 @@
     window: f64,
     shrunk: f64,
     fleet_slow: f64,
+    /// The same of answers alone.
+    answered: f64,
     /// Recent sends to warm servers.
     sends: f64,
     flow_at: f64,
@@ -268,6 +270,7 @@
             faded_at: now,
             shrunk: now,
             fleet_slow: CALM / 2.0,
+            answered: CALM / 2.0,
             flow_at: now,
             acts: s.ask_roster.then_some(Act::WatchRoster).into_iter().collect(),
             ..Limiter::default()
@@ -859,7 +862,7 @@
         let ok = outcome.ending == Ending::Succeeded;
         // Guards against answers that get lost: one awaited for several times a quick mean tells nothing of
         // load. Clients that give up before that do.
-        let lost = self.fleet_slow < 0.75 * FULL && share > 3.0 * self.fleet_slow;
+        let lost = self.answered < 0.75 * FULL && share > 3.0 * self.answered;
         let timed = ok || (outcome.ending == Ending::Timeout && !lost);
         let late = outcome.ending == Ending::Full || (timed && share > 1.5 * CALM);
         if !matches!(outcome.ending, Ending::Timeout | Ending::ConnectFailed) {
@@ -874,6 +877,9 @@
         if ok || outcome.ending == Ending::Timeout {
             v.slow[tgt] += NEWEST * (share.min(2.0) - v.slow[tgt]);
         }
+        if ok {
+            self.answered += NEWEST / 2.0 * (share.min(2.0) - self.answered);
+        }
         if timed {
             self.fleet_slow += NEWEST / 2.0 * (share.min(2.0) - self.fleet_slow);
         }
