--- a/src/rules.rs
+++ b/src/rules.rs
@@ -818,7 +818,8 @@
         let ends = inv.came + operation.objective;
         let room = (ends - now) * CALM;
         let patience = room.max(4.0 * self.fleet_slow * operation.objective);
-        inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
+        let last = if operation.pays_late { inv.until } else { ends.max(now + patience) };
+        inv.limit = if more && now + patience < ends { now + patience } else { last.min(inv.until) };
         let v = &mut self.servers;
         v.quiet_since[tgt] = if v.out[tgt] <= 0.0 { now } else { v.quiet_since[tgt] };
         v.sent_at[tgt] = now;
