--- a/src/rules.rs
+++ b/src/rules.rs
@@ -214,7 +214,6 @@
     window: f64,
     shrunk: f64,
     fleet_slow: f64,
-    /// The same of answers alone.
     answered: f64,
     /// Recent sends to warm servers.
     sends: f64,
@@ -818,8 +817,7 @@
         let ends = inv.came + operation.objective;
         let room = (ends - now) * CALM;
         let patience = room.max(4.0 * self.fleet_slow * operation.objective);
-        let last = if operation.pays_late { inv.until } else { ends.max(now + patience) };
-        inv.limit = if more && now + patience < ends { now + patience } else { last.min(inv.until) };
+        inv.limit = if more && now + patience < ends { now + patience } else { inv.until };
         let v = &mut self.servers;
         v.quiet_since[tgt] = if v.out[tgt] <= 0.0 { now } else { v.quiet_since[tgt] };
         v.sent_at[tgt] = now;
@@ -858,7 +856,7 @@
         }
         let fleet = f64::from(self.fleet);
         let objective = self.operations[inv.operation].objective;
-        let share = outcome.spent / objective;
+        let share = (outcome.spent / objective).min(2.0);
         // Turned away counts as failed: a server that is quick to say no would draw ever more.
         let ok = outcome.ending == Ending::Succeeded;
         // Guards against answers that get lost: one awaited for several times a quick mean tells nothing of
@@ -875,15 +873,10 @@
         if v.bad[tgt] < SICK {
             self.pressure += NEWEST / 2.0 * (f64::from(u8::from(late)) - self.pressure);
         }
-        if ok || outcome.ending == Ending::Timeout {
-            v.slow[tgt] += NEWEST * (share.min(2.0) - v.slow[tgt]);
-        }
-        if ok {
-            self.answered += NEWEST / 2.0 * (share.min(2.0) - self.answered);
-        }
-        if timed {
-            self.fleet_slow += NEWEST / 2.0 * (share.min(2.0) - self.fleet_slow);
-        }
+        let weight = |counts: bool| if counts { NEWEST / 2.0 } else { 0.0 };
+        v.slow[tgt] += 2.0 * weight(ok || outcome.ending == Ending::Timeout) * (share - v.slow[tgt]);
+        self.fleet_slow += weight(timed) * (share - self.fleet_slow);
+        self.answered += weight(ok) * (share - self.answered);
         if ok {
             v.rest[tgt] = 0.0;
             if v.on_trial[tgt] {
