--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -1,8 +1,8 @@
 //! One process's side of the wire: the instances it hosts, their invocations and timers.
 
-use crate::settings::{read, Read};
 use dunespur::rules::Limiter;
 use dunespur::types::*;
+use dunespur_settings::{parse, Read};
 use std::collections::HashMap;
 use std::io::Write;
 
@@ -169,7 +169,7 @@
         if verb == "NEW_INSTANCE" {
             let seed = parts.whole("rngSeed")?;
             let document = parts.0.by_ref().collect::<Vec<_>>().join(" ");
-            let read = read(&document, seed)?;
+            let read = parse(&document, seed)?;
             let host = Host {
                 limiter: Limiter::new(&read.settings, now),
                 read,
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -2,7 +2,6 @@
 //! invocations in hand, turns names into small indices, and decides nothing.
 
 mod host;
-mod settings;
 
 use host::Wire;
 use std::io::{stdin, stdout, BufRead, BufReader, BufWriter, Write};
--- /dev/null
+++ b/crates/gateway/src/discovery.rs
@@ -0,0 +1,98 @@
+//! The watch on the list of servers. Owns the connection to discovery and the revision last heard. It must
+//! never drop what it held when discovery is silent, and never judge whether a server is fit to use.
+
+use crate::fault::Fault;
+use crate::hub::Hub;
+use crate::message::{decode_news, encode_watch, take_line};
+use crate::reducer::Event;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+/// A watch says something this often, be it an empty line.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+/// Time from the end of one watch to the next.
+const AGAIN: Duration = Duration::from_millis(100);
+
+pub struct Discovery {
+    address: SocketAddr,
+    /// The module asks for each watch; elsewhere one always stands.
+    on_request: bool,
+    revision: Cell<u64>,
+    wanted: Notify,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, on_request: bool, revision: u64) -> Self {
+        Discovery { address, on_request, revision: Cell::new(revision), wanted: Notify::new() }
+    }
+
+    pub fn watch(&self) {
+        self.wanted.notify_one();
+    }
+
+    pub async fn run(hub: Rc<Hub>) {
+        loop {
+            if hub.discovery.on_request {
+                hub.discovery.wanted.notified().await;
+            }
+            let fault = hub.discovery.follow(&hub).await;
+            log::debug!("discovery: {fault}");
+            hub.tell(Event::RosterLost);
+            sleep(AGAIN).await;
+        }
+    }
+
+    /// Follows one watch to its end.
+    async fn follow(&self, hub: &Rc<Hub>) -> Fault {
+        // Two heartbeats and some: a silent watch may be cut off without a word.
+        let silence = HEARTBEAT * 2 + HEARTBEAT / 2;
+        let connect = async {
+            let stream = TcpStream::connect(self.address).await.map_err(|_| Fault::NotConnected)?;
+            let _ = stream.set_nodelay(true);
+            let io = TokioIo::new(stream);
+            hyper::client::conn::http1::handshake(io).await.map_err(|_| Fault::Unwritten)
+        };
+        let (mut sender, connection) = match timeout(silence, connect).await {
+            Ok(Ok(pair)) => pair,
+            Ok(Err(fault)) => return fault,
+            Err(_) => return Fault::NotConnected,
+        };
+        let read = async {
+            let request = encode_watch(self.revision.get(), self.address)?;
+            let answer = timeout(silence, sender.send_request(request)).await.map_err(|_| Fault::Silent)?;
+            let mut body = answer.map_err(|_| Fault::Broken)?.into_body();
+            let mut buffer = BytesMut::new();
+            loop {
+                let frame = timeout(silence, body.frame()).await.map_err(|_| Fault::Silent)?;
+                let Some(Ok(frame)) = frame else { return Err(Fault::Broken) };
+                buffer.extend_from_slice(frame.data_ref().map_or(&[], |d| d));
+                while let Some(line) = take_line(&mut buffer)? {
+                    if line.is_empty() {
+                        continue;
+                    }
+                    let value = serde_json::from_slice(&line).map_err(|e| Fault::Malformed(e.to_string()))?;
+                    let news = decode_news(&value, &hub.names)?;
+                    self.revision.set(news.revision);
+                    hub.tell(Event::Roster(news));
+                }
+            }
+        };
+        tokio::pin!(read, connection);
+        let mut up = true;
+        loop {
+            tokio::select! {
+                biased;
+                ended = &mut read => return ended.map_or_else(|fault: Fault| fault, |()| Fault::Broken),
+                _ = &mut connection, if up => up = false,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fault.rs
@@ -0,0 +1,60 @@
+//! What can go wrong, as values that say how far the attempt had come. Owns the step from a fault to the
+//! ending that the decisions are told and to the status that a client sees. It must never panic, log,
+//! retry or decide anything.
+
+use dunespur::types::Ending;
+use std::fmt;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The configuration can't be used.
+    Config(String),
+    /// A message that is not of the protocol.
+    Malformed(String),
+    /// A body over the bound.
+    TooLarge,
+    /// No connection came up.
+    NotConnected,
+    /// The connection broke before the last byte was written.
+    Unwritten,
+    /// It broke after that: the other side may have acted.
+    Broken,
+    /// Nothing came before the time was up.
+    Silent,
+    /// The invocation no longer wanted it.
+    Withdrawn,
+}
+
+impl Fault {
+    pub fn ending(&self) -> Ending {
+        match self {
+            Fault::NotConnected | Fault::Unwritten | Fault::Config(_) => Ending::ConnectFailed,
+            Fault::Silent => Ending::Timeout,
+            Fault::Withdrawn => Ending::Cancelled,
+            Fault::Broken | Fault::Malformed(_) | Fault::TooLarge => Ending::Reset,
+        }
+    }
+
+    pub fn status(&self) -> u16 {
+        match self {
+            Fault::TooLarge => 413,
+            Fault::Malformed(_) => 400,
+            _ => 502,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Config(what) => write!(f, "configuration: {what}"),
+            Fault::Malformed(what) => write!(f, "malformed: {what}"),
+            Fault::TooLarge => f.write_str("the body is too large"),
+            Fault::NotConnected => f.write_str("no connection came up"),
+            Fault::Unwritten => f.write_str("the connection broke before the last byte was written"),
+            Fault::Broken => f.write_str("the connection broke after the last byte was written"),
+            Fault::Silent => f.write_str("no answer in time"),
+            Fault::Withdrawn => f.write_str("no longer wanted"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,242 @@
+//! The clients' side: a tower service over hyper, `/-/ready` included. Owns the listener, the connections
+//! of clients and the answers they wait for. It must never end a connection that has an invocation in hand
+//! without its answer, and never hold an invocation by itself.
+
+use crate::fault::Fault;
+use crate::hub::Hub;
+use crate::message::{decode_asked, encode_fault, encode_reply, plain, Reply, MOST_BODY, READY};
+use crate::reducer::Event;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+
+/// A client's connection.
+struct Client {
+    busy: Cell<bool>,
+    idle_since: Cell<f64>,
+    close: Notify,
+}
+
+pub struct Front {
+    most: usize,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    last: Cell<u64>,
+    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    open: Cell<bool>,
+    closing: Notify,
+    freed: Notify,
+}
+
+impl Front {
+    pub fn new(most: usize) -> Self {
+        Front {
+            most,
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            clients: RefCell::default(),
+            open: Cell::new(true),
+            closing: Notify::new(),
+            freed: Notify::new(),
+        }
+    }
+
+    pub fn reply(&self, num: u64, reply: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&num) {
+            // One that has just left takes no answer.
+            let _ = waiting.send(reply);
+        }
+    }
+
+    fn next(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+
+    /// No new invocations: `/-/ready` says so.
+    pub fn leave(&self) {
+        self.open.set(false);
+    }
+
+    /// Takes no further connections and ends those there are after the answers they wait for.
+    pub fn close(&self) {
+        self.closing.notify_one();
+        self.clients.borrow().values().for_each(|c| c.close.notify_one());
+    }
+
+    /// Connections that wait for an answer, and all.
+    pub fn clients(&self) -> (usize, usize) {
+        let clients = self.clients.borrow();
+        (clients.values().filter(|c| c.busy.get()).count(), clients.len())
+    }
+
+    /// Makes room for a new connection: the one that has waited longest for its next invocation closes.
+    fn close_oldest(&self) {
+        let clients = self.clients.borrow();
+        let idle = clients.values().filter(|c| !c.busy.get());
+        if let Some(c) = idle.min_by(|a, b| a.idle_since.get().total_cmp(&b.idle_since.get())) {
+            c.close.notify_one();
+        }
+    }
+
+    pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
+        let front = &hub.front;
+        loop {
+            if front.clients.borrow().len() >= front.most {
+                front.close_oldest();
+                // Those that the machine accepts meanwhile wait in its own line.
+                let _ = tokio::time::timeout(Duration::from_millis(10), front.freed.notified()).await;
+                continue;
+            }
+            let accepted = tokio::select! {
+                biased;
+                _ = front.closing.notified() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    tokio::task::spawn_local(Self::connection(hub.clone(), stream));
+                }
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(hub: Rc<Hub>, stream: TcpStream) {
+        let idle_since = Cell::new(hub.clock.now());
+        let client = Rc::new(Client { busy: Cell::new(false), idle_since, close: Notify::new() });
+        let _place = Place::new(&hub, &client);
+        hub.tell(Event::ClientConnected);
+        let door = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
+        let mut builder = hyper::server::conn::http1::Builder::new();
+        builder.auto_date_header(false).max_buf_size(MOST_BODY);
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), door));
+        let ended = loop {
+            tokio::select! {
+                biased;
+                ended = &mut connection => break ended,
+                _ = client.close.notified() => connection.as_mut().graceful_shutdown(),
+            }
+        };
+        if let Err(e) = ended {
+            log::debug!("client: {e}");
+        }
+    }
+}
+
+/// A connection's entry among the clients, taken out however its task ends.
+struct Place {
+    hub: Rc<Hub>,
+    at: u64,
+}
+
+impl Place {
+    fn new(hub: &Rc<Hub>, client: &Rc<Client>) -> Self {
+        let at = hub.front.next();
+        hub.front.clients.borrow_mut().insert(at, client.clone());
+        Place { hub: hub.clone(), at }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.hub.front.clients.borrow_mut().remove(&self.at);
+        self.hub.front.freed.notify_one();
+    }
+}
+
+/// An invocation that waits for its answer; hyper drops it when the client leaves.
+struct InHand<'a> {
+    hub: &'a Rc<Hub>,
+    num: u64,
+}
+
+impl Drop for InHand<'_> {
+    fn drop(&mut self) {
+        if self.hub.front.waiting.borrow_mut().remove(&self.num).is_some() {
+            self.hub.tell(Event::ClientGone { num: self.num });
+        }
+    }
+}
+
+/// The service that hyper calls for each message of one connection.
+#[derive(Clone)]
+struct Door {
+    hub: Rc<Hub>,
+    client: Rc<Client>,
+}
+
+type Answer = Result<Response<Full<Bytes>>, Infallible>;
+
+impl tower::Service<Request<Incoming>> for Door {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Answer>>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let door = self.clone();
+        door.client.busy.set(true);
+        Box::pin(async move {
+            let response = door.answer(request).await;
+            door.client.idle_since.set(door.hub.clock.now());
+            door.client.busy.set(false);
+            Ok(response)
+        })
+    }
+}
+
+impl Door {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == READY {
+            return match self.hub.front.open.get() {
+                true => plain(StatusCode::OK, "ready\n"),
+                false => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+            };
+        }
+        match self.invoke(request).await {
+            Ok(reply) => encode_reply(reply),
+            Err(fault) => {
+                self.hub.tell(Event::TurnedDown);
+                log::debug!("client: {fault}");
+                encode_fault(&fault)
+            }
+        }
+    }
+
+    async fn invoke(&self, request: Request<Incoming>) -> Result<Reply, Fault> {
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, MOST_BODY).collect().await.map_err(|e| {
+            if e.is::<LengthLimitError>() {
+                Fault::TooLarge
+            } else {
+                Fault::Malformed(e.to_string())
+            }
+        })?;
+        let asked = Rc::new(decode_asked(head, body.to_bytes(), &self.hub.names)?);
+        let (num, (tell, told)) = (self.hub.front.next(), oneshot::channel());
+        self.hub.front.waiting.borrow_mut().insert(num, tell);
+        let _in_hand = InHand { hub: &self.hub, num };
+        self.hub.tell(Event::Taken { num, asked });
+        Ok(told.await.unwrap_or(Reply::Errored))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/hub.rs
@@ -0,0 +1,128 @@
+//! Where events meet the reducer and effects their owners. Owns the queue between them, the clock and the
+//! one timer. It must never change an invocation's state itself or let an effect overtake another.
+
+use crate::counter::Counter;
+use crate::discovery::Discovery;
+use crate::front::Front;
+use crate::message::Names;
+use crate::reducer::{Effect, Event, Reducer};
+use crate::upstream::Upstream;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// Unix time as read once at the start, carried on by the monotonic clock: the gateways' windows and the
+/// roster's start times must agree, and no step of the machine's clock may disturb them.
+pub struct Clock {
+    started: Instant,
+    unix: f64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_secs_f64() }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.unix + self.started.elapsed().as_secs_f64()
+    }
+}
+
+pub struct Hub {
+    pub clock: Clock,
+    pub names: Names,
+    pub front: Front,
+    pub upstream: Upstream,
+    pub counter: Counter,
+    pub discovery: Discovery,
+    pub reducer: RefCell<Reducer>,
+    events: RefCell<VecDeque<Event>>,
+    busy: Cell<bool>,
+    /// What the timer is set to.
+    set: Cell<f64>,
+    earlier: Notify,
+}
+
+/// Lets go of the loop even when an event panics, so that the next connection finds it free.
+struct Busy<'a>(&'a Cell<bool>);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+impl Hub {
+    pub fn new(
+        clock: Clock,
+        names: Names,
+        reducer: Reducer,
+        front: Front,
+        upstream: Upstream,
+        counter: Counter,
+        discovery: Discovery,
+    ) -> Rc<Self> {
+        Rc::new(Hub {
+            clock,
+            names,
+            front,
+            upstream,
+            counter,
+            discovery,
+            reducer: RefCell::new(reducer),
+            events: RefCell::default(),
+            busy: Cell::new(false),
+            set: Cell::new(f64::INFINITY),
+            earlier: Notify::new(),
+        })
+    }
+
+    /// Takes one event, and what its effects bring about at once.
+    pub fn tell(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        if self.busy.replace(true) {
+            return;
+        }
+        let _busy = Busy(&self.busy);
+        let mut effects = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            self.reducer.borrow_mut().reduce(event, self.clock.now(), &mut effects);
+            effects.drain(..).for_each(|e| self.carry_out(e));
+        }
+        if self.reducer.borrow().next_due().is_some_and(|due| due < self.set.get()) {
+            self.earlier.notify_one();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send { num, n, tgt, address, asked, until } => {
+                self.upstream.send(self, num, n, tgt, address, asked, until)
+            }
+            Effect::Abandon { num, n, ending } => self.upstream.abandon(self, num, n, ending),
+            Effect::Reply { num, reply } => self.front.reply(num, reply),
+            Effect::Count { call, name, add, life } => self.counter.call(call, name, add, life),
+            Effect::AbandonCount { call } => self.counter.abandon(self, call),
+            Effect::CloseIdle { tgt } => self.upstream.close_idle(tgt),
+            Effect::Watch => self.discovery.watch(),
+        }
+    }
+
+    /// The one timer: tells the reducer when something is due.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let due = self.reducer.borrow().next_due().unwrap_or(f64::INFINITY);
+            self.set.set(due);
+            let wait = (due - self.clock.now()).clamp(0.0, 3600.0);
+            tokio::select! {
+                biased;
+                _ = self.earlier.notified() => {}
+                _ = tokio::time::sleep(Duration::from_secs_f64(wait)) => self.tell(Event::Due),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,144 @@
+//! Starts the gateway and ends it. Owns the configuration, the signals and the exit. It must never touch an
+//! invocation, and never report ready before clients can be served.
+
+mod counter;
+mod discovery;
+mod fault;
+mod front;
+mod hub;
+mod log;
+mod message;
+mod reducer;
+mod stats;
+mod upstream;
+
+use crate::fault::Fault;
+use crate::reducer::Event;
+use dunespur_settings::Read;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{interval, sleep};
+
+/// Clients keep coming for up to 0.4 s after SIGTERM; what comes over 0.7 s after it may not be answered.
+const LEAVING: Duration = Duration::from_millis(500);
+
+struct Config {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: Option<SocketAddr>,
+    sockets: usize,
+    known: Value,
+    read: Read,
+}
+
+fn config(path: Option<String>) -> Result<Config, Fault> {
+    let path = path.ok_or_else(|| Fault::Config("RELAY_CONFIG names no file".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
+    let v: Value = serde_json::from_str(&text).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
+    let address = |key: &str| match v[key].as_str().map(str::parse) {
+        Some(Ok(address)) => Ok(address),
+        _ => Err(Fault::Config(format!("{key} is no address with a port"))),
+    };
+    let seed = u64::from_str_radix(v["seed"].as_str().unwrap_or(""), 16)
+        .map_err(|_| Fault::Config("seed is no hexadecimal number".into()))?;
+    Ok(Config {
+        name: v["name"].as_str().unwrap_or("gateway").to_owned(),
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        counter: if v["counter"].is_null() { None } else { Some(address("counter")?) },
+        sockets: v["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
+        known: v["known"].clone(),
+        read: dunespur_settings::read(&v["settings"], seed).map_err(Fault::Config)?,
+    })
+}
+
+async fn run(config: Config) -> Result<(), Fault> {
+    let fail = |what: &'static str| move |e: std::io::Error| Fault::Config(format!("{what}: {e}"));
+    let clock = hub::Clock::start();
+    let read = &config.read;
+    let names = reducer::names(read);
+    let known = match &config.known {
+        Value::Null => None,
+        list => Some(message::decode_news(list, &names)?),
+    };
+    let revision = known.as_ref().map_or(0, |k| k.revision);
+    let dial = Duration::from_secs_f64(read.dial_timeout);
+    // Half of the descriptors serve clients, three eighths servers; the rest is for all else.
+    let (clients, servers) = (config.sockets / 2, config.sockets * 3 / 8);
+    let reducer = reducer::Reducer::new(&read.settings, clock.now());
+    let hub = hub::Hub::new(
+        clock,
+        names,
+        reducer,
+        front::Front::new(clients),
+        upstream::Upstream::new(dial, read.idle_time * 0.75, servers),
+        counter::Counter::new(config.counter, dial),
+        discovery::Discovery::new(config.discovery, read.settings.ask_roster, revision),
+    );
+    if let Some(known) = known {
+        hub.tell(Event::Roster(known));
+    }
+    let mut term = signal(SignalKind::terminate()).map_err(fail("SIGTERM"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?;
+    let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
+    tokio::task::spawn_local(hub.clone().keep_time());
+    tokio::task::spawn_local(counter::Counter::run(hub.clone()));
+    tokio::task::spawn_local(discovery::Discovery::run(hub.clone()));
+    tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
+    ::log::info!("{} serves on {}", config.name, config.listen);
+    let mut sweep = interval(Duration::from_secs(1));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = usr1.recv() => ::log::info!("{}", hub.reducer.borrow().stats),
+            _ = sweep.tick() => hub.upstream.sweep(hub.clock.now()),
+        }
+    }
+    ::log::info!("leaving with {} in hand", hub.reducer.borrow().in_hand());
+    hub.front.leave();
+    sleep(LEAVING).await;
+    hub.front.close();
+    drain(&hub).await;
+    ::log::info!("{}", hub.reducer.borrow().stats);
+    Ok(())
+}
+
+/// Waits until all that was taken is answered and the connections are closed. One on which nothing is in
+/// hand may stay open for a moment, then it ends with the process.
+async fn drain(hub: &Rc<hub::Hub>) {
+    let pause = Duration::from_millis(20);
+    let mut quiet = 0;
+    while quiet < 5 {
+        sleep(pause).await;
+        match hub.front.clients() {
+            (0, 0) => return,
+            (0, _) => quiet += 1,
+            _ => quiet = 0,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    log::start(std::env::var("RELAY_LOG").ok().as_deref());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => config(std::env::var("RELAY_CONFIG").ok())
+            .and_then(|config| tokio::task::LocalSet::new().block_on(&runtime, run(config))),
+        Err(e) => Err(Fault::Config(format!("no runtime: {e}"))),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("dunespur-gateway: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reducer.rs
@@ -0,0 +1,354 @@
+//! Every state change of the gateway: events go in with the time, effects come out. Owns the invocations in
+//! hand, the timers, the numbering of servers and the `Limiter`, of which it is the only caller. It must
+//! never read or write a socket, look at a clock, or decide what is the module's to decide.
+
+use crate::message::{Asked, Names, News, Reply};
+use crate::stats::Stats;
+use bytes::Bytes;
+use dunespur::rules::Limiter;
+use dunespur::types::*;
+use std::cmp::Ordering;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub enum Event {
+    /// A client's invocation came in whole.
+    Taken {
+        num: u64,
+        asked: Rc<Asked>,
+    },
+    /// A client's message was turned down at the door.
+    TurnedDown,
+    ClientGone {
+        num: u64,
+    },
+    /// A delivery ended, by itself or because it was given up.
+    Ended {
+        num: u64,
+        n: usize,
+        ending: Ending,
+        used: Option<f64>,
+        body: Bytes,
+    },
+    Counted {
+        call: u64,
+        counted: Counted,
+    },
+    Roster(News),
+    RosterLost,
+    ClientConnected,
+    ServerConnected,
+    /// The time that `next_due` named has come.
+    Due,
+}
+
+pub enum Effect {
+    Send {
+        num: u64,
+        n: usize,
+        tgt: usize,
+        address: SocketAddr,
+        asked: Rc<Asked>,
+        until: f64,
+    },
+    /// Stop a delivery at once; it ends so unless its last byte was never written.
+    Abandon {
+        num: u64,
+        n: usize,
+        ending: Ending,
+    },
+    Reply {
+        num: u64,
+        reply: Reply,
+    },
+    Count {
+        call: u64,
+        name: u64,
+        add: f64,
+        life: f64,
+    },
+    AbandonCount {
+        call: u64,
+    },
+    /// Nothing new goes over the connections that now stand idle.
+    CloseIdle {
+        tgt: usize,
+    },
+    Watch,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Timer {
+    Ask(u64),
+    Limit(u64, usize),
+    Call(u64),
+    Tick,
+}
+
+#[derive(PartialEq)]
+struct Due(f64, Timer);
+
+impl Eq for Due {}
+
+impl Ord for Due {
+    /// The earliest is the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0)
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+struct Held {
+    asked: Rc<Asked>,
+    inv: Invocation,
+    /// When the module is asked again about it.
+    due: f64,
+    /// One bit for each delivery that is out.
+    open: u64,
+}
+
+struct Known {
+    address: SocketAddr,
+    came_up: f64,
+    live: bool,
+}
+
+pub struct Reducer {
+    limiter: Limiter,
+    count_wait: f64,
+    answer_slack: f64,
+    held: HashMap<u64, Held>,
+    timers: BinaryHeap<Due>,
+    calls: HashMap<u64, (u64, f64)>,
+    last_call: u64,
+    numbers: HashMap<String, usize>,
+    known: Vec<Known>,
+    pub stats: Stats,
+}
+
+impl Reducer {
+    pub fn new(settings: &Settings, now: f64) -> Self {
+        Reducer {
+            limiter: Limiter::new(settings, now),
+            count_wait: settings.count_wait,
+            answer_slack: settings.answer_slack,
+            held: HashMap::new(),
+            timers: BinaryHeap::new(),
+            calls: HashMap::new(),
+            last_call: 0,
+            numbers: HashMap::new(),
+            known: Vec::new(),
+            stats: Stats::default(),
+        }
+    }
+
+    /// The time at which `Due` is wanted next.
+    pub fn next_due(&self) -> Option<f64> {
+        self.timers.peek().map(|d| d.0)
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether this delivery is still what the module wants, asked when its connection has come up.
+    pub fn holds(&self, num: u64, n: usize, now: f64) -> bool {
+        let Some(held) = self.held.get(&num) else { return false };
+        held.open & (1 << n) != 0 && now < held.inv.limit && self.known[held.inv.sent[n].0].live
+    }
+
+    pub fn reduce(&mut self, event: Event, now: f64, out: &mut Vec<Effect>) {
+        match event {
+            Event::Taken { num, asked } => self.take(num, asked, now, out),
+            Event::TurnedDown => self.stats.turned_down += 1,
+            Event::ClientGone { num } => self.client_gone(num, now, out),
+            Event::Ended { num, n, ending, used, body } => self.ended(num, n, ending, used, body, now, out),
+            Event::Counted { call, counted } => {
+                let Some((name, at)) = self.calls.remove(&call) else { return };
+                self.stats.counted(counted);
+                self.limiter.counted(name, counted, now - at, now);
+            }
+            Event::Roster(news) => self.roster(news, now, out),
+            Event::RosterLost => {
+                self.stats.news_lost += 1;
+                self.limiter.roster_lost();
+            }
+            Event::ClientConnected => self.stats.client_connections += 1,
+            Event::ServerConnected => self.stats.server_connections += 1,
+            Event::Due => self.due(now, out),
+        }
+        self.carry_out(now, out);
+    }
+
+    fn take(&mut self, num: u64, asked: Rc<Asked>, now: f64, out: &mut Vec<Effect>) {
+        self.stats.taken += 1;
+        // The answer has to be with the client before its time is up.
+        let until = now + (asked.wait - self.answer_slack).max(0.0);
+        let (a, doors) = (&asked, (asked.first_door, asked.doors));
+        let inv = Invocation::new(num, a.customer, a.plan, a.operation, a.units, doors, now, until);
+        self.held.insert(num, Held { asked, inv, due: f64::INFINITY, open: 0 });
+        self.place(num, now, out);
+    }
+
+    fn place(&mut self, num: u64, now: f64, out: &mut Vec<Effect>) {
+        let Some(held) = self.held.get_mut(&num) else { return };
+        if matches!(held.inv.stage, Stage::Out | Stage::Done) {
+            return;
+        }
+        let answer = self.limiter.place(&mut held.inv, now);
+        self.answer(num, answer, now, out);
+    }
+
+    /// Carries out one answer; what is finished with nothing out is let go.
+    fn answer(&mut self, num: u64, answer: Answer, now: f64, out: &mut Vec<Effect>) {
+        let Some(held) = self.held.get_mut(&num) else { return };
+        let wait = self.limiter.wait(&held.inv, now);
+        match answer {
+            Answer::Send(tgt) => {
+                let (n, until) = (held.inv.sent.len() - 1, (now + wait).min(held.inv.until));
+                held.open |= 1 << n;
+                self.timers.push(Due(until, Timer::Limit(num, n)));
+                self.stats.deliveries += 1;
+                let (address, asked) = (self.known[tgt].address, held.asked.clone());
+                out.push(Effect::Send { num, n, tgt, address, asked, until });
+            }
+            Answer::Hold if held.inv.stage != Stage::Out && now + wait < held.due => {
+                held.due = now + wait;
+                self.timers.push(Due(held.due, Timer::Ask(num)));
+            }
+            Answer::Throttle { pause } => {
+                self.stats.throttled += 1;
+                out.push(Effect::Reply { num, reply: Reply::Throttled { pause } });
+            }
+            Answer::Error => {
+                self.stats.errored += 1;
+                out.push(Effect::Reply { num, reply: Reply::Errored });
+            }
+            Answer::Hold | Answer::Done => {}
+        }
+        if held.inv.stage == Stage::Done && held.inv.out == 0 {
+            self.held.remove(&num);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        num: u64,
+        n: usize,
+        ending: Ending,
+        used: Option<f64>,
+        body: Bytes,
+        now: f64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(held) = self.held.get_mut(&num).filter(|h| h.open & (1 << n) != 0) else { return };
+        held.open &= !(1 << n);
+        self.stats.ended(ending);
+        let finished = held.inv.stage == Stage::Done;
+        let done = finished || ending == Ending::Succeeded;
+        if done && !finished {
+            self.stats.succeeded += 1;
+            out.push(Effect::Reply { num, reply: Reply::Succeeded(body) });
+        }
+        // No answer on this protocol settles units.
+        let outcome = Outcome { n, ending, spent: now - held.inv.sent[n].1, done, used, settled: None };
+        let answer = self.limiter.after(&mut held.inv, &outcome, now);
+        self.answer(num, answer, now, out);
+    }
+
+    fn client_gone(&mut self, num: u64, now: f64, out: &mut Vec<Effect>) {
+        let Some(held) = self.held.get_mut(&num).filter(|h| h.inv.stage != Stage::Done) else { return };
+        self.stats.clients_gone += 1;
+        self.limiter.gone(&mut held.inv);
+        for n in (0..held.inv.sent.len()).filter(|n| held.open & (1 << n) != 0) {
+            out.push(Effect::Abandon { num, n, ending: Ending::Cancelled });
+        }
+        self.answer(num, Answer::Done, now, out);
+    }
+
+    fn roster(&mut self, news: News, now: f64, out: &mut Vec<Effect>) {
+        self.stats.news += 1;
+        if news.complete {
+            self.known.iter_mut().for_each(|k| k.live = false);
+        }
+        let mut entries = Vec::with_capacity(news.members.len());
+        for m in news.members {
+            let live = m.readiness == Readiness::Live;
+            let known = Known { address: m.address, came_up: m.came_up, live };
+            let tgt = match self.numbers.get(&m.id) {
+                Some(&tgt) => {
+                    let old = std::mem::replace(&mut self.known[tgt], known);
+                    if old.address != m.address || old.came_up < m.came_up {
+                        out.push(Effect::CloseIdle { tgt });
+                    }
+                    tgt
+                }
+                None => {
+                    self.known.push(known);
+                    self.numbers.insert(m.id, self.known.len() - 1);
+                    self.known.len() - 1
+                }
+            };
+            let (zone, cell, came_up, readiness) = (m.zone, m.cell, m.came_up, m.readiness);
+            entries.push(Server { tgt, zone, cell, came_up, readiness });
+        }
+        let shut = self.known.iter().enumerate().filter(|(_, k)| !k.live);
+        out.extend(shut.map(|(tgt, _)| Effect::CloseIdle { tgt }));
+        self.limiter.roster(&entries, news.complete, now);
+    }
+
+    fn due(&mut self, now: f64, out: &mut Vec<Effect>) {
+        while self.timers.peek().is_some_and(|d| d.0 <= now) {
+            let Some(Due(at, timer)) = self.timers.pop() else { return };
+            match timer {
+                Timer::Ask(num) => {
+                    if let Some(held) = self.held.get_mut(&num).filter(|h| h.due <= at) {
+                        held.due = f64::INFINITY;
+                        self.place(num, now, out);
+                    }
+                }
+                Timer::Limit(num, n) => {
+                    if self.held.get(&num).is_some_and(|h| h.open & (1 << n) != 0) {
+                        out.push(Effect::Abandon { num, n, ending: Ending::Timeout });
+                    }
+                }
+                Timer::Call(call) => {
+                    if self.calls.contains_key(&call) {
+                        out.push(Effect::AbandonCount { call });
+                    }
+                }
+                Timer::Tick => self.limiter.tick(),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, out: &mut Vec<Effect>) {
+        while let Some(act) = self.limiter.next_act() {
+            match act {
+                Act::Ask(num) => self.place(num, now, out),
+                Act::Count { name, add, life } => {
+                    self.last_call += 1;
+                    self.stats.calls += 1;
+                    let call = self.last_call;
+                    self.calls.insert(call, (name, now));
+                    self.timers.push(Due(now + self.count_wait, Timer::Call(call)));
+                    out.push(Effect::Count { call, name, add, life });
+                }
+                Act::WatchRoster => out.push(Effect::Watch),
+                Act::Tick(after) => self.timers.push(Due(now + after, Timer::Tick)),
+            }
+        }
+    }
+}
+
+/// The names and figures that the settings give to the rest of the gateway.
+pub fn names(read: &dunespur_settings::Read) -> Names {
+    Names { plans: read.plans.clone(), operations: read.operations.clone(), zones: read.zones.clone() }
+}
--- /dev/null
+++ b/crates/gateway/src/stats.rs
@@ -0,0 +1,76 @@
+//! Counters of what the gateway takes in, sends and answers. Owns the figures and the one line that shows
+//! them, printed at exit and on SIGUSR1. Nothing is ever decided by them, and they are never reset.
+
+use dunespur::types::{Counted, Ending};
+use std::fmt;
+
+#[derive(Debug, Default)]
+pub struct Stats {
+    pub taken: u64,
+    pub turned_down: u64,
+    pub clients_gone: u64,
+    pub succeeded: u64,
+    pub throttled: u64,
+    pub errored: u64,
+    pub deliveries: u64,
+    pub endings: [u64; 8],
+    pub calls: u64,
+    pub totals: u64,
+    pub refused: u64,
+    pub silent: u64,
+    pub news: u64,
+    pub news_lost: u64,
+    pub client_connections: u64,
+    pub server_connections: u64,
+}
+
+impl Stats {
+    pub fn ended(&mut self, ending: Ending) {
+        self.endings[ending as usize] += 1;
+    }
+
+    pub fn counted(&mut self, counted: Counted) {
+        match counted {
+            Counted::Total(_) => self.totals += 1,
+            Counted::Refused => self.refused += 1,
+            Counted::Silent => self.silent += 1,
+        }
+    }
+}
+
+impl fmt::Display for Stats {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let e = |ending: Ending| self.endings[ending as usize];
+        write!(
+            f,
+            "invocations taken={} turned_down={} client_gone={} succeeded={} throttled={} errored={}; ",
+            self.taken, self.turned_down, self.clients_gone, self.succeeded, self.throttled, self.errored
+        )?;
+        write!(
+            f,
+            "deliveries sent={} succeeded={} error={} full={} timeout={} connect_failed={} reset={} \
+             cancelled={}; ",
+            self.deliveries,
+            e(Ending::Succeeded),
+            e(Ending::Error),
+            e(Ending::Full),
+            e(Ending::Timeout),
+            e(Ending::ConnectFailed),
+            e(Ending::Reset),
+            e(Ending::Cancelled)
+        )?;
+        write!(
+            f,
+            "counter calls={} totals={} refused={} silent={}; roster news={} lost={}; connections clients={} \
+             servers={}",
+            self.calls,
+            self.totals,
+            self.refused,
+            self.silent,
+            self.news,
+            self.news_lost,
+            self.client_connections,
+            self.server_connections
+        )
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,334 @@
+//! Connections to the servers, one delivery at a time on each. Owns them, those that stand idle, and the
+//! count of bytes written that tells whether a delivery can have run. It must never send a delivery twice,
+//! choose a server, or write once the module's choice no longer holds.
+
+use crate::fault::Fault;
+use crate::hub::Hub;
+use crate::message::{decode_answer, encode_delivery, Answered, Asked, MOST_BODY};
+use crate::reducer::Event;
+use bytes::Bytes;
+use dunespur::types::Ending;
+use http_body_util::{BodyExt, Limited};
+use hyper::client::conn::http1;
+use hyper::header::CONNECTION;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{Error, ErrorKind, Result as Io};
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+#[derive(Clone)]
+struct Job {
+    num: u64,
+    n: usize,
+    asked: Rc<Asked>,
+    until: f64,
+}
+
+/// How much of the present delivery has gone out.
+#[derive(Clone, Copy, Default)]
+struct Written {
+    last_four: u32,
+    head: bool,
+    body_left: usize,
+}
+
+impl Written {
+    fn count(&mut self, bytes: &[u8]) {
+        let mut bytes = bytes.iter();
+        while !self.head {
+            let Some(&b) = bytes.next() else { return };
+            self.last_four = self.last_four << 8 | u32::from(b);
+            self.head = self.last_four == u32::from_be_bytes(*b"\r\n\r\n");
+        }
+        self.body_left = self.body_left.saturating_sub(bytes.len());
+    }
+
+    fn whole(self) -> bool {
+        self.head && self.body_left == 0
+    }
+}
+
+/// One connection, shared between its task and whoever may have to close it at once.
+struct Line {
+    tgt: usize,
+    stream: RefCell<Option<TokioIo<TcpStream>>>,
+    job: RefCell<Option<Job>>,
+    written: Cell<Written>,
+    closed: Cell<bool>,
+    idle_since: Cell<f64>,
+    wake: Notify,
+}
+
+impl Line {
+    /// Closes the socket here and now, not when the task next runs: no second copy may cross it.
+    fn close(&self) {
+        self.closed.set(true);
+        self.stream.borrow_mut().take();
+        self.wake.notify_one();
+    }
+
+    fn poll<T>(&self, f: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<Io<T>>) -> Poll<Io<T>> {
+        match &mut *self.stream.borrow_mut() {
+            Some(stream) => f(Pin::new(stream)),
+            None => Poll::Ready(Err(Error::from(ErrorKind::NotConnected))),
+        }
+    }
+}
+
+/// What hyper reads and writes.
+struct Wire(Rc<Line>);
+
+impl Read for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: ReadBufCursor) -> Poll<Io<()>> {
+        self.0.poll(|s| s.poll_read(cx, buffer))
+    }
+}
+
+impl Write for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<Io<usize>> {
+        let polled = self.0.poll(|s| s.poll_write(cx, bytes));
+        if let Poll::Ready(Ok(n)) = polled {
+            let mut written = self.0.written.get();
+            written.count(&bytes[..n]);
+            self.0.written.set(written);
+        }
+        polled
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        self.0.poll(|s| s.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        self.0.poll(|s| s.poll_shutdown(cx))
+    }
+}
+
+pub struct Upstream {
+    dial: Duration,
+    idle_time: f64,
+    most: usize,
+    open: Cell<usize>,
+    /// Idle connections of each server, the newest last.
+    idle: RefCell<Vec<Vec<Rc<Line>>>>,
+    out: RefCell<HashMap<(u64, usize), Rc<Line>>>,
+}
+
+impl Upstream {
+    pub fn new(dial: Duration, idle_time: f64, most: usize) -> Self {
+        let (idle, out) = (RefCell::default(), RefCell::default());
+        Upstream { dial, idle_time, most, open: Cell::new(0), idle, out }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn send(
+        &self,
+        hub: &Rc<Hub>,
+        num: u64,
+        n: usize,
+        tgt: usize,
+        address: SocketAddr,
+        asked: Rc<Asked>,
+        until: f64,
+    ) {
+        let job = Some(Job { num, n, asked, until });
+        let idle = self.idle.borrow_mut().get_mut(tgt).and_then(Vec::pop);
+        if let Some(line) = idle {
+            line.written.set(Written::default());
+            *line.job.borrow_mut() = job;
+            line.wake.notify_one();
+            self.out.borrow_mut().insert((num, n), line);
+            return;
+        }
+        if self.open.get() >= self.most && !self.close_oldest() {
+            log::warn!("all {} connections to servers are in use", self.most);
+            let (ending, used, body) = (Fault::NotConnected.ending(), None, Bytes::new());
+            return hub.tell(Event::Ended { num, n, ending, used, body });
+        }
+        let line = Rc::new(Line {
+            tgt,
+            stream: RefCell::default(),
+            job: RefCell::new(job),
+            written: Cell::default(),
+            closed: Cell::new(false),
+            idle_since: Cell::new(0.0),
+            wake: Notify::new(),
+        });
+        self.open.set(self.open.get() + 1);
+        self.out.borrow_mut().insert((num, n), line.clone());
+        let hub = hub.clone();
+        tokio::task::spawn_local(async move {
+            // Its end, a panic's too, is seen by the guard.
+            let task = Task(&hub, &line);
+            let fault = task.run(address).await;
+            log::trace!("server {}: {fault}", line.tgt);
+        });
+    }
+
+    /// Ends a delivery now. What was not written whole can never have run.
+    pub fn abandon(&self, hub: &Rc<Hub>, num: u64, n: usize, ending: Ending) {
+        let Some(line) = self.out.borrow_mut().remove(&(num, n)) else { return };
+        line.job.borrow_mut().take();
+        line.close();
+        let unsent = ending == Ending::Timeout && !line.written.get().whole();
+        let ending = if unsent { Fault::Unwritten.ending() } else { ending };
+        hub.tell(Event::Ended { num, n, ending, used: None, body: Bytes::new() });
+    }
+
+    pub fn close_idle(&self, tgt: usize) {
+        let lines = self.idle.borrow_mut().get_mut(tgt).map(std::mem::take);
+        lines.into_iter().flatten().for_each(|l| l.close());
+    }
+
+    /// Closes what has stood idle for so long that the server might close it first.
+    pub fn sweep(&self, now: f64) {
+        for lines in self.idle.borrow_mut().iter_mut() {
+            let old = lines.partition_point(|l| now - l.idle_since.get() > self.idle_time);
+            lines.drain(..old).for_each(|l| l.close());
+        }
+    }
+
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter_mut().filter(|lines| !lines.is_empty());
+        match oldest.min_by(|a, b| a[0].idle_since.get().total_cmp(&b[0].idle_since.get())) {
+            Some(lines) => {
+                lines.remove(0).close();
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn keep(&self, line: &Rc<Line>, now: f64) {
+        line.idle_since.set(now);
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() <= line.tgt {
+            idle.resize_with(line.tgt + 1, Vec::new);
+        }
+        idle[line.tgt].push(line.clone());
+    }
+}
+
+/// A connection's task; whatever ends it, the delivery on it is accounted for and the place given back.
+struct Task<'a>(&'a Rc<Hub>, &'a Rc<Line>);
+
+impl Drop for Task<'_> {
+    fn drop(&mut self) {
+        let Task(hub, line) = self;
+        line.close();
+        let upstream = &hub.upstream;
+        upstream.open.set(upstream.open.get() - 1);
+        if let Some(lines) = upstream.idle.borrow_mut().get_mut(line.tgt) {
+            lines.retain(|l| !Rc::ptr_eq(l, line));
+        }
+        let fault = if line.written.get().whole() { Fault::Broken } else { Fault::Unwritten };
+        self.ended(Err(fault));
+    }
+}
+
+impl Task<'_> {
+    /// Tells how the delivery on this connection ended, once.
+    fn ended(&self, result: Result<Answered, Fault>) {
+        let Task(hub, line) = self;
+        let Some(Job { num, n, .. }) = line.job.borrow_mut().take() else { return };
+        if hub.upstream.out.borrow_mut().remove(&(num, n)).is_none() {
+            return;
+        }
+        let (ending, used, body) = match result {
+            Ok(answered) => (answered.ending, answered.used, answered.body),
+            Err(fault) => (fault.ending(), None, Bytes::new()),
+        };
+        hub.tell(Event::Ended { num, n, ending, used, body });
+    }
+
+    /// Connects, then carries deliveries until the connection ends; says why it did.
+    async fn run(&self, address: SocketAddr) -> Fault {
+        let Task(hub, line) = self;
+        let connected = tokio::select! {
+            biased;
+            _ = line.wake.notified() => return Fault::Withdrawn,
+            connected = timeout(hub.upstream.dial, TcpStream::connect(address)) => connected,
+        };
+        let Ok(Ok(stream)) = connected else { return Fault::NotConnected };
+        let _ = stream.set_nodelay(true);
+        *line.stream.borrow_mut() = Some(TokioIo::new(stream));
+        hub.tell(Event::ServerConnected);
+        let Ok((mut sender, connection)) = http1::handshake(Wire((*line).clone())).await else {
+            return Fault::Unwritten;
+        };
+        let mut connection = pin!(connection);
+        loop {
+            let job = line.job.borrow().clone();
+            let Some(job) = job else {
+                // Idle, until a delivery comes or either side closes.
+                tokio::select! {
+                    biased;
+                    _ = line.wake.notified() => {}
+                    _ = &mut connection => return Fault::Broken,
+                }
+                if line.closed.get() {
+                    return Fault::Withdrawn;
+                }
+                continue;
+            };
+            let now = hub.clock.now();
+            // The connection took its time: the client may be gone and the server withdrawn since.
+            if !hub.reducer.borrow().holds(job.num, job.n, now) {
+                hub.upstream.keep(line, now);
+                self.ended(Err(Fault::Unwritten));
+                continue;
+            }
+            line.written.set(Written { body_left: job.asked.body_len(), ..Written::default() });
+            let request = encode_delivery(&job.asked, job.until - now);
+            let mut exchange = pin!(async {
+                sender.ready().await?;
+                let (head, body) = sender.send_request(request).await?.into_parts();
+                let last = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes() == b"close");
+                let body = Limited::new(body, MOST_BODY).collect().await;
+                Ok::<_, hyper::Error>((head, body, last))
+            });
+            let mut up = true;
+            let result = loop {
+                tokio::select! {
+                    biased;
+                    result = &mut exchange => break result,
+                    _ = line.wake.notified() => if line.closed.get() {
+                        return Fault::Withdrawn;
+                    },
+                    // What was answered before the end is still to be had.
+                    _ = &mut connection, if up => up = false,
+                }
+            };
+            match result {
+                Ok((head, Ok(body), last)) => {
+                    // It stands ready before the news of it asks for the next delivery.
+                    if up && !last && !line.closed.get() {
+                        hub.upstream.keep(line, now);
+                    }
+                    self.ended(Ok(decode_answer(&head, body.to_bytes())));
+                    if !up || last {
+                        return Fault::Broken;
+                    }
+                }
+                Ok((_, Err(e), _)) => {
+                    log::debug!("server {}: {e}", line.tgt);
+                    return Fault::Broken;
+                }
+                Err(e) => {
+                    log::debug!("server {}: {e}", line.tgt);
+                    return Fault::Broken;
+                }
+            }
+        }
+    }
+}
--- a/crates/drill/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,9 @@
     pub operations: Vec<String>,
     pub zones: Vec<String>,
     pub settles: bool,
+    /// Seconds a connection may take to come up, and may stand idle.
+    pub dial_timeout: f64,
+    pub idle_time: f64,
 }
 
 fn number(v: &Value, key: &str) -> Result<f64, String> {
@@ -76,20 +79,24 @@
     })
 }
 
-pub fn read(document: &str, seed: u64) -> Result<Read, String> {
-    let v: Value = serde_json::from_str(document).map_err(|e| format!("settings: {e}"))?;
+/// Reads the document from its text.
+pub fn parse(document: &str, seed: u64) -> Result<Read, String> {
+    read(&serde_json::from_str(document).map_err(|e| format!("settings: {e}"))?, seed)
+}
+
+pub fn read(v: &Value, seed: u64) -> Result<Read, String> {
     let (domain, limits, rules) = (&v["domain"], &v["limits"], &v["rules"]);
-    let zones = names(&v, "failureDomains")?;
-    let zone = text(&v, "zone")?;
+    let zones = names(v, "failureDomains")?;
+    let zone = text(v, "zone")?;
     let zone = zones.iter().position(|z| z == zone).ok_or("settings: zone is not listed")?;
     let advised = limits["retryAfter"].as_bool().unwrap_or(false);
     let settings = Settings {
         seed,
-        slot: number(&v, "slotNo")? as u32,
-        fleet: needed(&v, "fleetSize")? as u32,
+        slot: number(v, "slotNo")? as u32,
+        fleet: needed(v, "fleetSize")? as u32,
         zone,
-        operations: list(&v, "classes")?.iter().map(operation).collect::<Result<_, _>>()?,
-        plans: list(&v, "contracts")?.iter().map(plan).collect::<Result<_, _>>()?,
+        operations: list(v, "classes")?.iter().map(operation).collect::<Result<_, _>>()?,
+        plans: list(v, "contracts")?.iter().map(plan).collect::<Result<_, _>>()?,
         counter: domain["sharedCounter"].as_bool().unwrap_or(false),
         count_wait: number(domain, "countWaitS")?,
         max_pause: if advised { number(limits, "maxRetryAfterS")? } else { 0.0 },
@@ -102,10 +109,12 @@
     };
     Ok(Read {
         settings,
-        plans: names_of(&v, "contracts")?,
-        operations: names_of(&v, "classes")?,
+        plans: names_of(v, "contracts")?,
+        operations: names_of(v, "classes")?,
         zones,
         settles: domain["settles"].as_bool().unwrap_or(false),
+        dial_timeout: number(limits, "dialTimeoutS")?,
+        idle_time: number(limits, "keepaliveS")?,
     })
 }
 
