Take a write-off back when a peer wrote off the same rest at once

A departure in counted, found on sockets and as possible in simulated time: two gateways that met an idle customer within a call's time both raised its name by the rest of the window, and it was refused for the rest of that window. The answer to a write-off is now compared with the total it should give; whoever finds at least half as much again on top takes its own back. Should hold for any number of gateways that cross, each after the first. It does not help one that reads between the second write-off and its return.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// One add on its way; corrections ask for nothing.
+/// One add on its way; corrections ask for nothing and expect the total that they need.
 struct Call {
     account: usize,
     add: f64,
@@ -425,7 +425,7 @@
     fn refill(&mut self, a: usize, units: f64, now: f64) {
         let account = &mut self.accounts[a];
         let plan = &mut self.plans[account.plan];
-        let window = window_of(account.customer, now, account.length);
+        let window = ((now + phase(account.customer, account.length)) / account.length).floor() as i64;
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
         let want = account.demand.max(units).min(plan.burst.max(units));
@@ -467,9 +467,9 @@
         } else {
             self.asks *= 1.0 - CALM * CALM;
         }
+        let account = &mut self.accounts[a];
+        let plan = &mut self.plans[account.plan];
         let Counted::Total(total) = counted else {
-            let account = &mut self.accounts[a];
-            let plan = &self.plans[account.plan];
             if counted == Counted::Refused {
                 // Nothing was added: what the call was to report or return goes with the next one.
                 let correction = if call.asked > 0.0 { 0.0 } else { call.add };
@@ -483,10 +483,14 @@
             return;
         };
         if call.asked <= 0.0 {
+            // Guards against gateways that write off the same rest at once: whoever finds more than it
+            // wrote takes its own back, else the customer would owe a whole window's rate.
+            let twice = (total - call.needs).min(call.add);
+            if call.add > plan.burst && twice > call.add / 2.0 {
+                self.count(Call { add: -twice, ..call });
+            }
             return;
         }
-        let account = &mut self.accounts[a];
-        let plan = &mut self.plans[account.plan];
         let start = window_start(account.customer, call.window, account.length);
         let ends = start + account.length;
         // A short window holds what was leased in it, and half a burst is the most that it may be.
@@ -530,7 +534,7 @@
             account.lapses = now + HOLD * plan.span;
         }
         if correct {
-            self.count(Call { add: off, asked: 0.0, debt: 0.0, back: 0.0, ..call });
+            self.count(Call { add: off, asked: 0.0, needs: target, debt: 0.0, back: 0.0, ..call });
         }
         self.wake(a);
     }
@@ -967,15 +971,12 @@
 
     /// The roster's subscription failed or broke.
     pub fn roster_lost(&mut self) {
-        if self.watch {
-            self.acts.push_back(Act::Tick(self.objective * (1.0 + self.rng.unit())));
-        }
+        let again = Act::Tick(self.objective * (1.0 + self.rng.unit()));
+        self.acts.extend(self.watch.then_some(again));
     }
 
     pub fn tick(&mut self) {
-        if self.watch {
-            self.acts.push_back(Act::WatchRoster);
-        }
+        self.acts.extend(self.watch.then_some(Act::WatchRoster));
     }
 }
 
@@ -984,10 +985,6 @@
     (mix(customer, 7) >> 11) as f64 / 9007199254740992.0 * window
 }
 
-fn window_of(customer: u64, now: f64, window: f64) -> i64 {
-    ((now + phase(customer, window)) / window).floor() as i64
-}
-
 fn window_start(customer: u64, index: i64, window: f64) -> f64 {
     index as f64 * window - phase(customer, window)
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -358,3 +358,20 @@
     answer_all(&mut f, Ending::Succeeded);
     assert!(f.sends().len() <= 24, "{} let in of a ceiling of 24", f.sends().len());
 }
+
+#[test]
+fn a_rest_written_off_twice_at_once_throttles_nobody() {
+    // Two gateways raised an idle customer's name by the same rest, and it owed a whole window's rate.
+    let mut f = with_plan(rate_plan(20.0, 35.0), 2, 10);
+    f.quick = false;
+    for customer in 0..20 {
+        (0..2).for_each(|gate| _ = f.take(gate, customer, 0, 0, 1.0));
+        f.count_all(true, true);
+        answer_all(&mut f, Ending::Succeeded);
+        f.pass(0.1);
+        (0..8).for_each(|n| _ = f.take(n % 2, customer, 0, 0, 1.0));
+        f.count_all(true, true);
+        answer_all(&mut f, Ending::Succeeded);
+    }
+    assert_eq!((f.throttles(), f.sends().len()), (0, 200), "a customer under its burst was throttled");
+}
