Contain panics in the gateway's tasks and bound server connections' buffers

A panic on one connection must neither take the process nor leave an invocation without its end: lasting tasks start again, a delivery whose task panicked ends by its time-out, and nothing is told from a drop during a panic. A member of the list that can't be read no longer costs the others' news. Idle server connections are swept eight times an idle time.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -82,6 +82,7 @@
     /// Keeps the connection for as long as the process lives.
     pub async fn run(hub: Rc<Hub>) {
         let counter = &hub.counter;
+        counter.broken(&hub);
         let Some(address) = counter.address else {
             loop {
                 counter.more.notified().await;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -169,7 +169,9 @@
 
 impl Drop for InHand<'_> {
     fn drop(&mut self) {
-        if self.hub.front.waiting.borrow_mut().remove(&self.num).is_some() {
+        let left = self.hub.front.waiting.borrow_mut().remove(&self.num).is_some();
+        // After a panic the invocation ends by its own time.
+        if left && !std::thread::panicking() {
             self.hub.tell(Event::ClientGone { num: self.num });
         }
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -13,9 +13,11 @@
 mod upstream;
 
 use crate::fault::Fault;
+use crate::hub::{Clock, Hub};
 use crate::reducer::Event;
 use dunespur_settings::Read;
 use serde_json::Value;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -60,7 +62,7 @@
 
 async fn run(config: Config) -> Result<(), Fault> {
     let fail = |what: &'static str| move |e: std::io::Error| Fault::Config(format!("{what}: {e}"));
-    let clock = hub::Clock::start();
+    let clock = Clock::start();
     let read = &config.read;
     let names = reducer::names(read);
     let known = match &config.known {
@@ -72,7 +74,7 @@
     // Half of the descriptors serve clients, three eighths servers; the rest is for all else.
     let (clients, servers) = (config.sockets / 2, config.sockets * 3 / 8);
     let reducer = reducer::Reducer::new(&read.settings, clock.now());
-    let hub = hub::Hub::new(
+    let hub = Hub::new(
         clock,
         names,
         reducer,
@@ -88,12 +90,13 @@
     let mut int = signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?;
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
-    tokio::task::spawn_local(hub.clone().keep_time());
-    tokio::task::spawn_local(counter::Counter::run(hub.clone()));
-    tokio::task::spawn_local(discovery::Discovery::run(hub.clone()));
+    keep(&hub, "time", Hub::keep_time);
+    keep(&hub, "counter", counter::Counter::run);
+    keep(&hub, "discovery", discovery::Discovery::run);
     tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
     ::log::info!("{} serves on {}", config.name, config.listen);
-    let mut sweep = interval(Duration::from_secs(1));
+    let idle_time = Duration::from_secs_f64(read.idle_time);
+    let mut sweep = interval((idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1)));
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -111,9 +114,19 @@
     Ok(())
 }
 
+/// Runs one of the lasting tasks; a panic in it is logged and it starts again.
+fn keep<F: Future<Output = ()> + 'static>(hub: &Rc<Hub>, what: &'static str, run: fn(Rc<Hub>) -> F) {
+    let hub = hub.clone();
+    tokio::task::spawn_local(async move {
+        while let Err(e) = tokio::task::spawn_local(run(hub.clone())).await {
+            ::log::error!("{what}: {e}");
+        }
+    });
+}
+
 /// Waits until all that was taken is answered and the connections are closed. One on which nothing is in
 /// hand may stay open for a moment, then it ends with the process.
-async fn drain(hub: &Rc<hub::Hub>) {
+async fn drain(hub: &Rc<Hub>) {
     let pause = Duration::from_millis(20);
     let mut quiet = 0;
     while quiet < 5 {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -209,7 +209,7 @@
 
 pub fn decode_news(v: &Value, names: &Names) -> Result<News, Fault> {
     let members = v["members"].as_array().ok_or_else(|| malformed("the list has no members"))?;
-    let member = |m: &Value| {
+    let member = |m: &Value| -> Result<Member, Fault> {
         let text = |key: &str| m[key].as_str().ok_or_else(|| malformed(&format!("a member has no {key}")));
         Ok(Member {
             id: text("id")?.to_owned(),
@@ -225,10 +225,12 @@
             },
         })
     };
+    // One member that can't be read must not cost the news of all others.
+    let known = |m: &Value| member(m).map_err(|fault| log::warn!("discovery: {fault}")).ok();
     Ok(News {
         revision: v["revision"].as_u64().ok_or_else(|| malformed("the list has no revision"))?,
         complete: v["complete"].as_bool().unwrap_or(false),
-        members: members.iter().map(member).collect::<Result<_, Fault>>()?,
+        members: members.iter().filter_map(known).collect(),
     })
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -176,10 +176,13 @@
 
     /// Ends a delivery now. What was not written whole can never have run.
     pub fn abandon(&self, hub: &Rc<Hub>, num: u64, n: usize, ending: Ending) {
-        let Some(line) = self.out.borrow_mut().remove(&(num, n)) else { return };
-        line.job.borrow_mut().take();
-        line.close();
-        let unsent = ending == Ending::Timeout && !line.written.get().whole();
+        // With no connection left its task has panicked: the invocation is owed an end all the same.
+        let line = self.out.borrow_mut().remove(&(num, n));
+        let unsent = line.is_some_and(|line| {
+            line.job.borrow_mut().take();
+            line.close();
+            ending == Ending::Timeout && !line.written.get().whole()
+        });
         let ending = if unsent { Fault::Unwritten.ending() } else { ending };
         hub.tell(Event::Ended { num, n, ending, used: None, body: Bytes::new() });
     }
@@ -231,8 +234,11 @@
         if let Some(lines) = upstream.idle.borrow_mut().get_mut(line.tgt) {
             lines.retain(|l| !Rc::ptr_eq(l, line));
         }
-        let fault = if line.written.get().whole() { Fault::Broken } else { Fault::Unwritten };
-        self.ended(Err(fault));
+        // A panic in here on top of another would end the process; the delivery's time-out ends it instead.
+        if !std::thread::panicking() {
+            let fault = if line.written.get().whole() { Fault::Broken } else { Fault::Unwritten };
+            self.ended(Err(fault));
+        }
     }
 }
 
@@ -263,7 +269,9 @@
         let _ = stream.set_nodelay(true);
         *line.stream.borrow_mut() = Some(TokioIo::new(stream));
         hub.tell(Event::ServerConnected);
-        let Ok((mut sender, connection)) = http1::handshake(Wire((*line).clone())).await else {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MOST_BODY);
+        let Ok((mut sender, connection)) = builder.handshake(Wire((*line).clone())).await else {
             return Fault::Unwritten;
         };
         let mut connection = pin!(connection);
