--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,9 +23,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 
+/// What a connection that is to close gets to finish writing, or to send the rest of a message.
+const LINGER: Duration = Duration::from_millis(100);
+
 /// A client's connection.
 struct Client {
     busy: Cell<bool>,
+    leaving: Cell<bool>,
     idle_since: Cell<f64>,
     close: Notify,
 }
@@ -85,7 +89,7 @@
     /// Makes room for a new connection: the one that has waited longest for its next invocation closes.
     fn close_oldest(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|c| !c.busy.get());
+        let idle = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
         if let Some(c) = idle.min_by(|a, b| a.idle_since.get().total_cmp(&b.idle_since.get())) {
             c.close.notify_one();
         }
@@ -120,7 +124,8 @@
 
     async fn connection(hub: Rc<Hub>, stream: TcpStream) {
         let idle_since = Cell::new(hub.clock.now());
-        let client = Rc::new(Client { busy: Cell::new(false), idle_since, close: Notify::new() });
+        let (busy, leaving) = (Cell::new(false), Cell::new(false));
+        let client = Rc::new(Client { busy, leaving, idle_since, close: Notify::new() });
         let _place = Place::new(&hub, &client);
         hub.tell(Event::ClientConnected);
         let door = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
@@ -131,7 +136,12 @@
             tokio::select! {
                 biased;
                 ended = &mut connection => break ended,
-                _ = client.close.notified() => connection.as_mut().graceful_shutdown(),
+                _ = client.close.notified() => {
+                    client.leaving.set(true);
+                    connection.as_mut().graceful_shutdown();
+                }
+                // Guards against clients that send half a message and no more.
+                _ = tokio::time::sleep(LINGER), if client.leaving.get() && !client.busy.get() => break Ok(()),
             }
         };
         if let Err(e) = ended {
