--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -71,8 +71,8 @@
     };
     let revision = known.as_ref().map_or(0, |k| k.revision);
     let dial = Duration::from_secs_f64(read.dial_timeout);
-    // Half of the descriptors serve clients, three eighths servers; the rest is for all else.
-    let (clients, servers) = (config.sockets / 2, config.sockets * 3 / 8);
+    // Five eighths of the descriptors serve clients, a quarter servers; the rest is for all else.
+    let (clients, servers) = (config.sockets * 5 / 8, config.sockets / 4);
     let reducer = reducer::Reducer::new(&read.settings, clock.now());
     let hub = Hub::new(
         clock,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! The decisions of a quota-keeping gateway. [`rules`] decides, [`types`] holds the plain values
-//! that go in and out. A front (the drill's line protocol today) keeps connections and timers.
+//! that go in and out. A front (the gateway on sockets, the drill's line protocol) keeps connections
+//! and timers.
 
 pub mod rules;
 pub mod types;
