Believe no backlog over a burst

The wrong line is where counted keeps the backlog it heard. A customer cannot owe more than its burst by leases alone, so no more is believed and it is asked again at its usual pace. Should hold too for a return that got lost and for one that comes late; it costs calls where customers really are deep in debt after a silence.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -530,7 +530,8 @@
             account.backlog = plan.burst - (room - grant) + shut;
             account.lapses = ends;
         } else {
-            account.backlog = if correct { target } else { total } - line;
+            // Guards against totals that are put right a moment later: over its burst none is believed.
+            account.backlog = (if correct { target } else { total } - line).min(plan.burst);
             account.lapses = now + HOLD * plan.span;
         }
         if correct {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -375,3 +375,27 @@
     }
     assert_eq!((f.throttles(), f.sends().len()), (0, 200), "a customer under its burst was throttled");
 }
+
+#[test]
+fn a_total_that_is_put_right_a_moment_later_throttles_for_a_moment() {
+    // Read between two write-offs and the return of one, it was believed, and put back, for a whole window.
+    let mut f = with_plan(rate_plan(20.0, 35.0), 2, 10);
+    f.quick = false;
+    (0..20).for_each(|customer| {
+        (0..2).for_each(|gate| _ = f.take(gate, customer, 0, 0, 1.0));
+        (0..4).for_each(|_| f.count(0, true, true));
+        f.take(0, customer, 0, 0, 1.0);
+        while let Some(last) = f.calls.len().checked_sub(1) {
+            f.count(last, true, true);
+        }
+        answer_all(&mut f, Ending::Succeeded);
+    });
+    f.seen.clear();
+    f.pass(0.2);
+    for customer in 0..20 {
+        (0..2).for_each(|gate| _ = f.take(gate, customer, 0, 0, 1.0));
+        f.count_all(true, true);
+        answer_all(&mut f, Ending::Succeeded);
+    }
+    assert_eq!((f.throttles(), f.sends().len()), (0, 40), "throttled long after the total was put right");
+}
