Carry a delivery and its answer as one value each through the gateway

No change of behaviour: the reducer's Delivery and the message's Answered replace lists of arguments. The socket tests start each program on a loopback address of its own and keep to 110 characters.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -100,9 +100,7 @@
 
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
-            Effect::Send { num, n, tgt, address, asked, until } => {
-                self.upstream.send(self, num, n, tgt, address, asked, until)
-            }
+            Effect::Send(delivery) => self.upstream.send(self, delivery),
             Effect::Abandon { num, n, ending } => self.upstream.abandon(self, num, n, ending),
             Effect::Reply { num, reply } => self.front.reply(num, reply),
             Effect::Count { call, name, add, life } => self.counter.call(call, name, add, life),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -60,6 +60,13 @@
     pub body: Bytes,
 }
 
+impl Answered {
+    /// Nothing was said: this is how it ended instead.
+    pub fn none(ending: Ending) -> Self {
+        Answered { ending, used: None, body: Bytes::new() }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub id: String,
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -2,9 +2,8 @@
 //! hand, the timers, the numbering of servers and the `Limiter`, of which it is the only caller. It must
 //! never read or write a socket, look at a clock, or decide what is the module's to decide.
 
-use crate::message::{Asked, Names, News, Reply};
+use crate::message::{Answered, Asked, Names, News, Reply};
 use crate::stats::Stats;
-use bytes::Bytes;
 use dunespur::rules::Limiter;
 use dunespur::types::*;
 use std::cmp::Ordering;
@@ -27,9 +26,7 @@
     Ended {
         num: u64,
         n: usize,
-        ending: Ending,
-        used: Option<f64>,
-        body: Bytes,
+        answered: Answered,
     },
     Counted {
         call: u64,
@@ -43,15 +40,19 @@
     Due,
 }
 
+/// The delivery with number `n` of invocation `num`.
+#[derive(Clone)]
+pub struct Delivery {
+    pub num: u64,
+    pub n: usize,
+    pub tgt: usize,
+    pub address: SocketAddr,
+    pub asked: Rc<Asked>,
+    pub until: f64,
+}
+
 pub enum Effect {
-    Send {
-        num: u64,
-        n: usize,
-        tgt: usize,
-        address: SocketAddr,
-        asked: Rc<Asked>,
-        until: f64,
-    },
+    Send(Delivery),
     /// Stop a delivery at once; it ends so unless its last byte was never written.
     Abandon {
         num: u64,
@@ -168,7 +169,7 @@
             Event::Taken { num, asked } => self.take(num, asked, now, out),
             Event::TurnedDown => self.stats.turned_down += 1,
             Event::ClientGone { num } => self.client_gone(num, now, out),
-            Event::Ended { num, n, ending, used, body } => self.ended(num, n, ending, used, body, now, out),
+            Event::Ended { num, n, answered } => self.ended(num, n, answered, now, out),
             Event::Counted { call, counted } => {
                 let Some((name, at)) = self.calls.remove(&call) else { return };
                 self.stats.counted(counted);
@@ -216,7 +217,7 @@
                 self.timers.push(Due(until, Timer::Limit(num, n)));
                 self.stats.deliveries += 1;
                 let (address, asked) = (self.known[tgt].address, held.asked.clone());
-                out.push(Effect::Send { num, n, tgt, address, asked, until });
+                out.push(Effect::Send(Delivery { num, n, tgt, address, asked, until }));
             }
             Answer::Hold if held.inv.stage != Stage::Out && now + wait < held.due => {
                 held.due = now + wait;
@@ -237,17 +238,8 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        num: u64,
-        n: usize,
-        ending: Ending,
-        used: Option<f64>,
-        body: Bytes,
-        now: f64,
-        out: &mut Vec<Effect>,
-    ) {
+    fn ended(&mut self, num: u64, n: usize, answered: Answered, now: f64, out: &mut Vec<Effect>) {
+        let Answered { ending, used, body } = answered;
         let Some(held) = self.held.get_mut(&num).filter(|h| h.open & (1 << n) != 0) else { return };
         held.open &= !(1 << n);
         self.stats.ended(ending);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,9 +4,8 @@
 
 use crate::fault::Fault;
 use crate::hub::Hub;
-use crate::message::{decode_answer, encode_delivery, Answered, Asked, MOST_BODY};
-use crate::reducer::Event;
-use bytes::Bytes;
+use crate::message::{decode_answer, encode_delivery, Answered, MOST_BODY};
+use crate::reducer::{Delivery, Event};
 use dunespur::types::Ending;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1;
@@ -25,14 +24,6 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-#[derive(Clone)]
-struct Job {
-    num: u64,
-    n: usize,
-    asked: Rc<Asked>,
-    until: f64,
-}
-
 /// How much of the present delivery has gone out.
 #[derive(Clone, Copy, Default)]
 struct Written {
@@ -61,7 +52,7 @@
 struct Line {
     tgt: usize,
     stream: RefCell<Option<TokioIo<TcpStream>>>,
-    job: RefCell<Option<Job>>,
+    job: RefCell<Option<Delivery>>,
     written: Cell<Written>,
     closed: Cell<bool>,
     idle_since: Cell<f64>,
@@ -129,35 +120,25 @@
         Upstream { dial, idle_time, most, open: Cell::new(0), idle, out }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn send(
-        &self,
-        hub: &Rc<Hub>,
-        num: u64,
-        n: usize,
-        tgt: usize,
-        address: SocketAddr,
-        asked: Rc<Asked>,
-        until: f64,
-    ) {
-        let job = Some(Job { num, n, asked, until });
+    pub fn send(&self, hub: &Rc<Hub>, delivery: Delivery) {
+        let Delivery { num, n, tgt, address, .. } = delivery;
         let idle = self.idle.borrow_mut().get_mut(tgt).and_then(Vec::pop);
         if let Some(line) = idle {
             line.written.set(Written::default());
-            *line.job.borrow_mut() = job;
+            *line.job.borrow_mut() = Some(delivery);
             line.wake.notify_one();
             self.out.borrow_mut().insert((num, n), line);
             return;
         }
         if self.open.get() >= self.most && !self.close_oldest() {
             log::warn!("all {} connections to servers are in use", self.most);
-            let (ending, used, body) = (Fault::NotConnected.ending(), None, Bytes::new());
-            return hub.tell(Event::Ended { num, n, ending, used, body });
+            let answered = Answered::none(Fault::NotConnected.ending());
+            return hub.tell(Event::Ended { num, n, answered });
         }
         let line = Rc::new(Line {
             tgt,
             stream: RefCell::default(),
-            job: RefCell::new(job),
+            job: RefCell::new(Some(delivery)),
             written: Cell::default(),
             closed: Cell::new(false),
             idle_since: Cell::new(0.0),
@@ -184,7 +165,7 @@
             ending == Ending::Timeout && !line.written.get().whole()
         });
         let ending = if unsent { Fault::Unwritten.ending() } else { ending };
-        hub.tell(Event::Ended { num, n, ending, used: None, body: Bytes::new() });
+        hub.tell(Event::Ended { num, n, answered: Answered::none(ending) });
     }
 
     pub fn close_idle(&self, tgt: usize) {
@@ -246,15 +227,12 @@
     /// Tells how the delivery on this connection ended, once.
     fn ended(&self, result: Result<Answered, Fault>) {
         let Task(hub, line) = self;
-        let Some(Job { num, n, .. }) = line.job.borrow_mut().take() else { return };
+        let Some(Delivery { num, n, .. }) = line.job.borrow_mut().take() else { return };
         if hub.upstream.out.borrow_mut().remove(&(num, n)).is_none() {
             return;
         }
-        let (ending, used, body) = match result {
-            Ok(answered) => (answered.ending, answered.used, answered.body),
-            Err(fault) => (fault.ending(), None, Bytes::new()),
-        };
-        hub.tell(Event::Ended { num, n, ending, used, body });
+        let answered = result.unwrap_or_else(|fault| Answered::none(fault.ending()));
+        hub.tell(Event::Ended { num, n, answered });
     }
 
     /// Connects, then carries deliveries until the connection ends; says why it did.
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -174,22 +174,31 @@
 fn list(revision: u64, complete: bool, servers: &[(usize, SocketAddr, &str)]) -> String {
     let member = |&(id, address, phase): &(usize, SocketAddr, &str)| {
         format!(
-            r#"{{"id":"s-{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1,"up_since_ms":0}}"#
+            r#"{{"id":"s-{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,
+                "phase":"{phase}","size":1,"up_since_ms":0}}"#
         )
     };
-    let members: Vec<_> = servers.iter().map(member).collect();
+    // A watch holds each list on one line.
+    let members: Vec<_> = servers.iter().map(|m| member(m).replace('\n', "")).collect();
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
 }
 
+/// On a loopback address of its own, so that nothing else on the machine takes the port meanwhile.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static LAST: AtomicUsize = AtomicUsize::new(1);
+    let host = format!("127.0.1.{}:0", LAST.fetch_add(1, Ordering::SeqCst));
+    TcpListener::bind(host).unwrap().local_addr().unwrap()
 }
 
 const SETTINGS: &str = r#"{"classes":[
-  {"name":"read","effect":"free","group":"all","goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0},
-  {"name":"write","effect":"guarded","group":"all","goalTimeS":0.5,"deadlineS":1.5,"importance":3,"lateShare":0,"windowS":2.5},
-  {"name":"once","effect":"single_shot","group":"all","goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0}],
- "contracts":[{"name":"small","rate":1000,"burst":1000,"beyondCosts":1},{"name":"tiny","rate":0.1,"burst":1,"beyondCosts":1}],
+  {"name":"read","effect":"free","group":"all",
+   "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0},
+  {"name":"write","effect":"guarded","group":"all",
+   "goalTimeS":0.5,"deadlineS":1.5,"importance":3,"lateShare":0,"windowS":2.5},
+  {"name":"once","effect":"single_shot","group":"all",
+   "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0}],
+ "contracts":[{"name":"small","rate":1000,"burst":1000,"beyondCosts":1},
+              {"name":"tiny","rate":0.1,"burst":1,"beyondCosts":1}],
  "discovery":"pushed","domain":{"countWaitS":0.01,"sharedCounter":true},"failureDomains":["a"],"fleetSize":1,
  "limits":{"maxRetryAfterS":0.5,"retryAfter":true,"tryLimit":6,"dialTimeoutS":0.25,"keepaliveS":1.0},
  "rules":{"coldFrom":0.2,"coldS":10,"fallMultiple":4,"answerSlackS":0.016},"slotNo":0,"zone":"a"}"#;
@@ -209,7 +218,8 @@
         let config = std::env::temp_dir().join(name);
         let text = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","counter":"{counter}",
-                "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+                "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+                "known":{known},"settings":{SETTINGS}}}"#
         );
         std::fs::write(&config, text).unwrap();
         let child = start(&config);
@@ -279,7 +289,8 @@
     let id = LAST.fetch_add(1, Ordering::SeqCst);
     let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     format!(
-        "{method} /api?n=7 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id:016x}\r\nX-Priority-Class: {operation}\r\n\
+        "{method} /api?n=7 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id:016x}\r\n\
+         X-Priority-Class: {operation}\r\n\
          X-Tariff: small\r\nCookie: account=00000000b4d65521\r\nX-Timeout-Ms: {wait_ms}\r\n\
          X-Weight: units=1,spread=1,first=0\r\nIdempotency-Key: 5c0f6e1a\r\n{length}\r\n{body}"
     )
