--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-/// A watch says something this often, be it an empty line.
+/// A watch says something this often, be it an empty line; no answer at all is awaited longer.
 const HEARTBEAT: Duration = Duration::from_secs(2);
 /// Time from the end of one watch to the next.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -60,14 +60,14 @@
             let io = TokioIo::new(stream);
             hyper::client::conn::http1::handshake(io).await.map_err(|_| Fault::Unwritten)
         };
-        let (mut sender, connection) = match timeout(silence, connect).await {
+        let (mut sender, connection) = match timeout(HEARTBEAT, connect).await {
             Ok(Ok(pair)) => pair,
             Ok(Err(fault)) => return fault,
             Err(_) => return Fault::NotConnected,
         };
         let read = async {
             let request = encode_watch(self.revision.get(), self.address)?;
-            let answer = timeout(silence, sender.send_request(request)).await.map_err(|_| Fault::Silent)?;
+            let answer = timeout(HEARTBEAT, sender.send_request(request)).await.map_err(|_| Fault::Silent)?;
             let mut body = answer.map_err(|_| Fault::Broken)?.into_body();
             let mut buffer = BytesMut::new();
             loop {
