Let half-sent bodies give way when client connections run out

A client that announced a body and never sent it held its connection for ever: it counted as busy from its head on, and a 99 GB announcement was waited for. Now a connection is busy once its invocation's last byte is there, and an announced body over 64 KiB is turned down at once. The test of more clients than room fails without it.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -8,7 +8,7 @@
 use crate::reducer::Event;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -28,6 +28,7 @@
 
 /// A client's connection.
 struct Client {
+    /// It has an invocation in hand.
     busy: Cell<bool>,
     leaving: Cell<bool>,
     idle_since: Cell<f64>,
@@ -207,11 +208,9 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let door = self.clone();
-        door.client.busy.set(true);
         Box::pin(async move {
             let response = door.answer(request).await;
             door.client.idle_since.set(door.hub.clock.now());
-            door.client.busy.set(false);
             Ok(response)
         })
     }
@@ -237,6 +236,9 @@
 
     async fn invoke(&self, request: Request<Incoming>) -> Result<Reply, Fault> {
         let (head, body) = request.into_parts();
+        if body.size_hint().lower() > MOST_BODY as u64 {
+            return Err(Fault::TooLarge);
+        }
         let body = Limited::new(body, MOST_BODY).collect().await.map_err(|e| {
             if e.is::<LengthLimitError>() {
                 Fault::TooLarge
@@ -248,7 +250,11 @@
         let (num, (tell, told)) = (self.hub.front.next(), oneshot::channel());
         self.hub.front.waiting.borrow_mut().insert(num, tell);
         let _in_hand = InHand { hub: &self.hub, num };
+        // Until its last byte was there it was not taken, and its connection could be closed for others.
+        self.client.busy.set(true);
         self.hub.tell(Event::Taken { num, asked });
-        Ok(told.await.unwrap_or(Reply::Errored))
+        let reply = told.await.unwrap_or(Reply::Errored);
+        self.client.busy.set(false);
+        Ok(reply)
     }
 }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -465,6 +465,7 @@
         good.replace("X-Weight: units=1,spread=1,first=0", "X-Weight: heavy"),
         good.replace("X-Request-ID", "X-Other"),
         good.replace("HTTP/1.1", "HTTP/9"),
+        good.replace("\r\n\r\n", "\r\nContent-Length: 99999999999\r\n\r\n"),
         "\u{1}\u{2}\u{3}\r\n\r\n".into(),
         invocation("POST", "write", 1500, &"x".repeat(64 * 1024 + 1)),
         good.replace("\r\n\r\n", &format!("\r\nX-Long: {}\r\n\r\n", "x".repeat(128 * 1024))),
@@ -486,9 +487,11 @@
     let known = list(1, true, &[(0, server.address, "Ready")]);
     let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
     let gateway = Gateway::with(&known, discovery.address, counter.address, 32);
-    // Twice as many idle connections as it keeps; some have sent half a message.
-    let mut idle: Vec<_> = (0..32).filter_map(|_| gateway.connect()).collect();
-    idle.iter_mut().step_by(2).for_each(|s| _ = s.write_all(b"GET /api HTTP/1.1\r\nHost:"));
+    // More connections than it keeps: idle ones, half a head, half a body.
+    let half = invocation("POST", "write", 1500, &"x".repeat(100));
+    let parts = ["", "GET /api HTTP/1.1\r\nHost:", &half[..half.len() - 50]];
+    let mut clients: Vec<_> = (0..72).filter_map(|_| gateway.connect()).collect();
+    clients.iter_mut().enumerate().for_each(|(at, s)| _ = s.write_all(parts[at % 3].as_bytes()));
     (0..10).for_each(|_| assert!(gateway.read().ends_with("served")));
 }
 
