Retire connections in use too when their server leaves, moves or starts anew

News of a server closed its idle connections only: one in use came back to the idle ones after its answer and carried the next delivery to the old address. A connection now remembers how often its server's were retired. One that was coming up while its server moved is not written to either. Test: a server that moves while an invocation is out there.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -105,7 +105,7 @@
             Effect::Reply { num, reply } => self.front.reply(num, reply),
             Effect::Count { call, name, add, life } => self.counter.call(call, name, add, life),
             Effect::AbandonCount { call } => self.counter.abandon(self, call),
-            Effect::CloseIdle { tgt } => self.upstream.close_idle(tgt),
+            Effect::Retire { tgt } => self.upstream.retire(tgt),
             Effect::Watch => self.discovery.watch(),
         }
     }
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -72,8 +72,8 @@
     AbandonCount {
         call: u64,
     },
-    /// Nothing new goes over the connections that now stand idle.
-    CloseIdle {
+    /// Nothing new goes over the connections that there are now.
+    Retire {
         tgt: usize,
     },
     Watch,
@@ -159,9 +159,10 @@
     }
 
     /// Whether this delivery is still what the module wants, asked when its connection has come up.
-    pub fn holds(&self, num: u64, n: usize, now: f64) -> bool {
-        let Some(held) = self.held.get(&num) else { return false };
-        held.open & (1 << n) != 0 && now < held.inv.limit && self.known[held.inv.sent[n].0].live
+    pub fn holds(&self, d: &Delivery, now: f64) -> bool {
+        let Some(held) = self.held.get(&d.num) else { return false };
+        let known = &self.known[d.tgt];
+        held.open & (1 << d.n) != 0 && now < d.until && known.live && known.address == d.address
     }
 
     pub fn reduce(&mut self, event: Event, now: f64, out: &mut Vec<Effect>) {
@@ -278,7 +279,7 @@
                 Some(&tgt) => {
                     let old = std::mem::replace(&mut self.known[tgt], known);
                     if old.address != m.address || old.came_up < m.came_up {
-                        out.push(Effect::CloseIdle { tgt });
+                        out.push(Effect::Retire { tgt });
                     }
                     tgt
                 }
@@ -292,7 +293,7 @@
             entries.push(Server { tgt, zone, cell, came_up, readiness });
         }
         let shut = self.known.iter().enumerate().filter(|(_, k)| !k.live);
-        out.extend(shut.map(|(tgt, _)| Effect::CloseIdle { tgt }));
+        out.extend(shut.map(|(tgt, _)| Effect::Retire { tgt }));
         self.limiter.roster(&entries, news.complete, now);
     }
 
@@ -467,7 +468,7 @@
                         Effect::Send(d) => {
                             assert!(waiting.contains(&d.num) && live[d.tgt], "sent with no need");
                             assert!(open.iter().all(|o| o.num != d.num), "two deliveries out");
-                            assert!(d.until <= now + 1.0 && reducer.holds(d.num, d.n, now));
+                            assert!(d.until <= now + 1.0 && reducer.holds(d, now));
                             open.push(d.clone());
                         }
                         &Effect::Abandon { num, n, ending } => {
@@ -482,7 +483,7 @@
                             let counted = Counted::Silent;
                             reducer.reduce(Event::Counted { call, counted }, now, &mut out);
                         }
-                        Effect::CloseIdle { .. } | Effect::Watch => {}
+                        Effect::Retire { .. } | Effect::Watch => {}
                     }
                     at += 1;
                 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -51,6 +51,8 @@
 /// One connection, shared between its task and whoever may have to close it at once.
 struct Line {
     tgt: usize,
+    /// How often its server's connections had been retired when it was opened.
+    retired: u64,
     stream: RefCell<Option<TokioIo<TcpStream>>>,
     job: RefCell<Option<Delivery>>,
     written: Cell<Written>,
@@ -111,13 +113,14 @@
     open: Cell<usize>,
     /// Idle connections of each server, the newest last.
     idle: RefCell<Vec<Vec<Rc<Line>>>>,
+    retired: RefCell<Vec<u64>>,
     out: RefCell<HashMap<(u64, usize), Rc<Line>>>,
 }
 
 impl Upstream {
     pub fn new(dial: Duration, idle_time: f64, most: usize) -> Self {
-        let (idle, out) = (RefCell::default(), RefCell::default());
-        Upstream { dial, idle_time, most, open: Cell::new(0), idle, out }
+        let (idle, retired, out) = Default::default();
+        Upstream { dial, idle_time, most, open: Cell::new(0), idle, retired, out }
     }
 
     pub fn send(&self, hub: &Rc<Hub>, delivery: Delivery) {
@@ -137,6 +140,7 @@
         }
         let line = Rc::new(Line {
             tgt,
+            retired: self.retired(tgt),
             stream: RefCell::default(),
             job: RefCell::new(Some(delivery)),
             written: Cell::default(),
@@ -168,11 +172,21 @@
         hub.tell(Event::Ended { num, n, answered: Answered::none(ending) });
     }
 
-    pub fn close_idle(&self, tgt: usize) {
+    /// A server left, moved or started anew: its idle connections close, those in use after their answer.
+    pub fn retire(&self, tgt: usize) {
+        let mut retired = self.retired.borrow_mut();
+        if retired.len() <= tgt {
+            retired.resize(tgt + 1, 0);
+        }
+        retired[tgt] += 1;
         let lines = self.idle.borrow_mut().get_mut(tgt).map(std::mem::take);
         lines.into_iter().flatten().for_each(|l| l.close());
     }
 
+    fn retired(&self, tgt: usize) -> u64 {
+        self.retired.borrow().get(tgt).copied().unwrap_or(0)
+    }
+
     /// Closes what has stood idle for so long that the server might close it first.
     pub fn sweep(&self, now: f64) {
         for lines in self.idle.borrow_mut().iter_mut() {
@@ -194,6 +208,9 @@
     }
 
     fn keep(&self, line: &Rc<Line>, now: f64) {
+        if line.retired != self.retired(line.tgt) {
+            return line.close();
+        }
         line.idle_since.set(now);
         let mut idle = self.idle.borrow_mut();
         if idle.len() <= line.tgt {
@@ -269,7 +286,7 @@
             };
             let now = hub.clock.now();
             // The connection took its time: the client may be gone and the server withdrawn since.
-            if !hub.reducer.borrow().holds(job.num, job.n, now) {
+            if !hub.reducer.borrow().holds(&job, now) {
                 hub.upstream.keep(line, now);
                 self.ended(Err(Fault::Unwritten));
                 continue;
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -16,6 +16,8 @@
     Well,
     /// Takes everything, answers nothing.
     Silent,
+    /// Answers well, after a while.
+    Slow,
     /// Reads one whole message, then resets.
     Resets,
     /// Turns away: it never ran.
@@ -89,8 +91,11 @@
         Self::start(mood, |me, mut stream| {
             while let Some(message) = message(&mut stream) {
                 me.seen.lock().unwrap().push(message);
+                if me.mood() == Mood::Slow {
+                    sleep(Duration::from_millis(300));
+                }
                 let answer = match me.mood() {
-                    Mood::Well => {
+                    Mood::Well | Mood::Slow => {
                         "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Allowance-Used: 40\r\n\r\nserved"
                     }
                     Mood::Full => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Processed: 1\r\n\r\n",
@@ -436,6 +441,20 @@
     assert!(asked.starts_with("GET /api/targets?follow=1&since=1 "), "{asked}");
 }
 
+#[test]
+fn a_server_that_moved_gets_nothing_new_at_its_old_address() {
+    let (old, new) = (StandIn::server(Mood::Slow), StandIn::server(Mood::Well));
+    let (gateway, discovery, _counter) = Gateway::before(&[old.address]);
+    let mut out = gateway.connect().unwrap();
+    out.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    until("it is out", || old.seen() == 1);
+    discovery.news.lock().unwrap().push(list(2, false, &[(0, new.address, "Ready")]));
+    assert!(message(&mut out).unwrap().ends_with("served"), "what was out there is still answered");
+    assert!(gateway.read().ends_with("served"));
+    assert_eq!((old.seen(), new.seen()), (1, 1), "the connection that was in use is not used again");
+    until("it is closed", || old.ended.load(Ordering::SeqCst) == 1);
+}
+
 #[test]
 fn a_mute_discovery_leaves_the_known_list_and_is_asked_again() {
     let server = StandIn::server(Mood::Well);
