Turn down a configuration with unusable times or too few descriptors in one line

A dial or idle time out of range made the program panic at its start, and too few descriptors left no room for any client.

--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -1,4 +1,4 @@
-//! What can go wrong, as values that say how far the attempt had come. Owns the step from a fault to the
+//! What can go wrong, as values that say how far the delivery or call had come. Owns the step from a fault to the
 //! ending that the decisions are told and to the status that a client sees. It must never panic, log,
 //! retry or decide anything.
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -29,6 +29,9 @@
 /// Clients keep coming for up to 0.4 s after SIGTERM; what comes over 0.7 s after it may not be answered.
 const LEAVING: Duration = Duration::from_millis(500);
 
+/// Fewer descriptors than this leave nothing for clients beside what the program itself holds.
+const LEAST_SOCKETS: usize = 32;
+
 struct Config {
     name: String,
     listen: SocketAddr,
@@ -49,12 +52,16 @@
     };
     let seed = u64::from_str_radix(v["seed"].as_str().unwrap_or(""), 16)
         .map_err(|_| Fault::Config("seed is no hexadecimal number".into()))?;
+    let sockets = v["limits"]["sockets"].as_u64().unwrap_or(1024) as usize;
+    if sockets < LEAST_SOCKETS {
+        return Err(Fault::Config(format!("limits.sockets is under {LEAST_SOCKETS}")));
+    }
     Ok(Config {
         name: v["name"].as_str().unwrap_or("gateway").to_owned(),
         listen: address("listen")?,
         discovery: address("discovery")?,
         counter: if v["counter"].is_null() { None } else { Some(address("counter")?) },
-        sockets: v["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
+        sockets,
         known: v["known"].clone(),
         read: dunespur_settings::read(&v["settings"], seed).map_err(Fault::Config)?,
     })
@@ -70,7 +77,11 @@
         list => Some(message::decode_news(list, &names)?),
     };
     let revision = known.as_ref().map_or(0, |k| k.revision);
-    let dial = Duration::from_secs_f64(read.dial_timeout);
+    let seconds = |s: f64, what: &str| {
+        Duration::try_from_secs_f64(s).map_err(|e| Fault::Config(format!("settings: {what}: {e}")))
+    };
+    let dial = seconds(read.dial_timeout, "dialTimeoutS")?;
+    let idle_time = seconds(read.idle_time, "keepaliveS")?;
     // Five eighths of the descriptors serve clients, a quarter servers; the rest is for all else.
     let (clients, servers) = (config.sockets * 5 / 8, config.sockets / 4);
     let reducer = reducer::Reducer::new(&read.settings, clock.now());
@@ -95,7 +106,6 @@
     keep(&hub, "discovery", discovery::Discovery::run);
     tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
     ::log::info!("{} serves on {}", config.name, config.listen);
-    let idle_time = Duration::from_secs_f64(read.idle_time);
     let mut sweep = interval((idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1)));
     loop {
         tokio::select! {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -567,6 +567,8 @@
         (good.replace("\"listen\":\"", "\"listen\":\"x"), "listen"),
         (good.replace("\"1f\"", "\"seed\""), "seed"),
         (good.replace("\"free\"", "\"fre\""), "fre"),
+        (good.replace("\"dialTimeoutS\":0.25", "\"dialTimeoutS\":1e300"), "dialTimeoutS"),
+        (good.replace("\"seed\":\"1f\"", "\"seed\":\"1f\",\"limits\":{\"sockets\":3}"), "sockets"),
         (good.clone(), "listen"),
     ];
     for (at, (text, word)) in bad.iter().enumerate() {
