Re-read the configuration on SIGHUP and move discovery and the counter

Checked: main.rs registers handlers for SIGTERM, SIGINT and SIGUSR1 only; 129 is the shell's word for an unhandled SIGHUP, so no panic and no memory kill. Counter and Discovery held their address for life. Change: SIGHUP reads the file again; a bad one costs one line in the log. Discovery's watch goes on at the new address from the revision it had. The counter's old connection brings the answers it owes while new calls go to the new one; calls not begun when a connection breaks go over the next one. Test: sighup_moves_discovery_and_the_counter_and_keeps_all_in_hand (fails on the old text: the process is gone).

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -7,7 +7,7 @@
 use crate::reducer::Event;
 use bytes::{Buf, Bytes, BytesMut};
 use dunespur::types::Counted;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,61 +20,46 @@
 /// A connection that answers nothing for this long while calls wait is taken for dead.
 const DEAD: Duration = Duration::from_secs(1);
 
-struct Unwritten {
-    call: Option<u64>,
-    bytes: Bytes,
-    begun: bool,
-}
-
-#[derive(Default)]
-struct Calls {
-    unwritten: VecDeque<Unwritten>,
-    /// Calls whose last byte went out; None where the call was given up and only its answer is awaited.
-    written: VecDeque<Option<u64>>,
-}
-
 pub struct Counter {
-    address: Option<SocketAddr>,
+    address: Cell<Option<SocketAddr>>,
     dial: Duration,
-    calls: RefCell<Calls>,
+    unwritten: RefCell<VecDeque<(u64, Bytes)>>,
+    /// There are calls to write, or the counter moved.
     more: Notify,
 }
 
 impl Counter {
     pub fn new(address: Option<SocketAddr>, dial: Duration) -> Self {
-        Counter { address, dial, calls: RefCell::default(), more: Notify::new() }
+        Counter { address: Cell::new(address), dial, unwritten: RefCell::default(), more: Notify::new() }
     }
 
     pub fn call(&self, call: u64, name: u64, add: f64, life: f64) {
-        let bytes = encode_count(name, add, life);
-        self.calls.borrow_mut().unwritten.push_back(Unwritten { call: Some(call), bytes, begun: false });
+        self.unwritten.borrow_mut().push_back((call, encode_count(name, add, life)));
         self.more.notify_one();
     }
 
-    /// Stops waiting for a call: what was never written was not added.
+    /// Stops waiting for a call: what was never written was not added. The answer to one that was, which
+    /// keeps its turn among the others, finds nobody who waits.
     pub fn abandon(&self, hub: &Rc<Hub>, call: u64) {
-        let mut calls = self.calls.borrow_mut();
-        let before = calls.unwritten.len();
-        calls.unwritten.retain(|c| c.begun || c.call != Some(call));
-        let counted = if calls.unwritten.len() < before {
-            Counted::Refused
-        } else {
-            // One that is written in part has to be finished, as others follow on the same connection.
-            calls.unwritten.iter_mut().filter(|c| c.call == Some(call)).for_each(|c| c.call = None);
-            calls.written.iter_mut().filter(|c| **c == Some(call)).for_each(|c| *c = None);
-            Counted::Silent
-        };
-        drop(calls);
+        let mut unwritten = self.unwritten.borrow_mut();
+        let before = unwritten.len();
+        unwritten.retain(|c| c.0 != call);
+        let never = unwritten.len() < before;
+        drop(unwritten);
+        let counted = if never { Counted::Refused } else { Counted::Silent };
         hub.tell(Event::Counted { call, counted });
     }
 
-    /// The connection is gone or never came: says of each call how far it had come.
-    fn broken(&self, hub: &Rc<Hub>) {
-        let calls = std::mem::take(&mut *self.calls.borrow_mut());
-        for call in calls.written.into_iter().flatten() {
-            hub.tell(Event::Counted { call, counted: Counted::Silent });
-        }
-        for call in calls.unwritten.into_iter().filter_map(|c| c.call) {
+    /// From now on calls go to this address.
+    pub fn move_to(&self, address: Option<SocketAddr>) {
+        self.address.set(address);
+        self.more.notify_one();
+    }
+
+    /// No connection came up.
+    fn refuse(&self, hub: &Rc<Hub>) {
+        let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
+        for (call, _) in unwritten {
             hub.tell(Event::Counted { call, counted: Counted::Refused });
         }
     }
@@ -82,96 +67,149 @@
     /// Keeps the connection for as long as the process lives.
     pub async fn run(hub: Rc<Hub>) {
         let counter = &hub.counter;
-        counter.broken(&hub);
-        let Some(address) = counter.address else {
-            loop {
+        loop {
+            // A call is worth a connection, none is kept for its own sake.
+            while counter.unwritten.borrow().is_empty() {
                 counter.more.notified().await;
-                counter.broken(&hub);
             }
-        };
-        loop {
+            let Some(address) = counter.address.get() else {
+                counter.refuse(&hub);
+                continue;
+            };
             match timeout(counter.dial, TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
-                    let why = counter.serve(&hub, stream).await;
-                    log::debug!("counter: {why}");
+                    let mut link = Link::new(address, stream);
+                    if link.serve(&hub).await {
+                        // Guards against losing what is under way when the configuration names another
+                        // counter: the old connection brings the answers it owes.
+                        let hub = hub.clone();
+                        tokio::task::spawn_local(async move {
+                            link.serve(&hub).await;
+                            link.broken(&hub);
+                        });
+                    } else {
+                        link.broken(&hub);
+                    }
+                }
+                Ok(Err(e)) => {
+                    log::debug!("counter: {e}");
+                    counter.refuse(&hub);
+                }
+                Err(_) => {
+                    log::debug!("counter: no connection came up");
+                    counter.refuse(&hub);
                 }
-                Ok(Err(e)) => log::debug!("counter: {e}"),
-                Err(_) => log::debug!("counter: no connection came up"),
-            }
-            counter.broken(&hub);
-            // The next call is worth another connection, none is kept for its own sake.
-            while counter.calls.borrow().unwritten.is_empty() {
-                counter.more.notified().await;
             }
         }
     }
+}
+
+/// One connection.
+struct Link {
+    address: SocketAddr,
+    stream: TcpStream,
+    /// The rest of a call that is written in part.
+    part: Option<(u64, Bytes)>,
+    /// Calls whose last byte went out.
+    written: VecDeque<u64>,
+    buffer: BytesMut,
+    heard: Instant,
+    leaving: bool,
+}
+
+impl Link {
+    fn new(address: SocketAddr, stream: TcpStream) -> Self {
+        let (part, written, buffer) = (None, VecDeque::new(), BytesMut::with_capacity(4096));
+        Link { address, stream, part, written, buffer, heard: Instant::now(), leaving: false }
+    }
 
-    /// Writes and reads until the connection breaks; says why.
-    async fn serve(&self, hub: &Rc<Hub>, stream: TcpStream) -> String {
-        let mut buffer = BytesMut::with_capacity(4096);
-        let mut heard = Instant::now();
+    /// Writes and reads until the connection breaks or the counter has moved, says whether it has; after
+    /// that only until what was begun is answered.
+    async fn serve(&mut self, hub: &Rc<Hub>) -> bool {
+        let counter = &hub.counter;
         loop {
-            if let Err(e) = self.write(&stream) {
-                return e.to_string();
+            if !self.leaving && counter.address.get() != Some(self.address) {
+                self.leaving = true;
+                return true;
             }
-            let (unwritten, waiting) = {
-                let calls = self.calls.borrow();
-                (!calls.unwritten.is_empty(), !calls.written.is_empty())
-            };
-            tokio::select! {
-                ready = stream.readable() => match ready.and_then(|()| stream.try_read_buf(&mut buffer)) {
-                    Ok(0) => return "closed".into(),
-                    Ok(_) => heard = Instant::now(),
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    Err(e) => return e.to_string(),
-                },
-                _ = self.more.notified() => {
+            if let Err(e) = self.write(counter) {
+                log::debug!("counter: {e}");
+                return false;
+            }
+            let waiting = !self.written.is_empty();
+            let unwritten = self.part.is_some() || (!self.leaving && !counter.unwritten.borrow().is_empty());
+            if self.leaving && !waiting && !unwritten {
+                return false;
+            }
+            let read = tokio::select! {
+                ready = self.stream.readable() => {
+                    ready.and_then(|()| self.stream.try_read_buf(&mut self.buffer))
+                }
+                _ = counter.more.notified(), if !self.leaving => {
                     if !waiting {
-                        heard = Instant::now();
+                        self.heard = Instant::now();
                     }
                     continue;
                 }
-                ready = stream.writable(), if unwritten => {
-                    if let Err(e) = ready {
-                        return e.to_string();
-                    }
+                ready = self.stream.writable(), if unwritten => match ready {
+                    Ok(()) => continue,
+                    Err(e) => Err(e),
+                },
+                _ = tokio::time::sleep_until(self.heard + DEAD), if waiting || self.leaving => {
+                    Err(ErrorKind::TimedOut.into())
+                }
+            };
+            match read {
+                Ok(0) => return false,
+                Ok(_) => self.heard = Instant::now(),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                Err(e) => {
+                    log::debug!("counter: {e}");
+                    return false;
                 }
-                _ = tokio::time::sleep_until(heard + DEAD), if waiting => return "silent".into(),
             }
             loop {
-                match take_counted(&mut buffer) {
-                    Ok(Some(counted)) => {
-                        let Some(call) = self.calls.borrow_mut().written.pop_front() else {
-                            return "an answer to no call".into();
-                        };
-                        if let Some(call) = call {
-                            hub.tell(Event::Counted { call, counted });
-                        }
-                    }
+                match take_counted(&mut self.buffer) {
+                    Ok(Some(counted)) => match self.written.pop_front() {
+                        Some(call) => hub.tell(Event::Counted { call, counted }),
+                        None => return false,
+                    },
                     Ok(None) => break,
-                    Err(fault) => return fault.to_string(),
+                    Err(fault) => {
+                        log::debug!("counter: {fault}");
+                        return false;
+                    }
                 }
             }
         }
     }
 
-    fn write(&self, stream: &TcpStream) -> std::io::Result<()> {
-        let calls = &mut *self.calls.borrow_mut();
-        while let Some(next) = calls.unwritten.front_mut() {
-            match stream.try_write(&next.bytes) {
-                Ok(n) if n < next.bytes.len() => {
-                    next.bytes.advance(n);
-                    next.begun = true;
-                }
+    fn write(&mut self, counter: &Counter) -> std::io::Result<()> {
+        loop {
+            if self.part.is_none() && !self.leaving {
+                self.part = counter.unwritten.borrow_mut().pop_front();
+            }
+            let Some((call, bytes)) = &mut self.part else { return Ok(()) };
+            match self.stream.try_write(bytes) {
+                Ok(n) if n < bytes.len() => bytes.advance(n),
                 Ok(_) => {
-                    calls.written.push_back(next.call);
-                    calls.unwritten.pop_front();
+                    self.written.push_back(*call);
+                    self.part = None;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
             }
         }
-        Ok(())
+    }
+
+    /// The connection is gone: says of each call on it how far it had come.
+    fn broken(&mut self, hub: &Rc<Hub>) {
+        for call in self.written.drain(..) {
+            hub.tell(Event::Counted { call, counted: Counted::Silent });
+        }
+        if let Some((call, _)) = self.part.take() {
+            hub.tell(Event::Counted { call, counted: Counted::Refused });
+        }
     }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -22,7 +22,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    moved: Notify,
     /// The module asks for each watch; elsewhere one always stands.
     on_request: bool,
     revision: Cell<u64>,
@@ -31,7 +32,15 @@
 
 impl Discovery {
     pub fn new(address: SocketAddr, on_request: bool, revision: u64) -> Self {
-        Discovery { address, on_request, revision: Cell::new(revision), wanted: Notify::new() }
+        let (moved, wanted) = (Notify::new(), Notify::new());
+        Discovery { address: Cell::new(address), moved, on_request, revision: Cell::new(revision), wanted }
+    }
+
+    /// From now on the list is watched at this address.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moved.notify_one();
+        }
     }
 
     pub fn watch(&self) {
@@ -43,7 +52,13 @@
             if hub.discovery.on_request {
                 hub.discovery.wanted.notified().await;
             }
-            let fault = hub.discovery.follow(&hub).await;
+            let fault = loop {
+                tokio::select! {
+                    fault = hub.discovery.follow(&hub) => break fault,
+                    // The watch goes on at the new address, nothing is lost.
+                    _ = hub.discovery.moved.notified() => {}
+                }
+            };
             log::debug!("discovery: {fault}");
             hub.tell(Event::RosterLost);
             sleep(AGAIN).await;
@@ -55,7 +70,7 @@
         // Two heartbeats and some: a silent watch may be cut off without a word.
         let silence = HEARTBEAT * 2 + HEARTBEAT / 2;
         let connect = async {
-            let stream = TcpStream::connect(self.address).await.map_err(|_| Fault::NotConnected)?;
+            let stream = TcpStream::connect(self.address.get()).await.map_err(|_| Fault::NotConnected)?;
             let _ = stream.set_nodelay(true);
             let io = TokioIo::new(stream);
             hyper::client::conn::http1::handshake(io).await.map_err(|_| Fault::Unwritten)
@@ -66,7 +81,7 @@
             Err(_) => return Fault::NotConnected,
         };
         let read = async {
-            let request = encode_watch(self.revision.get(), self.address)?;
+            let request = encode_watch(self.revision.get(), self.address.get())?;
             let answer = timeout(HEARTBEAT, sender.send_request(request)).await.map_err(|_| Fault::Silent)?;
             let mut body = answer.map_err(|_| Fault::Broken)?.into_body();
             let mut buffer = BytesMut::new();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -99,6 +99,7 @@
     }
     let mut term = signal(SignalKind::terminate()).map_err(fail("SIGTERM"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(fail("SIGHUP"))?;
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
     keep(&hub, "time", Hub::keep_time);
@@ -111,6 +112,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
+            _ = hup.recv() => reload(&hub),
             _ = usr1.recv() => ::log::info!("{}", hub.reducer.borrow().stats),
             _ = sweep.tick() => hub.upstream.sweep(hub.clock.now()),
         }
@@ -124,6 +126,19 @@
     Ok(())
 }
 
+/// SIGHUP: discovery and the counter may have moved, all that is in hand and all that is known stays. Guards
+/// against a file that can't be used, perhaps half written: then the old addresses hold.
+fn reload(hub: &Rc<Hub>) {
+    match config(std::env::var("RELAY_CONFIG").ok()) {
+        Ok(config) => {
+            ::log::info!("discovery at {}, counter at {:?}", config.discovery, config.counter);
+            hub.discovery.move_to(config.discovery);
+            hub.counter.move_to(config.counter);
+        }
+        Err(fault) => ::log::warn!("{fault}; the old one holds"),
+    }
+}
+
 /// Runs one of the lasting tasks; a panic in it is logged and it starts again.
 fn keep<F: Future<Output = ()> + 'static>(hub: &Rc<Hub>, what: &'static str, run: fn(Rc<Hub>) -> F) {
     let hub = hub.clone();
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -514,6 +514,42 @@
     (0..10).for_each(|_| assert!(gateway.read().ends_with("served")));
 }
 
+/// Guards against a process that ends on SIGHUP, that loses what is in hand or keeps to the old addresses.
+#[test]
+fn sighup_moves_discovery_and_the_counter_and_keeps_all_in_hand() {
+    let (first, second) = (StandIn::server(Mood::Slow), StandIn::server(Mood::Well));
+    let (gateway, old_discovery, old_counter) = Gateway::before(&[first.address]);
+    let counter = StandIn::counter(Mood::Well);
+    let discovery = StandIn::discovery(list(2, false, &[(1, second.address, "Ready")]), Mood::Well);
+    until("the old list is watched", || old_discovery.seen() == 1);
+    let mut out = gateway.connect().unwrap();
+    out.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    until("it is out", || first.seen() == 1);
+    let text = std::fs::read_to_string(&gateway.config).unwrap();
+    let moved = text.replace(&old_discovery.address.to_string(), &discovery.address.to_string());
+    let moved = moved.replace(&old_counter.address.to_string(), &counter.address.to_string());
+    // One that is written in part changes nothing.
+    std::fs::write(&gateway.config, &moved[..moved.len() / 2]).unwrap();
+    gateway.signal("-HUP");
+    sleep(Duration::from_millis(100));
+    let other = |n: u64| invocation("GET", "read", 2000, "").replace("b4d65521", &format!("{n:08x}"));
+    assert!(gateway.ask(&other(1)).unwrap().ends_with("served"));
+    assert_eq!(old_discovery.seen(), 1, "the old addresses hold");
+    std::fs::write(&gateway.config, &moved).unwrap();
+    gateway.signal("-HUP");
+    until("the list is watched at its new address", || discovery.seen() == 1);
+    until("the old watch ends", || old_discovery.ended.load(Ordering::SeqCst) == 1);
+    assert!(discovery.seen.lock().unwrap()[0].contains("since=1 "), "it goes on from where it was");
+    assert!(gateway.ask(&other(2)).unwrap().ends_with("served"));
+    assert!(counter.seen() > 0, "calls go to the new counter");
+    let before = old_counter.seen();
+    assert!(gateway.ask(&other(3)).unwrap().ends_with("served"));
+    assert_eq!(old_counter.seen(), before, "and none to the old one");
+    until("the old counter's connection is closed", || old_counter.ended.load(Ordering::SeqCst) == 1);
+    assert!(message(&mut out).unwrap().ends_with("served"), "what was out there is still answered");
+    until("the new list's server is used", || gateway.read().ends_with("served") && second.seen() > 0);
+}
+
 #[test]
 fn sigterm_answers_what_is_in_hand_and_what_still_comes() {
     let (server, slow) = (StandIn::server(Mood::Well), StandIn::server(Mood::Silent));
