Turn down at the door what servers turn away: ranges, two lengths, ids in hand

Weights with a set out of range in a usual customer's name opened that customer's books with the wrong number of gateways, and so the wrong share. Change: accounts are 16 digits below 2^33, units end at the settings' largest, sets lie in the fleet, deadlines in 1 to 60,000 ms; a header given twice, an id in hand and any Transfer-Encoding (hyper drops the second length unseen) are turned down, and the connection closes after it. Tests: more cases in malformed_and_oversized_input..., nothing_hides_behind_a_body_with_two_lengths, an_id_in_hand_is_turned_down_and_its_owner_is_answered; each fails on the old text.

--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -1,6 +1,6 @@
-//! What can go wrong, as values that say how far the delivery or call had come. Owns the step from a fault to the
-//! ending that the decisions are told and to the status that a client sees. It must never panic, log,
-//! retry or decide anything.
+//! What can go wrong, as values that say how far the delivery or call had come. Owns the step from a fault
+//! to the ending that the decisions are told and to the status that a client sees. It must never panic,
+//! log, retry or decide anything.
 
 use dunespur::types::Ending;
 use std::fmt;
@@ -11,6 +11,8 @@
     Config(String),
     /// A message that is not of the protocol.
     Malformed(String),
+    /// An id that another invocation in hand has.
+    InHand,
     /// A body over the bound.
     TooLarge,
     /// No connection came up.
@@ -31,7 +33,7 @@
             Fault::NotConnected | Fault::Unwritten | Fault::Config(_) => Ending::ConnectFailed,
             Fault::Silent => Ending::Timeout,
             Fault::Withdrawn => Ending::Cancelled,
-            Fault::Broken | Fault::Malformed(_) | Fault::TooLarge => Ending::Reset,
+            Fault::Broken | Fault::Malformed(_) | Fault::InHand | Fault::TooLarge => Ending::Reset,
         }
     }
 
@@ -39,6 +41,7 @@
         match self {
             Fault::TooLarge => 413,
             Fault::Malformed(_) => 400,
+            Fault::InHand => 409,
             _ => 502,
         }
     }
@@ -49,6 +52,7 @@
         match self {
             Fault::Config(what) => write!(f, "configuration: {what}"),
             Fault::Malformed(what) => write!(f, "malformed: {what}"),
+            Fault::InHand => f.write_str("the id is that of an invocation in hand"),
             Fault::TooLarge => f.write_str("the body is too large"),
             Fault::NotConnected => f.write_str("no connection came up"),
             Fault::Unwritten => f.write_str("the connection broke before the last byte was written"),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,11 +9,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::{pin, Pin};
@@ -38,6 +39,8 @@
 pub struct Front {
     most: usize,
     waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    /// The ids that clients gave to what is in hand.
+    ids: RefCell<HashSet<HeaderValue>>,
     last: Cell<u64>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     open: Cell<bool>,
@@ -50,6 +53,7 @@
         Front {
             most,
             waiting: RefCell::default(),
+            ids: RefCell::default(),
             last: Cell::new(0),
             clients: RefCell::default(),
             open: Cell::new(true),
@@ -176,10 +180,12 @@
 struct InHand<'a> {
     hub: &'a Rc<Hub>,
     num: u64,
+    id: HeaderValue,
 }
 
 impl Drop for InHand<'_> {
     fn drop(&mut self) {
+        self.hub.front.ids.borrow_mut().remove(&self.id);
         let left = self.hub.front.waiting.borrow_mut().remove(&self.num).is_some();
         // After a panic the invocation ends by its own time.
         if left && !std::thread::panicking() {
@@ -247,9 +253,13 @@
             }
         })?;
         let asked = Rc::new(decode_asked(head, body.to_bytes(), &self.hub.names)?);
-        let (num, (tell, told)) = (self.hub.front.next(), oneshot::channel());
+        let (num, (tell, told), id) = (self.hub.front.next(), oneshot::channel(), asked.id().clone());
+        // Guards against a copy of what another client has in hand: to a server it would be a second one.
+        if !self.hub.front.ids.borrow_mut().insert(id.clone()) {
+            return Err(Fault::InHand);
+        }
         self.hub.front.waiting.borrow_mut().insert(num, tell);
-        let _in_hand = InHand { hub: &self.hub, num };
+        let _in_hand = InHand { hub: &self.hub, num, id };
         // Until its last byte was there it was not taken, and its connection could be closed for others.
         self.client.busy.set(true);
         self.hub.tell(Event::Taken { num, asked });
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -6,7 +6,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use dunespur::types::{Counted, Ending, Readiness};
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, COOKIE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, COOKIE, HOST, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::http::{request, response, uri::PathAndQuery};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::Value;
@@ -14,15 +15,23 @@
 
 /// The largest body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
+/// Customers' numbers lie below this, written in so many digits.
+const CUSTOMERS: u64 = 1 << 33;
+const DIGITS: usize = 16;
+/// The longest id, and the longest time that a client may wait, in ms.
+const MOST_ID: usize = 64;
+const MOST_WAIT: u32 = 60_000;
 /// The longest line that discovery or the counter may send.
 const MOST_LINE: usize = 4 * 1024 * 1024;
 pub const READY: &str = "/-/ready";
 
-/// The names that the settings give, in the order of their indices.
+/// The names that the settings give, in the order of their indices, and the bounds of what a client may ask.
 pub struct Names {
     pub plans: Vec<String>,
     pub operations: Vec<String>,
     pub zones: Vec<String>,
+    pub fleet: u32,
+    pub most_units: f64,
 }
 
 /// What a client asks for.
@@ -89,8 +98,13 @@
     Fault::Malformed(what.to_owned())
 }
 
+/// Guards against a name given twice, which two readers may read differently.
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Fault> {
-    let value = headers.get(name).ok_or_else(|| malformed(&format!("{name} is missing")))?;
+    let mut values = headers.get_all(name).iter();
+    let value = values.next().ok_or_else(|| malformed(&format!("{name} is missing")))?;
+    if values.next().is_some() {
+        return Err(malformed(&format!("{name} is given twice")));
+    }
     value.to_str().map_err(|_| malformed(&format!("{name} is no text")))
 }
 
@@ -102,11 +116,14 @@
     let cookies = headers.get_all(COOKIE).iter().filter_map(|c| c.to_str().ok());
     let mut pairs = cookies.flat_map(|c| c.split(';')).map(str::trim);
     let account = pairs.find_map(|p| p.strip_prefix("account=")).ok_or_else(|| malformed("no account"))?;
-    u64::from_str_radix(account, 16).map_err(|_| malformed("the account is no hexadecimal number"))
+    let digits = account.len() == DIGITS && account.bytes().all(|b| b.is_ascii_hexdigit());
+    let number = u64::from_str_radix(account, 16).ok().filter(|n| digits && *n < CUSTOMERS);
+    number.ok_or_else(|| malformed("the account is no customer's number"))
 }
 
-/// `units=2,spread=3,first=1`; keys not known are skipped.
-fn weight(text: &str) -> Result<(f64, u32, u32), Fault> {
+/// `units=2,spread=3,first=1`; keys not known are skipped. Guards against figures out of range in a usual
+/// customer's name, from which its books would be opened.
+fn weight(text: &str, names: &Names) -> Result<(f64, u32, u32), Fault> {
     let (mut units, mut spread, mut first) = (1.0, 1, 0);
     for pair in text.split(',').map(str::trim) {
         let (key, value) = pair.split_once('=').ok_or_else(|| malformed("X-Weight is no list of pairs"))?;
@@ -118,18 +135,27 @@
             _ => {}
         }
     }
-    if !(units > 0.0 && f64::is_finite(units)) {
-        return Err(malformed("units are not over 0"));
+    let most = if names.most_units > 0.0 { names.most_units } else { f64::MAX };
+    if !(units > 0.0 && units <= most && (1..=names.fleet).contains(&spread) && first < names.fleet) {
+        return Err(malformed("X-Weight holds a number out of range"));
     }
     Ok((units, spread, first))
 }
 
 pub fn decode_asked(parts: request::Parts, body: Bytes, names: &Names) -> Result<Asked, Fault> {
     let headers = &parts.headers;
-    header(headers, "x-request-id")?;
-    let millis = header(headers, "x-timeout-ms")?;
-    let millis: u32 = millis.parse().map_err(|_| malformed("X-Timeout-Ms is no whole number"))?;
-    let (units, doors, first_door) = weight(header(headers, "x-weight")?)?;
+    // Guards against a second message hidden behind a body that has two lengths. The decoder keeps one of
+    // them and drops the other unseen, so a body always comes with its length here.
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return Err(malformed("a body needs a Content-Length"));
+    }
+    if !(1..=MOST_ID).contains(&header(headers, "x-request-id")?.len()) {
+        return Err(malformed("X-Request-ID is empty or too long"));
+    }
+    let millis = header(headers, "x-timeout-ms")?.parse().ok();
+    let millis = millis.filter(|ms| (1..=MOST_WAIT).contains(ms));
+    let millis = millis.ok_or_else(|| malformed("X-Timeout-Ms is no whole number in range"))?;
+    let (units, doors, first_door) = weight(header(headers, "x-weight")?, names)?;
     Ok(Asked {
         customer: customer(headers)?,
         plan: index(&names.plans, header(headers, "x-tariff")?, "X-Tariff")?,
@@ -151,6 +177,10 @@
     pub fn body_len(&self) -> usize {
         self.body.len()
     }
+
+    pub fn id(&self) -> &HeaderValue {
+        &self.id
+    }
 }
 
 /// One delivery; the server is told how long its answer is waited for.
@@ -203,7 +233,11 @@
 }
 
 pub fn encode_fault(fault: &Fault) -> Response<Full<Bytes>> {
-    plain(StatusCode::from_u16(fault.status()).unwrap_or(StatusCode::BAD_REQUEST), &format!("{fault}\n"))
+    let status = StatusCode::from_u16(fault.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let mut response = plain(status, &format!("{fault}\n"));
+    // Guards against reading on where the end of what was turned down is in doubt.
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
 }
 
 // ---- Discovery ----
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -341,9 +341,10 @@
     }
 }
 
-/// The names and figures that the settings give to the rest of the gateway.
+/// The names and bounds that the settings give to the rest of the gateway.
 pub fn names(read: &dunespur_settings::Read) -> Names {
-    Names { plans: read.plans.clone(), operations: read.operations.clone(), zones: read.zones.clone() }
+    let (plans, operations, zones) = (read.plans.clone(), read.operations.clone(), read.zones.clone());
+    Names { plans, operations, zones, fleet: read.settings.fleet, most_units: read.most_units }
 }
 
 #[cfg(test)]
@@ -391,6 +392,8 @@
             plans: vec!["p".into()],
             operations: ["0", "1", "2"].map(String::from).into(),
             zones: vec!["a".into()],
+            fleet: 2,
+            most_units: 1.0,
         };
         let request = hyper::Request::get("/api")
             .header("x-request-id", "1")
@@ -398,7 +401,7 @@
             .header("x-tariff", "p")
             .header("x-timeout-ms", "1000")
             .header("x-weight", "units=1,spread=2,first=0")
-            .header("cookie", format!("account={customer:x}"));
+            .header("cookie", format!("account={customer:016x}"));
         let (parts, ()) = request.body(()).unwrap().into_parts();
         Rc::new(decode_asked(parts, Bytes::new(), &names).unwrap())
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -204,7 +204,8 @@
    "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0}],
  "contracts":[{"name":"small","rate":1000,"burst":1000,"beyondCosts":1},
               {"name":"tiny","rate":0.1,"burst":1,"beyondCosts":1}],
- "discovery":"pushed","domain":{"countWaitS":0.01,"sharedCounter":true},"failureDomains":["a"],"fleetSize":1,
+ "discovery":"pushed","domain":{"countWaitS":0.01,"largest":1,"sharedCounter":true},
+ "failureDomains":["a"],"fleetSize":1,
  "limits":{"maxRetryAfterS":0.5,"retryAfter":true,"tryLimit":6,"dialTimeoutS":0.25,"keepaliveS":1.0},
  "rules":{"coldFrom":0.2,"coldS":10,"fallMultiple":4,"answerSlackS":0.016},"slotNo":0,"zone":"a"}"#;
 
@@ -481,6 +482,17 @@
         good.replace("Cookie", "Biscuit"),
         good.replace("units=1", "units=-1"),
         good.replace("units=1", "units=NaN"),
+        good.replace("units=1", "units=9"),
+        good.replace("spread=1", "spread=0"),
+        good.replace("spread=1", "spread=2"),
+        good.replace("first=0", "first=1"),
+        good.replace("account=00000000", "account=00000002"),
+        good.replace("account=00000000", "account=+0000000"),
+        good.replace("account=00000000", "account="),
+        good.replace("Ms: 2000", "Ms: 0"),
+        good.replace("Ms: 2000", "Ms: 60001"),
+        good.replace("X-Weight", "X-Tariff: small\r\nX-Weight"),
+        good.replace("X-Request-ID: 0", "X-Request-ID: \r\nX-Other: 0"),
         good.replace("X-Weight: units=1,spread=1,first=0", "X-Weight: heavy"),
         good.replace("X-Request-ID", "X-Other"),
         good.replace("HTTP/1.1", "HTTP/9"),
@@ -500,6 +512,40 @@
     assert_eq!(server.seen(), 1, "and passed none of them on");
 }
 
+#[test]
+fn nothing_hides_behind_a_body_with_two_lengths() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let hidden = invocation("GET", "read", 2000, "");
+    let body = format!("0\r\n\r\n{hidden}");
+    for lengths in ["Transfer-Encoding: chunked\r\nContent-Length", "Content-Length"] {
+        let text = invocation("POST", "write", 1500, &body).replace("Content-Length", lengths);
+        let after = format!("\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+        let text =
+            if lengths.starts_with('C') { text.replace(&format!("\r\n\r\n{body}"), &after) } else { text };
+        let mut client = gateway.connect().unwrap();
+        client.write_all(text.as_bytes()).unwrap();
+        let mut told = String::new();
+        _ = client.read_to_string(&mut told);
+        assert!(told.starts_with("HTTP/1.1 400 ") && told.matches("HTTP/1.1").count() == 1, "{told}");
+    }
+    assert_eq!(server.seen(), 0, "neither the one nor the other is passed on");
+}
+
+#[test]
+fn an_id_in_hand_is_turned_down_and_its_owner_is_answered() {
+    let server = StandIn::server(Mood::Slow);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let text = invocation("GET", "once", 2000, "");
+    let mut owner = gateway.connect().unwrap();
+    owner.write_all(text.as_bytes()).unwrap();
+    until("it is out", || server.seen() == 1);
+    assert!(gateway.ask(&text).unwrap().starts_with("HTTP/1.1 409 "));
+    assert!(message(&mut owner).unwrap().ends_with("served"));
+    assert_eq!(server.seen(), 1, "the copy was not passed on");
+    assert!(gateway.ask(&text).unwrap().ends_with("served"), "later the id is as good as any");
+}
+
 #[test]
 fn more_clients_than_there_is_room_for_are_served_in_turn() {
     let server = StandIn::server(Mood::Well);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,8 @@
     pub operations: Vec<String>,
     pub zones: Vec<String>,
     pub settles: bool,
+    /// The largest invocation, in units; 0 where no bound is given.
+    pub most_units: f64,
     /// Seconds a connection may take to come up, and may stand idle.
     pub dial_timeout: f64,
     pub idle_time: f64,
@@ -113,6 +115,7 @@
         operations: names_of(v, "classes")?,
         zones,
         settles: domain["settles"].as_bool().unwrap_or(false),
+        most_units: number(domain, "largest")?,
         dial_timeout: number(limits, "dialTimeoutS")?,
         idle_time: number(limits, "keepaliveS")?,
     })
