Cut clients that say nothing or never end a message after two seconds

LINGER, which ends a leaving connection 0.1 s after its answer, also ran while that answer was still being written. Change: the front notes when a message begins (the connection's opening for the first one) and four times a second cuts those that are not whole after 2 s. LINGER counts for half messages alone. A connection between messages is left alone, as before. Test: silence_and_half_messages_are_cut_and_idle_clients_are_not.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -17,6 +18,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::Result as Io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -27,13 +29,59 @@
 /// What a connection that is to close gets to finish writing, or to send the rest of a message.
 const LINGER: Duration = Duration::from_millis(100);
 
+/// Time for a message to come in whole, from the connection's opening or the message's first byte.
+const WHOLE: f64 = 2.0;
+/// How often that is looked after.
+pub const SWEEP: Duration = Duration::from_millis(250);
+
 /// A client's connection.
 struct Client {
     /// It has an invocation in hand.
     busy: Cell<bool>,
     leaving: Cell<bool>,
     idle_since: Cell<f64>,
+    /// Since when a message is awaited that has begun, or the first one; infinite while none is.
+    coming_since: Cell<f64>,
     close: Notify,
+    cut: Notify,
+}
+
+impl Client {
+    /// It has sent half of a message, or nothing yet.
+    fn half(&self) -> bool {
+        !self.busy.get() && self.coming_since.get().is_finite()
+    }
+}
+
+/// What hyper reads and writes; notes when a message begins.
+struct Wire {
+    stream: TokioIo<TcpStream>,
+    hub: Rc<Hub>,
+    client: Rc<Client>,
+}
+
+impl Read for Wire {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: ReadBufCursor) -> Poll<Io<()>> {
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if polled.is_ready() && self.client.coming_since.get().is_infinite() {
+            self.client.coming_since.set(self.hub.clock.now());
+        }
+        polled
+    }
+}
+
+impl Write for Wire {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<Io<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 pub struct Front {
@@ -100,6 +148,14 @@
         }
     }
 
+    /// Guards against clients that say nothing, or begin a message and never end it: they would keep their
+    /// places for good.
+    pub fn sweep(&self, now: f64) {
+        let clients = self.clients.borrow();
+        let late = clients.values().filter(|c| c.half() && now - c.coming_since.get() > WHOLE);
+        late.for_each(|c| c.cut.notify_one());
+    }
+
     pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
         let front = &hub.front;
         loop {
@@ -128,15 +184,16 @@
     }
 
     async fn connection(hub: Rc<Hub>, stream: TcpStream) {
-        let idle_since = Cell::new(hub.clock.now());
-        let (busy, leaving) = (Cell::new(false), Cell::new(false));
-        let client = Rc::new(Client { busy, leaving, idle_since, close: Notify::new() });
+        let (idle_since, coming_since) = (Cell::new(hub.clock.now()), Cell::new(hub.clock.now()));
+        let (busy, leaving, close, cut) = (Cell::new(false), Cell::new(false), Notify::new(), Notify::new());
+        let client = Rc::new(Client { busy, leaving, idle_since, coming_since, close, cut });
         let _place = Place::new(&hub, &client);
         hub.tell(Event::ClientConnected);
         let door = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
         let mut builder = hyper::server::conn::http1::Builder::new();
         builder.auto_date_header(false).max_buf_size(MOST_BODY);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), door));
+        let wire = Wire { stream: TokioIo::new(stream), hub: hub.clone(), client: client.clone() };
+        let mut connection = pin!(builder.serve_connection(wire, door));
         let ended = loop {
             tokio::select! {
                 biased;
@@ -145,8 +202,9 @@
                     client.leaving.set(true);
                     connection.as_mut().graceful_shutdown();
                 }
-                // Guards against clients that send half a message and no more.
-                _ = tokio::time::sleep(LINGER), if client.leaving.get() && !client.busy.get() => break Ok(()),
+                _ = client.cut.notified(), if client.half() => break Ok(()),
+                // An answer that is still being written is let out, a half message is not waited for.
+                _ = tokio::time::sleep(LINGER), if client.leaving.get() && client.half() => break Ok(()),
             }
         };
         if let Err(e) = ended {
@@ -216,6 +274,7 @@
         let door = self.clone();
         Box::pin(async move {
             let response = door.answer(request).await;
+            door.client.coming_since.set(f64::INFINITY);
             door.client.idle_since.set(door.hub.clock.now());
             Ok(response)
         })
@@ -262,6 +321,7 @@
         let _in_hand = InHand { hub: &self.hub, num, id };
         // Until its last byte was there it was not taken, and its connection could be closed for others.
         self.client.busy.set(true);
+        self.client.coming_since.set(f64::INFINITY);
         self.hub.tell(Event::Taken { num, asked });
         let reply = told.await.unwrap_or(Reply::Errored);
         self.client.busy.set(false);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -111,6 +111,7 @@
     keep(&hub, "discovery", discovery::Discovery::run);
     tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
     ::log::info!("{} serves on {}", config.name, config.listen);
+    let mut clients = interval(front::SWEEP);
     let mut sweep = interval((idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1)));
     loop {
         tokio::select! {
@@ -118,6 +119,7 @@
             _ = int.recv() => break,
             _ = hup.recv() => reload(&hub),
             _ = usr1.recv() => ::log::info!("{}", hub.reducer.borrow().stats),
+            _ = clients.tick() => hub.front.sweep(hub.clock.now()),
             _ = sweep.tick() => hub.upstream.sweep(hub.clock.now()),
         }
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -630,6 +630,28 @@
     until("the new list's server is used", || gateway.read().ends_with("served") && second.seen() > 0);
 }
 
+#[test]
+fn silence_and_half_messages_are_cut_and_idle_clients_are_not() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let half = invocation("POST", "write", 1500, &"x".repeat(100));
+    let began = Instant::now();
+    let mut idle = gateway.connect().unwrap();
+    idle.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    assert!(message(&mut idle).unwrap().ends_with("served"));
+    let mut clients: Vec<_> = (0..3).map(|_| gateway.connect().unwrap()).collect();
+    let parts = ["", "GET /api HTTP/1.1\r\nHost:", &half[..half.len() - 50]];
+    clients.iter_mut().zip(parts).for_each(|(c, part)| c.write_all(part.as_bytes()).unwrap());
+    for (client, part) in clients.iter_mut().zip(parts) {
+        let mut told = Vec::new();
+        _ = client.read_to_end(&mut told);
+        assert!(began.elapsed() < Duration::from_millis(2900), "never cut after {part:?}");
+    }
+    assert!(began.elapsed() > Duration::from_millis(1900), "each had its two seconds");
+    idle.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    assert!(message(&mut idle).unwrap().ends_with("served"), "one between messages stays");
+}
+
 #[test]
 fn sigterm_answers_what_is_in_hand_and_what_still_comes() {
     let (server, slow) = (StandIn::server(Mood::Well), StandIn::server(Mood::Silent));
