--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -139,18 +139,12 @@
         (clients.values().filter(|c| c.busy.get()).count(), clients.len())
     }
 
-    /// Makes room for a new connection. Guards against hundreds that say nothing: one that has sent no whole
-    /// message for a while is cut first, then the one that has waited longest for its next invocation closes.
-    fn close_oldest(&self, now: f64) {
+    /// Makes room for a new connection: the one that has waited longest for its next invocation closes.
+    fn close_oldest(&self) {
         let clients = self.clients.borrow();
-        let free = || clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        let half = free().filter(|c| c.half() && now - c.coming_since.get() > LINGER.as_secs_f64());
-        let cut = half.min_by(|a, b| a.coming_since.get().total_cmp(&b.coming_since.get()));
-        let idle = free().filter(|c| !c.half());
-        let idle = idle.min_by(|a, b| a.idle_since.get().total_cmp(&b.idle_since.get()));
-        if let Some(c) = cut.or(idle) {
-            c.leaving.set(true);
-            if c.half() { &c.cut } else { &c.close }.notify_one();
+        let idle = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
+        if let Some(c) = idle.min_by(|a, b| a.idle_since.get().total_cmp(&b.idle_since.get())) {
+            c.close.notify_one();
         }
     }
 
@@ -165,12 +159,8 @@
     pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
         let front = &hub.front;
         loop {
-            // Places are freed before the last is taken: a crowd that comes at once waits for none.
-            let open = front.clients.borrow().len();
-            if open >= front.most - front.most / 8 {
-                front.close_oldest(hub.clock.now());
-            }
-            if open >= front.most {
+            if front.clients.borrow().len() >= front.most {
+                front.close_oldest();
                 // Those that the machine accepts meanwhile wait in its own line.
                 let _ = tokio::time::timeout(Duration::from_millis(10), front.freed.notified()).await;
                 continue;
