--- a/src/rules.rs
+++ b/src/rules.rs
@@ -868,9 +868,8 @@
         // Guards against giving up what is only long: a late answer that was waited for, or one as slow at
         // the next server, tells that time-outs are in vain. Hurts for a few once answers are lost.
         let end = outcome.ending == Ending::Timeout;
-        let last = inv.limit >= inv.until && self.pressure < PRESSED;
         let again = outcome.n > 0 && at - inv.sent[outcome.n - 1].1 > CALM * CALM * objective;
-        if (ok && share > CALM) || (again && (ok || end)) || (end && last) {
+        if (ok && share > CALM) || (again && (ok || end)) || (end && inv.limit >= inv.until) {
             let vain = if ok { share > CALM * CALM } else { again };
             self.vain += NEWEST * (f64::from(u8::from(vain)) - self.vain);
         }
