--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -92,7 +92,7 @@
                     Ok(())
                 }
             }
-            Answer::Throttle { pause } => writeln!(out, "PUSH_BACK {name} {id} {pause:.6}"),
+            Answer::Throttle { pause, .. } => writeln!(out, "PUSH_BACK {name} {id} {pause:.6}"),
             Answer::Error => writeln!(out, "ERROR {name} {id}"),
             Answer::Hold | Answer::Done => Ok(()),
         }?;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -224,8 +224,8 @@
                 held.due = now + wait;
                 self.timers.push(Due(held.due, Timer::Ask(num)));
             }
-            Answer::Throttle { pause } => {
-                self.stats.throttled += 1;
+            Answer::Throttle { pause, cause } => {
+                self.stats.throttled[cause as usize] += 1;
                 out.push(Effect::Reply { num, reply: Reply::Throttled { pause } });
             }
             Answer::Error => {
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -1,7 +1,7 @@
 //! Counters of what the gateway takes in, sends and answers. Owns the figures and the one line that shows
 //! them, printed at exit and on SIGUSR1. Nothing is ever decided by them, and they are never reset.
 
-use dunespur::types::{Counted, Ending};
+use dunespur::types::{Cause, Counted, Ending};
 use std::fmt;
 
 #[derive(Debug, Default)]
@@ -10,7 +10,8 @@
     pub turned_down: u64,
     pub clients_gone: u64,
     pub succeeded: u64,
-    pub throttled: u64,
+    /// By cause.
+    pub throttled: [u64; Cause::ALL.len()],
     pub errored: u64,
     pub deliveries: u64,
     pub endings: [u64; 8],
@@ -44,8 +45,18 @@
         write!(
             f,
             "invocations taken={} turned_down={} client_gone={} succeeded={} throttled={} errored={}; ",
-            self.taken, self.turned_down, self.clients_gone, self.succeeded, self.throttled, self.errored
+            self.taken,
+            self.turned_down,
+            self.clients_gone,
+            self.succeeded,
+            self.throttled.iter().sum::<u64>(),
+            self.errored
         )?;
+        write!(f, "throttled")?;
+        for (cause, name) in Cause::ALL {
+            write!(f, " {name}={}", self.throttled[cause as usize])?;
+        }
+        write!(f, "; ")?;
         write!(
             f,
             "deliveries sent={} succeeded={} error={} full={} timeout={} connect_failed={} reset={} \
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -299,12 +299,12 @@
             account.seen = now;
         }
         if now >= self.give_up(inv) {
-            return self.refuse(inv, self.objective, now);
+            return self.refuse(inv, Cause::Waited, self.objective, now);
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
         let short = self.accounts[a].short;
         if let (false, Some(pause)) = (short, self.over_ceiling(a, inv, now)) {
-            return self.refuse(inv, pause, now);
+            return self.refuse(inv, Cause::Ceiling, pause, now);
         }
         if !inv.paid && !inv.beyond {
             // Admit from the lease while its units cover the invocation; refill it when they do not.
@@ -312,7 +312,7 @@
             let plan = &self.plans[inv.plan];
             // A plan limited by open deliveries gets an even whole part of the limit, at least one.
             if plan.open > 0.0 && account.open >= (plan.open / account.doors).floor().max(1.0) {
-                return self.beyond(inv, self.objective, now);
+                return self.beyond(inv, Cause::Open, self.objective, now);
             }
             if plan.rate > 0.0 {
                 if now >= account.lapses || account.lease + 1e-6 < inv.units {
@@ -325,14 +325,14 @@
                     }
                     let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
                     if account.heard > 0.0 && room < inv.units {
-                        return self.beyond(inv, (inv.units - room) / plan.rate, now);
+                        return self.beyond(inv, Cause::Quota, (inv.units - room) / plan.rate, now);
                     }
                     // A crowded counter is asked first for those who would be throttled without it.
                     let ask = self.counter_open(1.0, now);
                     let closed = short && self.over_ceiling(a, inv, now).is_some();
                     if ask || closed || !self.local_share(a, inv.units, now) {
                         if !ask && !self.counter_open(RATHER, now) {
-                            return self.beyond(inv, self.max_pause, now);
+                            return self.beyond(inv, Cause::Unasked, self.max_pause, now);
                         }
                         self.refill(a, inv.units, now);
                         self.accounts[a].waiting.push(inv.num);
@@ -354,7 +354,7 @@
             let mean = self.fleet_slow * self.operations[inv.operation].objective;
             let clears = ahead as f64 * mean / self.window.max(1.0);
             if clears > LINE * self.operations[inv.operation].objective {
-                return self.refuse(inv, clears, now);
+                return self.refuse(inv, Cause::Line, clears, now);
             }
             if ahead > 0 {
                 return Answer::Hold;
@@ -404,7 +404,7 @@
             return Answer::Hold;
         }
         if inv.may_have_run.is_none() {
-            return self.refuse(inv, self.objective, now);
+            return self.refuse(inv, Cause::Undelivered, self.objective, now);
         }
         self.finish(inv, Answer::Error)
     }
@@ -580,7 +580,7 @@
     }
 
     /// Beyond the quota: throttled at once, unless the plan says that an excess pays and servers idle.
-    fn beyond(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
+    fn beyond(&mut self, inv: &mut Invocation, cause: Cause, pause: f64, now: f64) -> Answer {
         let idle = self.line.is_empty() && self.pressure < PRESSED / 2.0;
         if self.plans[inv.plan].beyond_pays && idle {
             inv.beyond = true;
@@ -588,7 +588,7 @@
                 return self.send(inv, tgt, now);
             }
         }
-        self.refuse(inv, pause, now)
+        self.refuse(inv, cause, pause, now)
     }
 
     // ---- Ceilings ----
@@ -678,7 +678,7 @@
         self.acts.extend(self.line.front().map(|&(_, num)| Act::Ask(num)));
     }
 
-    fn refuse(&mut self, inv: &mut Invocation, pause: f64, now: f64) -> Answer {
+    fn refuse(&mut self, inv: &mut Invocation, cause: Cause, pause: f64, now: f64) -> Answer {
         let unrun = inv.may_have_run.is_none() && inv.out == 0;
         let effect = self.operations[inv.operation].effect;
         let all = matches!(effect, Effect::Idempotent | Effect::Tokened { group: Group::All, .. });
@@ -689,7 +689,7 @@
             let lasts = now < account.lapses && (same || !account.short);
             *(if lasts { &mut account.lease } else { &mut account.share }) += inv.units;
         }
-        let throttle = Answer::Throttle { pause: pause.max(0.0).min(self.max_pause) };
+        let throttle = Answer::Throttle { pause: pause.max(0.0).min(self.max_pause), cause };
         self.finish(inv, if unrun || all { throttle } else { Answer::Error })
     }
 
@@ -798,7 +798,7 @@
         }
         let a = self.account(inv, now);
         if let Some(pause) = self.over_ceiling(a, inv, now) {
-            return self.refuse(inv, pause, now);
+            return self.refuse(inv, Cause::Ceiling, pause, now);
         }
         if !inv.drawn {
             self.accounts[a].hard -= inv.units;
--- a/src/types.rs
+++ b/src/types.rs
@@ -192,6 +192,37 @@
     Silent,
 }
 
+/// Why an invocation is throttled, for those who watch; nothing is decided by it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cause {
+    /// No headroom, as the counter, the meter or this gateway's own share shows it.
+    Quota,
+    /// The counter was not asked, and nothing else spoke for letting it in.
+    Unasked,
+    /// The hard ceiling's part is used up.
+    Ceiling,
+    /// As many deliveries are out as the plan allows.
+    Open,
+    /// The line could not be cleared in time.
+    Line,
+    /// It waited, for the counter or in the line, until nothing could be earned.
+    Waited,
+    /// It was sent and never taken, and nothing further is allowed or can earn.
+    Undelivered,
+}
+
+impl Cause {
+    pub const ALL: [(Cause, &'static str); 7] = [
+        (Cause::Quota, "quota"),
+        (Cause::Unasked, "unasked"),
+        (Cause::Ceiling, "ceiling"),
+        (Cause::Open, "open"),
+        (Cause::Line, "line"),
+        (Cause::Waited, "waited"),
+        (Cause::Undelivered, "undelivered"),
+    ];
+}
+
 /// The answer to a question about one invocation.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
@@ -200,6 +231,7 @@
     Hold,
     Throttle {
         pause: f64,
+        cause: Cause,
     },
     Error,
     /// Nothing is owed.
