Mend a race in the mute-discovery test and put its eight seconds back

Cause: the test made discovery well as soon as one invocation was served; where the first watch had not come by then, it was answered and stood for good, and no second one ever came. Waiting 20 s, as set earlier, mends nothing. Change: the test waits for the first watch before it makes discovery well; the wait is 8 s again.

--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -316,7 +316,7 @@
 fn until(what: &str, holds: impl Fn() -> bool) {
     let began = Instant::now();
     while !holds() {
-        assert!(began.elapsed() < Duration::from_secs(20), "not in time: {what}");
+        assert!(began.elapsed() < Duration::from_secs(8), "not in time: {what}");
         sleep(Duration::from_millis(5));
     }
 }
@@ -501,6 +501,8 @@
     let counter = StandIn::counter(Mood::Well);
     let gateway = Gateway::with(&known, discovery.address, counter.address, 256);
     assert!(gateway.read().ends_with("served"));
+    // Else the first watch may come when discovery is well again, and stands for good.
+    until("the first watch is not answered", || discovery.seen() == 1);
     *discovery.mood.lock().unwrap() = Mood::Well;
     until("another watch is opened", || discovery.seen() == 2);
     assert!(gateway.read().ends_with("served"));
