--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -49,9 +49,9 @@
     pub units: f64,
     pub first_door: u32,
     pub doors: u32,
-    /// Seconds that the client waits for the answer.
     /// The client marks it as a repeat.
     pub repeat: bool,
+    /// Seconds that the client waits for the answer.
     pub wait: f64,
 }
 
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -63,13 +63,12 @@
     /// The counter's answer to one call, after so many seconds.
     pub fn heard(&mut self, counted: Counted, spent: f64, now: f64) {
         let least = self.fee * self.worth;
-        if !matches!(counted, Counted::Total(_)) {
+        if matches!(counted, Counted::Total(_)) {
+            self.ended = if self.failures >= SILENT { now } else { self.ended };
+            self.failures = 0;
+        } else {
             self.since = if self.failures == 0 { now } else { self.since };
             self.failures += 1;
-        } else if self.failures >= SILENT {
-            (self.failures, self.ended) = (0, now);
-        } else {
-            self.failures = 0;
         }
         self.price = if self.failures == 0 && spent < QUICK * self.wait {
             // An answer in time shows that calls of a mean worth are borne, whatever failed before it.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,7 +68,8 @@
     /// without a lease let in unasked.
     had_room: [f64; 2],
     unasked: f64,
-    /// What one invocation earns, and costs beyond the quota, as multiples of its operation's billed value.
+    /// What one invocation earns, as a multiple of its operation's billed value, and the part of that which
+    /// one beyond the quota costs.
     price: f64,
     excess: f64,
     /// How far the local share opens while the counter is silent: the cheaper an excess, the wider.
@@ -121,9 +122,7 @@
         self.debt_at = now;
         (self.debt - earned).max(self.debt.min(0.0))
     }
-}
 
-impl Account {
     /// How likely it has room, by what was heard of it, or of its plan where nothing was.
     fn likely(&self, plan: &Plan, repeat: bool) -> f64 {
         let usual = plan.had_room[usize::from(repeat)];
@@ -200,7 +199,7 @@
     hand: usize,
     calls: HashMap<u64, VecDeque<Call>>,
     /// What calls to the counter are worth and cost, and the mean worth of an invocation.
-    asking: Calls,
+    pricing: Calls,
     /// Billed value of the operation and number of those that wait for a place, the dearest first.
     line: VecDeque<(f64, u64)>,
     pressure: f64,
@@ -241,7 +240,7 @@
                 had_room: [1.0 - CALM * CALM, CALM],
                 unasked: 0.0,
                 price: p.price,
-                excess: p.price * (p.beyond_costs - p.over_worth).max(0.0),
+                excess: (p.beyond_costs - p.over_worth).max(0.0),
                 beyond_pays: p.over_worth > p.beyond_costs,
                 openness: (2.0 - p.beyond_costs).clamp(1.0, 2.0),
             }
@@ -275,7 +274,7 @@
             operations,
             born: now,
             rng: fastrand::Rng::with_seed(s.seed),
-            asking: Calls::new(s.count_wait, s.call_price, worth),
+            pricing: Calls::new(s.count_wait, s.call_price, worth),
             faded_at: now,
             shrunk: now,
             fleet_slow: CALM / 2.0,
@@ -438,7 +437,7 @@
 
     /// One add to the customer's window name, sized to local demand and shrunk near the limit.
     fn refill(&mut self, a: usize, inv: &Invocation, now: f64) {
-        let (units, repeat) = (inv.units, inv.repeat);
+        let units = inv.units;
         let account = &mut self.accounts[a];
         let plan = &mut self.plans[account.plan];
         let window = ((now + phase(account.customer, account.length)) / account.length).floor() as i64;
@@ -469,7 +468,7 @@
             others,
             back,
             window,
-            repeat,
+            repeat: inv.repeat,
         });
     }
 
@@ -487,7 +486,7 @@
             self.calls.remove(&name);
         }
         let a = call.account;
-        self.asking.heard(counted, spent, now);
+        self.pricing.heard(counted, spent, now);
         let account = &mut self.accounts[a];
         let plan = &mut self.plans[account.plan];
         let Counted::Total(total) = counted else {
@@ -514,10 +513,10 @@
         }
         let start = window_start(account.customer, call.window, account.length);
         let ends = start + account.length;
-        // A short window holds what was leased in it, and half a burst is the most that it may be.
+        // A short window holds what was leased in it.
         let (line, most) = match account.short {
             // One that lately filled a window, or used turns, gets no more than its rate gives in one.
-            true if now - account.full_at.max(self.asking.silent_until()) < HOLD * plan.span => {
+            true if now - account.full_at.max(self.pricing.silent_until()) < HOLD * plan.span => {
                 (0.0, plan.rate * account.length)
             }
             true => (0.0, plan.hard.window(account.doors).0),
@@ -590,30 +589,34 @@
         let operation = &self.operations[inv.operation];
         let left = inv.until.min(inv.came + operation.objective) - now;
         let mean = (self.fleet_slow * operation.objective).max(1e-9);
-        operation.value * self.plans[inv.plan].price * inv.units * (1.0 - (-left.max(0.0) / mean).exp())
+        self.worth(inv) * (1.0 - (-left.max(0.0) / mean).exp())
+    }
+
+    fn worth(&self, inv: &Invocation) -> f64 {
+        self.operations[inv.operation].value * self.plans[inv.plan].price * inv.units
     }
 
     /// What a wrong guess about this invocation costs on average. Takes the mean worth on the way.
     fn stake(&mut self, a: usize, inv: &Invocation, blind: bool, now: f64) -> f64 {
+        let worth = self.worth(inv);
+        self.pricing.seen(worth);
         let (account, plan) = (&self.accounts[a], &self.plans[inv.plan]);
-        let value = self.operations[inv.operation].value * inv.units;
-        self.asking.seen(value * plan.price);
         // What was heard gives way to what is usual over a span: else one without room is never asked again.
         let (likely, usual) = (account.likely(plan, inv.repeat), plan.had_room[usize::from(inv.repeat)]);
         let likely = (usual + (likely - usual) * (-(now - account.heard) / plan.span).exp()).min(SURE);
         // A lease that serves many is worth more than one that serves one, as near the limit of a long set.
         let few = if account.demand * account.doors > plan.burst { 0.0 } else { account.demand };
         let serves = (few / inv.units.max(1e-9)).max(1.0);
-        value * serves * if blind { (1.0 - likely) * plan.excess } else { likely * plan.price }
+        worth * serves * if blind { (1.0 - likely) * plan.excess } else { likely }
     }
 
     fn counter_open(&mut self, stake: f64, now: f64) -> bool {
-        self.counter && self.asking.open(stake, self.rng.f64(), now)
+        self.counter && self.pricing.open(stake, self.rng.f64(), now)
     }
 
     /// Without the counter each limiter admits its share of the quota, opened as far as the plan's price of
-    /// an excess allows. Guards against sets so long that no share covers one invocation: unless the
-    /// counter last left no room, one is let in for each span. What it lets in is owed to the counter.
+    /// an excess allows. Guards against sets so long that no share covers one invocation: where it earns
+    /// more than it risks, one is let in for each span. What it lets in is owed to the counter.
     fn local_share(&mut self, a: usize, inv: &Invocation, now: f64) -> bool {
         let (units, value) = (inv.units, self.value(inv, now));
         let account = &mut self.accounts[a];
@@ -626,8 +629,8 @@
             let room = plan.burst - (account.backlog - plan.rate * (now - account.heard)).max(0.0);
             let likely = account.likely(plan, inv.repeat);
             // Where places are short, one let in costs what it keeps out.
-            let gains = value * (likely - (1.0 - likely) * plan.excess / plan.price);
-            let blind = gains > self.crowd * self.asking.worth();
+            let gains = value * (likely - (1.0 - likely) * plan.excess);
+            let blind = gains > self.crowd * self.pricing.worth();
             let floor = if blind { units.min(room) } else { 0.0 };
             account.share = (room * part).max(floor);
         } else {
@@ -675,7 +678,7 @@
             let rank = (self.slot + self.fleet - inv.first_door % self.fleet) % self.fleet;
             let apart = phase(account.customer, account.doors / plan.hard.rate);
             let turn = plan.hard.turn(account.doors, f64::from(rank), apart, now);
-            let since = self.asking.silent_since().unwrap_or(now);
+            let since = self.pricing.silent_since().unwrap_or(now);
             account.turn = turn.filter(|turn| *turn > since.max(account.spent));
             return (account.turn.is_none() || inv.units > 1.0).then_some(self.max_pause);
         }
