--- /dev/null
+++ b/crates/lab/src/check.rs
@@ -0,0 +1,283 @@
+//! The checkers. They know nothing of the machines under trial, only the history and what the trial asked.
+
+use crate::history::Line;
+use crate::trial::Trial;
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+use std::collections::BTreeMap;
+
+/// A number that never runs back: reading it gives what it stands at, or more.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Growing(u64);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Look;
+
+impl SequentialSpec for Growing {
+    type Op = Look;
+    type Ret = u64;
+
+    fn invoke(&mut self, _: &Look) -> u64 {
+        self.0
+    }
+
+    fn is_valid_step(&mut self, _: &Look, ret: &u64) -> bool {
+        let valid = *ret >= self.0;
+        self.0 = self.0.max(*ret);
+        valid
+    }
+}
+
+/// Asks that are put to the tester at once: its search grows with their number.
+const AT_ONCE: usize = 24;
+
+/// What was broken, a sentence each, at the most this many of a kind.
+const MOST: usize = 5;
+
+struct Broken(BTreeMap<&'static str, Vec<String>>);
+
+impl Broken {
+    fn add(&mut self, kind: &'static str, what: impl FnOnce() -> String) {
+        let of = self.0.entry(kind).or_default();
+        if of.len() < MOST {
+            of.push(format!("{kind}: {}", what()));
+        }
+    }
+}
+
+/// Time without a holder, for one slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gap {
+    pub slot: u32,
+    pub from: f64,
+    pub to: f64,
+}
+
+/// The times at which no living limiter held a slot, from the first holder on.
+pub fn gaps(trial: &Trial, lines: &[Line]) -> Vec<Gap> {
+    let slots = trial.duties().slots() as usize;
+    // Who holds each slot now, and since when nobody does.
+    let mut holder: Vec<Option<(String, u64)>> = vec![None; slots];
+    let mut empty: Vec<f64> = vec![0.0; slots];
+    let mut gaps = Vec::new();
+    for line in lines {
+        match line {
+            Line::Began { t, who, run, slot, .. } => {
+                let s = *slot as usize;
+                if holder[s].is_none() {
+                    gaps.push(Gap { slot: *slot, from: empty[s], to: *t });
+                }
+                holder[s] = Some((who.clone(), *run));
+            }
+            Line::Ended { t, who, run, slot, until, .. } => {
+                let s = *slot as usize;
+                if holder[s].as_ref().is_some_and(|h| h.0 == *who && h.1 == *run) {
+                    holder[s] = None;
+                    empty[s] = t.min(*until);
+                }
+            }
+            Line::Died { t, who, run } => {
+                for s in 0..slots {
+                    if holder[s].as_ref().is_some_and(|h| h.0 == *who && h.1 == *run) {
+                        holder[s] = None;
+                        empty[s] = *t;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    for s in 0..slots {
+        if holder[s].is_none() {
+            gaps.push(Gap { slot: s as u32, from: empty[s], to: f64::INFINITY });
+        }
+    }
+    gaps
+}
+
+/// A handover between living limiters may leave a slot this long with nobody; well beyond what is seen.
+const HANDOVER: f64 = 1.0;
+
+/// All that the trial broke.
+pub fn check(trial: &Trial, lines: &[Line]) -> Vec<String> {
+    let mut broken = Broken(BTreeMap::new());
+    let duties = trial.duties();
+    let name = |slot: u32| {
+        let (duty, shard, _) = duties.slot(slot);
+        format!("{duty} {shard}")
+    };
+
+    // Tokens at each receiver never run back.
+    let mut seen: BTreeMap<(&str, u32), u64> = BTreeMap::new();
+    // A token belongs to one holder.
+    let mut owner: BTreeMap<(u32, u64), (&str, u64)> = BTreeMap::new();
+    let mut top: BTreeMap<u32, u64> = BTreeMap::new();
+    // Who holds now: the token, and whose it is.
+    let mut holds: BTreeMap<u32, BTreeMap<(&str, u64), f64>> = BTreeMap::new();
+    for line in lines {
+        match line {
+            Line::Accepted { t, at, who, slot, token } => {
+                let last = seen.entry((at, *slot)).or_insert(0);
+                if token < last {
+                    let last = *last;
+                    broken.add("token", || {
+                        format!("{at} took {} under {token} from {who} at {t:.3}, after {last}", name(*slot))
+                    });
+                }
+                *last = (*last).max(*token);
+            }
+            Line::Began { t, who, run, slot, token } => {
+                if owner.insert((*slot, *token), (who, *run)).is_some_and(|o| o != (who.as_str(), *run)) {
+                    broken.add("owner", || {
+                        format!("token {token} of {} has two holders at {t:.3}", name(*slot))
+                    });
+                }
+                let greatest = top.entry(*slot).or_insert(0);
+                if *token < *greatest {
+                    broken.add("order", || {
+                        format!("{who} began {} under an old {token} at {t:.3}", name(*slot))
+                    });
+                }
+                *greatest = (*greatest).max(*token);
+                let of = holds.entry(*slot).or_default();
+                of.insert((who, *run), *t);
+            }
+            Line::Ended { t, who, run, slot, until, token } => {
+                let of = holds.entry(*slot).or_default();
+                of.remove(&(who.as_str(), *run));
+                // Whoever began meanwhile under a greater token did so while this one might still act.
+                let end = t.min(*until);
+                if let Some(((other, _), began)) = of.iter().find(|(_, began)| **began < end) {
+                    if top.get(slot).is_some_and(|g| g > token) {
+                        broken.add("alone", || {
+                            format!("{who} held {} until {end:.3}, {other} from {began:.3}", name(*slot))
+                        });
+                    }
+                }
+            }
+            Line::Died { who, run, .. } => {
+                holds.values_mut().for_each(|of| {
+                    of.remove(&(who.as_str(), *run));
+                });
+            }
+            _ => {}
+        }
+    }
+    for (slot, of) in holds.iter().filter(|(_, of)| of.len() > 1) {
+        broken.add("alone", || {
+            format!("{} is held by {:?} at the end", name(*slot), of.keys().collect::<Vec<_>>())
+        });
+    }
+
+    // Every duty is held again in time.
+    let calm = trial.calm_from() + trial.settle;
+    for gap in gaps(trial, lines).into_iter().filter(|g| g.to > calm) {
+        if gap.from < calm || gap.to - gap.from > HANDOVER {
+            let (from, to) = (gap.from, gap.to);
+            broken.add("held", || format!("nobody held {} from {from:.3} to {to:.3}", name(gap.slot)));
+        }
+    }
+
+    // The log as asks see it never runs back.
+    let mut told: Vec<(f64, f64, u64)> = lines
+        .iter()
+        .filter_map(|l| match l {
+            Line::Told { asked, t, index, .. } => Some((*asked, *t, *index)),
+            _ => None,
+        })
+        .collect();
+    told.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for some in told.chunks(AT_ONCE) {
+        if !linear(some) {
+            broken.add("log", || {
+                format!("asks between {:.3} and {:.3} see it run back", some[0].0, some[some.len() - 1].1)
+            });
+        }
+    }
+
+    // Invocations: one final answer each.
+    for line in lines {
+        if let Line::Answer { sent, answers, status, in_time, .. } = line {
+            if *answers != 1 {
+                broken.add("answer", || {
+                    format!("the invocation sent at {sent:.3} got {answers} answers ({status})")
+                });
+            } else if !in_time {
+                broken.add("late", || format!("the invocation sent at {sent:.3} got its answer too late"));
+            }
+        }
+    }
+    broken.0.into_values().flatten().collect()
+}
+
+/// Whether there is one order of these asks that fits their times and what they saw.
+pub fn linear(asks: &[(f64, f64, u64)]) -> bool {
+    let mut tester = LinearizabilityTester::new(Growing(0));
+    let mut points: Vec<(f64, bool, usize)> = Vec::new();
+    for (n, (asked, t, _)) in asks.iter().enumerate() {
+        points.push((*asked, false, n));
+        points.push((*t, true, n));
+    }
+    // At one moment asks come before answers: that only widens what is allowed.
+    points.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    for (_, back, n) in points {
+        let done =
+            if back { tester.on_return(n, asks[n].2).is_ok() } else { tester.on_invoke(n, Look).is_ok() };
+        if !done {
+            return false;
+        }
+    }
+    tester.serialized_history().is_some()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn trial() -> Trial {
+        Trial::parse("name = \"t\"\nseconds = 60.0\n[fleet]\nlimiters = 3\nduties = [{ name = \"audit\" }]\n")
+            .unwrap()
+    }
+
+    fn began(t: f64, who: &str, token: u64) -> Line {
+        Line::Began { t, who: who.into(), run: 1, slot: 0, token }
+    }
+
+    fn ended(t: f64, who: &str, token: u64, until: f64) -> Line {
+        Line::Ended { t, who: who.into(), run: 1, slot: 0, token, until }
+    }
+
+    fn accepted(t: f64, token: u64) -> Line {
+        Line::Accepted { t, at: "r".into(), who: "x".into(), slot: 0, token }
+    }
+
+    #[test]
+    fn each_checker_finds_what_it_is_for() {
+        let t = trial();
+        let good = vec![began(1.0, "a", 5), accepted(2.0, 5), ended(4.0, "a", 5, 6.0), began(4.2, "b", 9)];
+        assert_eq!(check(&t, &good), Vec::<String>::new());
+        let kinds = |lines: &[Line]| -> Vec<String> {
+            check(&t, lines).iter().map(|b| b.split(':').next().unwrap().to_owned()).collect()
+        };
+        let mut old = good.clone();
+        old.extend([accepted(5.0, 9), accepted(5.1, 5)]);
+        assert_eq!(kinds(&old), ["token"]);
+        assert_eq!(kinds(&[began(1.0, "a", 5), began(2.0, "b", 9), ended(3.0, "a", 5, 9.0)]), ["alone"]);
+        assert_eq!(kinds(&[began(1.0, "a", 5), began(2.0, "b", 9), ended(9.0, "a", 5, 1.9)]), [""; 0]);
+        assert_eq!(kinds(&[began(1.0, "a", 5), began(2.0, "b", 9)]), ["alone"]);
+        assert_eq!(kinds(&[began(1.0, "a", 5), ended(20.0, "a", 5, 21.0)]), ["held"]);
+        assert_eq!(kinds(&[]), ["held"]);
+        let told = |asked, t, index| Line::Told { asked, t, who: "a".into(), index };
+        let mut back = good.clone();
+        back.extend([told(1.0, 2.0, 8), told(3.0, 4.0, 7)]);
+        assert_eq!(kinds(&back), ["log"]);
+        let mut twice = good.clone();
+        twice.push(Line::Answer { sent: 1.0, t: 1.1, status: 200, answers: 2, in_time: true });
+        assert_eq!(kinds(&twice), ["answer"]);
+    }
+
+    #[test]
+    fn asks_that_overlap_may_see_the_log_in_any_order() {
+        assert!(linear(&[(0.0, 5.0, 9), (1.0, 2.0, 3), (3.0, 4.0, 5)]));
+        assert!(!linear(&[(0.0, 1.0, 9), (1.5, 2.0, 3)]));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/history.rs
@@ -0,0 +1,80 @@
+//! What was seen in a trial, a line each. Times are seconds from its start on one true clock.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "line", rename_all = "snake_case")]
+pub enum Line {
+    Began {
+        t: f64,
+        who: String,
+        run: u64,
+        slot: u32,
+        token: u64,
+    },
+    /// It holds no more; had it not noticed, its lease had held until `until`.
+    Ended {
+        t: f64,
+        who: String,
+        run: u64,
+        slot: u32,
+        token: u64,
+        until: f64,
+    },
+    Died {
+        t: f64,
+        who: String,
+        run: u64,
+    },
+    Started {
+        t: f64,
+        who: String,
+        run: u64,
+    },
+    /// A receiver carried out an effect of a duty, or refused it for its token.
+    Accepted {
+        t: f64,
+        at: String,
+        who: String,
+        slot: u32,
+        token: u64,
+    },
+    Refused {
+        t: f64,
+        at: String,
+        who: String,
+        slot: u32,
+        token: u64,
+    },
+    /// A leader's answer to an ask, with how far its log was applied.
+    Told {
+        asked: f64,
+        t: f64,
+        who: String,
+        index: u64,
+    },
+    Fault {
+        t: f64,
+        what: String,
+        on: bool,
+    },
+    Report {
+        t: f64,
+        who: String,
+        loud: bool,
+        text: String,
+    },
+    /// An invocation and its answer as its client saw it; `sent` is when it went out.
+    Answer {
+        sent: f64,
+        t: f64,
+        status: u16,
+        answers: u32,
+        in_time: bool,
+    },
+    Counted {
+        t: f64,
+        what: String,
+        value: f64,
+    },
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,120 @@
+//! `dunespur-lab`: plays trials of a fleet and says whether its promises held.
+
+mod check;
+mod history;
+mod measure;
+mod trial;
+mod world;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "dunespur-lab", version, about = "Trials of a fleet of limiters, with faults between them")]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Kind {
+    /// Real gateway processes on loopback.
+    Processes,
+    /// The same state machines under one seed.
+    Simulated,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play one trial; exit code 0 if all held, 1 if something broke, 2 for a file that can't be used.
+    Trial {
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "simulated")]
+        world: Kind,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where the history goes, a JSON line each; `-` is standard output.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+    /// Play trials with faults drawn by seed in the simulated world, on all cores.
+    Sweep {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 200)]
+        count: u64,
+        /// Faults in each.
+        #[arg(long, default_value_t = 5)]
+        faults: usize,
+        /// Where trials that broke are written.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// Measure a simulated fleet: detection, false suspicions, bytes, time until all duties are held.
+    Measure {
+        #[arg(long, value_delimiter = ',', default_value = "30,100,300,1000")]
+        limiters: Vec<usize>,
+        #[arg(long, value_delimiter = ',', default_value = "0,0.01,0.05")]
+        loss: Vec<f64>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+    },
+}
+
+fn unusable(what: &str) -> ExitCode {
+    eprintln!("dunespur-lab: {what}");
+    ExitCode::from(2)
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().json().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO).init();
+    match Args::parse().command {
+        Command::Trial { file, world, seed, json } => {
+            let text = match std::fs::read_to_string(&file) {
+                Ok(text) => text,
+                Err(e) => return unusable(&format!("{}: {e}", file.display())),
+            };
+            let trial = match trial::Trial::parse(&text) {
+                Ok(trial) => trial,
+                Err(e) => return unusable(&format!("{}: {e}", file.display())),
+            };
+            let mut to: Option<Box<dyn Write>> = match &json {
+                None => None,
+                Some(p) if p.as_os_str() == "-" => Some(Box::new(std::io::stdout().lock())),
+                Some(p) => match std::fs::File::create(p) {
+                    Ok(f) => Some(Box::new(std::io::BufWriter::new(f))),
+                    Err(e) => return unusable(&format!("{}: {e}", p.display())),
+                },
+            };
+            let lines = match world {
+                Kind::Simulated => {
+                    let mut w = world::World::new(&trial, seed);
+                    w.run();
+                    w.lines
+                }
+                Kind::Processes => return unusable("the world of processes is not built yet"),
+            };
+            let broken = check::check(&trial, &lines);
+            if let Some(to) = &mut to {
+                for line in &lines {
+                    let _ = serde_json::to_writer(&mut *to, line);
+                    let _ = to.write_all(b"\n");
+                }
+                let verdict = if broken.is_empty() { "held" } else { "broken" };
+                let last = serde_json::json!({
+                    "line": "verdict", "verdict": verdict, "trial": trial.name, "seed": seed, "broken": broken,
+                });
+                let _ = writeln!(to, "{last}");
+                let _ = to.flush();
+            }
+            broken.iter().for_each(|b| eprintln!("{b}"));
+            ExitCode::from(u8::from(!broken.is_empty()))
+        }
+        Command::Sweep { seed, count, faults, keep } => measure::sweep(seed, count, faults, keep),
+        Command::Measure { limiters, loss, seed, seconds } => measure::fleet(&limiters, &loss, seed, seconds),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,249 @@
+//! Sweeps over trials drawn by seed, and measurements of simulated fleets. Nothing here decides anything.
+
+use crate::check::{check, gaps};
+use crate::history::Line;
+use crate::trial::{Disk, Fault, Fleet, Kind, Load, Net, Trial, Way};
+use crate::world::World;
+use dunespur_duties::Duty;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Draws a trial: a small fleet and this many faults of every kind, many at once.
+pub fn draw(seed: u64, faults: usize) -> Trial {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let voters = if rng.random_bool(0.7) { 3 } else { 5 };
+    let limiters = rng.random_range(voters..voters + 6);
+    let duty = |name: &str, shards, by_zone| Duty { name: name.into(), shards, by_zone };
+    let stall = if rng.random_bool(0.3) { 4.0 } else { 0.0 };
+    let fleet = Fleet {
+        limiters,
+        voters,
+        stall,
+        duties: vec![
+            duty("watch", 1, true),
+            duty("probe", 3, false),
+            duty("audit", rng.random_range(1..8), false),
+        ],
+        ..Fleet::default()
+    };
+    let mut trial = Trial {
+        name: format!("drawn-{seed}"),
+        seconds: 0.0,
+        settle: 16.0,
+        net: Net { lose: [0.0, 0.0, 0.01, 0.05][rng.random_range(0..4)], ..Net::default() },
+        load: Load::default(),
+        fleet,
+        faults: Vec::new(),
+    };
+    let mut spoilt = false;
+    for _ in 0..faults {
+        use Kind::*;
+        let kinds = [
+            Kill, Kill, Stall, Stall, Term, Twin, Cut, Cut, Cut, Lose, Delay, Reorder, Double, Slow,
+            SlowDisk, Idle,
+        ];
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let mut target = match rng.random_range(0..8) {
+            0 | 1 => "leader".into(),
+            2 => format!("holder:audit:0"),
+            3 => format!("holder:watch:{}", rng.random_range(0..3)),
+            4 => format!("voter:{}", rng.random_range(0..voters)),
+            5 => format!("zone:{}", ["a", "b", "c"][rng.random_range(0..3)]),
+            6 => format!("limiter:{}", rng.random_range(0..limiters)),
+            _ => ["half", "voters", "all"][rng.random_range(0..3)].to_owned(),
+        };
+        if kind == Twin && !target.starts_with("holder") {
+            target = format!("limiter:{}", rng.random_range(0..limiters));
+        }
+        let peers = [None, Some("voters"), Some("leader"), Some("half"), Some("receivers"), Some("voter:0")];
+        let link = matches!(kind, Cut | Lose | Delay | Reorder | Double);
+        let peer = peers[if link { rng.random_range(0..peers.len()) } else { 0 }].map(str::to_owned);
+        let amount = match kind {
+            Lose => rng.random_range(0.05..0.6),
+            Delay => rng.random_range(0.01..1.5),
+            Reorder => rng.random_range(0.05..2.5),
+            Slow => rng.random_range(0.001..0.05),
+            SlowDisk => rng.random_range(0.1..2.0),
+            _ => 0.0,
+        };
+        let mut disk = Disk::Kept;
+        if kind == Kill
+            && !spoilt
+            && target != "all"
+            && target != "voters"
+            && target != "half"
+            && rng.random_bool(0.4)
+        {
+            // One voter's disk in a trial: with a majority's disks gone nothing can come back by itself.
+            target = format!("voter:{}", rng.random_range(0..voters));
+            disk = if rng.random_bool(0.5) { Disk::Lost } else { Disk::Older };
+            spoilt = true;
+        }
+        trial.faults.push(Fault {
+            kind,
+            at: rng.random_range(3.0..16.0),
+            length: rng.random_range(0.3..7.0),
+            target,
+            peer,
+            way: [Way::Both, Way::Both, Way::From, Way::To][rng.random_range(0..4)],
+            amount,
+            disk,
+            older: rng.random_range(0.5..4.0),
+            every: if link && rng.random_bool(0.2) { 0.7 } else { 0.0 },
+        });
+    }
+    trial.seconds = trial.calm_from() + trial.settle + 3.0;
+    trial
+}
+
+/// Plays drawn trials on all cores; says what broke and keeps those trials.
+pub fn sweep(seed: u64, count: u64, faults: usize, keep: Option<PathBuf>) -> ExitCode {
+    if let Some(dir) = &keep {
+        if let Err(e) = std::fs::create_dir_all(dir) {
+            eprintln!("dunespur-lab: {}: {e}", dir.display());
+            return ExitCode::from(2);
+        }
+    }
+    let next = AtomicU64::new(0);
+    let broken = Mutex::new(Vec::new());
+    let (events, took) = (AtomicU64::new(0), AtomicU64::new(0));
+    let start = Instant::now();
+    let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let n = next.fetch_add(1, Ordering::Relaxed);
+                if n >= count {
+                    break;
+                }
+                let of = seed.wrapping_mul(1_000_003).wrapping_add(n);
+                let trial = draw(of, faults);
+                if let Err(e) = trial.check() {
+                    broken
+                        .lock()
+                        .unwrap_or_else(|p| p.into_inner())
+                        .push((of, vec![format!("drawn badly: {e}")]));
+                    continue;
+                }
+                let played = std::panic::catch_unwind(|| {
+                    let mut w = World::new(&trial, of);
+                    w.run();
+                    let accepted = w.lines.iter().filter(|l| matches!(l, Line::Accepted { .. })).count();
+                    (check(&trial, &w.lines), w.tally.events, accepted as u64)
+                });
+                let what = match played {
+                    Ok((what, e, a)) => {
+                        events.fetch_add(e, Ordering::Relaxed);
+                        took.fetch_add(a, Ordering::Relaxed);
+                        what
+                    }
+                    Err(_) => vec!["panic".into()],
+                };
+                if !what.is_empty() {
+                    if let Some(dir) = &keep {
+                        let text = toml::to_string(&trial).unwrap_or_default();
+                        let _ = std::fs::write(dir.join(format!("drawn-{of}.toml")), text);
+                    }
+                    broken.lock().unwrap_or_else(|p| p.into_inner()).push((of, what));
+                }
+                if n % 1000 == 999 {
+                    let broken = broken.lock().map_or(0, |b| b.len());
+                    tracing::info!(played = n + 1, broken, seconds = start.elapsed().as_secs_f64());
+                }
+            });
+        }
+    });
+    let mut broken = broken.into_inner().unwrap_or_else(|p| p.into_inner());
+    broken.sort();
+    for (of, what) in &broken {
+        what.iter().for_each(|w| println!("{of}: {w}"));
+    }
+    let verdict = if broken.is_empty() { "held" } else { "broken" };
+    let last = serde_json::json!({
+        "line": "verdict", "verdict": verdict, "trials": count, "broken": broken.len(), "faults_each": faults,
+        "events": events.into_inner(), "effects_accepted": took.into_inner(),
+        "seconds": (start.elapsed().as_secs_f64() * 10.0).round() / 10.0,
+    });
+    println!("{last}");
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
+fn percentile(of: &mut [f64], share: f64) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(((of.len() as f64 * share) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+}
+
+/// One fleet for each size and loss: starts within a second, then loses one limiter.
+pub fn fleet(limiters: &[usize], loss: &[f64], seed: u64, seconds: f64) -> ExitCode {
+    let ranges =
+        limiters.iter().all(|n| (3..=1000).contains(n)) && loss.iter().all(|l| (0.0..1.0).contains(l));
+    if !ranges || !(20.0..=3600.0).contains(&seconds) {
+        eprintln!("dunespur-lab: give 3 to 1000 limiters, a loss from 0 to under 1, and 20 to 3600 seconds");
+        return ExitCode::from(2);
+    }
+    for &n in limiters {
+        for &lose in loss {
+            let duty = |name: &str, shards, by_zone| Duty { name: name.into(), shards, by_zone };
+            let trial = Trial {
+                name: "measure".into(),
+                seconds,
+                settle: 5.0,
+                fleet: Fleet {
+                    limiters: n,
+                    voters: 5.min(n),
+                    duties: vec![duty("watch", 1, true), duty("probe", 64, false), duty("audit", 64, false)],
+                    ..Fleet::default()
+                },
+                net: Net { lose, ..Net::default() },
+                load: Load { effects: 0.5, ..Load::default() },
+                faults: vec![Fault {
+                    kind: Kind::Kill,
+                    at: seconds / 2.0,
+                    length: seconds / 2.0 - 6.0,
+                    target: format!("limiter:{}", n - 1),
+                    peer: None,
+                    way: Way::Both,
+                    amount: 0.0,
+                    disk: Disk::Kept,
+                    older: 0.0,
+                    every: 0.0,
+                }],
+            };
+            if let Err(e) = trial.check() {
+                eprintln!("dunespur-lab: {e}");
+                return ExitCode::from(2);
+            }
+            let mut w = World::new(&trial, seed);
+            w.measuring = true;
+            w.run();
+            let dead = trial.limiter(n - 1);
+            let mut heard: Vec<f64> =
+                w.tally.downs.iter().filter(|d| d.0 == dead).map(|d| d.2 - seconds / 2.0).collect();
+            let known = heard.len();
+            let p99 = if known * 100 >= (n - 1) * 99 { percentile(&mut heard, 0.99) } else { f64::NAN };
+            let gaps = gaps(&trial, &w.lines);
+            let all_held = gaps.iter().filter(|g| g.from == 0.0).map(|g| g.to).fold(0.0, f64::max);
+            let each = (n as f64 * seconds).recip();
+            let round = |v: f64| (v * 1000.0).round() / 1000.0;
+            let row = serde_json::json!({
+                "limiters": n, "loss": lose, "seconds": seconds, "seed": seed,
+                "all_held_after_s": round(all_held),
+                "dead_known_to_99_in_s": if p99.is_nan() { serde_json::Value::Null } else { round(p99).into() },
+                "known_to": known,
+                "false_downs_per_limiter_hour": round(w.tally.false_downs as f64 * each * 3600.0),
+                "gossip_messages_per_limiter_s": round(w.tally.gossip_messages as f64 * each),
+                "gossip_bytes_per_limiter_s": round(w.tally.gossip_bytes as f64 * each),
+                "duty_messages_per_limiter_s": round(w.tally.messages as f64 * each),
+                "duty_bytes_per_limiter_s": round(w.tally.bytes as f64 * each),
+                "events": w.tally.events,
+            });
+            println!("{row}");
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/lab/src/trial.rs
@@ -0,0 +1,297 @@
+//! A trial's file, the same for both worlds: the fleet, its duties, the network, and faults with their time,
+//! length and target. Reads and checks it; a file that can't be used gets one line that names place and
+//! remedy. docs/trials.md is its page.
+
+use dunespur_duties::{Duty, Settings as Duties};
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trial {
+    pub name: String,
+    /// How long it is played, in seconds.
+    pub seconds: f64,
+    /// After the last fault all must be well within so many seconds.
+    #[serde(default = "ten")]
+    pub settle: f64,
+    #[serde(default)]
+    pub fleet: Fleet,
+    #[serde(default)]
+    pub net: Net,
+    #[serde(default)]
+    pub load: Load,
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+}
+
+fn ten() -> f64 {
+    10.0
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    pub limiters: usize,
+    pub voters: usize,
+    pub zones: Vec<String>,
+    pub lease: f64,
+    pub renew: f64,
+    pub drift: f64,
+    pub stall: f64,
+    pub tick: f64,
+    pub duties: Vec<Duty>,
+    /// How far the clocks of the simulated machines run apart, as a share; under `drift` they keep to it.
+    pub skew: f64,
+    /// Receivers that are no limiters, as servers and the counter are.
+    pub receivers: usize,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        let duty = |name: &str, shards, by_zone| Duty { name: name.into(), shards, by_zone };
+        Fleet {
+            limiters: 5,
+            voters: 3,
+            zones: vec!["a".into(), "b".into(), "c".into()],
+            lease: 2.0,
+            renew: 0.5,
+            drift: 0.01,
+            stall: 0.0,
+            tick: 0.05,
+            duties: vec![duty("watch", 1, true), duty("probe", 2, false), duty("audit", 2, false)],
+            skew: 0.005,
+            receivers: 2,
+        }
+    }
+}
+
+/// The network without faults. Seconds and shares.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Net {
+    pub delay: f64,
+    pub jitter: f64,
+    pub lose: f64,
+    pub fsync: f64,
+}
+
+impl Default for Net {
+    fn default() -> Self {
+        Net { delay: 0.0005, jitter: 0.001, lose: 0.0, fsync: 0.003 }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Invocations a second over the whole fleet; processes only.
+    pub rate: f64,
+    /// Effects of each held duty a second.
+    pub effects: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load { rate: 50.0, effects: 10.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// SIGKILL; starts again when the fault ends, with what `disk` says.
+    Kill,
+    /// SIGSTOP, SIGCONT when the fault ends.
+    Stall,
+    /// SIGTERM; starts again when the fault ends.
+    Term,
+    /// A second process of the same name.
+    Twin,
+    /// No message passes between target and `peer`.
+    Cut,
+    /// A share `amount` of messages is lost.
+    Lose,
+    /// Messages take `amount` seconds longer.
+    Delay,
+    /// Messages overtake each other by up to `amount` seconds.
+    Reorder,
+    /// Everything comes twice.
+    Double,
+    /// Open connections stay open and silent, new ones come up and say nothing.
+    HalfOpen,
+    /// Everything the target does takes `amount` seconds longer.
+    Slow,
+    /// Each write to the target's disk takes `amount` seconds.
+    SlowDisk,
+    /// The target's wall clock is stepped by `amount` seconds.
+    Clock,
+    /// The target gets on with nothing while it holds.
+    Idle,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Disk {
+    #[default]
+    Kept,
+    Lost,
+    /// As it was `older` seconds before the fault.
+    Older,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    #[default]
+    Both,
+    /// Only what the target sends.
+    From,
+    /// Only what the target would hear.
+    To,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub kind: Kind,
+    /// Seconds from the start.
+    pub at: f64,
+    /// How long it lasts.
+    #[serde(rename = "for")]
+    pub length: f64,
+    /// `limiter:N`, `holder:DUTY:SHARD`, `leader`, `voter:N`, `voters`, `zone:NAME`, `half`, `all`, `any`.
+    pub target: String,
+    /// The other side of a link; all but the target where it is missing, receivers included.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+    #[serde(default)]
+    pub way: Way,
+    #[serde(default)]
+    pub amount: f64,
+    #[serde(default)]
+    pub disk: Disk,
+    #[serde(default)]
+    pub older: f64,
+    /// Again every so many seconds, on for half of each.
+    #[serde(default)]
+    pub every: f64,
+}
+
+/// Most limiters in each world.
+pub const MOST_SIMULATED: usize = 1_000;
+pub const MOST_PROCESSES: usize = 15;
+
+impl Trial {
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let trial: Trial = toml::from_str(text).map_err(|e| {
+            let place = e.span().map(|s| text[..s.start.min(text.len())].lines().count().max(1));
+            let place = place.map_or(String::new(), |l| format!("line {l}: "));
+            format!("{place}{}", e.message().replace('\n', " "))
+        })?;
+        trial.check()?;
+        Ok(trial)
+    }
+
+    pub fn check(&self) -> Result<(), String> {
+        let f = &self.fleet;
+        if !(self.seconds > 0.0 && self.seconds <= 86_400.0) {
+            return Err(format!("seconds: {}; give a length over 0 and up to a day", self.seconds));
+        }
+        if !(self.settle > 0.0) {
+            return Err(format!("settle: {}; give seconds over 0", self.settle));
+        }
+        if !(3..=MOST_SIMULATED).contains(&f.limiters) || f.voters > f.limiters {
+            return Err(format!(
+                "fleet.limiters: {}; give 3 to {MOST_SIMULATED}, and no fewer than voters ({})",
+                f.limiters, f.voters
+            ));
+        }
+        if f.zones.is_empty() || f.zones.len() > f.limiters {
+            return Err(format!(
+                "fleet.zones: {} of them; give one or more, no more than limiters",
+                f.zones.len()
+            ));
+        }
+        self.duties().check()?;
+        let share = |key: &str, v: f64| match (0.0..1.0).contains(&v) {
+            true => Ok(()),
+            false => Err(format!("{key}: {v}; give a share from 0 to under 1")),
+        };
+        share("net.lose", self.net.lose)?;
+        share("fleet.skew", f.skew)?;
+        for (n, fault) in self.faults.iter().enumerate() {
+            let place = format!("fault {} ({:?} at {})", n + 1, fault.kind, fault.at);
+            if !(fault.at >= 0.0 && fault.length >= 0.0 && fault.at.is_finite() && fault.length.is_finite()) {
+                return Err(format!("{place}: at and for are seconds from 0 up"));
+            }
+            let end = fault.at + fault.length;
+            if end + self.settle > self.seconds {
+                return Err(format!(
+                    "{place}: ends at {end}, which leaves less than settle ({}) of {} seconds",
+                    self.settle, self.seconds
+                ));
+            }
+            if matches!(fault.kind, Kind::Lose) {
+                share(&format!("{place}: amount"), fault.amount)?;
+            }
+            if !(fault.amount.is_finite() && fault.every >= 0.0 && fault.older >= 0.0) {
+                return Err(format!("{place}: amount, every and older are numbers, the last two from 0 up"));
+            }
+            for target in [Some(&fault.target), fault.peer.as_ref()].into_iter().flatten() {
+                self.target(target).map_err(|e| format!("{place}: {e}"))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Says whether a target can be understood.
+    fn target(&self, target: &str) -> Result<(), String> {
+        let known = "limiter:N, holder:DUTY:SHARD, leader, voter:N, voters, zone:NAME, half, all, any";
+        let number = |n: &str, most: usize| match n.parse::<usize>() {
+            Ok(n) if n < most => Ok(()),
+            _ => Err(format!("{target}: no such number; there are {most}, from 0")),
+        };
+        let parts: Vec<&str> = target.split(':').collect();
+        match parts.as_slice() {
+            ["leader" | "voters" | "half" | "all" | "any" | "receivers"] => Ok(()),
+            ["limiter", n] => number(n, self.fleet.limiters),
+            ["voter", n] => number(n, self.fleet.voters),
+            ["zone", z] if self.fleet.zones.iter().any(|k| k == z) => Ok(()),
+            ["holder", duty, shard] => match self.duties().range(duty) {
+                Some((_, shards)) => number(shard, shards as usize),
+                None => Err(format!("{target}: there is no duty {duty}")),
+            },
+            _ => Err(format!("target {target} is unknown; give {known}")),
+        }
+    }
+
+    pub fn limiter(&self, n: usize) -> String {
+        format!("n{n}")
+    }
+
+    pub fn zone(&self, n: usize) -> usize {
+        n % self.fleet.zones.len()
+    }
+
+    pub fn duties(&self) -> Duties {
+        let f = &self.fleet;
+        Duties {
+            fleet: "trial".into(),
+            voters: (0..f.voters).map(|n| self.limiter(n)).collect(),
+            zones: f.zones.clone(),
+            duties: f.duties.clone(),
+            lease: f.lease,
+            drift: f.drift,
+            renew: f.renew,
+            stall: f.stall,
+            tick: f.tick,
+            moves: 64,
+            check_disks: true,
+        }
+    }
+
+    /// When the last fault is over.
+    pub fn calm_from(&self) -> f64 {
+        self.faults.iter().map(|f| f.at + f.length).fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,802 @@
+//! The simulated world: the same state machines as the gateway drives, under one seed. Owns true time, the
+//! machines' clocks, the network, the disks and the faults. The same trial and seed give the same bytes. It
+//! must never tell a machine what is true, only what its links, clock and disk tell it.
+
+use crate::history::Line;
+use crate::trial::{Disk, Fault, Kind, Trial, Way};
+use dunespur_duties::fence::Fence;
+use dunespur_duties::holder::Holder;
+use dunespur_duties::log::{Batch, Saved};
+use dunespur_duties::voter::Voter;
+use dunespur_duties::{Me, Msg, Output};
+use dunespur_members as members;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::SocketAddrV4;
+
+#[derive(Clone, Debug)]
+pub enum Packet {
+    Gossip(Vec<u8>),
+    Peer(Msg),
+    Effect { slot: u32, token: u64 },
+}
+
+enum Ev {
+    Wake {
+        node: usize,
+        epoch: u64,
+    },
+    Arrive {
+        to: usize,
+        from: usize,
+        packet: Packet,
+    },
+    Disk {
+        node: usize,
+        epoch: u64,
+        number: u64,
+    },
+    Work {
+        node: usize,
+        epoch: u64,
+    },
+    /// The second half of an effect: nothing is looked at again.
+    Finish {
+        node: usize,
+        epoch: u64,
+        slot: u32,
+        token: u64,
+        to: usize,
+    },
+    Fault {
+        n: usize,
+        on: bool,
+    },
+}
+
+struct Due(f64, u64, Ev);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.1 == other.1
+    }
+}
+
+impl Eq for Due {}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// One process. A twin is one more node under the same name.
+struct Node {
+    name: String,
+    number: usize,
+    address: SocketAddrV4,
+    up: bool,
+    stalled: bool,
+    idle: bool,
+    slow: f64,
+    slow_disk: f64,
+    epoch: u64,
+    run: u64,
+    skew: f64,
+    offset: f64,
+    members: Option<members::Members>,
+    holder: Option<Holder>,
+    voter: Option<Voter>,
+    votes: bool,
+    disk: Saved,
+    /// Written, not yet synced.
+    writing: VecDeque<Batch>,
+    old_disks: VecDeque<(f64, Saved)>,
+    fence: Fence,
+    inbox: VecDeque<(usize, Packet)>,
+    late: Vec<(u32, u64, usize)>,
+    wake: f64,
+    busy: f64,
+}
+
+/// What the trial's side counts, for measurements.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub messages: u64,
+    pub bytes: u64,
+    pub gossip_messages: u64,
+    pub gossip_bytes: u64,
+    /// Members that were reported down while they lived, and each report of a death: who, by whom, when.
+    pub false_downs: u64,
+    pub downs: Vec<(String, String, f64)>,
+    pub events: u64,
+}
+
+struct Active {
+    n: usize,
+    from: Vec<usize>,
+    to: Option<Vec<usize>>,
+}
+
+pub struct World<'a> {
+    trial: &'a Trial,
+    rng: Xoshiro256PlusPlus,
+    now: f64,
+    queue: BinaryHeap<Due>,
+    count: u64,
+    nodes: Vec<Node>,
+    receivers: Vec<Fence>,
+    active: Vec<Active>,
+    downed: BTreeMap<usize, Vec<usize>>,
+    pub lines: Vec<Line>,
+    pub tally: Tally,
+    pub measuring: bool,
+    runs: u64,
+    /// Some fault puts an older disk back.
+    copies: bool,
+    /// Off, receivers take everything: for the test that the checker finds it.
+    pub fenced: bool,
+    pub gossip: bool,
+}
+
+/// What a stalled process's sockets keep.
+const INBOX: usize = 256;
+
+impl<'a> World<'a> {
+    pub fn new(trial: &'a Trial, seed: u64) -> Self {
+        let mut world = World {
+            trial,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            now: 0.0,
+            queue: BinaryHeap::new(),
+            count: 0,
+            nodes: Vec::new(),
+            receivers: Vec::new(),
+            active: Vec::new(),
+            downed: BTreeMap::new(),
+            lines: Vec::new(),
+            tally: Tally::default(),
+            measuring: false,
+            runs: 0,
+            copies: trial.faults.iter().any(|f| f.disk == Disk::Older),
+            fenced: true,
+            gossip: true,
+        };
+        let slots = trial.duties().slots();
+        world.receivers = vec![Fence::new(slots); trial.fleet.receivers];
+        for n in 0..trial.fleet.limiters {
+            world.add(n, trial.limiter(n), n < trial.fleet.voters);
+        }
+        for n in 0..trial.fleet.limiters {
+            let at = world.rng.random_range(0.0..0.3);
+            world.start(n, at);
+        }
+        for (n, fault) in trial.faults.iter().enumerate() {
+            world.push(fault.at, Ev::Fault { n, on: true });
+        }
+        world
+    }
+
+    fn add(&mut self, number: usize, name: String, votes: bool) -> usize {
+        let at = self.nodes.len();
+        let address = SocketAddrV4::new([10, 0, (at >> 8) as u8, at as u8].into(), 7000);
+        let skew = self.trial.fleet.skew;
+        self.nodes.push(Node {
+            name,
+            number,
+            address,
+            up: false,
+            stalled: false,
+            idle: false,
+            slow: 0.0,
+            slow_disk: 0.0,
+            epoch: 0,
+            run: 0,
+            skew: if skew > 0.0 { self.rng.random_range(-skew..skew) } else { 0.0 },
+            offset: self.rng.random_range(0.0..1e4),
+            members: None,
+            holder: None,
+            voter: None,
+            votes,
+            disk: Saved::default(),
+            writing: VecDeque::new(),
+            old_disks: VecDeque::new(),
+            fence: Fence::new(self.trial.duties().slots()),
+            inbox: VecDeque::new(),
+            late: Vec::new(),
+            wake: f64::INFINITY,
+            busy: 0.0,
+        });
+        at
+    }
+
+    fn push(&mut self, t: f64, ev: Ev) {
+        self.count += 1;
+        self.queue.push(Due(t, self.count, ev));
+    }
+
+    fn local(&self, node: usize, t: f64) -> f64 {
+        t * (1.0 + self.nodes[node].skew) + self.nodes[node].offset
+    }
+
+    fn truth(&self, node: usize, local: f64) -> f64 {
+        (local - self.nodes[node].offset) / (1.0 + self.nodes[node].skew)
+    }
+
+    fn start(&mut self, n: usize, at: f64) {
+        self.runs += 1;
+        let run = self.runs;
+        let trial = self.trial;
+        let seed = self.rng.random();
+        let now = self.local(n, at);
+        let zone = trial.fleet.zones[trial.zone(self.nodes[n].number)].clone();
+        let seeds = self.nodes.iter().take(trial.fleet.voters).map(|v| v.address).collect();
+        let node = &mut self.nodes[n];
+        let me =
+            Me { name: node.name.clone(), run, zone: zone.clone(), machine: format!("m{}", node.number) };
+        node.epoch += 1;
+        node.up = true;
+        node.stalled = false;
+        node.run = run;
+        node.inbox.clear();
+        node.late.clear();
+        node.wake = f64::INFINITY;
+        node.busy = 0.0;
+        let member = members::Member {
+            name: node.name.clone(),
+            run,
+            turn: 1_000_000 + (at * 1e3) as u64,
+            address: node.address,
+            zone,
+            machine: me.machine.clone(),
+            version: 1,
+            voter: node.votes,
+        };
+        let settings = member_settings(trial, seeds);
+        node.members = self.gossip.then(|| members::Members::new(settings, member, seed, now));
+        node.holder = Some(Holder::new(trial.duties(), me, now));
+        let mut out = Vec::new();
+        if node.votes {
+            let (saved, name) = (node.disk.clone(), node.name.clone());
+            match Voter::new(trial.duties(), name, saved, seed, now, &mut out) {
+                Ok(voter) => node.voter = Some(voter),
+                Err(text) => out.push(Output::Report { loud: true, text }),
+            }
+        }
+        let (who, epoch) = (node.name.clone(), node.epoch);
+        self.lines.push(Line::Started { t: at, who, run });
+        self.take(n, out, at);
+        self.push(at, Ev::Wake { node: n, epoch });
+        let first = self.rng.random_range(0.0..0.1);
+        self.push(at + first, Ev::Work { node: n, epoch });
+    }
+
+    fn kill(&mut self, n: usize) {
+        let t = self.now;
+        let node = &mut self.nodes[n];
+        if !node.up {
+            return;
+        }
+        node.up = false;
+        node.epoch += 1;
+        // What was under way to the disk may have come there, in order, up to any point.
+        let synced = self.rng.random_range(0..=node.writing.len());
+        let writes: Vec<Batch> = node.writing.drain(..).collect();
+        writes.iter().take(synced).for_each(|b| node.disk.take(b));
+        node.members = None;
+        node.voter = None;
+        node.holder = None;
+        let (who, run) = (node.name.clone(), node.run);
+        self.lines.push(Line::Died { t, who, run });
+    }
+
+    /// Plays the trial to its end.
+    pub fn run(&mut self) {
+        while let Some(Due(t, _, ev)) = self.queue.pop() {
+            if t > self.trial.seconds {
+                break;
+            }
+            self.now = t;
+            self.tally.events += 1;
+            self.step(ev);
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        let t = self.now;
+        match ev {
+            Ev::Wake { node, epoch } => {
+                let n = &mut self.nodes[node];
+                if n.epoch != epoch || !n.up {
+                    return;
+                }
+                n.wake = f64::INFINITY;
+                if !n.stalled {
+                    self.turn(node, None);
+                }
+            }
+            Ev::Arrive { to, from, packet } => {
+                if to >= self.nodes.len() {
+                    return self.receive(to, from, packet);
+                }
+                let node = &mut self.nodes[to];
+                if !node.up {
+                    return;
+                }
+                if node.stalled {
+                    if node.inbox.len() < INBOX {
+                        node.inbox.push_back((from, packet));
+                    }
+                    return;
+                }
+                // Little processor time: what comes waits behind what came before.
+                if node.slow > 0.0 && t < node.busy {
+                    let at = node.busy;
+                    node.busy += node.slow;
+                    return self.push(at, Ev::Arrive { to, from, packet });
+                }
+                if node.slow > 0.0 {
+                    node.busy = t + node.slow;
+                }
+                self.turn(to, Some((from, packet)));
+            }
+            Ev::Disk { node, epoch, number } => {
+                let n = &mut self.nodes[node];
+                if n.epoch != epoch {
+                    return;
+                }
+                while n.writing.front().is_some_and(|b| b.number <= number) {
+                    if let Some(batch) = n.writing.pop_front() {
+                        n.disk.take(&batch);
+                    }
+                }
+                if self.copies && n.old_disks.back().is_none_or(|d| t > d.0 + 0.5) {
+                    n.old_disks.push_back((t, n.disk.clone()));
+                }
+                if n.stalled {
+                    // The disk did it; the process hears of it when it goes on.
+                    return self.push(t + 0.05, Ev::Disk { node, epoch, number });
+                }
+                let now = self.local(node, t);
+                let mut out = Vec::new();
+                if let Some(voter) = &mut self.nodes[node].voter {
+                    voter.saved(number, now, &mut out);
+                }
+                self.take(node, out, t);
+                self.set_wake(node);
+            }
+            Ev::Work { node, epoch } => {
+                if self.nodes[node].epoch != epoch || !self.nodes[node].up {
+                    return;
+                }
+                if !self.nodes[node].stalled {
+                    self.work(node, epoch);
+                }
+                let pause = self.rng.random_range(0.5..1.5) / self.trial.load.effects;
+                self.push(t + pause, Ev::Work { node, epoch });
+            }
+            Ev::Finish { node, epoch, slot, token, to } => {
+                let n = &mut self.nodes[node];
+                if n.epoch != epoch || !n.up {
+                    return;
+                }
+                if n.stalled {
+                    n.late.push((slot, token, to));
+                } else {
+                    self.send(node, to, Packet::Effect { slot, token });
+                }
+            }
+            Ev::Fault { n, on } => self.fault(n, on),
+        }
+    }
+
+    /// One turn of a node: a message or just its timers.
+    fn turn(&mut self, node: usize, mail: Option<(usize, Packet)>) {
+        let t = self.now;
+        let now = self.local(node, t);
+        let mut out = Vec::new();
+        let mut said = Vec::new();
+        let mut told = None;
+        if let Some((from, packet)) = mail {
+            let from_name = self.nodes[from].name.clone();
+            let n = &mut self.nodes[node];
+            match packet {
+                Packet::Gossip(bytes) => {
+                    if let Some(m) = &mut n.members {
+                        m.datagram(&bytes, now, &mut said);
+                    }
+                }
+                Packet::Effect { slot, token } => {
+                    let took = n.fence.accept(slot, token) || !self.fenced;
+                    let at = n.name.clone();
+                    self.effect(at, from, slot, token, took);
+                }
+                Packet::Peer(msg) => match &msg {
+                    Msg::Told { told: answer, .. } => {
+                        told = Some((answer.seq, answer.index));
+                        if let Some(h) = &mut n.holder {
+                            h.hear(&from_name, msg, now, &mut out);
+                        }
+                    }
+                    Msg::Elsewhere { .. } | Msg::Doubled { .. } | Msg::Notice { .. } => {
+                        if let Some(h) = &mut n.holder {
+                            h.hear(&from_name, msg, now, &mut out);
+                        }
+                    }
+                    _ => {
+                        if let Some(v) = &mut n.voter {
+                            v.hear(&from_name, msg, now, &mut out);
+                        }
+                    }
+                },
+            }
+        }
+        let n = &mut self.nodes[node];
+        if let Some(h) = n.holder.as_mut().filter(|h| h.next_due() <= now) {
+            h.tick(now, &mut out);
+        }
+        if let Some(v) = n.voter.as_mut().filter(|v| v.next_due() <= now) {
+            v.tick(now, &mut out);
+        }
+        if let Some(m) = n.members.as_mut().filter(|m| m.next_due() <= now) {
+            m.tick(now, &mut said);
+        }
+        if let Some((seq, index)) = told {
+            if let Some(asked) = n.holder.as_mut().and_then(|h| h.asked_at(seq)) {
+                let (who, asked) = (n.name.clone(), self.truth(node, asked));
+                self.lines.push(Line::Told { asked, t, who, index });
+            }
+        }
+        self.take(node, out, t);
+        self.take_members(node, said);
+        self.set_wake(node);
+    }
+
+    fn set_wake(&mut self, node: usize) {
+        let n = &self.nodes[node];
+        let due = [
+            n.holder.as_ref().map_or(f64::INFINITY, Holder::next_due),
+            n.voter.as_ref().map_or(f64::INFINITY, Voter::next_due),
+            n.members.as_ref().map_or(f64::INFINITY, members::Members::next_due),
+        ];
+        let due = due.into_iter().fold(f64::INFINITY, f64::min);
+        let at = (self.truth(node, due) + 1e-6).max(self.now + 1e-6 + n.slow);
+        if at < n.wake {
+            let epoch = n.epoch;
+            self.nodes[node].wake = at;
+            self.push(at, Ev::Wake { node, epoch });
+        }
+    }
+
+    fn take(&mut self, node: usize, out: Vec<Output>, t: f64) {
+        for o in out {
+            let (who, run, epoch) = {
+                let n = &self.nodes[node];
+                (n.name.clone(), n.run, n.epoch)
+            };
+            match o {
+                Output::Send { to, msg } => {
+                    let twins: Vec<usize> = (0..self.nodes.len())
+                        .filter(|i| self.nodes[*i].up && self.nodes[*i].name == to)
+                        .collect();
+                    for to in twins {
+                        if to != node {
+                            self.send(node, to, Packet::Peer(msg.clone()));
+                        } else {
+                            // To itself, past the network.
+                            self.push(
+                                t + 1e-5,
+                                Ev::Arrive { to, from: node, packet: Packet::Peer(msg.clone()) },
+                            );
+                        }
+                    }
+                }
+                Output::Save(batch) => {
+                    let number = batch.number;
+                    self.nodes[node].writing.push_back(batch);
+                    let fsync = self.trial.net.fsync * self.rng.random_range(0.3..2.0);
+                    let takes = fsync + self.nodes[node].slow_disk;
+                    self.push(t + takes, Ev::Disk { node, epoch, number });
+                }
+                Output::Began { slot, token } => self.lines.push(Line::Began { t, who, run, slot, token }),
+                Output::Ended { slot, token } => {
+                    let until = self.nodes[node].holder.as_ref().map_or(0.0, |h| h.last_until());
+                    let until = self.truth(node, until);
+                    self.lines.push(Line::Ended { t, who, run, slot, token, until });
+                }
+                Output::Report { loud, text } => self.lines.push(Line::Report { t, who, loud, text }),
+            }
+        }
+    }
+
+    fn take_members(&mut self, node: usize, said: Vec<members::Output>) {
+        let t = self.now;
+        let who = self.nodes[node].name.clone();
+        for o in said {
+            match o {
+                members::Output::Datagram { to, bytes } => {
+                    if let Some(to) = self.nodes.iter().position(|n| n.address == to) {
+                        if self.measuring {
+                            self.tally.gossip_messages += 1;
+                            self.tally.gossip_bytes += bytes.len() as u64;
+                        }
+                        self.send(node, to, Packet::Gossip(bytes));
+                    }
+                }
+                members::Output::Down(m) => {
+                    let lives = self.nodes.iter().any(|n| n.up && n.name == m.name && n.run == m.run);
+                    if lives {
+                        self.tally.false_downs += 1;
+                    } else {
+                        self.tally.downs.push((m.name, who.clone(), t));
+                    }
+                }
+                members::Output::Doubled { name, .. } => {
+                    let text = format!("two living processes have the name {name}");
+                    self.lines.push(Line::Report { t, who: who.clone(), loud: true, text });
+                }
+                members::Output::Up(_) | members::Output::StoodStill(_) => {}
+            }
+        }
+    }
+
+    /// A message goes onto a link, with all that the faults make of it.
+    fn send(&mut self, from: usize, to: usize, packet: Packet) {
+        let net = &self.trial.net;
+        if self.measuring {
+            if let Packet::Peer(msg) = &packet {
+                self.tally.messages += 1;
+                self.tally.bytes += postcard::to_stdvec(msg).map_or(0, |b| b.len() as u64);
+            }
+        }
+        let (mut lose, mut extra, mut copies) = (net.lose, 0.0, 1);
+        let jitter = self.rng.random::<f64>() * net.jitter;
+        for a in &self.active {
+            let fault = &self.trial.faults[a.n];
+            let link = matches!(
+                fault.kind,
+                Kind::Cut | Kind::Lose | Kind::Delay | Kind::Reorder | Kind::Double | Kind::HalfOpen
+            );
+            if !link {
+                continue;
+            }
+            let on = fault.every <= 0.0 || ((self.now - fault.at) / fault.every).fract() < 0.5;
+            let other = |n: usize| a.to.as_ref().map_or(!a.from.contains(&n), |to| to.contains(&n));
+            let out = a.from.contains(&from) && other(to);
+            let back = a.from.contains(&to) && other(from);
+            let hit = match fault.way {
+                Way::Both => out || back,
+                Way::From => out,
+                Way::To => back,
+            };
+            if !hit || !on {
+                continue;
+            }
+            match fault.kind {
+                Kind::Cut | Kind::HalfOpen => lose = 1.0,
+                Kind::Lose => lose = 1.0 - (1.0 - lose) * (1.0 - fault.amount),
+                Kind::Delay => extra += fault.amount,
+                Kind::Reorder => extra += fault.amount * self.rng.random::<f64>(),
+                _ => copies = 2,
+            }
+        }
+        for copy in 0..copies {
+            if lose > 0.0 && self.rng.random::<f64>() < lose {
+                continue;
+            }
+            let again = if copy > 0 { self.rng.random::<f64>() * 0.5 } else { 0.0 };
+            let at = self.now + net.delay + jitter + extra + again;
+            self.push(at, Ev::Arrive { to, from, packet: packet.clone() });
+        }
+    }
+
+    /// A receiver that is no limiter.
+    fn receive(&mut self, to: usize, from: usize, packet: Packet) {
+        let Packet::Effect { slot, token } = packet else { return };
+        let n = to - RECEIVER;
+        let took = self.receivers[n].accept(slot, token) || !self.fenced;
+        self.effect(format!("r{n}"), from, slot, token, took);
+    }
+
+    fn effect(&mut self, at: String, from: usize, slot: u32, token: u64, took: bool) {
+        let (t, who) = (self.now, self.nodes[from].name.clone());
+        self.lines.push(if took {
+            Line::Accepted { t, at, who, slot, token }
+        } else {
+            Line::Refused { t, at, who, slot, token }
+        });
+    }
+
+    /// A holder does its duties: looks whether it holds, and carries the effect out a little later.
+    fn work(&mut self, node: usize, epoch: u64) {
+        let now = self.local(node, self.now);
+        let Some(holder) = &self.nodes[node].holder else { return };
+        if self.nodes[node].idle {
+            return;
+        }
+        // A few of what it holds, in turn by chance: thousands of duties must not make the trial long.
+        let mut held: Vec<(u32, u64)> = holder.held(now).collect();
+        while held.len() > 4 {
+            let at = self.rng.random_range(0..held.len());
+            held.swap_remove(at);
+        }
+        for (slot, token) in held {
+            if let Some(h) = &mut self.nodes[node].holder {
+                h.progress(slot, now);
+            }
+            let receivers = self.receivers.len();
+            let to = match self.rng.random_range(0..2 + receivers) {
+                r if r < receivers => RECEIVER + r,
+                _ => self.rng.random_range(0..self.nodes.len()),
+            };
+            let later = self.rng.random_range(0.0..0.02);
+            self.push(self.now + later, Ev::Finish { node, epoch, slot, token, to });
+        }
+    }
+
+    /// Which nodes a target names at this moment.
+    fn target(&mut self, target: &str) -> Vec<usize> {
+        let trial = self.trial;
+        let all: Vec<usize> = (0..trial.fleet.limiters).collect();
+        let parts: Vec<&str> = target.split(':').collect();
+        let number = |n: &str| n.parse::<usize>().unwrap_or(0);
+        match parts.as_slice() {
+            ["limiter" | "voter", n] => vec![number(n)],
+            ["voters"] => (0..trial.fleet.voters).collect(),
+            ["receivers"] => (0..self.receivers.len()).map(|r| RECEIVER + r).collect(),
+            ["zone", z] => all.into_iter().filter(|n| trial.fleet.zones[trial.zone(*n)] == *z).collect(),
+            ["half"] => all.into_iter().take(trial.fleet.limiters / 2).collect(),
+            ["leader"] => {
+                let leads = |n: &&usize| self.nodes[**n].voter.as_ref().is_some_and(Voter::leads);
+                all.iter().rfind(leads).map(|n| vec![*n]).unwrap_or_else(|| vec![0])
+            }
+            ["holder", duty, shard] => {
+                let slot = trial.duties().range(duty).map_or(0, |r| r.0) + number(shard) as u32;
+                let holds = |n: &&usize| {
+                    let now = self.local(**n, self.now);
+                    self.nodes[**n].holder.as_ref().is_some_and(|h| h.holds(slot, now).is_some())
+                };
+                all.iter().find(holds).map(|n| vec![*n]).unwrap_or_default()
+            }
+            ["any"] => vec![self.rng.random_range(0..trial.fleet.limiters)],
+            _ => all,
+        }
+    }
+
+    fn fault(&mut self, n: usize, on: bool) {
+        let fault: &Fault = &self.trial.faults[n];
+        let t = self.now;
+        let what = serde_json::to_string(fault).unwrap_or_default();
+        self.lines.push(Line::Fault { t, what, on });
+        if on {
+            let from = self.target(&fault.target);
+            let to = fault.peer.as_ref().map(|p| self.target(p));
+            self.downed.insert(n, from.clone());
+            for node in &from {
+                self.hit(*node, n);
+            }
+            self.active.push(Active { n, from, to });
+            self.push(t + fault.length, Ev::Fault { n, on: false });
+            return;
+        }
+        self.active.retain(|a| a.n != n);
+        for node in self.downed.remove(&n).unwrap_or_default() {
+            self.heal(node, n);
+        }
+    }
+
+    fn hit(&mut self, node: usize, n: usize) {
+        let fault = &self.trial.faults[n];
+        if node >= self.nodes.len() {
+            return;
+        }
+        match fault.kind {
+            Kind::Kill => self.kill(node),
+            Kind::Stall => self.nodes[node].stalled = true,
+            Kind::Term => {
+                let now = self.local(node, self.now);
+                let (mut out, mut said) = (Vec::new(), Vec::new());
+                let n = &mut self.nodes[node];
+                if n.stalled || !n.up {
+                    return;
+                }
+                if let Some(h) = &mut n.holder {
+                    h.leave(now, &mut out);
+                }
+                if let Some(m) = &mut n.members {
+                    m.leave(now, &mut said);
+                }
+                self.take(node, out, self.now);
+                self.take_members(node, said);
+                self.kill(node);
+            }
+            Kind::Twin => {
+                let (number, name) = (self.nodes[node].number, self.nodes[node].name.clone());
+                let at = self.add(number, name, false);
+                self.start(at, self.now);
+            }
+            Kind::Slow => self.nodes[node].slow = fault.amount.max(0.0),
+            Kind::SlowDisk => self.nodes[node].slow_disk = fault.amount.max(0.0),
+            Kind::Idle => self.nodes[node].idle = true,
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self, node: usize, n: usize) {
+        let fault = &self.trial.faults[n];
+        if node >= self.nodes.len() {
+            return;
+        }
+        let t = self.now;
+        match fault.kind {
+            Kind::Kill | Kind::Term if !self.nodes[node].up => {
+                match fault.disk {
+                    Disk::Kept => {}
+                    Disk::Lost => self.nodes[node].disk = Saved::default(),
+                    Disk::Older => {
+                        let wanted = fault.at - fault.older;
+                        let old = self.nodes[node].old_disks.iter().rfind(|d| d.0 <= wanted).cloned();
+                        self.nodes[node].disk = old.map_or_else(Saved::default, |d| d.1);
+                    }
+                }
+                self.start(node, t);
+            }
+            Kind::Stall if self.nodes[node].up => {
+                // What it was in the middle of comes first, then its timers, then what its sockets hold.
+                self.nodes[node].stalled = false;
+                let late = std::mem::take(&mut self.nodes[node].late);
+                for (slot, token, to) in late {
+                    self.send(node, to, Packet::Effect { slot, token });
+                }
+                self.turn(node, None);
+                for (from, packet) in std::mem::take(&mut self.nodes[node].inbox) {
+                    self.turn(node, Some((from, packet)));
+                }
+            }
+            Kind::Twin => {
+                let name = self.nodes[node].name.clone();
+                let twin = (self.trial.fleet.limiters..self.nodes.len())
+                    .find(|i| self.nodes[*i].up && self.nodes[*i].name == name);
+                if let Some(twin) = twin {
+                    self.kill(twin);
+                }
+            }
+            Kind::Slow => self.nodes[node].slow = 0.0,
+            Kind::SlowDisk => self.nodes[node].slow_disk = 0.0,
+            Kind::Idle => self.nodes[node].idle = false,
+            _ => {}
+        }
+    }
+
+    /// Who is up, and what each believes of the others; for measurements.
+    pub fn known(&self) -> Vec<(String, usize)> {
+        let up = self.nodes.iter().filter(|n| n.up);
+        up.map(|n| (n.name.clone(), n.members.as_ref().map_or(0, |m| m.living().count()))).collect()
+    }
+}
+
+/// Receivers are numbered from here on.
+const RECEIVER: usize = 1 << 20;
+
+pub fn member_settings(trial: &Trial, seeds: Vec<SocketAddrV4>) -> members::Settings {
+    let size = trial.fleet.limiters as u32;
+    members::Settings {
+        size,
+        seeds,
+        probe: 1.0,
+        answer: 0.3,
+        // A suspect has as long as news takes to go round, and some.
+        suspect: 2.0 + (size as f64).log10(),
+        gossip: 0.2,
+        again: 5.0,
+        datagram: 1400,
+    }
+}
