--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod placement;
 pub mod voter;
+pub mod watch;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,17 +2,20 @@
 //! never drop what it held when discovery is silent, and never judge whether a server is fit to use.
 
 use crate::fault::Fault;
+use crate::fleet::Told;
 use crate::hub::Hub;
 use crate::message::{decode_news, encode_watch, take_line};
 use crate::reducer::Event;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -30,12 +33,18 @@
     on_request: bool,
     revision: Cell<u64>,
     wanted: Notify,
+    /// Another limiter of the zone tells the list: none stands here.
+    relayed: Cell<bool>,
+    /// Where the fleet hears of what the watch says.
+    tap: RefCell<Option<UnboundedSender<Told>>>,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr, on_request: bool, revision: u64) -> Self {
         let (moved, wanted) = (Notify::new(), Notify::new());
-        Discovery { address: Cell::new(address), moved, on_request, revision: Cell::new(revision), wanted }
+        let (address, revision) = (Cell::new(address), Cell::new(revision));
+        let (relayed, tap) = (Cell::new(false), RefCell::default());
+        Discovery { address, moved, on_request, revision, wanted, relayed, tap }
     }
 
     /// From now on the list is watched at this address.
@@ -45,6 +54,28 @@
         }
     }
 
+    /// Whether a watch of its own stands here from now on.
+    pub fn hold(&self, own: bool) {
+        if self.relayed.replace(!own) == own {
+            self.moved.notify_one();
+        }
+    }
+
+    /// The relayed list got to this revision.
+    pub fn heard(&self, revision: u64) {
+        self.revision.set(revision);
+    }
+
+    pub fn tap(&self, to: UnboundedSender<Told>) {
+        *self.tap.borrow_mut() = Some(to);
+    }
+
+    fn tell_tap(&self, line: impl FnOnce() -> Option<Value>) {
+        if let Some(tap) = &*self.tap.borrow() {
+            let _ = tap.send(Told::Line(line()));
+        }
+    }
+
     pub fn watch(&self) {
         self.wanted.notify_one();
     }
@@ -57,6 +88,10 @@
             }
             again = (again * 2).min(HEARTBEAT);
             let fault = loop {
+                if hub.discovery.relayed.get() {
+                    hub.discovery.moved.notified().await;
+                    continue;
+                }
                 tokio::select! {
                     fault = hub.discovery.follow(&hub, &mut again) => break fault,
                     // The watch goes on at the new address, nothing is lost.
@@ -96,11 +131,14 @@
                 buffer.extend_from_slice(frame.data_ref().map_or(&[], |d| d));
                 while let Some(line) = take_line(&mut buffer)? {
                     if line.is_empty() {
+                        self.tell_tap(|| None);
                         continue;
                     }
-                    let value = serde_json::from_slice(&line).map_err(|e| Fault::Malformed(e.to_string()))?;
+                    let value: Value =
+                        serde_json::from_slice(&line).map_err(|e| Fault::Malformed(e.to_string()))?;
                     let news = decode_news(&value, &hub.names)?;
                     self.revision.set(news.revision);
+                    self.tell_tap(|| Some(value));
                     hub.tell(Event::Roster(news));
                 }
             }
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,578 @@
+//! This process's part in the fleet: carries the state machines of members, duties and the relayed watch
+//! over the peer links, and keeps the voter's disk on a thread of its own. Runs only where the operators'
+//! file has a `fleet` section. It must never hold up an invocation: nothing that serves waits for it, and
+//! what it can't do is left undone.
+
+use crate::fault::Fault;
+use crate::hub::Hub;
+use crate::message::decode_news;
+use crate::operators::Plan;
+use crate::reducer::Event;
+use dunespur_duties::fence::Fence;
+use dunespur_duties::holder::Holder;
+use dunespur_duties::log::Batch;
+use dunespur_duties::voter::Voter;
+use dunespur_duties::watch::{self, Act, Relay};
+use dunespur_duties::{Me, Msg, Output, Slot};
+use dunespur_members::{self as members, Members};
+use dunespur_peer::{Came, Kind, Links};
+use dunespur_store::Store;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+
+/// Seconds on a clock that goes on while the process, or the whole machine, stands still.
+pub fn clock() -> f64 {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    t.tv_sec as f64 + t.tv_nsec as f64 * 1e-9
+}
+
+/// What the rest of the process tells the fleet.
+pub enum Told {
+    /// Discovery's own watch brought a line, or a sign of life.
+    Line(Option<Value>),
+    /// SIGTERM: hand over and say goodbye.
+    Leave,
+    /// SIGUSR1.
+    Report,
+}
+
+enum Disk {
+    Saved(u64),
+    Failed(String),
+}
+
+/// An effect of a duty, for trials.
+#[derive(Serialize, Deserialize)]
+struct Effect {
+    slot: Slot,
+    token: u64,
+}
+
+/// Names are reached where they were last heard; two of one name both.
+const PLACES: usize = 3;
+const FORGOTTEN: f64 = 30.0;
+
+pub struct Fleet {
+    plan: Plan,
+    me: Me,
+    links: Rc<Links>,
+    members: Members,
+    holder: Holder,
+    voter: Option<Voter>,
+    fence: Fence,
+    relay: Option<(Relay, Slot)>,
+    disk: Option<std::sync::mpsc::Sender<Batch>>,
+    /// The whole list as the own or the relayed watch gave it, by server.
+    list: BTreeMap<String, Value>,
+    places: BTreeMap<String, Vec<(SocketAddrV4, f64)>>,
+    history: Option<std::io::BufWriter<std::fs::File>>,
+    next_effect: f64,
+    turn: usize,
+    began: u64,
+    ended: u64,
+    relayed: u64,
+}
+
+impl Fleet {
+    /// Opens store and sockets; the error says what can't be used.
+    async fn open(
+        plan: Plan,
+        name: String,
+        seed: u64,
+        inbox: mpsc::Sender<Came>,
+    ) -> Result<(Self, mpsc::UnboundedReceiver<Disk>), Fault> {
+        let now = clock();
+        let fail = |e: String| Fault::Config(e);
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall = ((wall.as_secs_f64() + plan.trial.wall).max(0.0) * 1e3) as u64;
+        let run = seed ^ (wall << 20) ^ u64::from(std::process::id());
+        let me = Me { name: name.clone(), run, zone: plan.zone.clone(), machine: plan.machine.clone() };
+        let (saved_tx, saved_rx) = mpsc::unbounded_channel();
+        let votes = plan.voters.iter().any(|v| v.0 == name);
+        let (mut voter, mut disk, mut out) = (None, None, Vec::new());
+        if let Some(path) = plan.disk.as_ref().filter(|_| votes) {
+            let (store, saved) = Store::open(path, &plan.duties.fleet, &name).map_err(fail)?;
+            let made = Voter::new(plan.duties.clone(), name.clone(), saved, seed, now, &mut out);
+            voter = Some(made.map_err(fail)?);
+            let (tx, rx) = std::sync::mpsc::channel::<Batch>();
+            let slow = Duration::from_secs_f64(plan.trial.slow_disk.max(0.0));
+            std::thread::spawn(move || {
+                for batch in rx {
+                    std::thread::sleep(slow);
+                    let said = match store.write(&batch) {
+                        Ok(()) => Disk::Saved(batch.number),
+                        Err(e) => Disk::Failed(e),
+                    };
+                    let failed = matches!(said, Disk::Failed(_));
+                    if saved_tx.send(said).is_err() || failed {
+                        return;
+                    }
+                }
+            });
+            disk = Some(tx);
+        }
+        let listen = Links::open(
+            plan.duties.fleet.clone(),
+            name.clone(),
+            plan.listen,
+            plan.bounds.clone(),
+            plan.via.clone(),
+            inbox,
+        );
+        let links = listen.await.map_err(|e| fail(format!("fleet.listen: {}: {e}", plan.listen)))?;
+        let member = members::Member {
+            name: name.clone(),
+            run,
+            turn: wall,
+            address: plan.listen,
+            zone: plan.zone.clone(),
+            machine: plan.machine.clone(),
+            version: dunespur_peer::VERSION,
+            voter: votes,
+        };
+        let history = match &plan.trial.history {
+            None => None,
+            Some(path) => {
+                let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+                Some(std::io::BufWriter::new(file.map_err(|e| fail(format!("{}: {e}", path.display())))?))
+            }
+        };
+        let zone = plan.duties.zones.iter().position(|z| *z == plan.zone).unwrap_or(0) as u32;
+        let slot = plan.duties.range("watch").filter(|r| zone < r.1).map(|r| r.0 + zone);
+        let part = fastrand::f64();
+        let relay = slot.map(|slot| (Relay::new(plan.watch.clone(), slot, 0, part, now), slot));
+        let mut fleet = Fleet {
+            members: Members::new(plan.members.clone(), member, seed, now),
+            holder: Holder::new(plan.duties.clone(), me.clone(), now),
+            fence: Fence::new(plan.duties.slots()),
+            plan,
+            me,
+            links,
+            voter,
+            relay,
+            disk,
+            list: BTreeMap::new(),
+            places: BTreeMap::new(),
+            history,
+            next_effect: now,
+            turn: 0,
+            began: 0,
+            ended: 0,
+            relayed: 0,
+        };
+        fleet.note(json!({"line": "started", "t": now, "who": fleet.me.name, "run": run}));
+        fleet.take(out, now);
+        Ok((fleet, saved_rx))
+    }
+
+    fn note(&mut self, line: Value) {
+        if let Some(to) = &mut self.history {
+            let _ = writeln!(to, "{line}");
+            let _ = to.flush();
+        }
+    }
+
+    fn heard(&mut self, name: &str, at: SocketAddrV4, now: f64) {
+        if name == self.me.name && at == self.plan.listen {
+            return;
+        }
+        // Bounded by the fleet's size in the file, and by time.
+        let most = self.plan.members.size as usize * 2 + 16;
+        if !self.places.contains_key(name) && self.places.len() >= most {
+            self.places.retain(|_, p| p.iter().any(|p| p.1 > now - FORGOTTEN));
+            if self.places.len() >= most {
+                return;
+            }
+        }
+        let places = self.places.entry(name.to_owned()).or_default();
+        places.retain(|p| p.0 != at && p.1 > now - FORGOTTEN);
+        places.insert(0, (at, now));
+        places.truncate(PLACES);
+    }
+
+    /// Where a name is reached.
+    fn places(&self, name: &str) -> Vec<SocketAddrV4> {
+        let heard = self.places.get(name).into_iter().flatten().map(|p| p.0);
+        let mut places: Vec<SocketAddrV4> = heard.collect();
+        if places.is_empty() {
+            let listed = self.plan.voters.iter().find(|v| v.0 == name).map(|v| v.1);
+            places.extend(listed.or_else(|| self.members.find(name).map(|m| m.address)));
+        }
+        places
+    }
+
+    fn take(&mut self, out: Vec<Output>, now: f64) {
+        let mut own = Vec::new();
+        for o in out {
+            let (who, run) = (self.me.name.clone(), self.me.run);
+            match o {
+                Output::Send { to, msg } if to == self.me.name => own.push(msg),
+                Output::Send { to, msg } => {
+                    let body = postcard::to_stdvec(&msg).unwrap_or_default();
+                    for at in self.places(&to) {
+                        self.links.send(at, Kind::Duties, body.clone());
+                    }
+                }
+                Output::Save(batch) => {
+                    if let Some(disk) = &self.disk {
+                        let _ = disk.send(batch);
+                    }
+                }
+                Output::Tokens(tokens) => self.fence.prime(&tokens),
+                Output::Began { slot, token } => {
+                    self.began += 1;
+                    let (duty, shard, _) = self.plan.duties.slot(slot);
+                    ::log::info!("fleet: begins {duty} {shard} under {token}");
+                    self.note(json!({"line": "began", "t": now, "who": who, "run": run, "slot": slot, "token": token}));
+                }
+                Output::Ended { slot, token } => {
+                    self.ended += 1;
+                    let (duty, shard, _) = self.plan.duties.slot(slot);
+                    ::log::info!("fleet: ends {duty} {shard} under {token}");
+                    let until = self.holder.last_until();
+                    self.note(json!({"line": "ended", "t": now, "who": who, "run": run, "slot": slot,
+                        "token": token, "until": until}));
+                }
+                Output::Report { loud, text } => {
+                    match loud {
+                        true => ::log::warn!("fleet: {text}"),
+                        false => ::log::info!("fleet: {text}"),
+                    }
+                    self.note(json!({"line": "report", "t": now, "who": who, "loud": loud, "text": text}));
+                }
+            }
+        }
+        for msg in own {
+            self.duty(self.me.name.clone(), msg, now);
+        }
+    }
+
+    /// A message about duties, from a peer or from this process to itself.
+    fn duty(&mut self, from: String, msg: Msg, now: f64) {
+        let mut out = Vec::new();
+        let mut told = None;
+        match &msg {
+            Msg::Told { told: t, .. } => {
+                told = Some((t.seq, t.index));
+                self.holder.hear(&from, msg, now, &mut out);
+            }
+            Msg::Elsewhere { .. } | Msg::Doubled { .. } | Msg::Notice { .. } => {
+                self.holder.hear(&from, msg, now, &mut out);
+            }
+            _ => {
+                if let Some(voter) = &mut self.voter {
+                    voter.hear(&from, msg, now, &mut out);
+                }
+            }
+        }
+        if let Some((seq, index)) = told.filter(|_| self.history.is_some()) {
+            if let Some(asked) = self.holder.asked_at(seq) {
+                let who = self.me.name.clone();
+                self.note(json!({"line": "told", "asked": asked, "t": now, "who": who, "index": index}));
+            }
+        }
+        self.take(out, now);
+    }
+
+    fn take_members(&mut self, out: Vec<members::Output>, now: f64) {
+        for o in out {
+            match o {
+                members::Output::Datagram { to, bytes } => self.links.datagram(to, Kind::Gossip, bytes),
+                members::Output::Up(m) => ::log::info!("fleet: {} is up at {}", m.name, m.address),
+                members::Output::Down(m) => ::log::info!("fleet: {} at {} is gone", m.name, m.address),
+                members::Output::Doubled { name, runs } => {
+                    let text = format!("two living processes have the name {name}");
+                    ::log::error!("fleet: {text} (runs {:x} and {:x})", runs.0, runs.1);
+                    let who = self.me.name.clone();
+                    self.note(json!({"line": "report", "t": now, "who": who, "loud": true, "text": text}));
+                }
+                members::Output::StoodStill(s) => {
+                    ::log::warn!("fleet: this process stood still for {s:.1} s")
+                }
+            }
+        }
+    }
+
+    fn came(&mut self, hub: &Rc<Hub>, came: Came, now: f64) {
+        let Came { kind, frame } = came;
+        self.heard(&frame.from, frame.at, now);
+        let spoilt = |links: &Links| links.refuse(dunespur_peer::frame::Refused::Unknown);
+        match kind {
+            Kind::Gossip => {
+                let mut out = Vec::new();
+                self.members.datagram(&frame.body, now, &mut out);
+                self.take_members(out, now);
+            }
+            Kind::Duties => match postcard::from_bytes(&frame.body) {
+                Ok(msg) => self.duty(frame.from, msg, now),
+                Err(_) => spoilt(&self.links),
+            },
+            Kind::Watch => match postcard::from_bytes(&frame.body) {
+                Ok(msg) => self.watch(hub, frame.from, msg, now),
+                Err(_) => spoilt(&self.links),
+            },
+            Kind::Work => match postcard::from_bytes::<Effect>(&frame.body) {
+                Ok(e) => {
+                    self.accept(&frame.from, e.slot, e.token, now);
+                }
+                Err(_) => spoilt(&self.links),
+            },
+        }
+    }
+
+    /// The receiver's check, whatever the effect.
+    fn accept(&mut self, from: &str, slot: Slot, token: u64, now: f64) -> bool {
+        let took = self.fence.accept(slot, token);
+        let line = if took { "accepted" } else { "refused" };
+        let at = self.me.name.clone();
+        self.note(json!({"line": line, "t": now, "at": at, "who": from, "slot": slot, "token": token}));
+        took
+    }
+
+    fn watch(&mut self, hub: &Rc<Hub>, from: String, msg: watch::Msg, now: f64) {
+        let Some(slot) = self.relay.as_ref().map(|r| r.1) else { return };
+        let fits = match &msg {
+            watch::Msg::Want { slot: s } => *s == slot,
+            watch::Msg::Beat { slot: s, token, .. } | watch::Msg::News { slot: s, token, .. } => {
+                let (s, token) = (*s, *token);
+                s == slot && self.accept(&from, s, token, now)
+            }
+        };
+        if !fits {
+            return;
+        }
+        let token = self.holder.holds(slot, now);
+        let mut acts = Vec::new();
+        if let Some((relay, _)) = &mut self.relay {
+            relay.hear(&from, msg, token, now, &mut acts);
+        }
+        self.act(hub, acts, now);
+    }
+
+    /// Takes a list into the whole one; says whether it was complete, and its revision.
+    fn merge(&mut self, value: &Value) -> Option<(u64, bool)> {
+        let revision = value["revision"].as_u64()?;
+        let complete = value["complete"].as_bool().unwrap_or(false);
+        if complete {
+            self.list.clear();
+        }
+        for m in value["members"].as_array().into_iter().flatten() {
+            let Some(id) = m["id"].as_str() else { continue };
+            if m["phase"] == "Gone" {
+                self.list.remove(id);
+            } else {
+                self.list.insert(id.to_owned(), m.clone());
+            }
+        }
+        Some((revision, complete))
+    }
+
+    fn act(&mut self, hub: &Rc<Hub>, acts: Vec<Act>, now: f64) {
+        for act in acts {
+            match act {
+                Act::Own(own) => {
+                    ::log::info!("fleet: its own watch {}", if own { "opens" } else { "closes" });
+                    let who = self.me.name.clone();
+                    let value = if own { 1.0 } else { 0.0 };
+                    self.note(
+                        json!({"line": "counted", "t": now, "what": format!("watch {who}"), "value": value}),
+                    );
+                    hub.discovery.hold(own);
+                }
+                Act::ToZone(msg) => {
+                    let body = postcard::to_stdvec(&msg).unwrap_or_default();
+                    let zone = |m: &&members::Member| m.zone == self.me.zone && m.name != self.me.name;
+                    let to: Vec<_> = self.members.living().filter(zone).map(|m| m.address).collect();
+                    to.into_iter().for_each(|at| self.links.send(at, Kind::Watch, body.clone()));
+                }
+                Act::To { to, msg } => {
+                    let body = postcard::to_stdvec(&msg).unwrap_or_default();
+                    for at in self.places(&to) {
+                        self.links.send(at, Kind::Watch, body.clone());
+                    }
+                }
+                Act::Whole { to, token } => {
+                    let Some((relay, slot)) = &self.relay else { continue };
+                    let members: Vec<&Value> = self.list.values().collect();
+                    let revision = relay.revision;
+                    let whole = json!({"revision": revision, "complete": true, "members": members});
+                    let list = whole.to_string().into_bytes();
+                    let msg = watch::Msg::News { slot: *slot, token, since: None, revision, list };
+                    let body = postcard::to_stdvec(&msg).unwrap_or_default();
+                    for at in self.places(&to) {
+                        self.links.send(at, Kind::Watch, body.clone());
+                    }
+                }
+                Act::Take { list, revision } => {
+                    let Ok(value) = serde_json::from_slice::<Value>(&list) else { continue };
+                    let Ok(news) = decode_news(&value, &hub.names) else { continue };
+                    self.merge(&value);
+                    self.relayed += 1;
+                    // Its own watch would go on from here.
+                    hub.discovery.heard(revision);
+                    hub.tell(Event::Roster(news));
+                }
+            }
+        }
+    }
+
+    fn line(&mut self, hub: &Rc<Hub>, line: Option<Value>, now: f64) {
+        let list = line.and_then(|value| {
+            let (revision, complete) = self.merge(&value)?;
+            Some((revision, complete, value.to_string().into_bytes()))
+        });
+        let token = self.relay.as_ref().and_then(|r| self.holder.holds(r.1, now));
+        let mut acts = Vec::new();
+        if let Some((relay, slot)) = &mut self.relay {
+            relay.own_watch(list, token, now, &mut acts);
+            self.holder.progress(*slot, now);
+        }
+        self.act(hub, acts, now);
+    }
+
+    fn due(&self) -> f64 {
+        let mut due = self.holder.next_due().min(self.members.next_due());
+        if let Some(voter) = &self.voter {
+            due = due.min(voter.next_due());
+        }
+        if let Some((relay, _)) = &self.relay {
+            due = due.min(relay.next_due());
+        }
+        if self.plan.trial.effects > 0.0 {
+            due = due.min(self.next_effect);
+        }
+        due
+    }
+
+    fn tick(&mut self, hub: &Rc<Hub>, now: f64) {
+        let (mut out, mut said, mut acts) = (Vec::new(), Vec::new(), Vec::new());
+        // The trial's effect first: a process that stood still is in the middle of one.
+        if self.plan.trial.effects > 0.0 && now >= self.next_effect {
+            self.effects(now);
+        }
+        if self.holder.next_due() <= now {
+            self.holder.tick(now, &mut out);
+        }
+        if let Some(voter) = self.voter.as_mut().filter(|v| v.next_due() <= now) {
+            voter.tick(now, &mut out);
+        }
+        self.take(out, now);
+        if self.members.next_due() <= now {
+            self.members.tick(now, &mut said);
+            self.take_members(said, now);
+        }
+        if let Some((relay, slot)) = self.relay.as_mut().filter(|r| r.0.next_due() <= now) {
+            let token = self.holder.holds(*slot, now);
+            relay.tick(token, now, &mut acts);
+            if token.is_some() {
+                self.holder.progress(*slot, now);
+            }
+            self.act(hub, acts, now);
+        }
+    }
+
+    /// For trials: each held slot has an effect at the next member and the next receiver.
+    fn effects(&mut self, now: f64) {
+        self.next_effect = now + (0.5 + fastrand::f64()) / self.plan.trial.effects;
+        let held: Vec<(Slot, u64)> = self.holder.held(now).collect();
+        let members: Vec<SocketAddrV4> = self.members.living().map(|m| m.address).collect();
+        for (slot, token) in held {
+            self.holder.progress(slot, now);
+            self.turn += 1;
+            let body = postcard::to_stdvec(&Effect { slot, token }).unwrap_or_default();
+            if !members.is_empty() {
+                self.links.send(members[self.turn % members.len()], Kind::Work, body.clone());
+            }
+            if !self.plan.trial.receivers.is_empty() {
+                let at = self.plan.trial.receivers[self.turn % self.plan.trial.receivers.len()];
+                self.links.datagram(at, Kind::Work, body);
+            }
+        }
+    }
+
+    fn report(&self) {
+        let c = self.links.counts.borrow();
+        let (leads, votes) = self.voter.as_ref().map_or((false, false), |v| (v.leads(), v.votes()));
+        ::log::info!(
+            "fleet: members={} held={} began={} ended={} votes={votes} leads={leads} doubled={} relayed={} \
+             fenced={} links={} sent={} sent_bytes={} came={} refused={} dropped={}",
+            self.members.count(),
+            self.holder.held(clock()).count(),
+            self.began,
+            self.ended,
+            self.holder.doubled || self.members.doubled(&self.me.name),
+            self.relayed,
+            self.fence.refused,
+            self.links.connections(),
+            c.sent,
+            c.sent_bytes,
+            c.came,
+            c.checksum + c.malformed + c.too_large + c.other_fleet + c.unknown + self.members.refused,
+            c.queue_full + c.peers_full + c.inbox_full,
+        );
+    }
+}
+
+/// Opens what the plan names, then plays this process's part for as long as it lives.
+pub async fn start(
+    hub: Rc<Hub>,
+    plan: Plan,
+    name: String,
+    seed: u64,
+    mut told: mpsc::UnboundedReceiver<Told>,
+) -> Result<(), Fault> {
+    let (tx, mut inbox) = mpsc::channel(1024);
+    let (mut fleet, mut saved) = Fleet::open(plan, name, seed, tx).await?;
+    tokio::task::spawn_local(async move {
+        let mut disk = true;
+        loop {
+            let wait = (fleet.due() - clock()).clamp(0.0, 1.0);
+            tokio::select! {
+                biased;
+                said = saved.recv(), if disk => {
+                    let mut out = Vec::new();
+                    match (said, &mut fleet.voter) {
+                        (Some(Disk::Saved(number)), Some(voter)) => voter.saved(number, clock(), &mut out),
+                        (Some(Disk::Failed(e)), Some(voter)) => {
+                            ::log::error!("fleet: {e}");
+                            voter.failed(&mut out);
+                        }
+                        _ => disk = false,
+                    }
+                    fleet.take(out, clock());
+                }
+                () = tokio::time::sleep(Duration::from_secs_f64(wait)), if wait > 0.0 => {}
+                came = inbox.recv() => {
+                    if let Some(came) = came {
+                        fleet.came(&hub, came, clock());
+                    }
+                }
+                said = told.recv() => match said {
+                    Some(Told::Line(line)) => fleet.line(&hub, line, clock()),
+                    Some(Told::Report) => fleet.report(),
+                    Some(Told::Leave) => {
+                        let now = clock();
+                        let (mut out, mut said) = (Vec::new(), Vec::new());
+                        fleet.holder.leave(now, &mut out);
+                        fleet.members.leave(now, &mut said);
+                        fleet.take(out, now);
+                        fleet.take_members(said, now);
+                    }
+                    None => return,
+                },
+                () = std::future::ready(()), if wait <= 0.0 => {}
+            }
+            let now = clock();
+            if fleet.due() <= now {
+                fleet.tick(&hub, now);
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,222 @@
+//! Starts the gateway and ends it. Owns the configuration, the signals and the exit. It must never touch an
+//! invocation, and never report ready before clients can be served.
+
+mod counter;
+mod discovery;
+mod fault;
+mod fleet;
+mod front;
+mod hub;
+mod log;
+mod message;
+mod operators;
+mod reducer;
+mod stats;
+mod upstream;
+
+use crate::fault::Fault;
+use crate::hub::{Clock, Hub};
+use crate::reducer::Event;
+use dunespur_settings::Read;
+use serde_json::Value;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::time::{interval, sleep};
+
+/// Clients keep coming for up to 0.4 s after SIGTERM; what comes over 0.7 s after it may not be answered.
+const LEAVING: Duration = Duration::from_millis(500);
+
+/// Fewer descriptors than this leave nothing for clients beside what the program itself holds.
+const LEAST_SOCKETS: usize = 32;
+
+struct Config {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: Option<SocketAddr>,
+    sockets: usize,
+    known: Value,
+    read: Read,
+    seed: u64,
+    /// The fleet's part; none where no operators' file asks for it.
+    fleet: Option<operators::Plan>,
+}
+
+fn config(path: Option<String>) -> Result<Config, Fault> {
+    let path = path.ok_or_else(|| Fault::Config("RELAY_CONFIG names no file".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
+    let v: Value = serde_json::from_str(&text).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
+    let address = |key: &str| match v[key].as_str().map(str::parse) {
+        Some(Ok(address)) => Ok(address),
+        _ => Err(Fault::Config(format!("{key} is no address with a port"))),
+    };
+    let seed = u64::from_str_radix(v["seed"].as_str().unwrap_or(""), 16)
+        .map_err(|_| Fault::Config("seed is no hexadecimal number".into()))?;
+    let sockets = v["limits"]["sockets"].as_u64().unwrap_or(1024) as usize;
+    if sockets < LEAST_SOCKETS {
+        return Err(Fault::Config(format!("limits.sockets is under {LEAST_SOCKETS}")));
+    }
+    let name = v["name"].as_str().unwrap_or("gateway").to_owned();
+    let read = dunespur_settings::read(&v["settings"], seed).map_err(Fault::Config)?;
+    let fleet = operators::plan(&name, &read.zones, read.settings.zone)?;
+    Ok(Config {
+        name,
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        counter: if v["counter"].is_null() { None } else { Some(address("counter")?) },
+        sockets,
+        known: v["known"].clone(),
+        read,
+        seed,
+        fleet,
+    })
+}
+
+async fn run(mut config: Config) -> Result<(), Fault> {
+    let fail = |what: &'static str| move |e: std::io::Error| Fault::Config(format!("{what}: {e}"));
+    let clock = Clock::start();
+    let read = &config.read;
+    let names = reducer::names(read);
+    let known = match &config.known {
+        Value::Null => None,
+        list => Some(message::decode_news(list, &names)?),
+    };
+    let revision = known.as_ref().map_or(0, |k| k.revision);
+    let seconds = |s: f64, what: &str| {
+        Duration::try_from_secs_f64(s).map_err(|e| Fault::Config(format!("settings: {what}: {e}")))
+    };
+    let dial = seconds(read.dial_timeout, "dialTimeoutS")?;
+    let idle_time = seconds(read.idle_time, "keepaliveS")?;
+    // Five eighths of the descriptors serve clients, a quarter servers; the rest is for all else.
+    let (clients, servers) = (config.sockets * 5 / 8, config.sockets / 4);
+    // A counter holds no more than 32 of one gateway, and may see the end of one late.
+    let calls = (config.sockets / 32).min(16);
+    let reducer = reducer::Reducer::new(&read.settings, clock.now());
+    let hub = Hub::new(
+        clock,
+        names,
+        reducer,
+        front::Front::new(clients),
+        upstream::Upstream::new(dial, read.idle_time * 0.75, servers),
+        counter::Counter::new(config.counter, dial, calls),
+        discovery::Discovery::new(config.discovery, read.settings.ask_roster, revision),
+    );
+    if let Some(known) = known {
+        hub.tell(Event::Roster(known));
+    }
+    let mut term = signal(SignalKind::terminate()).map_err(fail("SIGTERM"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?;
+    let mut hup = signal(SignalKind::hangup()).map_err(fail("SIGHUP"))?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?;
+    let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
+    let (tell, told) = mpsc::unbounded_channel();
+    let fleet = match config.fleet.take() {
+        None => None,
+        Some(plan) => {
+            hub.discovery.tap(tell.clone());
+            fleet::start(hub.clone(), plan, config.name.clone(), config.seed, told).await?;
+            Some(tell)
+        }
+    };
+    keep(&hub, "time", Hub::keep_time);
+    (0..hub.counter.connections()).for_each(|at| {
+        keep(&hub, "counter", move |hub| counter::Counter::run(hub, at));
+    });
+    keep(&hub, "discovery", discovery::Discovery::run);
+    tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
+    ::log::info!("{} serves on {}", config.name, config.listen);
+    let mut clients = interval(front::SWEEP);
+    let mut sweep = interval((idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1)));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(&hub),
+            _ = usr1.recv() => {
+                ::log::info!("{}", hub.reducer.borrow().stats);
+                if let Some(fleet) = &fleet {
+                    let _ = fleet.send(fleet::Told::Report);
+                }
+            }
+            _ = clients.tick() => hub.front.sweep(hub.clock.now()),
+            _ = sweep.tick() => hub.upstream.sweep(hub.clock.now()),
+        }
+    }
+    ::log::info!("leaving with {} in hand", hub.reducer.borrow().in_hand());
+    // Duties are handed over before anything else; nothing here waits for whoever takes them.
+    if let Some(fleet) = &fleet {
+        let _ = fleet.send(fleet::Told::Leave);
+    }
+    hub.front.leave();
+    sleep(LEAVING).await;
+    hub.front.close();
+    drain(&hub).await;
+    ::log::info!("{}", hub.reducer.borrow().stats);
+    Ok(())
+}
+
+/// SIGHUP: discovery and the counter may have moved, all that is in hand and all that is known stays. Guards
+/// against a file that can't be used, perhaps half written: then the old addresses hold.
+fn reload(hub: &Rc<Hub>) {
+    match config(std::env::var("RELAY_CONFIG").ok()) {
+        Ok(config) => {
+            ::log::info!("discovery at {}, counter at {:?}", config.discovery, config.counter);
+            hub.discovery.move_to(config.discovery);
+            hub.counter.move_to(config.counter);
+        }
+        Err(fault) => ::log::warn!("{fault}; the old one holds"),
+    }
+}
+
+/// Runs one of the lasting tasks; a panic in it is logged and it starts again.
+fn keep<F, R>(hub: &Rc<Hub>, what: &'static str, run: R)
+where
+    F: Future<Output = ()> + 'static,
+    R: Fn(Rc<Hub>) -> F + 'static,
+{
+    let hub = hub.clone();
+    tokio::task::spawn_local(async move {
+        while let Err(e) = tokio::task::spawn_local(run(hub.clone())).await {
+            ::log::error!("{what}: {e}");
+        }
+    });
+}
+
+/// Waits until all that was taken is answered and the connections are closed. One on which nothing is in
+/// hand may stay open for a moment, then it ends with the process.
+async fn drain(hub: &Rc<Hub>) {
+    let pause = Duration::from_millis(20);
+    let mut quiet = 0;
+    while quiet < 5 {
+        sleep(pause).await;
+        match hub.front.clients() {
+            (0, 0) => return,
+            (0, _) => quiet += 1,
+            _ => quiet = 0,
+        }
+    }
+}
+
+/// The whole program: reads the configuration that the environment names, serves, ends.
+pub fn main() -> ExitCode {
+    log::start(std::env::var("RELAY_LOG").ok().as_deref());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => config(std::env::var("RELAY_CONFIG").ok())
+            .and_then(|config| tokio::task::LocalSet::new().block_on(&runtime, run(config))),
+        Err(e) => Err(Fault::Config(format!("no runtime: {e}"))),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("dunespur-gateway: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/operators.rs
@@ -0,0 +1,307 @@
+//! The operators' file: what is theirs to switch on beside the platform's configuration. Owns its form and
+//! its checks. It must never be needed: without it, or without its `fleet` section, nothing of it runs.
+
+use crate::fault::Fault;
+use dunespur_duties::{watch, Duty, Settings as Duties};
+use dunespur_members::Settings as Members;
+use dunespur_peer::Bounds;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "DUNESPUR_OPERATORS";
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: Option<Fleet>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Voter {
+    name: String,
+    address: String,
+}
+
+/// The `fleet` section as it is written. Times are seconds.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Fleet {
+    name: String,
+    listen: String,
+    #[serde(default)]
+    zone: Option<String>,
+    #[serde(default)]
+    zones: Option<Vec<String>>,
+    #[serde(default)]
+    machine: Option<String>,
+    /// About how many limiters there are.
+    #[serde(default = "thirty")]
+    size: u32,
+    #[serde(rename = "voter")]
+    voters: Vec<Voter>,
+    /// Where a voter keeps its part of the log.
+    #[serde(default)]
+    disk: Option<PathBuf>,
+    #[serde(default = "two")]
+    lease: f64,
+    #[serde(default = "half")]
+    renew: f64,
+    #[serde(default = "hundredth")]
+    drift: f64,
+    #[serde(default)]
+    stall: f64,
+    #[serde(default = "tick")]
+    tick: f64,
+    #[serde(default = "sixty_four")]
+    moves: usize,
+    #[serde(default = "ten")]
+    disk_wait: f64,
+    #[serde(default = "duties", rename = "duty")]
+    duties: Vec<Duty>,
+    #[serde(default)]
+    members: MembersPart,
+    #[serde(default)]
+    links: LinksPart,
+    #[serde(default)]
+    watch: WatchPart,
+    #[serde(default)]
+    trial: Option<Trial>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct MembersPart {
+    probe: f64,
+    answer: f64,
+    suspect: f64,
+    gossip: f64,
+    again: f64,
+    datagram: usize,
+}
+
+impl Default for MembersPart {
+    fn default() -> Self {
+        MembersPart { probe: 1.0, answer: 0.3, suspect: 4.0, gossip: 0.2, again: 5.0, datagram: 1400 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct LinksPart {
+    peers: usize,
+    queue: usize,
+    frame: usize,
+    dial: f64,
+    idle: f64,
+}
+
+impl Default for LinksPart {
+    fn default() -> Self {
+        LinksPart { peers: 64, queue: 256, frame: 1 << 20, dial: 0.5, idle: 30.0 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WatchPart {
+    beat: f64,
+    stale: f64,
+    spread: f64,
+    trust: f64,
+}
+
+impl Default for WatchPart {
+    fn default() -> Self {
+        WatchPart { beat: 0.5, stale: 1.6, spread: 0.5, trust: 5.0 }
+    }
+}
+
+/// For trials alone: never in service.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Trial {
+    /// Where a peer is really reached.
+    pub via: BTreeMap<String, String>,
+    /// What it holds and accepts, a JSON line each.
+    pub history: Option<PathBuf>,
+    /// Effects a second for each slot it holds, sent to members and receivers.
+    pub effects: f64,
+    pub receivers: Vec<SocketAddrV4>,
+    /// Added to the wall clock.
+    pub wall: f64,
+    /// Each write to the disk takes this much longer.
+    pub slow_disk: f64,
+}
+
+fn thirty() -> u32 {
+    30
+}
+fn two() -> f64 {
+    2.0
+}
+fn half() -> f64 {
+    0.5
+}
+fn hundredth() -> f64 {
+    0.01
+}
+fn tick() -> f64 {
+    0.05
+}
+fn ten() -> f64 {
+    10.0
+}
+fn sixty_four() -> usize {
+    64
+}
+fn duties() -> Vec<Duty> {
+    vec![Duty { name: "watch".into(), shards: 1, by_zone: true }]
+}
+
+/// What the fleet's part of the process is made from.
+pub struct Plan {
+    pub listen: SocketAddrV4,
+    pub zone: String,
+    pub machine: String,
+    pub voters: Vec<(String, SocketAddrV4)>,
+    pub disk: Option<PathBuf>,
+    pub duties: Duties,
+    pub members: Members,
+    pub bounds: Bounds,
+    pub watch: watch::Settings,
+    pub trial: Trial,
+    pub via: BTreeMap<SocketAddrV4, SocketAddrV4>,
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddrV4, String> {
+    let wrong = || format!("{key}: {text} is no IPv4 address with a port; write it like 10.0.0.4:7100");
+    text.parse().map_err(|_| wrong())
+}
+
+/// Reads the file's text for the limiter of this name and zone, in a platform with these zones.
+pub fn read(text: &str, name: &str, zones: &[String], zone: usize) -> Result<Option<Plan>, String> {
+    let file: File = toml::from_str(text).map_err(|e| {
+        let line = e.span().map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
+        format!("line {}: {}", line.unwrap_or(1), e.message().replace('\n', " "))
+    })?;
+    let Some(f) = file.fleet else { return Ok(None) };
+    let voters = f.voters.iter().map(|v| Ok((v.name.clone(), address("fleet.voter.address", &v.address)?)));
+    let voters = voters.collect::<Result<Vec<_>, String>>()?;
+    let zones = f.zones.unwrap_or_else(|| zones.to_vec());
+    let zone = f.zone.unwrap_or_else(|| zones.get(zone).cloned().unwrap_or_default());
+    if !zones.contains(&zone) {
+        return Err(format!("fleet.zone: {zone} is not among the zones {}", zones.join(", ")));
+    }
+    let duties = Duties {
+        fleet: f.name,
+        voters: voters.iter().map(|v| v.0.clone()).collect(),
+        zones,
+        duties: f.duties,
+        lease: f.lease,
+        drift: f.drift,
+        renew: f.renew,
+        stall: f.stall,
+        tick: f.tick,
+        moves: f.moves,
+        disk_wait: f.disk_wait,
+    };
+    duties.check()?;
+    let listen = address("fleet.listen", &f.listen)?;
+    let votes = voters.iter().find(|v| v.0 == name);
+    if votes.is_some() && f.disk.is_none() {
+        return Err(format!("fleet.disk: {name} is a voter and needs a file on a disk that persists"));
+    }
+    if let Some((_, at)) = votes.filter(|v| v.1 != listen) {
+        return Err(format!("fleet.listen: {listen}, but the voters' list has {name} at {at}"));
+    }
+    let m = f.members;
+    let seeds = voters.iter().map(|v| v.1).collect();
+    let members = Members {
+        size: f.size,
+        seeds,
+        probe: m.probe,
+        answer: m.answer,
+        suspect: m.suspect,
+        gossip: m.gossip,
+        again: m.again,
+        datagram: m.datagram,
+    };
+    members.check()?;
+    let l = f.links;
+    if l.peers < voters.len() || l.queue == 0 || l.frame < 4096 || !(l.dial > 0.0 && l.idle > 0.0) {
+        return Err(format!(
+            "fleet.links: peers {} (no fewer than voters), queue {} (1 or more), frame {} (4096 or more), dial {} \
+             and idle {} (over 0)",
+            l.peers, l.queue, l.frame, l.dial, l.idle
+        ));
+    }
+    let bounds = Bounds { peers: l.peers, queue: l.queue, frame: l.frame, dial: l.dial, idle: l.idle };
+    let w = f.watch;
+    let watch = watch::Settings { beat: w.beat, stale: w.stale, spread: w.spread, trust: w.trust };
+    watch.check()?;
+    let trial = f.trial.unwrap_or_default();
+    let via = trial.via.iter().map(|(a, b)| Ok((address("via", a)?, address("via", b)?)));
+    let via = via.collect::<Result<_, String>>()?;
+    let machine = f.machine.unwrap_or_else(|| name.to_owned());
+    Ok(Some(Plan { listen, zone, machine, voters, disk: f.disk, duties, members, bounds, watch, trial, via }))
+}
+
+/// The plan that the environment names; none where it names no file.
+pub fn plan(name: &str, zones: &[String], zone: usize) -> Result<Option<Plan>, Fault> {
+    let Ok(path) = std::env::var(VARIABLE) else { return Ok(None) };
+    let fail = |e: String| Fault::Config(format!("{path}: {e}"));
+    let text = std::fs::read_to_string(&path).map_err(|e| fail(e.to_string()))?;
+    read(&text, name, zones, zone).map_err(fail)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"
+[fleet]
+name = "f"
+listen = "127.0.0.1:7001"
+disk = "voter.redb"
+voter = [
+    { name = "n1", address = "127.0.0.1:7001" },
+    { name = "n2", address = "127.0.0.1:7002" },
+    { name = "n3", address = "127.0.0.1:7003" },
+]
+"#;
+
+    fn refused(text: &str, name: &str) -> String {
+        read(text, name, &["a".into(), "b".into()], 1).err().unwrap()
+    }
+
+    #[test]
+    fn a_file_that_can_be_used_is_read_and_nothing_runs_without_its_section() {
+        let plan = read(GOOD, "n1", &["a".into(), "b".into()], 1).unwrap().unwrap();
+        assert_eq!((plan.zone.as_str(), plan.machine.as_str(), plan.duties.slots()), ("b", "n1", 2));
+        assert!(read("", "n1", &["a".into()], 0).unwrap().is_none());
+    }
+
+    #[test]
+    fn what_can_not_be_used_is_named_with_its_remedy() {
+        let with = |from: &str, to: &str| GOOD.replace(from, to);
+        let cases = [
+            (with("    { name = \"n3\", address = \"127.0.0.1:7003\" },\n", ""), "3, 5 or 7"),
+            (with("\"n3\"", "\"n2\""), "stands there twice"),
+            (with("disk = \"voter.redb\"", "lease = 1.0\ndisk = \"v\""), "shorter than three renewals"),
+            (with("127.0.0.1:7003", "[::1]:7003"), "no IPv4 address"),
+            (with("disk = \"voter.redb\"\n", ""), "needs a file"),
+            (with("listen = \"127.0.0.1:7001\"", "listen = \"127.0.0.1:7009\""), "the voters' list has n1"),
+            (with("disk =", "dusk ="), "line 5: unknown field `dusk`"),
+            (with("disk =", "zone = \"x\"\ndisk ="), "x is not among the zones a, b"),
+            (with("disk =", "drift = 0.7\ndisk ="), "a share from 0"),
+        ];
+        for (text, says) in cases {
+            let said = refused(&text, "n1");
+            assert!(said.contains(says), "{said} does not say {says}");
+        }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod history;
 mod measure;
+mod processes;
 mod trial;
 mod world;
 
@@ -52,6 +53,9 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// One limiter, as the trials start it; reads the gateway's environment.
+    #[command(hide = true)]
+    Gateway,
     /// Measure a simulated fleet: detection, false suspicions, bytes, time until all duties are held.
     Measure {
         #[arg(long, value_delimiter = ',', default_value = "30,100,300,1000")]
@@ -71,8 +75,15 @@
 }
 
 fn main() -> ExitCode {
+    let args = Args::parse();
+    if matches!(args.command, Command::Gateway) {
+        // Whoever started it is gone: so is this.
+        let _ = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+        return dunespur_gateway::main();
+    }
     tracing_subscriber::fmt().json().with_writer(std::io::stderr).with_max_level(tracing::Level::INFO).init();
-    match Args::parse().command {
+    match args.command {
+        Command::Gateway => ExitCode::SUCCESS,
         Command::Trial { file, world, seed, json } => {
             let text = match std::fs::read_to_string(&file) {
                 Ok(text) => text,
@@ -96,7 +107,10 @@
                     w.run();
                     w.lines
                 }
-                Kind::Processes => return unusable("the world of processes is not built yet"),
+                Kind::Processes => match processes::play(&trial, seed) {
+                    Ok(lines) => lines,
+                    Err(e) => return unusable(&format!("{}: {e}", file.display())),
+                },
             };
             let broken = check::check(&trial, &lines);
             if let Some(to) = &mut to {
--- /dev/null
+++ b/crates/lab/src/processes.rs
@@ -0,0 +1,879 @@
+//! The world of processes: real gateways on loopback, the project's stand-ins around them, an open-loop load,
+//! and a proxy on every link between two limiters, UDP and TCP. It must end only what it started, and leave
+//! nothing behind, interrupted or not. What the processes held and accepted comes from their own histories;
+//! this file judges nothing.
+
+use crate::history::Line;
+use crate::trial::{Disk, Fault, Kind, Trial, Way, MOST_PROCESSES};
+use bytes::Bytes;
+use dunespur_duties::fence::Fence;
+use dunespur_peer::Frame;
+use dunespur_standins::{list, Counter, Discovery, Server};
+use http_body_util::{BodyExt, Empty};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use rustix::process::{kill_process, Pid, Signal};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Read, Seek};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+/// Seconds on the clock that the gateways' histories use.
+pub fn clock() -> f64 {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    t.tv_sec as f64 + t.tv_nsec as f64 * 1e-9
+}
+
+/// What the faults make of one direction between two limiters at this moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Link {
+    cut: bool,
+    lose: f64,
+    delay: f64,
+    reorder: f64,
+    double: bool,
+}
+
+struct Active {
+    n: usize,
+    from: Vec<usize>,
+    to: Option<Vec<usize>>,
+}
+
+/// All that the proxies look at.
+struct Rules {
+    faults: Vec<Fault>,
+    active: RefCell<Vec<Active>>,
+    start: Cell<f64>,
+    rng: RefCell<Xoshiro256PlusPlus>,
+}
+
+impl Rules {
+    fn link(&self, from: usize, to: usize) -> Link {
+        let mut link = Link::default();
+        let now = clock() - self.start.get();
+        for a in self.active.borrow().iter() {
+            let fault = &self.faults[a.n];
+            let on = fault.every <= 0.0 || ((now - fault.at) / fault.every).fract() < 0.5;
+            let other = |n: usize| a.to.as_ref().map_or(!a.from.contains(&n), |to| to.contains(&n));
+            let out = a.from.contains(&from) && other(to);
+            let back = a.from.contains(&to) && other(from);
+            let hit = match fault.way {
+                Way::Both => out || back,
+                Way::From => out,
+                Way::To => back,
+            };
+            if !hit || !on {
+                continue;
+            }
+            match fault.kind {
+                Kind::Cut | Kind::HalfOpen => link.cut = true,
+                Kind::Lose => link.lose = 1.0 - (1.0 - link.lose) * (1.0 - fault.amount),
+                Kind::Delay => link.delay += fault.amount,
+                Kind::Reorder => link.reorder += fault.amount,
+                Kind::Double => link.double = true,
+                _ => {}
+            }
+        }
+        link
+    }
+
+    fn chance(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+}
+
+/// Stands on what one limiter sends to another. Returns the address that the sender is told.
+async fn proxy(
+    rules: Rc<Rules>,
+    from: usize,
+    to: usize,
+    real: SocketAddrV4,
+) -> std::io::Result<SocketAddrV4> {
+    let (tcp, udp, at) = loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").await?;
+        let SocketAddr::V4(at) = tcp.local_addr()? else { continue };
+        if let Ok(udp) = UdpSocket::bind(at).await {
+            break (tcp, Rc::new(udp), at);
+        }
+    };
+    let own = rules.clone();
+    tokio::task::spawn_local(async move {
+        let mut buffer = vec![0; 65_536];
+        loop {
+            let Ok((n, _)) = udp.recv_from(&mut buffer).await else { continue };
+            let link = own.link(from, to);
+            if link.cut || own.chance() < link.lose {
+                continue;
+            }
+            for copy in 0..1 + usize::from(link.double) {
+                let wait = link.delay + link.reorder * own.chance() + copy as f64 * 0.3 * own.chance();
+                let (bytes, udp) = (buffer[..n].to_vec(), udp.clone());
+                if wait <= 0.0 {
+                    let _ = udp.try_send_to(&bytes, real.into());
+                } else {
+                    tokio::task::spawn_local(async move {
+                        sleep(Duration::from_secs_f64(wait)).await;
+                        let _ = udp.send_to(&bytes, real).await;
+                    });
+                }
+            }
+        }
+    });
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = tcp.accept().await {
+            let rules = rules.clone();
+            tokio::task::spawn_local(async move {
+                // A cut machine answers nothing; here the connection at least comes up, and leads nowhere.
+                while rules.link(from, to).cut {
+                    sleep(Duration::from_millis(20)).await;
+                }
+                let Ok(Ok(onward)) = timeout(Duration::from_secs(2), TcpStream::connect(real)).await else {
+                    return;
+                };
+                let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
+                let (sr, sw) = stream.into_split();
+                let (or, ow) = onward.into_split();
+                let there = tokio::task::spawn_local(carry(rules.clone(), from, to, sr, ow));
+                let back = tokio::task::spawn_local(carry(rules, to, from, or, sw));
+                let _ = there.await;
+                back.abort();
+            });
+        }
+    });
+    Ok(at)
+}
+
+/// One direction of a connection. What is cut is held: TCP would send it again.
+async fn carry(
+    rules: Rc<Rules>,
+    from: usize,
+    to: usize,
+    mut read: tokio::net::tcp::OwnedReadHalf,
+    mut write: tokio::net::tcp::OwnedWriteHalf,
+) {
+    use tokio::io::AsyncWriteExt;
+    let mut buffer = vec![0; 16_384];
+    loop {
+        let Ok(n) = read.read(&mut buffer).await else { return };
+        if n == 0 {
+            return;
+        }
+        let mut link = rules.link(from, to);
+        while link.cut {
+            sleep(Duration::from_millis(20)).await;
+            link = rules.link(from, to);
+        }
+        // What is lost comes again after a while, and holds up what is behind it.
+        let again = if rules.chance() < link.lose { 0.2 } else { 0.0 };
+        let wait = link.delay + again;
+        if wait > 0.0 {
+            sleep(Duration::from_secs_f64(wait)).await;
+        }
+        if write.write_all(&buffer[..n]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A process that this one started, and ends.
+struct Running {
+    child: Child,
+}
+
+impl Running {
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Limiter {
+    name: String,
+    number: usize,
+    peer: SocketAddrV4,
+    client: SocketAddr,
+    dir: PathBuf,
+    running: RefCell<Option<Running>>,
+    twin: RefCell<Option<Running>>,
+    wall: Cell<f64>,
+    stalled: Cell<Option<f64>>,
+    /// Not to be blamed for lost answers: under a fault now or a moment ago.
+    excused: Cell<f64>,
+    /// How far its history was read, and the lines.
+    read: Cell<u64>,
+    copies: RefCell<Vec<(f64, PathBuf)>>,
+}
+
+struct World<'a> {
+    trial: &'a Trial,
+    dir: PathBuf,
+    program: (PathBuf, Vec<String>),
+    rules: Rc<Rules>,
+    limiters: Rc<Vec<Limiter>>,
+    via: Vec<BTreeMap<SocketAddrV4, SocketAddrV4>>,
+    receivers: Vec<SocketAddrV4>,
+    lines: Rc<RefCell<Vec<Line>>>,
+    discovery: Rc<Discovery>,
+    counter: Rc<Counter>,
+    runs: Cell<u64>,
+}
+
+fn free() -> std::io::Result<SocketAddrV4> {
+    loop {
+        let tcp = std::net::TcpListener::bind("127.0.0.1:0")?;
+        if let SocketAddr::V4(at) = tcp.local_addr()? {
+            if std::net::UdpSocket::bind(at).is_ok() {
+                return Ok(at);
+            }
+        }
+    }
+}
+
+/// Whether the world of processes can play this trial.
+pub fn check(trial: &Trial) -> Result<(), String> {
+    if trial.fleet.limiters > MOST_PROCESSES {
+        return Err(format!(
+            "fleet.limiters: {}; the world of processes starts up to {MOST_PROCESSES}",
+            trial.fleet.limiters
+        ));
+    }
+    let only = |k: Kind| matches!(k, Kind::Idle);
+    if let Some(f) = trial.faults.iter().find(|f| only(f.kind)) {
+        return Err(format!("fault {:?} at {}: only the simulated world plays it", f.kind, f.at));
+    }
+    Ok(())
+}
+
+/// Plays the trial; the error says what could not be started.
+pub fn play(trial: &Trial, seed: u64) -> Result<Vec<Line>, String> {
+    check(trial)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let dir =
+        std::env::temp_dir().join(format!("dunespur-trial-{}-{}", std::process::id(), clock().to_bits()));
+    let local = tokio::task::LocalSet::new();
+    let played = local.block_on(&runtime, async {
+        tokio::select! {
+            played = run(trial, seed, dir.clone()) => played,
+            // Interrupted: the limiters end as their handles are dropped.
+            _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+        }
+    });
+    let _ = std::fs::remove_dir_all(&dir);
+    played
+}
+
+async fn run(trial: &Trial, seed: u64, dir: PathBuf) -> Result<Vec<Line>, String> {
+    let fail = |e: std::io::Error| e.to_string();
+    std::fs::create_dir_all(&dir).map_err(fail)?;
+    let program = match std::env::var_os("DUNESPUR_GATEWAY") {
+        Some(path) => (PathBuf::from(path), vec![]),
+        None => (std::env::current_exe().map_err(fail)?, vec!["gateway".to_owned()]),
+    };
+    let rules = Rc::new(Rules {
+        faults: trial.faults.clone(),
+        active: RefCell::default(),
+        start: Cell::new(clock()),
+        rng: RefCell::new(Xoshiro256PlusPlus::seed_from_u64(seed)),
+    });
+    let counter = Counter::start().await.map_err(fail)?;
+    let mut servers = Vec::new();
+    for n in 0..6 {
+        let server = Server::start(0.01).await.map_err(fail)?;
+        let zone = trial.fleet.zones[n % trial.fleet.zones.len()].clone();
+        servers.push((format!("s-{n}"), server.address, zone, "Ready"));
+    }
+    let discovery = Discovery::start(1, list(1, &servers)).await.map_err(fail)?;
+    let mut limiters = Vec::new();
+    for n in 0..trial.fleet.limiters {
+        let own = dir.join(trial.limiter(n));
+        std::fs::create_dir_all(&own).map_err(fail)?;
+        limiters.push(Limiter {
+            name: trial.limiter(n),
+            number: n,
+            peer: free().map_err(fail)?,
+            client: SocketAddr::V4(free().map_err(fail)?),
+            dir: own,
+            running: RefCell::default(),
+            twin: RefCell::default(),
+            wall: Cell::new(0.0),
+            stalled: Cell::new(None),
+            excused: Cell::new(f64::NEG_INFINITY),
+            read: Cell::new(0),
+            copies: RefCell::default(),
+        });
+    }
+    let mut via = Vec::new();
+    for from in 0..limiters.len() {
+        let mut of = BTreeMap::new();
+        for to in (0..limiters.len()).filter(|to| *to != from) {
+            let at = proxy(rules.clone(), from, to, limiters[to].peer).await.map_err(fail)?;
+            of.insert(limiters[to].peer, at);
+        }
+        via.push(of);
+    }
+    let lines = Rc::new(RefCell::new(Vec::new()));
+    let mut receivers = Vec::new();
+    for n in 0..trial.fleet.receivers {
+        let udp = UdpSocket::bind("127.0.0.1:0").await.map_err(fail)?;
+        let SocketAddr::V4(at) = udp.local_addr().map_err(fail)? else { continue };
+        receivers.push(at);
+        let mut fence = Fence::kept(vec![0; trial.duties().slots() as usize]);
+        let (lines, rules) = (lines.clone(), rules.clone());
+        tokio::task::spawn_local(async move {
+            let mut buffer = vec![0; 2048];
+            loop {
+                let Ok((len, _)) = udp.recv_from(&mut buffer).await else { continue };
+                let Ok(frame) = Frame::from_datagram(&buffer[..len], "trial") else { continue };
+                let Ok((slot, token)) = postcard::from_bytes::<(u32, u64)>(&frame.body) else { continue };
+                let (t, at, who) = (clock() - rules.start.get(), format!("r{n}"), frame.from);
+                lines.borrow_mut().push(match fence.accept(slot, token) {
+                    true => Line::Accepted { t, at, who, slot, token },
+                    false => Line::Refused { t, at, who, slot, token },
+                });
+            }
+        });
+    }
+    let world = World {
+        trial,
+        dir,
+        program,
+        rules,
+        limiters: Rc::new(limiters),
+        via,
+        receivers,
+        lines,
+        discovery,
+        counter,
+        runs: Cell::new(seed),
+    };
+    world.play().await
+}
+
+const SETTINGS: &str = r#"{"classes":[
+  {"name":"read","effect":"free","group":"all",
+   "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0}],
+ "contracts":[{"name":"small","rate":1000,"burst":1000,"beyondCosts":1}],
+ "discovery":"pushed","domain":{"countWaitS":0.05,"largest":1,"sharedCounter":true},
+ "limits":{"maxRetryAfterS":0.5,"retryAfter":true,"tryLimit":6,"dialTimeoutS":0.25,"keepaliveS":5.0},
+ "rules":{"coldFrom":0.2,"coldS":10,"fallMultiple":4,"answerSlackS":0.016}}"#;
+
+impl World<'_> {
+    /// Writes what a limiter is started with, and starts it.
+    fn start(&self, n: usize, twin: bool) -> Result<Running, String> {
+        let fail = |e: std::io::Error| e.to_string();
+        let l = &self.limiters[n];
+        let (dir, peer, client) = match twin {
+            false => (l.dir.clone(), l.peer, l.client),
+            true => (
+                self.dir.join(format!("{}-twin", l.name)),
+                free().map_err(fail)?,
+                SocketAddr::V4(free().map_err(fail)?),
+            ),
+        };
+        std::fs::create_dir_all(&dir).map_err(fail)?;
+        let f = &self.trial.fleet;
+        let mut settings: serde_json::Value = serde_json::from_str(SETTINGS).map_err(|e| e.to_string())?;
+        settings["failureDomains"] = f.zones.clone().into();
+        settings["fleetSize"] = f.limiters.into();
+        settings["slotNo"] = n.into();
+        settings["zone"] = f.zones[self.trial.zone(n)].clone().into();
+        self.runs.set(self.runs.get().wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407));
+        let config = serde_json::json!({
+            "name": l.name, "listen": client.to_string(), "discovery": self.discovery.address.to_string(),
+            "counter": self.counter.address.to_string(), "seed": format!("{:x}", self.runs.get()),
+            "limits": {"sockets": 1024}, "settings": settings,
+        });
+        std::fs::write(dir.join("config.json"), config.to_string()).map_err(fail)?;
+        // A voter's twin is no voter: its file lists it elsewhere, as a mistaken copy would.
+        let voters: Vec<_> = (0..f.voters)
+            .map(|v| {
+                let of = &self.limiters[v];
+                let pair = [("name", of.name.clone()), ("address", of.peer.to_string())];
+                pair.into_iter().map(|(k, v)| (k.to_owned(), toml::Value::String(v))).collect::<toml::Table>()
+            })
+            .collect();
+        let mut fleet = toml::Table::new();
+        let mut put = |key: &str, value: toml::Value| fleet.insert(key.to_owned(), value);
+        let votes = n < f.voters && !twin;
+        put("name", "trial".into());
+        put("listen", peer.to_string().into());
+        put("zone", f.zones[self.trial.zone(n)].clone().into());
+        put("machine", format!("m{n}").into());
+        put("size", (f.limiters as i64).into());
+        put("voter", toml::Value::Array(voters.into_iter().map(toml::Value::Table).collect()));
+        put("lease", f.lease.into());
+        put("renew", f.renew.into());
+        put("drift", f.drift.into());
+        put("stall", f.stall.into());
+        put("tick", f.tick.into());
+        put("disk_wait", self.trial.duties().disk_wait.into());
+        if votes {
+            put("disk", dir.join("voter.redb").display().to_string().into());
+        }
+        let duties = toml::Value::try_from(&f.duties).map_err(|e| e.to_string())?;
+        put("duty", duties);
+        let mut t = toml::Table::new();
+        let via = self.via[n].iter().map(|(a, b)| (a.to_string(), toml::Value::String(b.to_string())));
+        t.insert("via".into(), toml::Value::Table(via.collect()));
+        let history = dir.join("history.jsonl");
+        t.insert("history".into(), history.display().to_string().into());
+        t.insert("effects".into(), self.trial.load.effects.into());
+        let receivers = self.receivers.iter().map(|r| toml::Value::String(r.to_string()));
+        t.insert("receivers".into(), toml::Value::Array(receivers.collect()));
+        t.insert("wall".into(), l.wall.get().into());
+        let slow = self
+            .rules
+            .active
+            .borrow()
+            .iter()
+            .any(|a| self.trial.faults[a.n].kind == Kind::SlowDisk && a.from.contains(&n));
+        if slow {
+            let amount =
+                self.trial.faults.iter().find(|f| f.kind == Kind::SlowDisk).map_or(0.0, |f| f.amount);
+            t.insert("slow_disk".into(), amount.into());
+        }
+        fleet.insert("trial".into(), toml::Value::Table(t));
+        let mut file = toml::Table::new();
+        file.insert("fleet".into(), toml::Value::Table(fleet));
+        let text = toml::to_string(&file).map_err(|e| e.to_string())?;
+        std::fs::write(dir.join("operators.toml"), text).map_err(fail)?;
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(dir.join("log")).map_err(fail)?;
+        let child = Command::new(&self.program.0)
+            .args(&self.program.1)
+            .env("RELAY_CONFIG", dir.join("config.json"))
+            .env("DUNESPUR_OPERATORS", dir.join("operators.toml"))
+            .env("RELAY_LOG", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|e| format!("{}: {e}", self.program.0.display()))?;
+        Ok(Running { child })
+    }
+
+    fn now(&self) -> f64 {
+        clock() - self.rules.start.get()
+    }
+
+    /// Takes what the limiters have written to their histories since the last look.
+    fn read(&self) {
+        for l in self.limiters.iter() {
+            self.read_one(&l.dir.join("history.jsonl"), &l.read);
+        }
+        let twins = Cell::new(0);
+        for l in self.limiters.iter() {
+            let path = self.dir.join(format!("{}-twin", l.name)).join("history.jsonl");
+            if path.exists() && l.twin.borrow().is_none() {
+                // Read once, when it has ended.
+                self.read_one(&path, &twins);
+                let _ = std::fs::remove_file(path);
+                twins.set(0);
+            }
+        }
+    }
+
+    fn read_one(&self, path: &Path, from: &Cell<u64>) {
+        let Ok(mut file) = std::fs::File::open(path) else { return };
+        if file.seek(std::io::SeekFrom::Start(from.get())).is_err() {
+            return;
+        }
+        let mut text = Vec::new();
+        let _ = file.read_to_end(&mut text);
+        // A line that is half written is read the next time.
+        let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+        from.set(from.get() + whole as u64);
+        let start = self.rules.start.get();
+        let twin = path.parent().is_some_and(|d| d.to_string_lossy().ends_with("-twin"));
+        for line in text[..whole].lines().map_while(Result::ok) {
+            let Ok(mut line) = serde_json::from_str::<Line>(&line) else { continue };
+            match &mut line {
+                Line::Told { asked, t, .. } => {
+                    *asked -= start;
+                    *t -= start;
+                }
+                Line::Ended { t, until, .. } | Line::Died { t, until, .. } => {
+                    *t -= start;
+                    *until -= start;
+                }
+                Line::Accepted { t, at, .. } | Line::Refused { t, at, .. } => {
+                    *t -= start;
+                    if twin {
+                        at.push('\'');
+                    }
+                }
+                Line::Began { t, .. }
+                | Line::Started { t, .. }
+                | Line::Report { t, .. }
+                | Line::Counted { t, .. }
+                | Line::Fault { t, .. }
+                | Line::Answer { t, .. } => *t -= start,
+            }
+            self.lines.borrow_mut().push(line);
+        }
+    }
+
+    /// Who held a slot last, and who leads, as far as the histories say.
+    fn target(&self, target: &str) -> Vec<usize> {
+        let trial = self.trial;
+        let all: Vec<usize> = (0..trial.fleet.limiters).collect();
+        let parts: Vec<&str> = target.split(':').collect();
+        let number = |n: &str| n.parse::<usize>().unwrap_or(0);
+        let named = |who: &str| self.limiters.iter().position(|l| l.name == who);
+        match parts.as_slice() {
+            ["limiter" | "voter", n] => vec![number(n)],
+            ["voters"] => (0..trial.fleet.voters).collect(),
+            ["receivers"] => vec![],
+            ["zone", z] => all.into_iter().filter(|n| trial.fleet.zones[trial.zone(*n)] == *z).collect(),
+            ["half"] => all.into_iter().take(trial.fleet.limiters / 2).collect(),
+            ["leader"] => {
+                self.read();
+                let lines = self.lines.borrow();
+                let mut leads: Vec<(f64, &String)> = lines
+                    .iter()
+                    .filter_map(|l| match l {
+                        Line::Report { t, who, text, .. } if text.contains(" leads in term ") => {
+                            Some((*t, who))
+                        }
+                        _ => None,
+                    })
+                    .collect();
+                leads.sort_by(|a, b| a.0.total_cmp(&b.0));
+                leads.last().and_then(|l| named(l.1)).map_or(vec![0], |n| vec![n])
+            }
+            ["holder", duty, shard] => {
+                self.read();
+                let slot = trial.duties().range(duty).map_or(0, |r| r.0) + number(shard) as u32;
+                let lines = self.lines.borrow();
+                let mut began: Vec<(f64, &String)> = lines
+                    .iter()
+                    .filter_map(|l| match l {
+                        Line::Began { t, who, slot: s, .. } if *s == slot => Some((*t, who)),
+                        _ => None,
+                    })
+                    .collect();
+                began.sort_by(|a, b| a.0.total_cmp(&b.0));
+                began.last().and_then(|b| named(b.1)).map_or(vec![], |n| vec![n])
+            }
+            ["any"] => vec![self.rules.rng.borrow_mut().random_range(0..trial.fleet.limiters)],
+            _ => all,
+        }
+    }
+
+    /// The run of a limiter that was started last.
+    fn run_of(&self, name: &str) -> u64 {
+        let lines = self.lines.borrow();
+        let run = lines.iter().rev().find_map(|l| match l {
+            Line::Started { who, run, .. } if who == name => Some(*run),
+            _ => None,
+        });
+        run.unwrap_or(0)
+    }
+
+    fn died(&self, n: usize) {
+        self.read();
+        let l = &self.limiters[n];
+        let (t, run) = (self.now(), self.run_of(&l.name));
+        // Stopped before it was killed, it may hold no longer than a lease from then.
+        let until = l.stalled.get().map_or(t, |at| (at + self.trial.fleet.lease).min(t));
+        self.lines.borrow_mut().push(Line::Died { t, who: l.name.clone(), run, until });
+    }
+
+    async fn hit(&self, node: usize, fault: &Fault) -> Result<(), String> {
+        let l = &self.limiters[node];
+        l.excused.set(f64::INFINITY);
+        let signal = |s: Signal| {
+            if let Some(r) = l.running.borrow().as_ref() {
+                r.signal(s);
+            }
+        };
+        match fault.kind {
+            Kind::Kill => {
+                let running = l.running.borrow_mut().take();
+                if let Some(mut r) = running {
+                    r.signal(Signal::KILL);
+                    let _ = r.child.wait();
+                    self.died(node);
+                    l.stalled.set(None);
+                }
+            }
+            Kind::Stall => {
+                signal(Signal::STOP);
+                l.stalled.set(Some(self.now()));
+            }
+            Kind::Term => {
+                signal(Signal::CONT);
+                signal(Signal::TERM);
+                let running = l.running.borrow_mut().take();
+                if let Some(mut r) = running {
+                    let name = l.name.clone();
+                    for _ in 0..1000 {
+                        if matches!(r.child.try_wait(), Ok(Some(_))) {
+                            break;
+                        }
+                        sleep(Duration::from_millis(10)).await;
+                    }
+                    drop(r);
+                    self.died(node);
+                    tracing::info!(limiter = name, "ended after SIGTERM");
+                }
+            }
+            Kind::Twin => *l.twin.borrow_mut() = Some(self.start(node, true)?),
+            Kind::Clock => l.wall.set(fault.amount),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn heal(&self, node: usize, fault: &Fault) -> Result<(), String> {
+        let l = &self.limiters[node];
+        l.excused.set(self.now());
+        match fault.kind {
+            Kind::Kill | Kind::Term if l.running.borrow().is_none() => {
+                let store = l.dir.join("voter.redb");
+                match fault.disk {
+                    Disk::Kept => {}
+                    Disk::Lost => {
+                        let _ = std::fs::remove_file(&store);
+                    }
+                    Disk::Older => {
+                        let copies = l.copies.borrow();
+                        match copies.iter().rfind(|c| c.0 <= fault.at - fault.older) {
+                            Some((_, copy)) => _ = std::fs::copy(copy, &store),
+                            None => _ = std::fs::remove_file(&store),
+                        }
+                    }
+                }
+                *l.running.borrow_mut() = Some(self.start(node, false)?);
+            }
+            Kind::Stall => {
+                if let Some(r) = l.running.borrow().as_ref() {
+                    r.signal(Signal::CONT);
+                }
+                l.stalled.set(None);
+            }
+            Kind::Twin => drop(l.twin.borrow_mut().take()),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    async fn play(&self) -> Result<Vec<Line>, String> {
+        for n in 0..self.limiters.len() {
+            *self.limiters[n].running.borrow_mut() = Some(self.start(n, false)?);
+        }
+        // Ready when all serve; the trial's time begins then.
+        for l in self.limiters.iter() {
+            let begun = clock();
+            while ask(l.client, "/-/ready", &[], 1.0).await != Some(200) {
+                let ended = l
+                    .running
+                    .borrow_mut()
+                    .as_mut()
+                    .is_some_and(|r| matches!(r.child.try_wait(), Ok(Some(_))));
+                if ended || clock() > begun + 20.0 {
+                    let log = std::fs::read_to_string(l.dir.join("log")).unwrap_or_default();
+                    return Err(format!(
+                        "{} did not start: {}",
+                        l.name,
+                        log.lines().last().unwrap_or("no word")
+                    ));
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        self.rules.start.set(clock());
+        let load = tokio::task::spawn_local(load(
+            self.limiters.clone(),
+            self.rules.clone(),
+            self.lines.clone(),
+            self.trial.load.rate,
+        ));
+        // Each fault's two moments, in order.
+        let mut moments: Vec<(f64, usize, bool)> = Vec::new();
+        for (n, f) in self.trial.faults.iter().enumerate() {
+            moments.push((f.at, n, true));
+            moments.push((f.at + f.length, n, false));
+        }
+        moments.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut hit: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let copies = self.trial.faults.iter().any(|f| f.disk == Disk::Older);
+        let mut next = 0;
+        let mut count = 0u64;
+        while self.now() < self.trial.seconds {
+            while next < moments.len() && self.now() >= moments[next].0 {
+                let (_, n, on) = moments[next];
+                next += 1;
+                let fault = &self.trial.faults[n];
+                let what = serde_json::to_string(fault).unwrap_or_default();
+                self.lines.borrow_mut().push(Line::Fault { t: self.now(), what, on });
+                if on {
+                    let from = self.target(&fault.target);
+                    let to = fault.peer.as_ref().map(|p| self.target(p));
+                    self.rules.active.borrow_mut().push(Active { n, from: from.clone(), to });
+                    for node in &from {
+                        self.hit(*node, fault).await?;
+                    }
+                    hit.insert(n, from);
+                } else {
+                    self.rules.active.borrow_mut().retain(|a| a.n != n);
+                    for node in hit.remove(&n).unwrap_or_default() {
+                        self.heal(node, fault)?;
+                    }
+                }
+            }
+            count += 1;
+            self.throttle(count);
+            if copies && count % 50 == 0 {
+                self.copy_disks(count);
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        load.abort();
+        for l in self.limiters.iter() {
+            drop(l.twin.borrow_mut().take());
+        }
+        self.read();
+        let keep = std::env::var_os("DUNESPUR_KEEP_LOGS");
+        if let Some(to) = keep {
+            for l in self.limiters.iter() {
+                let _ = std::fs::copy(l.dir.join("log"), Path::new(&to).join(format!("{}.log", l.name)));
+            }
+        }
+        let mut lines = std::mem::take(&mut *self.lines.borrow_mut());
+        let of = |l: &Line| match l {
+            Line::Began { t, .. }
+            | Line::Ended { t, .. }
+            | Line::Died { t, .. }
+            | Line::Started { t, .. }
+            | Line::Accepted { t, .. }
+            | Line::Refused { t, .. }
+            | Line::Told { t, .. }
+            | Line::Fault { t, .. }
+            | Line::Report { t, .. }
+            | Line::Answer { t, .. }
+            | Line::Counted { t, .. } => *t,
+        };
+        // Each limiter's own lines keep their order.
+        lines.sort_by(|a, b| of(a).total_cmp(&of(b)));
+        Ok(lines)
+    }
+
+    /// Little processor time: the target stands still for most of each tenth of a second.
+    fn throttle(&self, count: u64) {
+        for a in self.rules.active.borrow().iter().filter(|a| self.trial.faults[a.n].kind == Kind::Slow) {
+            for n in &a.from {
+                let l = &self.limiters[*n];
+                if l.stalled.get().is_none() {
+                    if let Some(r) = l.running.borrow().as_ref() {
+                        r.signal(if count % 10 < 8 { Signal::STOP } else { Signal::CONT });
+                    }
+                }
+            }
+        }
+        if count % 10 == 0 {
+            // Nobody is left standing when such a fault has ended.
+            let slow: Vec<usize> = self.rules.active.borrow().iter().flat_map(|a| a.from.clone()).collect();
+            for l in self.limiters.iter().filter(|l| l.stalled.get().is_none() && !slow.contains(&l.number)) {
+                if let Some(r) = l.running.borrow().as_ref() {
+                    r.signal(Signal::CONT);
+                }
+            }
+        }
+    }
+
+    /// What the voters' disks hold at this moment, as a power loss would leave it.
+    fn copy_disks(&self, count: u64) {
+        for l in self.limiters.iter().take(self.trial.fleet.voters) {
+            let running = l.running.borrow();
+            let Some(r) = running.as_ref().filter(|_| l.stalled.get().is_none()) else { continue };
+            r.signal(Signal::STOP);
+            let to = l.dir.join(format!("copy-{count}"));
+            if std::fs::copy(l.dir.join("voter.redb"), &to).is_ok() {
+                l.copies.borrow_mut().push((self.now(), to));
+            }
+            r.signal(Signal::CONT);
+        }
+    }
+}
+
+/// One request on a connection of its own; the status, if a whole answer came.
+async fn ask(to: SocketAddr, path: &str, headers: &[(&str, String)], wait: f64) -> Option<u16> {
+    let asked = async {
+        let stream = TcpStream::connect(to).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::task::spawn_local(connection);
+        let mut request = hyper::Request::get(path).header("host", "trial");
+        for (key, value) in headers {
+            request = request.header(*key, value);
+        }
+        let answer = sender.send_request(request.body(Empty::new()).ok()?).await.ok()?;
+        let status = answer.status().as_u16();
+        let whole = answer.into_body().collect().await.is_ok();
+        driver.abort();
+        whole.then_some(status)
+    };
+    timeout(Duration::from_secs_f64(wait), asked).await.ok()?
+}
+
+/// Open loop: each invocation goes out at its moment, whatever became of the others.
+async fn load(limiters: Rc<Vec<Limiter>>, rules: Rc<Rules>, lines: Rc<RefCell<Vec<Line>>>, rate: f64) {
+    if rate <= 0.0 {
+        return;
+    }
+    let began = clock();
+    let mut n = 0u64;
+    loop {
+        let at = began + n as f64 / rate;
+        let wait = at - clock();
+        if wait > 0.0 {
+            sleep(Duration::from_secs_f64(wait)).await;
+        }
+        let (limiters, rules, lines) = (limiters.clone(), rules.clone(), lines.clone());
+        let number = n;
+        n += 1;
+        tokio::task::spawn_local(async move {
+            let l = &limiters[number as usize % limiters.len()];
+            let sent = clock() - rules.start.get();
+            let headers = [
+                ("x-request-id", format!("{:016x}", number + 1)),
+                ("x-priority-class", "read".to_owned()),
+                ("x-tariff", "small".to_owned()),
+                ("x-timeout-ms", "2000".to_owned()),
+                ("x-weight", format!("units=1,spread={},first=0", limiters.len())),
+                ("cookie", format!("account={:016x}", number % 7)),
+            ];
+            let before = l.excused.get();
+            let status = ask(l.client, "/api", &headers, 3.0).await;
+            let t = clock() - rules.start.get();
+            // A limiter that was killed, stopped or restarted meanwhile loses what it held, as the clients know.
+            let excused = before > sent - 3.0 || l.excused.get() > sent - 3.0;
+            if excused && status.is_none() {
+                return;
+            }
+            let answers = u32::from(status.is_some());
+            let (status, in_time) = (status.unwrap_or(0), t - sent < 2.5 || excused);
+            lines.borrow_mut().push(Line::Answer { sent, t, status, answers, in_time });
+        });
+    }
+}
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -184,7 +184,7 @@
 impl Trial {
     pub fn parse(text: &str) -> Result<Self, String> {
         let trial: Trial = toml::from_str(text).map_err(|e| {
-            let place = e.span().map(|s| text[..s.start.min(text.len())].lines().count().max(1));
+            let place = e.span().map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
             let place = place.map_or(String::new(), |l| format!("line {l}: "));
             format!("{place}{}", e.message().replace('\n', " "))
         })?;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -790,12 +790,6 @@
             _ => {}
         }
     }
-
-    /// Who is up, and what each believes of the others; for measurements.
-    pub fn known(&self) -> Vec<(String, usize)> {
-        let up = self.nodes.iter().filter(|n| n.up);
-        up.map(|n| (n.name.clone(), n.members.as_ref().map_or(0, |m| m.living().count()))).collect()
-    }
 }
 
 /// Receivers are numbered from here on.
