--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -235,9 +235,12 @@
     runs: Cell<u64>,
 }
 
+/// A free port on a loopback address that no other trial, and nothing else on the machine, uses.
 fn free() -> std::io::Result<SocketAddrV4> {
+    let id = std::process::id();
+    let host = format!("127.{}.{}.{}:0", 64 + (id >> 16) % 128, (id >> 8) & 255, id & 255);
     loop {
-        let tcp = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let tcp = std::net::TcpListener::bind(&host)?;
         if let SocketAddr::V4(at) = tcp.local_addr()? {
             if std::net::UdpSocket::bind(at).is_ok() {
                 return Ok(at);
--- /dev/null
+++ b/crates/lab/tests/trials.rs
@@ -0,0 +1,111 @@
+//! The committed trials: all in the simulated world over several seeds, some with real processes. Verdicts
+//! rest on order and on bounds, so they are the same every time.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::thread;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dunespur-lab")).current_dir(root()).args(args).output().unwrap()
+}
+
+fn trials() -> Vec<String> {
+    let mut all: Vec<String> = std::fs::read_dir(root().join("trials"))
+        .unwrap()
+        .map(|f| format!("trials/{}", f.unwrap().file_name().to_string_lossy()))
+        .collect();
+    all.sort();
+    assert!(all.len() >= 16);
+    all
+}
+
+fn verdict(output: &Output) -> serde_json::Value {
+    let text = String::from_utf8_lossy(&output.stdout);
+    let last = text.lines().last().unwrap_or_else(|| panic!("{}", String::from_utf8_lossy(&output.stderr)));
+    serde_json::from_str(last).unwrap()
+}
+
+#[test]
+fn committed_trials_hold_in_the_simulated_world() {
+    for trial in trials() {
+        for seed in ["1", "2", "3"] {
+            let output = lab(&["trial", &trial, "--world", "simulated", "--seed", seed, "--json", "-"]);
+            let last = verdict(&output);
+            assert_eq!(last["verdict"], "held", "{trial} seed {seed}: {}", last["broken"]);
+            assert_eq!(output.status.code(), Some(0));
+        }
+    }
+}
+
+#[test]
+fn one_seed_gives_the_same_bytes() {
+    let play = || lab(&["trial", "trials/leader-stops.toml", "--seed", "7", "--json", "-"]).stdout;
+    let first = play();
+    assert!(first.len() > 10_000 && first == play());
+    assert_ne!(first, lab(&["trial", "trials/leader-stops.toml", "--seed", "8", "--json", "-"]).stdout);
+}
+
+#[test]
+fn drawn_trials_hold() {
+    let output = lab(&["sweep", "--count", "150", "--seed", "11", "--faults", "6"]);
+    let last = verdict(&output);
+    assert_eq!(last["verdict"], "held", "{}", String::from_utf8_lossy(&output.stdout));
+}
+
+/// Real processes: each trial starts five or six gateways; they play side by side.
+#[test]
+fn committed_trials_hold_with_processes() {
+    let played =
+        ["holder-stalls", "older-disk", "same-name-twice", "cut-from-voters", "holder-drains"].map(|name| {
+            thread::spawn(move || {
+                let file = format!("trials/{name}.toml");
+                (name, lab(&["trial", &file, "--world", "processes", "--seed", "1", "--json", "-"]))
+            })
+        });
+    for play in played {
+        let (name, output) = play.join().unwrap();
+        let last = verdict(&output);
+        assert_eq!(last["verdict"], "held", "{name}: {}", last["broken"]);
+        let text = String::from_utf8_lossy(&output.stdout);
+        let count = |what: &str| text.lines().filter(|l| l.contains(&format!("\"line\":\"{what}\""))).count();
+        assert!(count("accepted") > 500 && count("answer") > 500, "{name} played for real");
+    }
+}
+
+#[test]
+fn a_file_that_can_not_be_used_gets_one_line_and_exit_code_2() {
+    let dir = std::env::temp_dir().join(format!("dunespur-bad-trials-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let fault = |what: &str| format!("name = \"x\"\nseconds = 30.0\n[[fault]]\n{what}\n");
+    let cases = [
+        ("seconds = 3.0\n".to_owned(), "missing field `name`"),
+        ("name = \"x\"\nseconds = -1.0\n".to_owned(), "give a length over 0"),
+        (fault("kind = \"melt\"\nat = 1.0\nfor = 1.0\ntarget = \"leader\""), "unknown variant `melt`"),
+        (fault("kind = \"kill\"\nat = 28.0\nfor = 1.0\ntarget = \"leader\""), "leaves less than settle"),
+        (fault("kind = \"kill\"\nat = 1.0\nfor = 1.0\ntarget = \"nobody\""), "target nobody is unknown"),
+        (
+            fault("kind = \"kill\"\nat = 1.0\nfor = 1.0\ntarget = \"holder:sweep:0\""),
+            "there is no duty sweep",
+        ),
+        (fault("kind = \"lose\"\nat = 1.0\nfor = 1.0\ntarget = \"all\"\namount = 2.0"), "a share from 0"),
+        ("name = \"x\"\nseconds = 30.0\n[fleet]\nvoters = 4\n".to_owned(), "3, 5 or 7"),
+        ("name = \"x\"\nseconds = 30.0\n[fleet]\nlease = 1.0\n".to_owned(), "shorter than three renewals"),
+    ];
+    for (n, (text, says)) in cases.iter().enumerate() {
+        let file = dir.join(format!("{n}.toml"));
+        std::fs::write(&file, text).unwrap();
+        let output = lab(&["trial", file.to_str().unwrap()]);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            output.status.code() == Some(2) && said.lines().count() == 1 && said.contains(says),
+            "{said}"
+        );
+    }
+    let missing = lab(&["trial", "trials/none.toml"]);
+    assert_eq!(missing.status.code(), Some(2));
+    std::fs::remove_dir_all(dir).unwrap();
+}
