Do real work under duties: a relayed watch, probes for many, an audit of the counter's names

Need: duties are worth their keep only with work that is wrong when many do it. Change: crates/duties/src/probe.rs and audit.rs as machines of their own, wired in crates/gateway/src/fleet.rs through a tap on events and effects that only exists where a fleet is on; Told names who holds a slot. First try: names still in use were read early and shown as surplus, mended by reporting what is unsaid for half of the quiet time.

--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -25,6 +25,9 @@
     leader: Option<Name>,
     turn: usize,
     answered: f64,
+    /// Slots whose holders it wants to know, and who they were last.
+    pub who: Vec<Slot>,
+    pub holders: BTreeMap<Slot, Name>,
     leaving: bool,
     primed: bool,
     until: f64,
@@ -46,6 +49,8 @@
             leader: None,
             turn,
             answered: now,
+            who: Vec::new(),
+            holders: BTreeMap::new(),
             leaving: false,
             primed: false,
             until: 0.0,
@@ -133,7 +138,7 @@
         let freed = self.freed.iter().map(|(slot, (token, stuck))| (*slot, *token, *stuck)).collect();
         let (me, version) = (self.me.clone(), self.version);
         let (leaving, prime) = (self.leaving, !self.primed);
-        let ask = Ask { me, seq: self.seq, version, freed, leaving, prime };
+        let ask = Ask { me, seq: self.seq, version, freed, leaving, prime, who: self.who.clone() };
         out.push(Output::Send { to, msg: Msg::Ask(ask) });
     }
 
@@ -150,6 +155,9 @@
                 if std::mem::take(&mut self.doubled) {
                     report(out, true, format!("{} is the only process of its name again", self.me.name));
                 }
+                if !self.who.is_empty() {
+                    self.holders = told.holders.into_iter().collect();
+                }
                 if let Some(tokens) = told.tokens {
                     self.primed = true;
                     out.push(Output::Tokens(tokens));
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -4,12 +4,14 @@
 //! must never let two limiters hold one slot at one time, as far as clocks keep within the stated drift, and
 //! never give a token that is not greater than all before it. docs/duties.md has the argument.
 
+pub mod audit;
 pub mod book;
 pub mod fence;
 pub mod holder;
 pub mod lease;
 pub mod log;
 pub mod placement;
+pub mod probe;
 pub mod voter;
 pub mod watch;
 
@@ -93,7 +95,7 @@
         if !(0.0..0.5).contains(&self.drift) {
             return Err(format!("fleet.drift: {}; give a share from 0 to under 0.5", self.drift));
         }
-        if self.stall != 0.0 && !(self.stall > self.lease) {
+        if self.stall != 0.0 && (self.stall <= self.lease || self.stall.is_nan()) {
             return Err(format!("fleet.stall: {}; give more than the lease, or 0 for none", self.stall));
         }
         if self.lease < 3.0 * self.renew {
@@ -181,6 +183,8 @@
     pub leaving: bool,
     /// It started and knows no tokens yet: its fence would take any.
     pub prime: bool,
+    /// Slots whose holders it wants to know; a few.
+    pub who: Vec<Slot>,
 }
 
 /// What a leader says to an ask, after a majority has confirmed that it leads.
@@ -195,6 +199,8 @@
     pub give_up: Vec<Slot>,
     /// Every slot's token, for one that asked to be primed.
     pub tokens: Option<Vec<u64>>,
+    /// Who holds the slots it asked about.
+    pub holders: Vec<(Slot, Name)>,
 }
 
 /// Where a voter's disk stands, as it says when it starts.
--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -20,6 +20,8 @@
 const KEPT: u64 = 2_000;
 /// Asks that wait for a majority's word; more are dropped, their senders ask again.
 const MOST_ASKS: usize = 8_192;
+/// Slots that one ask may be about.
+const MOST_WHO: usize = 64;
 /// Commands in one entry.
 const MOST_COMMANDS: usize = 1_024;
 const ELECTION: usize = 10;
@@ -38,6 +40,9 @@
     Voting,
 }
 
+/// The number of a question to the majority, when it went out, and the asks that wait for it.
+type Reading = (u64, f64, Vec<(Ask, f64)>);
+
 /// What a leader holds beside the log; a new leader begins anew.
 struct Lead {
     term: u64,
@@ -47,7 +52,7 @@
     granter: Granter<f64>,
     /// Asks that came in, and those that wait for the majority's word under this number.
     asks: Vec<(Ask, f64)>,
-    reading: Option<(u64, f64, Vec<(Ask, f64)>)>,
+    reading: Option<Reading>,
     todo: VecDeque<Command>,
     doing: Option<(u64, f64)>,
     placement: Placement,
@@ -396,8 +401,7 @@
         lead.let_in = self.now;
         let old = self.book.voters.iter().find(|v| *v.1 == name).map(|v| *v.0);
         let single = |id: u64, kind: ConfChangeType| {
-            let mut c = ConfChangeSingle::default();
-            c.node_id = id;
+            let mut c = ConfChangeSingle { node_id: id, ..Default::default() };
             c.set_change_type(kind);
             c
         };
@@ -549,8 +553,7 @@
 
     /// Takes what the library has ready until it has nothing more.
     fn pump(&mut self, out: &mut Vec<Output>) {
-        loop {
-            let Some(raw) = self.raw.as_mut().filter(|r| r.has_ready()) else { break };
+        while let Some(raw) = self.raw.as_mut().filter(|r| r.has_ready()) {
             let mut ready = raw.ready();
             let now_out: Vec<Message> = ready.take_messages().iter().map(Message::from).collect();
             let after: Vec<Message> = ready.take_persisted_messages().iter().map(Message::from).collect();
@@ -835,7 +838,13 @@
         let list = (version != ask.version).then(|| self.book.held_by(session));
         let give_up = lead.giving.iter().filter(|g| *g.1 == session).map(|g| *g.0).collect();
         let tokens = ask.prime.then(|| self.book.slots.iter().map(|h| h.token).collect());
-        let told = Told { seq: ask.seq, version, index, list, give_up, tokens };
+        let holder = |slot: &Slot| {
+            let held = self.book.slots.get(*slot as usize)?;
+            let of = self.book.sessions.get(&held.session)?;
+            Some((*slot, of.name.clone()))
+        };
+        let holders = ask.who.iter().take(MOST_WHO).filter_map(holder).collect();
+        let told = Told { seq: ask.seq, version, index, list, give_up, tokens, holders };
         out.push(Output::Send { to: me.name.clone(), msg: Msg::Told { run: me.run, told } });
     }
 
@@ -892,11 +901,13 @@
                 if lead.todo.len() < MOST_COMMANDS {
                     lead.todo.push_back(Command::Grant { slot, token: held.token, session: best });
                 }
-            } else if held.session != best && live.contains(&held.session) && moves > 0 {
-                if lead.giving.insert(slot, held.session).is_none() {
-                    moves -= 1;
-                    lead.changed.insert(held.session);
-                }
+            } else if held.session != best
+                && live.contains(&held.session)
+                && moves > 0
+                && lead.giving.insert(slot, held.session).is_none()
+            {
+                moves -= 1;
+                lead.changed.insert(held.session);
             }
         }
         if lead.todo.is_empty() {
--- a/crates/duties/src/watch.rs
+++ b/crates/duties/src/watch.rs
@@ -227,7 +227,7 @@
         assert_eq!(out, [Act::Own(false)]);
         out.clear();
         let last = t - 0.4;
-        while r.own() == false {
+        while !r.own() {
             t = r.next_due();
             r.tick(None, t, &mut out);
         }
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -41,6 +41,10 @@
         Counter { address: Cell::new(address), dial, lanes }
     }
 
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address.get()
+    }
+
     pub fn connections(&self) -> usize {
         self.lanes.len()
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,12 +5,16 @@
 
 use crate::fault::Fault;
 use crate::hub::Hub;
-use crate::message::decode_news;
+use crate::message::{decode_news, encode_count, take_counted};
 use crate::operators::Plan;
-use crate::reducer::Event;
+use crate::reducer::{Effect, Event};
+use bytes::BytesMut;
+use dunespur::types::{Counted, Ending};
+use dunespur_duties::audit::{self, Auditor, Tally};
 use dunespur_duties::fence::Fence;
 use dunespur_duties::holder::Holder;
 use dunespur_duties::log::Batch;
+use dunespur_duties::probe::{self, Complaints, Prober, Seen};
 use dunespur_duties::voter::Voter;
 use dunespur_duties::watch::{self, Act, Relay};
 use dunespur_duties::{Me, Msg, Output, Slot};
@@ -19,12 +23,16 @@
 use dunespur_store::Store;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Seconds on a clock that goes on while the process, or the whole machine, stands still.
 pub fn clock() -> f64 {
@@ -40,22 +48,106 @@
     Leave,
     /// SIGUSR1.
     Report,
+    /// A delivery to this server ended, with any answer or with none.
+    Delivered { server: SocketAddr, answered: bool },
+    /// A call to the counter ended: answered, or nobody knows.
+    Counted { name: u64, add: f64, answered: bool },
+    /// A probe of this server is over.
+    Probed { server: String, seen: Seen },
+    /// The counter's total for a name, read for the audit.
+    Total { name: u64, total: f64 },
 }
 
-enum Disk {
-    Saved(u64),
-    Failed(String),
+/// Listens to what passes through the hub. What the fleet can't take in time is dropped and counted: nothing
+/// that serves waits for it.
+pub struct Tap {
+    to: mpsc::UnboundedSender<Told>,
+    waiting: Rc<Cell<usize>>,
+    dropped: Rc<Cell<u64>>,
+    /// Deliveries and calls that are out.
+    sent: RefCell<HashMap<(u64, usize), SocketAddr>>,
+    calls: RefCell<HashMap<u64, (u64, f64)>>,
+}
+
+/// Reports that may wait for the fleet's task.
+const MOST_WAITING: usize = 4096;
+
+impl Tap {
+    pub fn new(to: mpsc::UnboundedSender<Told>) -> Self {
+        let (waiting, dropped) = (Rc::default(), Rc::default());
+        Tap { to, waiting, dropped, sent: RefCell::default(), calls: RefCell::default() }
+    }
+
+    fn tell(&self, told: Told) {
+        if self.waiting.get() >= MOST_WAITING {
+            self.dropped.set(self.dropped.get() + 1);
+        } else if self.to.send(told).is_ok() {
+            self.waiting.set(self.waiting.get() + 1);
+        }
+    }
+
+    pub fn effect(&self, effect: &Effect) {
+        match effect {
+            Effect::Send(d) => _ = self.sent.borrow_mut().insert((d.num, d.n), d.address),
+            Effect::Count { call, name, add, .. } => _ = self.calls.borrow_mut().insert(*call, (*name, *add)),
+            _ => {}
+        }
+    }
+
+    pub fn event(&self, event: &Event) {
+        match event {
+            Event::Ended { num, n, answered } => {
+                let Some(server) = self.sent.borrow_mut().remove(&(*num, *n)) else { return };
+                match answered.ending {
+                    Ending::Timeout | Ending::ConnectFailed => {
+                        self.tell(Told::Delivered { server, answered: false })
+                    }
+                    Ending::Succeeded | Ending::Error | Ending::Full => {
+                        self.tell(Told::Delivered { server, answered: true });
+                    }
+                    Ending::Reset | Ending::Cancelled | Ending::Moot => {}
+                }
+            }
+            Event::Counted { call, counted } => {
+                let Some((name, add)) = self.calls.borrow_mut().remove(call) else { return };
+                if *counted != Counted::Refused {
+                    let answered = matches!(counted, Counted::Total(_));
+                    self.tell(Told::Counted { name, add, answered });
+                }
+            }
+            _ => {}
+        }
+    }
 }
 
-/// An effect of a duty, for trials.
+/// Messages of the duties' work.
 #[derive(Serialize, Deserialize)]
-struct Effect {
-    slot: Slot,
-    token: u64,
+enum Work {
+    /// Of a trial.
+    Effect {
+        slot: Slot,
+        token: u64,
+    },
+    Probe(probe::Msg),
+    Audit {
+        slot: Slot,
+        msg: audit::Msg,
+    },
+}
+
+enum Disk {
+    Saved(u64),
+    Failed(String),
 }
 
 /// Names are reached where they were last heard; two of one name both.
 const PLACES: usize = 3;
+/// Shards of a duty whose holders each limiter keeps in mind.
+const MOST_SHARDS: u32 = 32;
+/// A probe waits this long for a connection, and again for any answer.
+const PROBE: Duration = Duration::from_secs(1);
+/// Names that are read from the counter at once.
+const MOST_READ: usize = 256;
 const FORGOTTEN: f64 = 30.0;
 
 pub struct Fleet {
@@ -72,6 +164,18 @@
     list: BTreeMap<String, Value>,
     places: BTreeMap<String, Vec<(SocketAddrV4, f64)>>,
     history: Option<std::io::BufWriter<std::fs::File>>,
+    /// First slot and number of shards of the duties that are asked for by key.
+    probes: Option<(Slot, u32)>,
+    audits: Option<(Slot, u32)>,
+    complaints: Complaints,
+    prober: Prober,
+    tally: Tally,
+    auditor: Auditor,
+    next_audit: f64,
+    /// Agreed, lost, surplus.
+    audited: [u64; 3],
+    outcomes: u64,
+    tell: mpsc::UnboundedSender<Told>,
     next_effect: f64,
     turn: usize,
     began: u64,
@@ -86,6 +190,7 @@
         name: String,
         seed: u64,
         inbox: mpsc::Sender<Came>,
+        tell: mpsc::UnboundedSender<Told>,
     ) -> Result<(Self, mpsc::UnboundedReceiver<Disk>), Fault> {
         let now = clock();
         let fail = |e: String| Fault::Config(e);
@@ -160,12 +265,27 @@
             list: BTreeMap::new(),
             places: BTreeMap::new(),
             history,
+            probes: None,
+            audits: None,
+            complaints: Complaints::default(),
+            prober: Prober::default(),
+            tally: Tally::default(),
+            auditor: Auditor::default(),
+            next_audit: now,
+            audited: [0; 3],
+            outcomes: 0,
+            tell,
             next_effect: now,
             turn: 0,
             began: 0,
             ended: 0,
             relayed: 0,
         };
+        fleet.probes = fleet.plan.duties.range("probe").filter(|r| r.1 > 0);
+        fleet.audits = fleet.plan.duties.range("audit").filter(|r| r.1 > 0);
+        let few =
+            |r: Option<(Slot, u32)>| r.into_iter().flat_map(|(first, n)| first..first + n.min(MOST_SHARDS));
+        fleet.holder.who = few(fleet.probes).chain(few(fleet.audits)).collect();
         fleet.note(json!({"line": "started", "t": now, "who": fleet.me.name, "run": run}));
         fleet.take(out, now);
         Ok((fleet, saved_rx))
@@ -233,6 +353,11 @@
                 }
                 Output::Ended { slot, token } => {
                     self.ended += 1;
+                    if self.plan.duties.slot(slot).0 == "probe" {
+                        self.prober.ended();
+                    } else if self.plan.duties.slot(slot).0 == "audit" {
+                        self.auditor.ended();
+                    }
                     let (duty, shard, _) = self.plan.duties.slot(slot);
                     ::log::info!("fleet: ends {duty} {shard} under {token}");
                     let until = self.holder.last_until();
@@ -317,15 +442,141 @@
                 Ok(msg) => self.watch(hub, frame.from, msg, now),
                 Err(_) => spoilt(&self.links),
             },
-            Kind::Work => match postcard::from_bytes::<Effect>(&frame.body) {
-                Ok(e) => {
-                    self.accept(&frame.from, e.slot, e.token, now);
-                }
+            Kind::Work => match postcard::from_bytes::<Work>(&frame.body) {
+                Ok(work) => self.work(&frame.from, work, now),
                 Err(_) => spoilt(&self.links),
             },
         }
     }
 
+    fn work(&mut self, from: &str, work: Work, now: f64) {
+        match work {
+            Work::Effect { slot, token } => _ = self.accept(from, slot, token, now),
+            Work::Probe(probe::Msg::Complaint { server, .. }) => self.complaint(from, server, now),
+            Work::Probe(probe::Msg::Outcome { slot, token, server, seen, age }) => {
+                let known = (0.0..60.0).contains(&age) && server.len() < 64;
+                if known && self.accept(from, slot, token, now) {
+                    self.outcome(&server, seen, now);
+                }
+            }
+            Work::Audit { slot, msg } => {
+                if self.holder.holds(slot, now).is_some() {
+                    self.auditor.hear(from, msg, now, &self.plan.audit);
+                }
+            }
+        }
+    }
+
+    /// The slot of a duty with shards that a key belongs to.
+    fn shard(of: Option<(Slot, u32)>, key: u64) -> Option<Slot> {
+        of.map(|(first, n)| first + (key % u64::from(n.min(MOST_SHARDS))) as Slot)
+    }
+
+    fn probe_slot(&self, server: &str) -> Option<Slot> {
+        Fleet::shard(self.probes, xxh3_64(server.as_bytes()))
+    }
+
+    /// To whoever holds the slot, as far as it is known; this process included. False where nobody is known.
+    fn tell_holder(&mut self, slot: Slot, work: Work, now: f64) -> bool {
+        if self.holder.holds(slot, now).is_some() {
+            let me = self.me.name.clone();
+            self.work(&me, work, now);
+            true
+        } else if let Some(name) = self.holder.holders.get(&slot).cloned() {
+            let body = postcard::to_stdvec(&work).unwrap_or_default();
+            self.places(&name).into_iter().for_each(|at| self.links.send(at, Kind::Work, body.clone()));
+            true
+        } else {
+            false
+        }
+    }
+
+    /// As the duty's holder: someone gave up on a server.
+    fn complaint(&mut self, from: &str, server: String, now: f64) {
+        let Some(slot) = self.probe_slot(&server) else { return };
+        let Ok(address) = server.parse::<SocketAddr>() else { return };
+        let listed = self.list.values().any(|m| m["host_port"] == server.as_str());
+        // Evidence about a server that is not on the list is none.
+        if !listed || self.holder.holds(slot, now).is_none() {
+            return;
+        }
+        if self.prober.complaint(from, &server, now, &self.plan.probe) {
+            let tell = self.tell.clone();
+            tokio::task::spawn_local(async move {
+                let seen = probe(address).await;
+                let _ = tell.send(Told::Probed { server, seen });
+            });
+        }
+    }
+
+    /// As the holder: the probe is over; all that are up hear of it, if this one still holds the duty.
+    fn probed(&mut self, server: String, seen: Seen, now: f64) {
+        let Some(slot) = self.probe_slot(&server) else { return };
+        let Some(token) = self.holder.holds(slot, now) else { return };
+        self.holder.progress(slot, now);
+        self.outcome(&server, seen, now);
+        let work = Work::Probe(probe::Msg::Outcome { slot, token, server, seen, age: 0.0 });
+        let body = postcard::to_stdvec(&work).unwrap_or_default();
+        let to: Vec<_> = self.members.living().map(|m| m.address).collect();
+        to.into_iter().for_each(|at| self.links.datagram(at, Kind::Work, body.clone()));
+    }
+
+    /// What a probe saw. It is shown; what the decisions make of such evidence comes with shared judgements.
+    fn outcome(&mut self, server: &str, seen: Seen, now: f64) {
+        self.outcomes += 1;
+        ::log::info!("fleet: a probe of {server}: {seen:?}");
+        let what = format!("probe {seen:?} {server}");
+        self.note(json!({"line": "counted", "t": now, "what": what, "value": 1.0}));
+    }
+
+    /// What was added and is quiet goes to the auditor; what an auditor holds and is quiet is read.
+    fn audit(&mut self, hub: &Rc<Hub>, now: f64) {
+        self.next_audit = now + self.plan.audit.quiet / 4.0;
+        let mut by: BTreeMap<Slot, Vec<audit::Use>> = BTreeMap::new();
+        for u in self.tally.due(now, &self.plan.audit) {
+            if let Some(slot) = Fleet::shard(self.audits, u.name) {
+                by.entry(slot).or_default().push(u);
+            }
+        }
+        for (slot, uses) in by {
+            let names: Vec<u64> = uses.iter().map(|u| u.name).collect();
+            let msg = audit::Msg::Uses { run: self.me.run, uses };
+            if !self.tell_holder(slot, Work::Audit { slot, msg }, now) {
+                self.tally.unsaid(names.into_iter());
+            }
+        }
+        let due = self.auditor.due(now, &self.plan.audit);
+        let Some(counter) = hub.counter.address().filter(|_| !due.is_empty()) else { return };
+        let tell = self.tell.clone();
+        tokio::task::spawn_local(async move {
+            for names in due.chunks(MOST_READ) {
+                let read = totals(counter, names, &tell);
+                if !matches!(tokio::time::timeout(PROBE, read).await, Ok(Ok(()))) {
+                    return;
+                }
+            }
+        });
+    }
+
+    fn total(&mut self, name: u64, total: f64, now: f64) {
+        let Some(slot) = Fleet::shard(self.audits, name).filter(|s| self.holder.holds(*s, now).is_some())
+        else {
+            return;
+        };
+        self.holder.progress(slot, now);
+        let Some(verdict) = self.auditor.total(name, total, &self.plan.audit) else { return };
+        let (n, what, value) = match verdict {
+            audit::Verdict::Agrees => (0, "agrees", 0.0),
+            audit::Verdict::Lost(units) => (1, "lost", units),
+            audit::Verdict::Surplus(units) => (2, "surplus", units),
+        };
+        self.audited[n] += 1;
+        if n > 0 {
+            ::log::warn!("fleet: audit of {name:016x}: the counter holds {total}, {what} {value:.3} units");
+        }
+        self.note(json!({"line": "counted", "t": now, "what": format!("audit {what}"), "value": value}));
+    }
+
     /// The receiver's check, whatever the effect.
     fn accept(&mut self, from: &str, slot: Slot, token: u64, now: f64) -> bool {
         let took = self.fence.accept(slot, token);
@@ -447,6 +698,9 @@
         if self.plan.trial.effects > 0.0 {
             due = due.min(self.next_effect);
         }
+        if self.audits.is_some() {
+            due = due.min(self.next_audit);
+        }
         due
     }
 
@@ -456,6 +710,9 @@
         if self.plan.trial.effects > 0.0 && now >= self.next_effect {
             self.effects(now);
         }
+        if self.audits.is_some() && now >= self.next_audit {
+            self.audit(hub, now);
+        }
         if self.holder.next_due() <= now {
             self.holder.tick(now, &mut out);
         }
@@ -485,7 +742,7 @@
         for (slot, token) in held {
             self.holder.progress(slot, now);
             self.turn += 1;
-            let body = postcard::to_stdvec(&Effect { slot, token }).unwrap_or_default();
+            let body = postcard::to_stdvec(&Work::Effect { slot, token }).unwrap_or_default();
             if !members.is_empty() {
                 self.links.send(members[self.turn % members.len()], Kind::Work, body.clone());
             }
@@ -501,13 +758,18 @@
         let (leads, votes) = self.voter.as_ref().map_or((false, false), |v| (v.leads(), v.votes()));
         ::log::info!(
             "fleet: members={} held={} began={} ended={} votes={votes} leads={leads} doubled={} relayed={} \
-             fenced={} links={} sent={} sent_bytes={} came={} refused={} dropped={}",
+             outcomes={} probes={} audit agreed={} lost={} surplus={} fenced={} links={} sent={} sent_bytes={} came={} refused={} dropped={}",
             self.members.count(),
             self.holder.held(clock()).count(),
             self.began,
             self.ended,
             self.holder.doubled || self.members.doubled(&self.me.name),
             self.relayed,
+            self.outcomes,
+            self.prober.probes,
+            self.audited[0],
+            self.audited[1],
+            self.audited[2],
             self.fence.refused,
             self.links.connections(),
             c.sent,
@@ -519,16 +781,66 @@
     }
 }
 
+/// Tries a server with a request that is no invocation: any answer at all tells that it lives.
+async fn probe(at: SocketAddr) -> Seen {
+    let Ok(Ok(stream)) = tokio::time::timeout(PROBE, TcpStream::connect(at)).await else {
+        return Seen::Refused;
+    };
+    let answered = async {
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+        let request = hyper::Request::get("/").header("host", at.to_string());
+        let request = request.body(http_body_util::Empty::<bytes::Bytes>::new()).ok()?;
+        tokio::select! {
+            answer = sender.send_request(request) => answer.ok().map(|_| ()),
+            _ = connection => None,
+        }
+    };
+    match tokio::time::timeout(PROBE, answered).await {
+        Ok(Some(())) => Seen::Answered,
+        _ => Seen::Silent,
+    }
+}
+
+/// Reads names by adding nothing to them; one that is gone comes to be for a millisecond.
+async fn totals(at: SocketAddr, names: &[u64], tell: &mpsc::UnboundedSender<Told>) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(at).await?;
+    let mut calls = BytesMut::new();
+    names.iter().for_each(|n| calls.extend_from_slice(&encode_count(*n, 0.0, 0.001)));
+    stream.write_all(&calls).await?;
+    let mut answers = BytesMut::new();
+    for name in names {
+        let counted = loop {
+            match take_counted(&mut answers) {
+                Ok(Some(counted)) => break counted,
+                Ok(None) => {}
+                Err(_) => return Err(std::io::ErrorKind::InvalidData.into()),
+            }
+            if stream.read_buf(&mut answers).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        };
+        if let Counted::Total(total) = counted {
+            let _ = tell.send(Told::Total { name: *name, total });
+        }
+    }
+    Ok(())
+}
+
 /// Opens what the plan names, then plays this process's part for as long as it lives.
 pub async fn start(
     hub: Rc<Hub>,
     plan: Plan,
     name: String,
     seed: u64,
+    tell: mpsc::UnboundedSender<Told>,
     mut told: mpsc::UnboundedReceiver<Told>,
 ) -> Result<(), Fault> {
     let (tx, mut inbox) = mpsc::channel(1024);
-    let (mut fleet, mut saved) = Fleet::open(plan, name, seed, tx).await?;
+    let (mut fleet, mut saved) = Fleet::open(plan, name, seed, tx, tell.clone()).await?;
+    let tap = Tap::new(tell);
+    let waiting = tap.waiting.clone();
+    *hub.tap.borrow_mut() = Some(tap);
     tokio::task::spawn_local(async move {
         let mut disk = true;
         loop {
@@ -556,6 +868,22 @@
                 said = told.recv() => match said {
                     Some(Told::Line(line)) => fleet.line(&hub, line, clock()),
                     Some(Told::Report) => fleet.report(),
+                    Some(Told::Delivered { server, answered }) => {
+                        waiting.set(waiting.get().saturating_sub(1));
+                        let (now, server) = (clock(), server.to_string());
+                        let said = fleet.complaints.ended(&server, answered, now, &fleet.plan.probe);
+                        if let (Some(msg), Some(slot)) = (said, fleet.probe_slot(&server)) {
+                            fleet.tell_holder(slot, Work::Probe(msg), now);
+                        }
+                    }
+                    Some(Told::Counted { name, add, answered }) => {
+                        waiting.set(waiting.get().saturating_sub(1));
+                        if fleet.audits.is_some() {
+                            fleet.tally.call(name, add, answered, clock(), &fleet.plan.audit);
+                        }
+                    }
+                    Some(Told::Probed { server, seen }) => fleet.probed(server, seen, clock()),
+                    Some(Told::Total { name, total }) => fleet.total(name, total, clock()),
                     Some(Told::Leave) => {
                         let now = clock();
                         let (mut out, mut said) = (Vec::new(), Vec::new());
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,6 +3,7 @@
 
 use crate::counter::Counter;
 use crate::discovery::Discovery;
+use crate::fleet::Tap;
 use crate::front::Front;
 use crate::message::Names;
 use crate::reducer::{Effect, Event, Reducer};
@@ -39,6 +40,8 @@
     pub counter: Counter,
     pub discovery: Discovery,
     pub reducer: RefCell<Reducer>,
+    /// Where the fleet listens, if there is one.
+    pub tap: RefCell<Option<Tap>>,
     events: RefCell<VecDeque<Event>>,
     busy: Cell<bool>,
     /// What the timer is set to.
@@ -73,6 +76,7 @@
             counter,
             discovery,
             reducer: RefCell::new(reducer),
+            tap: RefCell::default(),
             events: RefCell::default(),
             busy: Cell::new(false),
             set: Cell::new(f64::INFINITY),
@@ -90,6 +94,9 @@
         let mut effects = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            if let Some(tap) = &*self.tap.borrow() {
+                tap.event(&event);
+            }
             self.reducer.borrow_mut().reduce(event, self.clock.now(), &mut effects);
             effects.drain(..).for_each(|e| self.carry_out(e));
         }
@@ -99,6 +106,9 @@
     }
 
     fn carry_out(self: &Rc<Self>, effect: Effect) {
+        if let Some(tap) = &*self.tap.borrow() {
+            tap.effect(&effect);
+        }
         match effect {
             Effect::Send(delivery) => self.upstream.send(self, delivery),
             Effect::Abandon { num, n, ending } => self.upstream.abandon(self, num, n, ending),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -120,7 +120,7 @@
         None => None,
         Some(plan) => {
             hub.discovery.tap(tell.clone());
-            fleet::start(hub.clone(), plan, config.name.clone(), config.seed, told).await?;
+            fleet::start(hub.clone(), plan, config.name.clone(), config.seed, tell.clone(), told).await?;
             Some(tell)
         }
     };
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -2,7 +2,7 @@
 //! its checks. It must never be needed: without it, or without its `fleet` section, nothing of it runs.
 
 use crate::fault::Fault;
-use dunespur_duties::{watch, Duty, Settings as Duties};
+use dunespur_duties::{audit, probe, watch, Duty, Settings as Duties};
 use dunespur_members::Settings as Members;
 use dunespur_peer::Bounds;
 use serde::Deserialize;
@@ -69,6 +69,10 @@
     #[serde(default)]
     watch: WatchPart,
     #[serde(default)]
+    probe: ProbePart,
+    #[serde(default)]
+    audit: AuditPart,
+    #[serde(default)]
     trial: Option<Trial>,
 }
 
@@ -120,6 +124,36 @@
     }
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct ProbePart {
+    unanswered: u32,
+    many: usize,
+    window: f64,
+    again: f64,
+    servers: usize,
+}
+
+impl Default for ProbePart {
+    fn default() -> Self {
+        ProbePart { unanswered: 1, many: 2, window: 5.0, again: 2.0, servers: 256 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct AuditPart {
+    quiet: f64,
+    names: usize,
+    units: f64,
+}
+
+impl Default for AuditPart {
+    fn default() -> Self {
+        AuditPart { quiet: 2.0, names: 10_000, units: 0.01 }
+    }
+}
+
 /// For trials alone: never in service.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -159,7 +193,8 @@
     64
 }
 fn duties() -> Vec<Duty> {
-    vec![Duty { name: "watch".into(), shards: 1, by_zone: true }]
+    let duty = |name: &str, by_zone| Duty { name: name.into(), shards: 1, by_zone };
+    vec![duty("watch", true), duty("probe", false), duty("audit", false)]
 }
 
 /// What the fleet's part of the process is made from.
@@ -173,6 +208,8 @@
     pub members: Members,
     pub bounds: Bounds,
     pub watch: watch::Settings,
+    pub probe: probe::Settings,
+    pub audit: audit::Settings,
     pub trial: Trial,
     pub via: BTreeMap<SocketAddrV4, SocketAddrV4>,
 }
@@ -243,11 +280,37 @@
     let w = f.watch;
     let watch = watch::Settings { beat: w.beat, stale: w.stale, spread: w.spread, trust: w.trust };
     watch.check()?;
+    let p = f.probe;
+    let probe = probe::Settings {
+        unanswered: p.unanswered,
+        many: p.many,
+        window: p.window,
+        again: p.again,
+        servers: p.servers,
+    };
+    probe.check()?;
+    let a = f.audit;
+    let audit = audit::Settings { quiet: a.quiet, names: a.names, units: a.units };
+    audit.check()?;
     let trial = f.trial.unwrap_or_default();
     let via = trial.via.iter().map(|(a, b)| Ok((address("via", a)?, address("via", b)?)));
     let via = via.collect::<Result<_, String>>()?;
     let machine = f.machine.unwrap_or_else(|| name.to_owned());
-    Ok(Some(Plan { listen, zone, machine, voters, disk: f.disk, duties, members, bounds, watch, trial, via }))
+    Ok(Some(Plan {
+        listen,
+        zone,
+        machine,
+        voters,
+        disk: f.disk,
+        duties,
+        members,
+        bounds,
+        watch,
+        probe,
+        audit,
+        trial,
+        via,
+    }))
 }
 
 /// The plan that the environment names; none where it names no file.
@@ -281,7 +344,7 @@
     #[test]
     fn a_file_that_can_be_used_is_read_and_nothing_runs_without_its_section() {
         let plan = read(GOOD, "n1", &["a".into(), "b".into()], 1).unwrap().unwrap();
-        assert_eq!((plan.zone.as_str(), plan.machine.as_str(), plan.duties.slots()), ("b", "n1", 2));
+        assert_eq!((plan.zone.as_str(), plan.machine.as_str(), plan.duties.slots()), ("b", "n1", 4));
         assert!(read("", "n1", &["a".into()], 0).unwrap().is_none());
     }
 
--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -94,6 +94,35 @@
     gaps
 }
 
+/// For each fault, how long it took until another limiter had begun what its target held; seconds. Slots are
+/// taken for the target's where a new holder began before the fault's end.
+pub fn handovers(trial: &Trial, lines: &[Line]) -> Vec<f64> {
+    let mut holder: BTreeMap<u32, &str> = BTreeMap::new();
+    let mut open: Vec<(f64, f64, BTreeMap<u32, &str>)> = Vec::new();
+    let mut took = Vec::new();
+    let mut faults = trial.faults.iter().map(|f| (f.at, f.at + f.length)).collect::<Vec<_>>();
+    faults.sort_by(|a, b| b.0.total_cmp(&a.0));
+    for line in lines {
+        match line {
+            Line::Fault { t, on: true, .. } => {
+                let length = faults.pop().map_or(0.0, |f| f.1 - f.0);
+                open.push((*t, t + length, holder.clone()));
+            }
+            Line::Began { t, who, slot, .. } => {
+                for (from, to, held) in &mut open {
+                    if *t < *to && held.get(slot).is_some_and(|h| h != who) {
+                        held.remove(slot);
+                        took.push(t - *from);
+                    }
+                }
+                holder.insert(*slot, who);
+            }
+            _ => {}
+        }
+    }
+    took
+}
+
 /// A handover between living limiters may leave a slot this long with nobody; well beyond what is seen.
 const HANDOVER: f64 = 1.0;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -103,6 +103,9 @@
             };
             let lines = match world {
                 Kind::Simulated => {
+                    if let Err(e) = world::check(&trial) {
+                        return unusable(&format!("{}: {e}", file.display()));
+                    }
                     let mut w = world::World::new(&trial, seed);
                     w.run();
                     w.lines
@@ -119,7 +122,10 @@
                     let _ = to.write_all(b"\n");
                 }
                 let verdict = if broken.is_empty() { "held" } else { "broken" };
+                let mut took = check::handovers(&trial, &lines);
+                let handovers = measure::spread(&mut took);
                 let last = serde_json::json!({
+                    "handovers": handovers,
                     "line": "verdict", "verdict": verdict, "trial": trial.name, "seed": seed, "broken": broken,
                 });
                 let _ = writeln!(to, "{last}");
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -50,7 +50,7 @@
         let kind = kinds[rng.random_range(0..kinds.len())];
         let mut target = match rng.random_range(0..8) {
             0 | 1 => "leader".into(),
-            2 => format!("holder:audit:0"),
+            2 => "holder:audit:0".to_string(),
             3 => format!("holder:watch:{}", rng.random_range(0..3)),
             4 => format!("voter:{}", rng.random_range(0..voters)),
             5 => format!("zone:{}", ["a", "b", "c"][rng.random_range(0..3)]),
@@ -173,6 +173,16 @@
     ExitCode::from(u8::from(!broken.is_empty()))
 }
 
+/// Count, median, 99th percentile and worst of some seconds.
+pub fn spread(of: &mut [f64]) -> serde_json::Value {
+    let round = |v: f64| (v * 1000.0).round() / 1000.0;
+    let (p50, p99, worst) = (percentile(of, 0.5), percentile(of, 0.99), percentile(of, 1.0));
+    if of.is_empty() {
+        return serde_json::json!({"count": 0});
+    }
+    serde_json::json!({"count": of.len(), "p50": round(p50), "p99": round(p99), "worst": round(worst)})
+}
+
 fn percentile(of: &mut [f64], share: f64) -> f64 {
     of.sort_by(f64::total_cmp);
     of.get(((of.len() as f64 * share) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -4,7 +4,7 @@
 //! this file judges nothing.
 
 use crate::history::Line;
-use crate::trial::{Disk, Fault, Kind, Trial, Way, MOST_PROCESSES};
+use crate::trial::{Disk, Fault, Kind, Trial, Way, MOST_PROCESSES, SERVERS};
 use bytes::Bytes;
 use dunespur_duties::fence::Fence;
 use dunespur_peer::Frame;
@@ -184,6 +184,12 @@
     }
 }
 
+/// The one message of duties' work that trials send to receivers.
+#[derive(serde::Deserialize)]
+enum Effect {
+    Effect { slot: u32, token: u64 },
+}
+
 /// A process that this one started, and ends.
 struct Running {
     child: Child,
@@ -232,6 +238,7 @@
     lines: Rc<RefCell<Vec<Line>>>,
     discovery: Rc<Discovery>,
     counter: Rc<Counter>,
+    servers: Vec<Rc<Server>>,
     runs: Cell<u64>,
 }
 
@@ -298,8 +305,10 @@
     });
     let counter = Counter::start().await.map_err(fail)?;
     let mut servers = Vec::new();
-    for n in 0..6 {
+    let mut stands = Vec::new();
+    for n in 0..SERVERS {
         let server = Server::start(0.01).await.map_err(fail)?;
+        stands.push(server.clone());
         let zone = trial.fleet.zones[n % trial.fleet.zones.len()].clone();
         servers.push((format!("s-{n}"), server.address, zone, "Ready"));
     }
@@ -345,7 +354,9 @@
             loop {
                 let Ok((len, _)) = udp.recv_from(&mut buffer).await else { continue };
                 let Ok(frame) = Frame::from_datagram(&buffer[..len], "trial") else { continue };
-                let Ok((slot, token)) = postcard::from_bytes::<(u32, u64)>(&frame.body) else { continue };
+                let Ok(Effect::Effect { slot, token }) = postcard::from_bytes::<Effect>(&frame.body) else {
+                    continue;
+                };
                 let (t, at, who) = (clock() - rules.start.get(), format!("r{n}"), frame.from);
                 lines.borrow_mut().push(match fence.accept(slot, token) {
                     true => Line::Accepted { t, at, who, slot, token },
@@ -365,6 +376,7 @@
         lines,
         discovery,
         counter,
+        servers: stands,
         runs: Cell::new(seed),
     };
     world.play().await
@@ -544,7 +556,7 @@
         match parts.as_slice() {
             ["limiter" | "voter", n] => vec![number(n)],
             ["voters"] => (0..trial.fleet.voters).collect(),
-            ["receivers"] => vec![],
+            ["receivers" | "counter"] | ["server", _] => vec![],
             ["zone", z] => all.into_iter().filter(|n| trial.fleet.zones[trial.zone(*n)] == *z).collect(),
             ["half"] => all.into_iter().take(trial.fleet.limiters / 2).collect(),
             ["leader"] => {
@@ -728,6 +740,13 @@
                 let fault = &self.trial.faults[n];
                 let what = serde_json::to_string(fault).unwrap_or_default();
                 self.lines.borrow_mut().push(Line::Fault { t: self.now(), what, on });
+                let server = fault.target.strip_prefix("server:").and_then(|n| n.parse::<usize>().ok());
+                if let (Kind::Hang, Some(server)) = (fault.kind, server) {
+                    self.servers[server].hangs.set(on);
+                }
+                if fault.kind == Kind::Forget && on {
+                    self.counter.empty();
+                }
                 if on {
                     let from = self.target(&fault.target);
                     let to = fault.peer.as_ref().map(|p| self.target(p));
@@ -745,7 +764,7 @@
             }
             count += 1;
             self.throttle(count);
-            if copies && count % 50 == 0 {
+            if copies && count.is_multiple_of(50) {
                 self.copy_disks(count);
             }
             sleep(Duration::from_millis(10)).await;
@@ -792,7 +811,7 @@
                 }
             }
         }
-        if count % 10 == 0 {
+        if count.is_multiple_of(10) {
             // Nobody is left standing when such a fault has ended.
             let slow: Vec<usize> = self.rules.active.borrow().iter().flat_map(|a| a.from.clone()).collect();
             for l in self.limiters.iter().filter(|l| l.stalled.get().is_none() && !slow.contains(&l.number)) {
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -127,6 +127,10 @@
     Clock,
     /// The target gets on with nothing while it holds.
     Idle,
+    /// A server (`server:N`) takes everything and answers nothing; processes only.
+    Hang,
+    /// The counter (`counter`) loses all names; processes only.
+    Forget,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,7 +163,8 @@
     /// How long it lasts.
     #[serde(rename = "for")]
     pub length: f64,
-    /// `limiter:N`, `holder:DUTY:SHARD`, `leader`, `voter:N`, `voters`, `zone:NAME`, `half`, `all`, `any`.
+    /// `limiter:N`, `holder:DUTY:SHARD`, `leader`, `voter:N`, `voters`, `zone:NAME`, `half`, `all`, `any`,
+    /// `receivers`, `server:N`, `counter`.
     pub target: String,
     /// The other side of a link; all but the target where it is missing, receivers included.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -177,6 +182,9 @@
     pub every: f64,
 }
 
+/// Stand-ins for servers in the world of processes.
+pub const SERVERS: usize = 6;
+
 /// Most limiters in each world.
 pub const MOST_SIMULATED: usize = 1_000;
 pub const MOST_PROCESSES: usize = 15;
@@ -197,7 +205,7 @@
         if !(self.seconds > 0.0 && self.seconds <= 86_400.0) {
             return Err(format!("seconds: {}; give a length over 0 and up to a day", self.seconds));
         }
-        if !(self.settle > 0.0) {
+        if self.settle <= 0.0 || self.settle.is_nan() {
             return Err(format!("settle: {}; give seconds over 0", self.settle));
         }
         if !(3..=MOST_SIMULATED).contains(&f.limiters) || f.voters > f.limiters {
@@ -254,6 +262,8 @@
         let parts: Vec<&str> = target.split(':').collect();
         match parts.as_slice() {
             ["leader" | "voters" | "half" | "all" | "any" | "receivers"] => Ok(()),
+            ["server", n] => number(n, SERVERS),
+            ["counter"] => Ok(()),
             ["limiter", n] => number(n, self.fleet.limiters),
             ["voter", n] => number(n, self.fleet.voters),
             ["zone", z] if self.fleet.zones.iter().any(|k| k == z) => Ok(()),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug)]
 pub enum Packet {
     Gossip(Vec<u8>),
-    Peer(Msg),
+    Peer(Box<Msg>),
     Effect { slot: u32, token: u64 },
 }
 
@@ -433,21 +433,21 @@
                     let at = if twin { format!("{}'{}", n.name, n.run) } else { n.name.clone() };
                     self.effect(at, from, slot, token, took);
                 }
-                Packet::Peer(msg) => match &msg {
+                Packet::Peer(msg) => match &*msg {
                     Msg::Told { told: answer, .. } => {
                         told = Some((answer.seq, answer.index));
                         if let Some(h) = &mut n.holder {
-                            h.hear(&from_name, msg, now, &mut out);
+                            h.hear(&from_name, *msg, now, &mut out);
                         }
                     }
                     Msg::Elsewhere { .. } | Msg::Doubled { .. } | Msg::Notice { .. } => {
                         if let Some(h) = &mut n.holder {
-                            h.hear(&from_name, msg, now, &mut out);
+                            h.hear(&from_name, *msg, now, &mut out);
                         }
                     }
                     _ => {
                         if let Some(v) = &mut n.voter {
-                            v.hear(&from_name, msg, now, &mut out);
+                            v.hear(&from_name, *msg, now, &mut out);
                         }
                     }
                 },
@@ -503,12 +503,12 @@
                         .collect();
                     for to in twins {
                         if to != node {
-                            self.send(node, to, Packet::Peer(msg.clone()));
+                            self.send(node, to, Packet::Peer(Box::new(msg.clone())));
                         } else {
                             // To itself, past the network.
                             self.push(
                                 t + 1e-5,
-                                Ev::Arrive { to, from: node, packet: Packet::Peer(msg.clone()) },
+                                Ev::Arrive { to, from: node, packet: Packet::Peer(Box::new(msg.clone())) },
                             );
                         }
                     }
@@ -792,6 +792,15 @@
     }
 }
 
+/// Whether the simulated world can play this trial.
+pub fn check(trial: &Trial) -> Result<(), String> {
+    let only = |k: Kind| matches!(k, Kind::Hang | Kind::Forget);
+    match trial.faults.iter().find(|f| only(f.kind)) {
+        Some(f) => Err(format!("fault {:?} at {}: only the world of processes plays it", f.kind, f.at)),
+        None => Ok(()),
+    }
+}
+
 /// Receivers are numbered from here on.
 const RECEIVER: usize = 1 << 20;
 
--- a/crates/lab/tests/trials.rs
+++ b/crates/lab/tests/trials.rs
@@ -17,6 +17,7 @@
     let mut all: Vec<String> = std::fs::read_dir(root().join("trials"))
         .unwrap()
         .map(|f| format!("trials/{}", f.unwrap().file_name().to_string_lossy()))
+        .filter(|f| f.ends_with(".toml"))
         .collect();
     all.sort();
     assert!(all.len() >= 16);
@@ -76,6 +77,25 @@
     }
 }
 
+/// The three real duties, beside a hung server and a counter that forgets.
+#[test]
+fn duties_do_their_work() {
+    let file = "trials/processes/duties-at-work.toml";
+    let output = lab(&["trial", file, "--world", "processes", "--json", "-"]);
+    let last = verdict(&output);
+    assert_eq!(last["verdict"], "held", "{}", last["broken"]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let count = |what: &str| text.lines().filter(|l| l.contains(what)).count();
+    // Six limiters, two in each zone: one of each closes its own watch, and takes the list from the other.
+    assert!(count("\"watch n") >= 3, "watches were closed");
+    let silent = count("probe Silent");
+    assert!((6..=30).contains(&silent), "few probes, and all six hear of each: {silent}");
+    assert!(count("audit agrees") > 0, "names were audited");
+    assert!(count("audit lost") > 0, "what the counter forgot was found");
+    let refused = lab(&["trial", file, "--world", "simulated"]);
+    assert_eq!(refused.status.code(), Some(2));
+}
+
 #[test]
 fn a_file_that_can_not_be_used_gets_one_line_and_exit_code_2() {
     let dir = std::env::temp_dir().join(format!("dunespur-bad-trials-{}", std::process::id()));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -114,7 +114,7 @@
                     let life = life.parse::<u64>().ok()?.clamp(1, 60_000);
                     let mut names = self.names.borrow_mut();
                     // Names lapse; swept now and then, so that none stays for good.
-                    if self.calls.get() % 4096 == 0 {
+                    if self.calls.get().is_multiple_of(4096) {
                         names.retain(|_, n| n.1 > now);
                     }
                     let fresh = (0.0, now + Duration::from_millis(life));
