--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -90,6 +90,10 @@
     numbers: u64,
     /// Tells this start from any other with the same disk.
     nonce: u64,
+    /// The voters changed since the last snapshot.
+    changed: bool,
+    /// A snapshot that is under way to the disk: the library's number, and its last entry.
+    snap_taken: Option<(u64, u64)>,
     now: f64,
 }
 
@@ -128,6 +132,8 @@
             next_hello: now,
             numbers: seed,
             nonce,
+            changed: false,
+            snap_taken: None,
             now,
             meta,
         };
@@ -217,6 +223,11 @@
             let Some((_, ready, after)) = self.unsaved.pop_front() else { break };
             if let Some(raw) = self.raw.as_mut().filter(|_| ready > 0) {
                 raw.on_persist_ready(ready);
+                // Only on the disk does a snapshot count as applied.
+                if let Some((_, index)) = self.snap_taken.filter(|s| s.0 <= ready) {
+                    self.snap_taken = None;
+                    raw.advance_apply_to(index);
+                }
             }
             self.send_raft(after, out);
         }
@@ -490,6 +501,7 @@
         self.raw = None;
         self.lead = None;
         self.unsaved.iter_mut().for_each(|u| *u = (u.0, 0, Vec::new()));
+        self.snap_taken = None;
         self.meta = Meta { disk: self.rng.random_range(1..u64::MAX), starts: 1, ..Default::default() };
         self.nonce = self.rng.random();
         self.book = Book::default();
@@ -570,6 +582,7 @@
                     self.stage = Stage::Voting;
                 }
                 self.applied = snap.index;
+                self.snap_taken = Some((number, snap.index));
                 let log = raw.mut_store();
                 log.conf = snap.conf.clone();
                 log.cut(snap.clone());
@@ -598,10 +611,11 @@
             }
             self.send_raft(now_out, out);
             self.take_lead(out);
+            let applies = !committed.is_empty();
             for entry in committed {
                 self.apply(&entry, out);
             }
-            if let Some(raw) = &mut self.raw {
+            if let Some(raw) = self.raw.as_mut().filter(|_| applies) {
                 raw.advance_apply_to(self.applied);
             }
             for read in reads {
@@ -649,6 +663,7 @@
                         raw.mut_store().conf = Conf::from_raft(&conf);
                     }
                 }
+                self.changed = true;
                 if let Ok((name, disk)) = postcard::from_bytes::<(Name, u64)>(entry.get_context()) {
                     self.book.voters.retain(|_, n| *n != name);
                     self.book.voters.insert(disk, name);
@@ -715,9 +730,11 @@
     /// A snapshot of the book stands for the entries up to here, once there are many.
     fn shorten(&mut self) {
         let applied = self.applied;
+        // Who was just let in takes no snapshot that does not name it.
+        let changed = std::mem::take(&mut self.changed);
         let Some(raw) = self.raw.as_mut() else { return };
         let log = raw.mut_store();
-        if applied < log.first() + KEPT || applied > log.last() {
+        if (applied < log.first() + KEPT && !changed) || applied < log.first() || applied > log.last() {
             return;
         }
         let (Ok(term), Ok(data)) = (raft::Storage::term(log, applied), postcard::to_stdvec(&self.book))
--- /dev/null
+++ b/crates/duties/tests/voters.rs
@@ -0,0 +1,290 @@
+//! Three voters and their holders in one process, on one clock and links without delay: what trials found,
+//! each in its smallest form.
+
+use dunespur_duties::fence::Fence;
+use dunespur_duties::holder::Holder;
+use dunespur_duties::log::Saved;
+use dunespur_duties::voter::Voter;
+use dunespur_duties::{Duty, Me, Msg, Output, Settings};
+use std::collections::VecDeque;
+
+struct Node {
+    name: String,
+    voter: Option<Voter>,
+    holder: Holder,
+    disk: Saved,
+    /// What this disk held at each second.
+    copies: Vec<Saved>,
+    up: bool,
+    /// It stands still: nothing reaches it, nothing is lost.
+    still: bool,
+    mail: VecDeque<(String, Msg)>,
+}
+
+struct Fleet {
+    settings: Settings,
+    nodes: Vec<Node>,
+    now: f64,
+    runs: u64,
+    reports: Vec<String>,
+    tokens: Vec<Vec<u64>>,
+}
+
+fn settings() -> Settings {
+    Settings {
+        fleet: "f".into(),
+        voters: ["n0", "n1", "n2"].map(String::from).into(),
+        zones: vec!["a".into()],
+        duties: vec![Duty { name: "audit".into(), shards: 8, by_zone: false }],
+        lease: 2.0,
+        drift: 0.01,
+        renew: 0.5,
+        stall: 0.0,
+        tick: 0.05,
+        moves: 64,
+        disk_wait: 6.0,
+    }
+}
+
+impl Fleet {
+    fn new(limiters: usize) -> Self {
+        let settings = settings();
+        let mut fleet =
+            Fleet { settings, nodes: vec![], now: 100.0, runs: 0, reports: vec![], tokens: vec![vec![]; limiters] };
+        for n in 0..limiters {
+            let me = Me { name: format!("n{n}"), run: 0, zone: "a".into(), machine: format!("m{n}") };
+            fleet.nodes.push(Node {
+                name: me.name.clone(),
+                voter: None,
+                holder: Holder::new(fleet.settings.clone(), me, 0.0),
+                disk: Saved::default(),
+                copies: vec![],
+                up: false,
+                still: false,
+                mail: VecDeque::new(),
+            });
+            fleet.start(n);
+        }
+        fleet.run(4.0);
+        assert!(fleet.held(), "all slots are held at first");
+        fleet
+    }
+
+    fn start(&mut self, n: usize) {
+        self.runs += 1;
+        let (run, now) = (self.runs, self.now);
+        let name = self.nodes[n].name.clone();
+        let me = Me { name: name.clone(), run, zone: "a".into(), machine: format!("m{n}") };
+        let node = &mut self.nodes[n];
+        node.holder = Holder::new(self.settings.clone(), me, now);
+        node.mail.clear();
+        node.up = true;
+        let mut out = Vec::new();
+        if self.settings.voters.contains(&name) {
+            let disk = node.disk.clone();
+            node.voter = Some(Voter::new(self.settings.clone(), name, disk, run, now, &mut out).unwrap());
+        }
+        self.take(n, out);
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.nodes[n].up = false;
+        self.nodes[n].voter = None;
+        self.nodes[n].mail.clear();
+    }
+
+    fn take(&mut self, n: usize, out: Vec<Output>) {
+        for o in out {
+            match o {
+                Output::Send { to, msg } => {
+                    let from = self.nodes[n].name.clone();
+                    if let Some(to) = self.nodes.iter_mut().find(|t| t.name == to && t.up) {
+                        to.mail.push_back((from, msg));
+                    }
+                }
+                Output::Save(batch) => {
+                    self.nodes[n].disk.take(&batch);
+                    let mut out = Vec::new();
+                    let now = self.now;
+                    if let Some(v) = &mut self.nodes[n].voter {
+                        v.saved(batch.number, now, &mut out);
+                    }
+                    self.take(n, out);
+                }
+                Output::Report { text, .. } => self.reports.push(text),
+                Output::Tokens(tokens) => self.tokens[n] = tokens,
+                Output::Began { .. } | Output::Ended { .. } => {}
+            }
+        }
+    }
+
+    /// One step of all nodes: timers first, as a process that wakes up finds them due, then its mail.
+    fn step(&mut self) {
+        self.now += 0.005;
+        let now = self.now;
+        for n in 0..self.nodes.len() {
+            if !self.nodes[n].up || self.nodes[n].still {
+                continue;
+            }
+            let mut out = Vec::new();
+            if let Some(v) = &mut self.nodes[n].voter {
+                v.tick(now, &mut out);
+            }
+            self.nodes[n].holder.tick(now, &mut out);
+            self.take(n, out);
+            for (from, msg) in std::mem::take(&mut self.nodes[n].mail) {
+                let mut out = Vec::new();
+                let node = &mut self.nodes[n];
+                match msg {
+                    Msg::Told { .. } | Msg::Elsewhere { .. } | Msg::Doubled { .. } | Msg::Notice { .. } => {
+                        node.holder.hear(&from, msg, now, &mut out);
+                    }
+                    _ => {
+                        if let Some(v) = &mut node.voter {
+                            v.hear(&from, msg, now, &mut out);
+                        }
+                    }
+                }
+                self.take(n, out);
+            }
+        }
+        // One holder at a time, on the one clock; standing still takes nothing from what a lease says.
+        for slot in 0..self.settings.slots() {
+            let holds = self.nodes.iter().filter(|n| n.up && n.holder.holds(slot, now).is_some());
+            let holds: Vec<_> = holds.map(|n| n.name.clone()).collect();
+            assert!(holds.len() <= 1, "{holds:?} hold {slot} at {now}");
+        }
+        let leads: Vec<_> = self.nodes.iter().filter_map(|n| n.voter.as_ref()).filter(|v| v.leads()).collect();
+        for (i, a) in leads.iter().enumerate() {
+            assert!(leads[i + 1..].iter().all(|b| b.term() != a.term()), "two lead in term {}", a.term());
+        }
+    }
+
+    fn run(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        while self.now < end {
+            let second = self.now as u64;
+            self.step();
+            if self.now as u64 != second {
+                self.nodes.iter_mut().for_each(|n| n.copies.push(n.disk.clone()));
+            }
+        }
+    }
+
+    fn held(&self) -> bool {
+        let held = |slot| self.nodes.iter().any(|n| n.up && n.holder.holds(slot, self.now).is_some());
+        (0..self.settings.slots()).all(held)
+    }
+
+    fn leader(&self) -> usize {
+        self.nodes.iter().position(|n| n.voter.as_ref().is_some_and(Voter::leads)).unwrap()
+    }
+
+    fn said(&self, what: &str) -> bool {
+        self.reports.iter().any(|r| r.contains(what))
+    }
+}
+
+#[test]
+fn a_session_whose_end_is_under_way_is_not_renewed() {
+    let mut fleet = Fleet::new(5);
+    // All stand still for longer than a lease. Awake, the leader finds all sessions lapsed and says so to the
+    // log, and hears their asks in the same moment.
+    for round in 0..6 {
+        fleet.nodes.iter_mut().for_each(|n| n.still = true);
+        fleet.run(3.0 + 0.3 * f64::from(round));
+        fleet.nodes.iter_mut().for_each(|n| n.still = false);
+        fleet.run(6.0);
+        assert!(fleet.held());
+    }
+}
+
+#[test]
+fn a_leader_whose_disk_was_put_back_does_not_lead_its_term_again() {
+    let mut fleet = Fleet::new(5);
+    // The next leader has one term more; its disk is put back to before it led.
+    let first = fleet.leader();
+    fleet.kill(first);
+    fleet.run(4.0);
+    let second = fleet.leader();
+    assert_ne!(first, second);
+    let before = fleet.nodes[second].copies[2].clone();
+    assert!(before.hard.term < fleet.nodes[second].voter.as_ref().unwrap().term());
+    fleet.kill(second);
+    fleet.nodes[second].disk = before;
+    fleet.start(second);
+    fleet.start(first);
+    fleet.run(20.0);
+    assert!(fleet.said("is older than what was seen of it"), "{:?}", fleet.reports);
+    assert!(fleet.said("is let in anew") && fleet.held());
+    assert!(fleet.nodes[..3].iter().all(|n| n.voter.as_ref().unwrap().votes()));
+}
+
+#[test]
+fn a_voter_without_its_disk_has_no_vote_until_it_is_let_in() {
+    let mut fleet = Fleet::new(4);
+    let lost = (fleet.leader() + 1) % 3;
+    fleet.kill(lost);
+    fleet.nodes[lost].disk = Saved::default();
+    let other = (lost + 1) % 3;
+    // Alone with it the other voter is no majority: nobody leads, duties lapse, nobody acts.
+    let third = 3 - lost - other;
+    fleet.kill(third);
+    fleet.start(lost);
+    fleet.run(10.0);
+    assert!(!fleet.nodes[lost].voter.as_ref().unwrap().votes());
+    assert!(fleet.nodes.iter().all(|n| n.voter.as_ref().is_none_or(|v| !v.leads())));
+    assert!((0..8).all(|s| fleet.nodes.iter().all(|n| n.holder.holds(s, fleet.now).is_none())));
+    // With the third back there is a majority, which lets it in; then it counts like any other.
+    fleet.start(third);
+    fleet.run(16.0);
+    assert!(fleet.nodes[lost].voter.as_ref().unwrap().votes() && fleet.held(), "{:?}", fleet.reports);
+    fleet.kill(third);
+    fleet.run(6.0);
+    assert!(fleet.held());
+}
+
+#[test]
+fn a_restart_while_another_is_gone_votes_after_the_stated_wait() {
+    let mut fleet = Fleet::new(4);
+    fleet.kill(2);
+    fleet.kill(1);
+    fleet.run(0.5);
+    fleet.start(1);
+    fleet.run(3.0);
+    assert!(!fleet.nodes[1].voter.as_ref().unwrap().votes(), "one of the others could know better");
+    fleet.run(12.0);
+    assert!(fleet.said("the rest is gone") && fleet.held());
+}
+
+#[test]
+fn a_fence_takes_nothing_until_it_knows_the_tokens() {
+    let mut fleet = Fleet::new(4);
+    let token = fleet.nodes.iter().find_map(|n| n.holder.holds(0, fleet.now)).unwrap();
+    let mut fence = Fence::new(8);
+    assert!(!fence.accept(0, token), "started anew, it could take one that is older than what it took");
+    fleet.kill(3);
+    fleet.run(5.0);
+    fleet.start(3);
+    fleet.run(3.0);
+    fence.prime(&fleet.tokens[3]);
+    let now = fleet.nodes.iter().find_map(|n| n.holder.holds(0, fleet.now)).unwrap();
+    assert!(fence.accept(0, now) && !fence.accept(0, 1) && !fence.accept(99, now) && !fence.accept(0, 0));
+}
+
+#[test]
+fn a_drain_hands_over_at_once_and_a_death_within_lease_and_election() {
+    let mut fleet = Fleet::new(5);
+    let slot = (0..8).find(|s| [3, 4].iter().any(|n| fleet.nodes[*n].holder.holds(*s, fleet.now).is_some())).unwrap();
+    let holder = [3, 4].into_iter().find(|n| fleet.nodes[*n].holder.holds(slot, fleet.now).is_some()).unwrap();
+    let mut out = Vec::new();
+    let now = fleet.now;
+    fleet.nodes[holder].holder.leave(now, &mut out);
+    fleet.take(holder, out);
+    fleet.run(0.1);
+    assert!(fleet.held(), "within a tenth of a second");
+    let leader = fleet.leader();
+    fleet.kill(leader);
+    fleet.run(4.5);
+    assert!(fleet.held(), "leader and holder in one");
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -383,8 +383,8 @@
         let mut out = Vec::new();
         let mut told = None;
         match &msg {
-            Msg::Told { told: t, .. } => {
-                told = Some((t.seq, t.index));
+            Msg::Told { told: t, run } => {
+                told = (*run == self.me.run).then_some((t.seq, t.index));
                 self.holder.hear(&from, msg, now, &mut out);
             }
             Msg::Elsewhere { .. } | Msg::Doubled { .. } | Msg::Notice { .. } => {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -434,8 +434,9 @@
                     self.effect(at, from, slot, token, took);
                 }
                 Packet::Peer(msg) => match &*msg {
-                    Msg::Told { told: answer, .. } => {
-                        told = Some((answer.seq, answer.index));
+                    Msg::Told { told: answer, run } => {
+                        // What was meant for an earlier run has its numbers too.
+                        told = (*run == n.run).then_some((answer.seq, answer.index));
                         if let Some(h) = &mut n.holder {
                             h.hear(&from_name, *msg, now, &mut out);
                         }
