Keep a limiter serving when the fleet's part fails; test ends under way and put-back disks

Need: a defect of the fleet's part must not leave a limiter without a list. Change: its end is logged and the own watch opens again.

--- a/crates/duties/tests/voters.rs
+++ b/crates/duties/tests/voters.rs
@@ -3,7 +3,7 @@
 
 use dunespur_duties::fence::Fence;
 use dunespur_duties::holder::Holder;
-use dunespur_duties::log::Saved;
+use dunespur_duties::log::{Batch, Saved};
 use dunespur_duties::voter::Voter;
 use dunespur_duties::{Duty, Me, Msg, Output, Settings};
 use std::collections::VecDeque;
@@ -28,6 +28,11 @@
     runs: u64,
     reports: Vec<String>,
     tokens: Vec<Vec<u64>>,
+    /// How long a write takes, and what is under way.
+    fsync: f64,
+    saving: VecDeque<(f64, usize, Batch)>,
+    /// Who wakes up reads what came before it looks at its timers.
+    mail_first: bool,
 }
 
 fn settings() -> Settings {
@@ -49,8 +54,17 @@
 impl Fleet {
     fn new(limiters: usize) -> Self {
         let settings = settings();
-        let mut fleet =
-            Fleet { settings, nodes: vec![], now: 100.0, runs: 0, reports: vec![], tokens: vec![vec![]; limiters] };
+        let mut fleet = Fleet {
+            settings,
+            nodes: vec![],
+            now: 100.0,
+            runs: 0,
+            reports: vec![],
+            tokens: vec![vec![]; limiters],
+            fsync: 0.0,
+            saving: VecDeque::new(),
+            mail_first: false,
+        };
         for n in 0..limiters {
             let me = Me { name: format!("n{n}"), run: 0, zone: "a".into(), machine: format!("m{n}") };
             fleet.nodes.push(Node {
@@ -103,13 +117,8 @@
                     }
                 }
                 Output::Save(batch) => {
-                    self.nodes[n].disk.take(&batch);
-                    let mut out = Vec::new();
-                    let now = self.now;
-                    if let Some(v) = &mut self.nodes[n].voter {
-                        v.saved(batch.number, now, &mut out);
-                    }
-                    self.take(n, out);
+                    self.saving.push_back((self.now + self.fsync, n, batch));
+                    self.sync();
                 }
                 Output::Report { text, .. } => self.reports.push(text),
                 Output::Tokens(tokens) => self.tokens[n] = tokens,
@@ -118,20 +127,45 @@
         }
     }
 
+    /// Writes whose time has come are on the disk, and said to be.
+    fn sync(&mut self) {
+        while self.saving.front().is_some_and(|s| s.0 <= self.now) {
+            let Some((_, n, batch)) = self.saving.pop_front() else { return };
+            if !self.nodes[n].up {
+                continue;
+            }
+            self.nodes[n].disk.take(&batch);
+            let mut out = Vec::new();
+            let now = self.now;
+            if let Some(v) = &mut self.nodes[n].voter {
+                v.saved(batch.number, now, &mut out);
+            }
+            self.take(n, out);
+        }
+    }
+
+    fn timers(&mut self, n: usize) {
+        let now = self.now;
+        let mut out = Vec::new();
+        if let Some(v) = &mut self.nodes[n].voter {
+            v.tick(now, &mut out);
+        }
+        self.nodes[n].holder.tick(now, &mut out);
+        self.take(n, out);
+    }
+
     /// One step of all nodes: timers first, as a process that wakes up finds them due, then its mail.
     fn step(&mut self) {
         self.now += 0.005;
         let now = self.now;
+        self.sync();
         for n in 0..self.nodes.len() {
             if !self.nodes[n].up || self.nodes[n].still {
                 continue;
             }
-            let mut out = Vec::new();
-            if let Some(v) = &mut self.nodes[n].voter {
-                v.tick(now, &mut out);
+            if !self.mail_first {
+                self.timers(n);
             }
-            self.nodes[n].holder.tick(now, &mut out);
-            self.take(n, out);
             for (from, msg) in std::mem::take(&mut self.nodes[n].mail) {
                 let mut out = Vec::new();
                 let node = &mut self.nodes[n];
@@ -147,6 +181,9 @@
                 }
                 self.take(n, out);
             }
+            if self.mail_first {
+                self.timers(n);
+            }
         }
         // One holder at a time, on the one clock; standing still takes nothing from what a lease says.
         for slot in 0..self.settings.slots() {
@@ -154,7 +191,8 @@
             let holds: Vec<_> = holds.map(|n| n.name.clone()).collect();
             assert!(holds.len() <= 1, "{holds:?} hold {slot} at {now}");
         }
-        let leads: Vec<_> = self.nodes.iter().filter_map(|n| n.voter.as_ref()).filter(|v| v.leads()).collect();
+        let leads: Vec<_> =
+            self.nodes.iter().filter_map(|n| n.voter.as_ref()).filter(|v| v.leads()).collect();
         for (i, a) in leads.iter().enumerate() {
             assert!(leads[i + 1..].iter().all(|b| b.term() != a.term()), "two lead in term {}", a.term());
         }
@@ -189,11 +227,20 @@
 fn a_session_whose_end_is_under_way_is_not_renewed() {
     let mut fleet = Fleet::new(5);
     // All stand still for longer than a lease. Awake, the leader finds all sessions lapsed and says so to the
-    // log, and hears their asks in the same moment.
+    // log, having heard some ask the moment before; heartbeats come back before the entries are written.
+    fleet.fsync = 0.06;
+    fleet.mail_first = true;
     for round in 0..6 {
         fleet.nodes.iter_mut().for_each(|n| n.still = true);
         fleet.run(3.0 + 0.3 * f64::from(round));
+        fleet.nodes[3..].iter_mut().for_each(|n| n.still = false);
+        fleet.run(0.01);
         fleet.nodes.iter_mut().for_each(|n| n.still = false);
+        fleet.run(0.04);
+        // Who was renewed in that moment stands still again, and holds as long as it was told.
+        fleet.nodes[3..].iter_mut().for_each(|n| n.still = true);
+        fleet.run(1.8);
+        fleet.nodes[3..].iter_mut().for_each(|n| n.still = false);
         fleet.run(6.0);
         assert!(fleet.held());
     }
@@ -275,8 +322,11 @@
 #[test]
 fn a_drain_hands_over_at_once_and_a_death_within_lease_and_election() {
     let mut fleet = Fleet::new(5);
-    let slot = (0..8).find(|s| [3, 4].iter().any(|n| fleet.nodes[*n].holder.holds(*s, fleet.now).is_some())).unwrap();
-    let holder = [3, 4].into_iter().find(|n| fleet.nodes[*n].holder.holds(slot, fleet.now).is_some()).unwrap();
+    let slot = (0..8)
+        .find(|s| [3, 4].iter().any(|n| fleet.nodes[*n].holder.holds(*s, fleet.now).is_some()))
+        .unwrap();
+    let holder =
+        [3, 4].into_iter().find(|n| fleet.nodes[*n].holder.holds(slot, fleet.now).is_some()).unwrap();
     let mut out = Vec::new();
     let now = fleet.now;
     fleet.nodes[holder].holder.leave(now, &mut out);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -841,7 +841,8 @@
     let tap = Tap::new(tell);
     let waiting = tap.waiting.clone();
     *hub.tap.borrow_mut() = Some(tap);
-    tokio::task::spawn_local(async move {
+    let own = hub.clone();
+    let task = tokio::task::spawn_local(async move {
         let mut disk = true;
         loop {
             let wait = (fleet.due() - clock()).clamp(0.0, 1.0);
@@ -902,5 +903,12 @@
             }
         }
     });
+    // Guards against a defect of the fleet's part: it ends alone, and the own watch stands again.
+    tokio::task::spawn_local(async move {
+        if let Err(e) = task.await {
+            ::log::error!("fleet: {e}; this limiter serves on without it");
+            own.discovery.hold(true);
+        }
+    });
     Ok(())
 }
