--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -124,7 +124,21 @@
                 let verdict = if broken.is_empty() { "held" } else { "broken" };
                 let mut took = check::handovers(&trial, &lines);
                 let handovers = measure::spread(&mut took);
+                let mut waited: Vec<f64> = lines
+                    .iter()
+                    .filter_map(|l| match l {
+                        history::Line::Answer { sent, t, status: 200, .. } => Some(t - sent),
+                        _ => None,
+                    })
+                    .collect();
+                let latency = measure::spread(&mut waited);
+                let used = lines.iter().filter_map(|l| match l {
+                    history::Line::Counted { what, value, .. } if what.starts_with("processor") => Some(value),
+                    _ => None,
+                });
+                let processor_s: f64 = used.sum();
                 let last = serde_json::json!({
+                    "latency": latency, "processor_s": processor_s,
                     "handovers": handovers,
                     "line": "verdict", "verdict": verdict, "trial": trial.name, "seed": seed, "broken": broken,
                 });
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -88,11 +88,13 @@
     pub rate: f64,
     /// Effects of each held duty a second.
     pub effects: f64,
+    /// False starts the same limiters with no operators' file, to measure what a fleet costs; processes only.
+    pub fleet: bool,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Load { rate: 50.0, effects: 10.0 }
+        Load { rate: 50.0, effects: 10.0, fleet: true }
     }
 }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -116,6 +116,8 @@
     pub gossip_bytes: u64,
     /// Members that were reported down while they lived, and each report of a death: who, by whom, when.
     pub false_downs: u64,
+    /// The same before counting began.
+    pub early_downs: u64,
     pub downs: Vec<(String, String, f64)>,
     pub events: u64,
 }
@@ -138,7 +140,8 @@
     downed: BTreeMap<usize, Vec<usize>>,
     pub lines: Vec<Line>,
     pub tally: Tally,
-    pub measuring: bool,
+    /// From when on messages, bytes and false reports are counted; never, unless it is set.
+    pub measure_from: f64,
     runs: u64,
     /// Some fault puts an older disk back.
     copies: bool,
@@ -167,7 +170,7 @@
             downed: BTreeMap::new(),
             lines: Vec::new(),
             tally: Tally::default(),
-            measuring: false,
+            measure_from: f64::INFINITY,
             runs: 0,
             copies: trial.faults.iter().any(|f| f.disk == Disk::Older),
             fenced: true,
@@ -540,7 +543,7 @@
             match o {
                 members::Output::Datagram { to, bytes } => {
                     if let Some(to) = self.nodes.iter().position(|n| n.address == to) {
-                        if self.measuring {
+                        if self.now >= self.measure_from {
                             self.tally.gossip_messages += 1;
                             self.tally.gossip_bytes += bytes.len() as u64;
                         }
@@ -549,8 +552,10 @@
                 }
                 members::Output::Down(m) => {
                     let lives = self.nodes.iter().any(|n| n.up && n.name == m.name && n.run == m.run);
-                    if lives {
+                    if lives && t >= self.measure_from {
                         self.tally.false_downs += 1;
+                    } else if lives {
+                        self.tally.early_downs += 1;
                     } else {
                         self.tally.downs.push((m.name, who.clone(), t));
                     }
@@ -567,7 +572,7 @@
     /// A message goes onto a link, with all that the faults make of it.
     fn send(&mut self, from: usize, to: usize, packet: Packet) {
         let net = &self.trial.net;
-        if self.measuring {
+        if self.now >= self.measure_from {
             if let Packet::Peer(msg) = &packet {
                 self.tally.messages += 1;
                 self.tally.bytes += postcard::to_stdvec(msg).map_or(0, |b| b.len() as u64);
