Say once what both worlds of the laboratory said twice: links under a fault, plain targets

Need: a link's faults were matched by the same text in the proxies and in the simulated network, plain targets too, and the laboratory kept copies of the gateway's clock and of one message's wire form, which could drift apart. Change: Active::hits and Trial::named in trial.rs serve both worlds; clock and Work come from the gateway.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -122,7 +122,7 @@
 
 /// Messages of the duties' work.
 #[derive(Serialize, Deserialize)]
-enum Work {
+pub enum Work {
     /// Of a trial.
     Effect {
         slot: Slot,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod stats;
 mod upstream;
 
+pub use crate::fleet::{clock, Work};
+
 use crate::fault::Fault;
 use crate::hub::{Clock, Hub};
 use crate::reducer::Event;
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -4,9 +4,10 @@
 //! this file judges nothing.
 
 use crate::history::Line;
-use crate::trial::{Disk, Fault, Kind, Trial, Way, MOST_PROCESSES, SERVERS};
+use crate::trial::{Active, Disk, Fault, Kind, Trial, MOST_PROCESSES, SERVERS};
 use bytes::Bytes;
 use dunespur_duties::fence::Fence;
+use dunespur_gateway::{clock, Work};
 use dunespur_peer::Frame;
 use dunespur_standins::{list, Counter, Discovery, Server};
 use http_body_util::{BodyExt, Empty};
@@ -26,12 +27,6 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
 
-/// Seconds on the clock that the gateways' histories use.
-pub fn clock() -> f64 {
-    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    t.tv_sec as f64 + t.tv_nsec as f64 * 1e-9
-}
-
 /// What the faults make of one direction between two limiters at this moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Link {
@@ -42,12 +37,6 @@
     double: bool,
 }
 
-struct Active {
-    n: usize,
-    from: Vec<usize>,
-    to: Option<Vec<usize>>,
-}
-
 /// All that the proxies look at.
 struct Rules {
     faults: Vec<Fault>,
@@ -62,16 +51,7 @@
         let now = clock() - self.start.get();
         for a in self.active.borrow().iter() {
             let fault = &self.faults[a.n];
-            let on = fault.every <= 0.0 || ((now - fault.at) / fault.every).fract() < 0.5;
-            let other = |n: usize| a.to.as_ref().map_or(!a.from.contains(&n), |to| to.contains(&n));
-            let out = a.from.contains(&from) && other(to);
-            let back = a.from.contains(&to) && other(from);
-            let hit = match fault.way {
-                Way::Both => out || back,
-                Way::From => out,
-                Way::To => back,
-            };
-            if !hit || !on {
+            if !a.hits(fault, from, to, now) {
                 continue;
             }
             match fault.kind {
@@ -184,12 +164,6 @@
     }
 }
 
-/// The one message of duties' work that trials send to receivers.
-#[derive(serde::Deserialize)]
-enum Effect {
-    Effect { slot: u32, token: u64 },
-}
-
 /// A process that this one started, and ends.
 struct Running {
     child: Child,
@@ -354,7 +328,7 @@
             loop {
                 let Ok((len, _)) = udp.recv_from(&mut buffer).await else { continue };
                 let Ok(frame) = Frame::from_datagram(&buffer[..len], "trial") else { continue };
-                let Ok(Effect::Effect { slot, token }) = postcard::from_bytes::<Effect>(&frame.body) else {
+                let Ok(Work::Effect { slot, token }) = postcard::from_bytes::<Work>(&frame.body) else {
                     continue;
                 };
                 let (t, at, who) = (clock() - rules.start.get(), format!("r{n}"), frame.from);
@@ -551,16 +525,15 @@
     /// Who held a slot last, and who leads, as far as the histories say.
     fn target(&self, target: &str) -> Vec<usize> {
         let trial = self.trial;
+        if let Some(named) = trial.named(target) {
+            return named;
+        }
         let all: Vec<usize> = (0..trial.fleet.limiters).collect();
         let parts: Vec<&str> = target.split(':').collect();
         let number = |n: &str| n.parse::<usize>().unwrap_or(0);
         let named = |who: &str| self.limiters.iter().position(|l| l.name == who);
         match parts.as_slice() {
-            ["limiter" | "voter", n] => vec![number(n)],
-            ["voters"] => (0..trial.fleet.voters).collect(),
             ["receivers" | "counter"] | ["server", _] => vec![],
-            ["zone", z] => all.into_iter().filter(|n| trial.fleet.zones[trial.zone(*n)] == *z).collect(),
-            ["half"] => all.into_iter().take(trial.fleet.limiters / 2).collect(),
             ["leader"] => {
                 self.read();
                 let lines = self.lines.borrow();
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -184,6 +184,29 @@
     pub every: f64,
 }
 
+/// A fault that is on, with the limiters that its target and peer named when it began.
+pub struct Active {
+    /// Which of the trial's faults it is.
+    pub n: usize,
+    pub from: Vec<usize>,
+    pub to: Option<Vec<usize>>,
+}
+
+impl Active {
+    /// Whether it lies on what one limiter sends to another at this moment.
+    pub fn hits(&self, fault: &Fault, from: usize, to: usize, now: f64) -> bool {
+        let on = fault.every <= 0.0 || ((now - fault.at) / fault.every).fract() < 0.5;
+        let other = |n: usize| self.to.as_ref().map_or(!self.from.contains(&n), |to| to.contains(&n));
+        let out = self.from.contains(&from) && other(to);
+        let back = self.from.contains(&to) && other(from);
+        on && match fault.way {
+            Way::Both => out || back,
+            Way::From => out,
+            Way::To => back,
+        }
+    }
+}
+
 /// Stand-ins for servers in the world of processes.
 pub const SERVERS: usize = 6;
 
@@ -302,6 +325,20 @@
         }
     }
 
+    /// The limiters that a target names whatever happens; none for one that has to be looked up.
+    pub fn named(&self, target: &str) -> Option<Vec<usize>> {
+        let f = &self.fleet;
+        let number = |n: &str| n.parse::<usize>().unwrap_or(0);
+        match target.split(':').collect::<Vec<_>>().as_slice() {
+            ["limiter" | "voter", n] => Some(vec![number(n)]),
+            ["voters"] => Some((0..f.voters).collect()),
+            ["zone", z] => Some((0..f.limiters).filter(|n| f.zones[self.zone(*n)] == *z).collect()),
+            ["half"] => Some((0..f.limiters / 2).collect()),
+            ["all"] => Some((0..f.limiters).collect()),
+            _ => None,
+        }
+    }
+
     /// When the last fault is over.
     pub fn calm_from(&self) -> f64 {
         self.faults.iter().map(|f| f.at + f.length).fold(0.0, f64::max)
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -3,7 +3,7 @@
 //! must never tell a machine what is true, only what its links, clock and disk tell it.
 
 use crate::history::Line;
-use crate::trial::{Disk, Fault, Kind, Trial, Way};
+use crate::trial::{Active, Disk, Fault, Kind, Trial};
 use dunespur_duties::fence::Fence;
 use dunespur_duties::holder::Holder;
 use dunespur_duties::log::{Batch, Saved};
@@ -122,12 +122,6 @@
     pub events: u64,
 }
 
-struct Active {
-    n: usize,
-    from: Vec<usize>,
-    to: Option<Vec<usize>>,
-}
-
 pub struct World<'a> {
     trial: &'a Trial,
     rng: Xoshiro256PlusPlus,
@@ -589,16 +583,7 @@
             if !link {
                 continue;
             }
-            let on = fault.every <= 0.0 || ((self.now - fault.at) / fault.every).fract() < 0.5;
-            let other = |n: usize| a.to.as_ref().map_or(!a.from.contains(&n), |to| to.contains(&n));
-            let out = a.from.contains(&from) && other(to);
-            let back = a.from.contains(&to) && other(from);
-            let hit = match fault.way {
-                Way::Both => out || back,
-                Way::From => out,
-                Way::To => back,
-            };
-            if !hit || !on {
+            if !a.hits(fault, from, to, self.now) {
                 continue;
             }
             match fault.kind {
@@ -666,15 +651,14 @@
     /// Which nodes a target names at this moment.
     fn target(&mut self, target: &str) -> Vec<usize> {
         let trial = self.trial;
+        if let Some(named) = trial.named(target) {
+            return named;
+        }
         let all: Vec<usize> = (0..trial.fleet.limiters).collect();
         let parts: Vec<&str> = target.split(':').collect();
         let number = |n: &str| n.parse::<usize>().unwrap_or(0);
         match parts.as_slice() {
-            ["limiter" | "voter", n] => vec![number(n)],
-            ["voters"] => (0..trial.fleet.voters).collect(),
             ["receivers"] => (0..self.receivers.len()).map(|r| RECEIVER + r).collect(),
-            ["zone", z] => all.into_iter().filter(|n| trial.fleet.zones[trial.zone(*n)] == *z).collect(),
-            ["half"] => all.into_iter().take(trial.fleet.limiters / 2).collect(),
             ["leader"] => {
                 let leads = |n: &&usize| self.nodes[**n].voter.as_ref().is_some_and(Voter::leads);
                 all.iter().rfind(leads).map(|n| vec![*n]).unwrap_or_else(|| vec![0])
