--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,325 @@
+//! What the tests on sockets share: the program, started with its own configuration, and small stand-ins for
+//! servers, the counter and discovery. They follow the published protocol and do only what a test tells them.
+
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// What a stand-in does with what reaches it.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Mood {
+    Well,
+    /// Takes everything, answers nothing.
+    Silent,
+    /// Answers well, after a while.
+    Slow,
+    /// Reads one whole message, then resets.
+    Resets,
+    /// Turns away: it never ran.
+    Full,
+    /// Answers with an error of its own.
+    Fails,
+    /// Counts the call, then resets without an answer.
+    AddsAndResets,
+    /// Answers calls on the first name it saw late and with no number, all others well.
+    SpoilsFirst,
+}
+
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub mood: Arc<Mutex<Mood>>,
+    /// What came in whole, each as text.
+    pub seen: Arc<Mutex<Vec<String>>>,
+    pub connections: Arc<AtomicUsize>,
+    /// Connections that the other side has ended.
+    pub ended: Arc<AtomicUsize>,
+    /// Lines for the watches.
+    pub news: Arc<Mutex<Vec<String>>>,
+}
+
+/// One HTTP message: everything up to the end of its body.
+pub fn message(stream: &mut TcpStream) -> Option<String> {
+    let (mut bytes, mut byte) = (Vec::new(), [0]);
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+    let len = head.lines().find_map(|l| l.strip_prefix("content-length: ")?.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).ok()?;
+    bytes.extend(body);
+    Some(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Closing with unread input makes the kernel send a reset.
+pub fn reset(stream: TcpStream) {
+    drop(stream);
+}
+
+impl StandIn {
+    pub fn start(mood: Mood, serve: fn(&StandIn, TcpStream)) -> Arc<StandIn> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stand_in = Arc::new(StandIn {
+            address: listener.local_addr().unwrap(),
+            mood: Arc::new(Mutex::new(mood)),
+            seen: Arc::default(),
+            connections: Arc::default(),
+            ended: Arc::default(),
+            news: Arc::default(),
+        });
+        let shared = stand_in.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                shared.connections.fetch_add(1, Ordering::SeqCst);
+                let shared = shared.clone();
+                spawn(move || {
+                    serve(&shared, stream);
+                    shared.ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        stand_in
+    }
+
+    pub fn server(mood: Mood) -> Arc<StandIn> {
+        Self::start(mood, |me, mut stream| {
+            while let Some(message) = message(&mut stream) {
+                me.seen.lock().unwrap().push(message);
+                if me.mood() == Mood::Slow {
+                    sleep(Duration::from_millis(300));
+                }
+                let answer = match me.mood() {
+                    Mood::Well | Mood::Slow => {
+                        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Allowance-Used: 40\r\n\r\nserved"
+                    }
+                    Mood::Full => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Not-Processed: 1\r\n\r\n",
+                    Mood::Fails => "HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nno",
+                    Mood::Silent => continue,
+                    _ => return reset(stream),
+                };
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        })
+    }
+
+    pub fn counter(mood: Mood) -> Arc<StandIn> {
+        Self::start(mood, |me, mut stream| {
+            let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+            let mut mute = false;
+            let mut line = || {
+                let mut line = String::new();
+                std::io::BufRead::read_line(&mut reader, &mut line).ok().filter(|&n| n > 0)?;
+                Some(line.trim_end().to_owned())
+            };
+            while let Some(count) = line() {
+                let parts: usize = count.strip_prefix('*').unwrap().parse().unwrap();
+                let call: Option<Vec<String>> = (0..parts).map(|_| line().and_then(|_| line())).collect();
+                let Some(call) = call else { return };
+                let mut seen = me.seen.lock().unwrap();
+                seen.push(call.join(" "));
+                let added = |c: &String| c.split(' ').nth(1) == Some(call[1].as_str());
+                let amount = |c: &String| c.split(' ').nth(2).unwrap().parse::<f64>().unwrap();
+                let first = added(&seen[0]);
+                let total: f64 = seen.iter().filter(|c| added(c)).map(amount).sum();
+                drop(seen);
+                let total = format!("{total}");
+                // Answers come in order, so a connection that left one out stays silent.
+                mute |= me.mood() == Mood::Silent;
+                match me.mood() {
+                    _ if mute => {}
+                    Mood::Well => _ = stream.write_all(format!("${}\r\n{total}\r\n", total.len()).as_bytes()),
+                    Mood::Full => _ = stream.write_all(b"-BUSY crowded\r\n"),
+                    Mood::SpoilsFirst if first => {
+                        sleep(Duration::from_millis(300));
+                        _ = stream.write_all(b"$3\r\n?!?\r\n");
+                        mute = true;
+                    }
+                    Mood::SpoilsFirst => {
+                        _ = stream.write_all(format!("${}\r\n{total}\r\n", total.len()).as_bytes());
+                    }
+                    Mood::AddsAndResets => _ = stream.shutdown(Shutdown::Both),
+                    _ => {}
+                }
+            }
+        })
+    }
+
+    pub fn discovery(list: String, mood: Mood) -> Arc<StandIn> {
+        let discovery = Self::start(mood, |me, mut stream| {
+            let Some(asked) = message(&mut stream) else { return };
+            me.seen.lock().unwrap().push(asked);
+            if me.mood() == Mood::Silent {
+                return sleep(Duration::from_secs(60));
+            }
+            _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let mut told = 0;
+            loop {
+                let lines = me.news.lock().unwrap()[told..].to_vec();
+                told += lines.len();
+                for line in lines.iter().chain(lines.is_empty().then_some(&String::new())) {
+                    if stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+                sleep(Duration::from_millis(20));
+            }
+        });
+        discovery.news.lock().unwrap().push(list);
+        discovery
+    }
+
+    pub fn mood(&self) -> Mood {
+        *self.mood.lock().unwrap()
+    }
+
+    pub fn seen(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+}
+
+pub fn list(revision: u64, complete: bool, servers: &[(usize, SocketAddr, &str)]) -> String {
+    let member = |&(id, address, phase): &(usize, SocketAddr, &str)| {
+        format!(
+            r#"{{"id":"s-{id}","host_port":"{address}","locality":"a","flavor":"m","cell":0,
+                "phase":"{phase}","size":1,"up_since_ms":0}}"#
+        )
+    };
+    // A watch holds each list on one line.
+    let members: Vec<_> = servers.iter().map(|m| member(m).replace('\n', "")).collect();
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
+}
+
+/// On a loopback address of its own, so that nothing else on the machine takes the port meanwhile.
+pub fn free_address() -> SocketAddr {
+    static LAST: AtomicUsize = AtomicUsize::new(1);
+    let host = format!("127.0.1.{}:0", LAST.fetch_add(1, Ordering::SeqCst));
+    TcpListener::bind(host).unwrap().local_addr().unwrap()
+}
+
+pub const SETTINGS: &str = r#"{"classes":[
+  {"name":"read","effect":"free","group":"all",
+   "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0},
+  {"name":"write","effect":"guarded","group":"all",
+   "goalTimeS":0.5,"deadlineS":1.5,"importance":3,"lateShare":0,"windowS":2.5},
+  {"name":"once","effect":"single_shot","group":"all",
+   "goalTimeS":0.6,"deadlineS":2.0,"importance":1,"lateShare":0,"windowS":0}],
+ "contracts":[{"name":"small","rate":1000,"burst":1000,"beyondCosts":1},
+              {"name":"tiny","rate":0.1,"burst":1,"beyondCosts":1}],
+ "discovery":"pushed","domain":{"countWaitS":0.01,"largest":1,"sharedCounter":true},
+ "failureDomains":["a"],"fleetSize":1,
+ "limits":{"maxRetryAfterS":0.5,"retryAfter":true,"tryLimit":6,"dialTimeoutS":0.25,"keepaliveS":1.0},
+ "rules":{"coldFrom":0.2,"coldS":10,"fallMultiple":4,"answerSlackS":0.016},"slotNo":0,"zone":"a"}"#;
+
+/// The program, ended with its test.
+pub struct Gateway {
+    pub child: Option<Child>,
+    pub address: SocketAddr,
+    pub config: PathBuf,
+}
+
+impl Gateway {
+    pub fn with(known: &str, discovery: SocketAddr, counter: SocketAddr, sockets: usize) -> Gateway {
+        static LAST: AtomicUsize = AtomicUsize::new(0);
+        let address = free_address();
+        let name = format!("dunespur-{}-{}.json", std::process::id(), LAST.fetch_add(1, Ordering::SeqCst));
+        let config = std::env::temp_dir().join(name);
+        let text = format!(
+            r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","counter":"{counter}",
+                "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+                "known":{known},"settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&config, text).unwrap();
+        let child = start(&config);
+        let gateway = Gateway { child: Some(child), address, config };
+        let began = Instant::now();
+        while gateway.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| !a.contains(" 200 ")) {
+            assert!(began.elapsed() < Duration::from_secs(10), "the gateway was never ready");
+            sleep(Duration::from_millis(10));
+        }
+        gateway
+    }
+
+    /// One with these servers, a counter and discovery that are well.
+    pub fn before(servers: &[SocketAddr]) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
+        let live: Vec<_> = servers.iter().enumerate().map(|(id, &a)| (id, a, "Ready")).collect();
+        let (known, counter) = (list(1, true, &live), StandIn::counter(Mood::Well));
+        let discovery = StandIn::discovery(known.clone(), Mood::Well);
+        (Gateway::with(&known, discovery.address, counter.address, 256), discovery, counter)
+    }
+
+    pub fn connect(&self) -> Option<TcpStream> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+        Some(stream)
+    }
+
+    /// The answer to one message on a connection of its own; None where the connection just ended.
+    pub fn ask(&self, text: &str) -> Option<String> {
+        let mut stream = self.connect()?;
+        stream.write_all(text.as_bytes()).ok()?;
+        message(&mut stream)
+    }
+
+    pub fn read(&self) -> String {
+        self.ask(&invocation("GET", "read", 2000, "")).unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    pub fn output(&mut self) -> Output {
+        self.child.take().unwrap().wait_with_output().unwrap()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            assert!(child.try_wait().unwrap().is_none(), "the gateway ended by itself");
+            _ = child.kill();
+            _ = child.wait();
+        }
+        _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub fn start(config: &PathBuf) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dunespur-gateway"));
+    command.env("RELAY_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().unwrap()
+}
+
+pub fn invocation(method: &str, operation: &str, wait_ms: u32, body: &str) -> String {
+    static LAST: AtomicUsize = AtomicUsize::new(1);
+    let id = LAST.fetch_add(1, Ordering::SeqCst);
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /api?n=7 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id:016x}\r\n\
+         X-Priority-Class: {operation}\r\n\
+         X-Tariff: small\r\nCookie: account=00000000b4d65521\r\nX-Timeout-Ms: {wait_ms}\r\n\
+         X-Weight: units=1,spread=1,first=0\r\nIdempotency-Key: 5c0f6e1a\r\n{length}\r\n{body}"
+    )
+}
+
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < Duration::from_secs(8), "not in time: {what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
