Let socket tests hold the program still, fill a listener and reset a connection

Need: races at restart, silence and close have to be forced into the bad order every time. Change: the stand-ins take any script, a listener can be kept full so that a dial comes up a second late, an end can be a reset, and the program can be stopped while several things happen to it. A test that fails prints what the program said. A program that is never ready says why. No test changes.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -66,9 +66,43 @@
     drop(stream);
 }
 
+/// From now on this connection's end is a reset.
+pub fn ends_by_reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
+/// A 200 with this body.
+pub fn ok(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The id that a message carries.
+pub fn id(message: &str) -> &str {
+    let at = message.to_ascii_lowercase().find("x-request-id: ").unwrap() + "x-request-id: ".len();
+    message[at..].split('\r').next().unwrap()
+}
+
+/// A listener that no further connection reaches until one is accepted: the machine lets a dial wait, and it
+/// comes up with its next try, a second later. The connection that fills it comes with it.
+pub fn full_listener() -> (TcpListener, TcpStream) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let fills = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, fills)
+}
+
 impl StandIn {
-    pub fn start(mood: Mood, serve: fn(&StandIn, TcpStream)) -> Arc<StandIn> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    pub fn start(mood: Mood, serve: impl Fn(&StandIn, TcpStream) + Send + Sync + 'static) -> Arc<StandIn> {
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), mood, serve)
+    }
+
+    pub fn on(
+        listener: TcpListener,
+        mood: Mood,
+        serve: impl Fn(&StandIn, TcpStream) + Send + Sync + 'static,
+    ) -> Arc<StandIn> {
         let stand_in = Arc::new(StandIn {
             address: listener.local_addr().unwrap(),
             mood: Arc::new(Mutex::new(mood)),
@@ -77,11 +111,11 @@
             ended: Arc::default(),
             news: Arc::default(),
         });
-        let shared = stand_in.clone();
+        let (shared, serve) = (stand_in.clone(), Arc::new(serve));
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 shared.connections.fetch_add(1, Ordering::SeqCst);
-                let shared = shared.clone();
+                let (shared, serve) = (shared.clone(), serve.clone());
                 spawn(move || {
                     serve(&shared, stream);
                     shared.ended.fetch_add(1, Ordering::SeqCst);
@@ -114,6 +148,20 @@
         })
     }
 
+    /// A server that does with each message what the test says, until that says false.
+    pub fn scripted(
+        script: impl Fn(&StandIn, &str, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Arc<StandIn> {
+        Self::start(Mood::Well, move |me, mut stream| {
+            while let Some(message) = message(&mut stream) {
+                me.seen.lock().unwrap().push(message.clone());
+                if !script(me, &message, &mut stream) {
+                    return;
+                }
+            }
+        })
+    }
+
     pub fn counter(mood: Mood) -> Arc<StandIn> {
         Self::start(mood, |me, mut stream| {
             let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
@@ -231,6 +279,16 @@
 
 impl Gateway {
     pub fn with(known: &str, discovery: SocketAddr, counter: SocketAddr, sockets: usize) -> Gateway {
+        Self::of(known, discovery, counter, sockets, SETTINGS)
+    }
+
+    pub fn of(
+        known: &str,
+        discovery: SocketAddr,
+        counter: SocketAddr,
+        sockets: usize,
+        settings: &str,
+    ) -> Gateway {
         static LAST: AtomicUsize = AtomicUsize::new(0);
         let address = free_address();
         let name = format!("dunespur-{}-{}.json", std::process::id(), LAST.fetch_add(1, Ordering::SeqCst));
@@ -238,14 +296,18 @@
         let text = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","counter":"{counter}",
                 "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
-                "known":{known},"settings":{SETTINGS}}}"#
+                "known":{known},"settings":{settings}}}"#
         );
         std::fs::write(&config, text).unwrap();
         let child = start(&config);
-        let gateway = Gateway { child: Some(child), address, config };
+        let mut gateway = Gateway { child: Some(child), address, config };
         let began = Instant::now();
         while gateway.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| !a.contains(" 200 ")) {
-            assert!(began.elapsed() < Duration::from_secs(10), "the gateway was never ready");
+            if began.elapsed() > Duration::from_secs(10) {
+                gateway.signal("-KILL");
+                let told = String::from_utf8_lossy(&gateway.output().stderr).into_owned();
+                panic!("the gateway was never ready: {told}");
+            }
             sleep(Duration::from_millis(10));
         }
         gateway
@@ -253,10 +315,14 @@
 
     /// One with these servers, a counter and discovery that are well.
     pub fn before(servers: &[SocketAddr]) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
+        Self::before_by(servers, SETTINGS)
+    }
+
+    pub fn before_by(servers: &[SocketAddr], settings: &str) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
         let live: Vec<_> = servers.iter().enumerate().map(|(id, &a)| (id, a, "Ready")).collect();
         let (known, counter) = (list(1, true, &live), StandIn::counter(Mood::Well));
         let discovery = StandIn::discovery(known.clone(), Mood::Well);
-        (Gateway::with(&known, discovery.address, counter.address, 256), discovery, counter)
+        (Gateway::of(&known, discovery.address, counter.address, 256, settings), discovery, counter)
     }
 
     pub fn connect(&self) -> Option<TcpStream> {
@@ -281,6 +347,23 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Does this while the process stands still: all that happens meanwhile reaches it in one moment.
+    pub fn paused(&self, act: impl FnOnce()) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.as_ref().unwrap().id());
+        until("it stands still", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+        act();
+        self.signal("-CONT");
+    }
+
+    /// A connection that has been answered once and rests.
+    pub fn rested(&self) -> TcpStream {
+        let mut stream = self.connect().unwrap();
+        stream.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+        assert!(message(&mut stream).unwrap().ends_with("served"));
+        stream
+    }
+
     pub fn output(&mut self) -> Output {
         self.child.take().unwrap().wait_with_output().unwrap()
     }
@@ -289,9 +372,15 @@
 impl Drop for Gateway {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
-            assert!(child.try_wait().unwrap().is_none(), "the gateway ended by itself");
+            let ended = child.try_wait().unwrap();
+            assert!(std::thread::panicking() || ended.is_none(), "the gateway ended by itself");
             _ = child.kill();
-            _ = child.wait();
+            match child.wait_with_output() {
+                Ok(output) if std::thread::panicking() => {
+                    eprintln!("{}", String::from_utf8_lossy(&output.stderr));
+                }
+                _ => {}
+            }
         }
         _ = std::fs::remove_file(&self.config);
     }
@@ -322,4 +411,3 @@
         sleep(Duration::from_millis(5));
     }
 }
-
