End clients' connections in order: by state, after what was accepted, over no unread byte

Cause, each seen by a test over loopback that failed on the text before (what is in brackets): - The loop in lib.rs that swept idle connections ended with SIGTERM, so while it left they were used past the age at which servers close them (idle_connections_to_servers_are_closed_in_time_while_it_leaves). - front.rs took the end of the listener before what the machine had accepted: five of five new connections were reset (what_the_machine_accepted_before_the_close_is_answered). A message of which half had been read when the connection was to end was dropped with it (a_message_that_comes_in_while_it_closes...). - A close over unread bytes reset the connection and took an answer along that a slow reader had not read yet: of 56,000 bytes a part came (a_slow_reader_gets_its_whole_answer...). - hyper reads no further while it holds bytes behind the message in hand, so the end of a client that had sent more was never seen and its delivery went on to its time-out (a_client_that_sent_more_and_left...). - SIGHUP before the handlers stood ended the process (a_reload_in_the_middle_of_the_start...). Read, not forced: `cut` and `close` were permits of a Notify, which could be left over for the next message. Refuted by tests that pass before and after: clients that reset, leave between lease and first send, during a dial that comes up late, between a reset and the next delivery, hundreds at once; descriptors full of idle clients.

Change: a connection has a stage (resting, coming, in hand, answering, ended), and whoever wakes it lets it look at that. It ends by its own end first, then reads off for a second or a megabyte what still comes, then closes; its place can be taken before. It looks once more for a message before it ends. The listener takes what was accepted. The process leaves when listener and connections have ended, with no guess by time. Signals are asked for first.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,10 +6,10 @@
 use crate::hub::Hub;
 use crate::message::{decode_asked, encode_fault, encode_reply, plain, Reply, MOST_BODY, READY};
 use crate::reducer::Event;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -17,83 +17,248 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
-use std::future::Future;
-use std::io::Result as Io;
+use std::future::{poll_fn, Future};
+use std::io::{ErrorKind, Result as Io};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 
-/// What a connection that is to close gets to finish writing, or to send the rest of a message.
-const LINGER: Duration = Duration::from_millis(100);
-
+/// What the rest of a message gets to come in once its connection is to end, in seconds.
+const LINGER: f64 = 0.1;
 /// Time for a message to come in whole, from the connection's opening or the message's first byte.
 const WHOLE: f64 = 2.0;
-/// How often that is looked after.
+/// An answer may still be written for so long after its client's time; then nobody reads it.
+const OVERTIME: f64 = 0.5;
+/// What a connection that has sent its end waits for the client's, and reads off meanwhile.
+const READ_OFF: Duration = Duration::from_secs(1);
+/// The listener, and a connection that rests, stay open for so long after the last that came over them once
+/// they are to end: long enough for the machine to tell of all that it has accepted.
+const LAST_LOOK: Duration = Duration::from_millis(5);
+/// Bytes read off behind an end or behind a message in hand; nothing beyond is read.
+const MOST_AHEAD: usize = 1024 * 1024;
+/// How often late messages are looked after.
 pub const SWEEP: Duration = Duration::from_millis(250);
 
-/// A client's connection.
+/// How far a connection has come with its present message.
+#[derive(Clone, Copy)]
+enum Stage {
+    /// Between messages.
+    Resting { since: f64 },
+    /// A message is awaited that has begun, or the first one.
+    Coming { since: f64 },
+    /// An invocation is in hand, its client waits until then.
+    InHand { until: f64 },
+    /// Its answer is being written, and given up then.
+    Answering { until: f64 },
+    /// The end has been sent; what still comes is read off.
+    Ended { since: f64 },
+}
+
+/// A client's connection, shared by its task, by what hyper reads and writes, and by whoever may end it.
 struct Client {
-    /// It has an invocation in hand.
-    busy: Cell<bool>,
-    leaving: Cell<bool>,
-    idle_since: Cell<f64>,
-    /// Since when a message is awaited that has begun, or the first one; infinite while none is.
-    coming_since: Cell<f64>,
-    close: Notify,
-    cut: Notify,
+    stream: RefCell<TokioIo<TcpStream>>,
+    stage: Cell<Stage>,
+    /// Since when it is to end; infinite while it may stay.
+    leaving_since: Cell<f64>,
+    /// Its place is needed at once.
+    evicted: Cell<bool>,
+    /// What came behind the message in hand: hyper reads it when that one is answered.
+    ahead: RefCell<BytesMut>,
+    read_ahead: Cell<usize>,
+    /// Hyper wanted to read while a message was in hand.
+    held: Cell<bool>,
+    /// One of these has changed. It only wakes: what is to be done is told by the state alone, so that no
+    /// permit left over from one message acts on the next.
+    changed: Notify,
 }
 
 impl Client {
-    /// It has sent half of a message, or nothing yet.
-    fn half(&self) -> bool {
-        !self.busy.get() && self.coming_since.get().is_finite()
+    fn new(stream: TcpStream, now: f64) -> Rc<Self> {
+        Rc::new(Client {
+            stream: RefCell::new(TokioIo::new(stream)),
+            stage: Cell::new(Stage::Coming { since: now }),
+            leaving_since: Cell::new(f64::INFINITY),
+            evicted: Cell::new(false),
+            ahead: RefCell::default(),
+            read_ahead: Cell::new(0),
+            held: Cell::new(false),
+            changed: Notify::new(),
+        })
+    }
+
+    fn leave(&self, now: f64) {
+        if self.leaving_since.get().is_infinite() {
+            self.leaving_since.set(now);
+            self.changed.notify_one();
+        }
+    }
+
+    fn leaving(&self) -> bool {
+        self.leaving_since.get().is_finite()
+    }
+
+    /// It has sent half of a message and is slow with the rest, or does not take its answer.
+    fn late(&self, now: f64) -> bool {
+        match self.stage.get() {
+            Stage::Coming { since } => now > (since + WHOLE).min(self.leaving_since.get() + LINGER),
+            Stage::Answering { until } => now > until,
+            Stage::Resting { .. } => now > self.leaving_since.get() + LINGER,
+            Stage::InHand { .. } | Stage::Ended { .. } => false,
+        }
+    }
+
+    /// Ready once the client of the message in hand is found to have gone.
+    fn poll_gone(&self, cx: &mut Context) -> Poll<()> {
+        while matches!(self.stage.get(), Stage::InHand { .. }) && self.read_ahead.get() < MOST_AHEAD {
+            ready!(self.stream.borrow().inner().poll_read_ready(cx)).ok();
+            if self.has_gone() {
+                return Poll::Ready(());
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Whether the client has gone, by all that the machine knows now. Reads what came behind the message in
+    /// hand: guards against an end that stands behind bytes, as hyper reads no further once it holds some.
+    /// One that only ended its sending has gone too, nothing tells the two apart.
+    fn has_gone(&self) -> bool {
+        while self.read_ahead.get() < MOST_AHEAD {
+            let mut bytes = [0; 4096];
+            let read = match self.stream.borrow().inner().try_read(&mut bytes) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Ok(0) | Err(_) => return true,
+                Ok(read) => read,
+            };
+            self.read_ahead.set(self.read_ahead.get() + read);
+            if !self.flooded() {
+                self.ahead.borrow_mut().extend_from_slice(&bytes[..read]);
+            }
+        }
+        false
+    }
+
+    /// More came behind one message than any other may hold: it is dropped, and the connection ends.
+    fn flooded(&self) -> bool {
+        self.read_ahead.get() > MOST_BODY
+    }
+
+    /// The next bytes; None at the end, orderly or not.
+    fn poll_bytes(&self, cx: &mut Context, bytes: &mut [u8]) -> Poll<Option<usize>> {
+        let mut buffer = ReadBuf::new(bytes);
+        let mut stream = self.stream.borrow_mut();
+        let read = ready!(Pin::new(stream.inner_mut()).poll_read(cx, &mut buffer));
+        Poll::Ready(read.ok().map(|()| buffer.filled().len()).filter(|&n| n > 0))
+    }
+
+    /// The end is sent first, then what still comes is read off and dropped, then the connection closes. A
+    /// close over unread bytes would be a reset, which takes with it what the client has not yet read.
+    async fn end(&self, now: f64) {
+        self.stage.set(Stage::Ended { since: now });
+        self.ahead.take();
+        if poll_fn(|cx| Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)).await.is_err() {
+            return;
+        }
+        let read_off = async {
+            let (mut bytes, mut left) = ([0; 4096], MOST_AHEAD);
+            while let Some(n) = poll_fn(|cx| self.poll_bytes(cx, &mut bytes)).await {
+                left = left.saturating_sub(n);
+                if left == 0 {
+                    return;
+                }
+            }
+        };
+        let evicted = async {
+            while !self.evicted.get() {
+                self.changed.notified().await;
+            }
+        };
+        tokio::select! {
+            _ = tokio::time::timeout(READ_OFF, read_off) => {}
+            () = evicted => {}
+        }
     }
 }
 
-/// What hyper reads and writes; notes when a message begins.
+/// What hyper reads and writes; notes when a message begins and when an answer is out.
 struct Wire {
-    stream: TokioIo<TcpStream>,
     hub: Rc<Hub>,
     client: Rc<Client>,
 }
 
 impl Read for Wire {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: ReadBufCursor) -> Poll<Io<()>> {
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if polled.is_ready() && self.client.coming_since.get().is_infinite() {
-            self.client.coming_since.set(self.hub.clock.now());
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buffer: ReadBufCursor) -> Poll<Io<()>> {
+        let client = &self.client;
+        if matches!(client.stage.get(), Stage::InHand { .. } | Stage::Answering { .. }) {
+            client.held.set(true);
+            return Poll::Pending;
+        }
+        let mut ahead = client.ahead.borrow_mut();
+        if ahead.is_empty() {
+            let mut stream = client.stream.borrow_mut();
+            ready!(Pin::new(&mut *stream).poll_read(cx, buffer))?;
+        } else {
+            let bytes = ahead.len().min(buffer.remaining());
+            buffer.put_slice(&ahead.split_to(bytes));
+        }
+        if let Stage::Resting { .. } = client.stage.get() {
+            client.stage.set(Stage::Coming { since: self.hub.clock.now() });
         }
-        polled
+        Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Wire {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<Io<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<Io<usize>> {
+        Pin::new(&mut *self.client.stream.borrow_mut()).poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        let client = &self.client;
+        ready!(Pin::new(&mut *client.stream.borrow_mut()).poll_flush(cx))?;
+        // Hyper flushes when all it held has been written.
+        if let Stage::Answering { .. } = client.stage.get() {
+            client.stage.set(Stage::Resting { since: self.hub.clock.now() });
+            if client.held.take() {
+                cx.waker().wake_by_ref();
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
+        Pin::new(&mut *self.client.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
+/// Whether invocations are wanted: `/-/ready` says so.
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    Starting,
+    Open,
+    Leaving,
+    Closing,
+}
+
+/// An invocation in hand.
+struct Waiting {
+    answer: oneshot::Sender<Reply>,
+    client: Rc<Client>,
+}
+
 pub struct Front {
     most: usize,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    waiting: RefCell<HashMap<u64, Waiting>>,
     /// The ids that clients gave to what is in hand.
     ids: RefCell<HashSet<HeaderValue>>,
     last: Cell<u64>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
-    open: Cell<bool>,
-    closing: Notify,
-    freed: Notify,
+    phase: Cell<Phase>,
+    /// The phase has changed, or a place is free; the state tells which.
+    changed: Notify,
 }
 
 impl Front {
@@ -104,16 +269,24 @@
             ids: RefCell::default(),
             last: Cell::new(0),
             clients: RefCell::default(),
-            open: Cell::new(true),
-            closing: Notify::new(),
-            freed: Notify::new(),
+            phase: Cell::new(Phase::Starting),
+            changed: Notify::new(),
         }
     }
 
     pub fn reply(&self, num: u64, reply: Reply) {
         if let Some(waiting) = self.waiting.borrow_mut().remove(&num) {
             // One that has just left takes no answer.
-            let _ = waiting.send(reply);
+            let _ = waiting.answer.send(reply);
+        }
+    }
+
+    /// Guards against a delivery for a client whose end is known to the machine, but whose connection's task
+    /// has not had its turn since: its leaving is told before the delivery is written.
+    pub fn look_after(&self, hub: &Rc<Hub>, num: u64) {
+        let gone = self.waiting.borrow().get(&num).is_some_and(|w| w.client.has_gone());
+        if gone && self.waiting.borrow_mut().remove(&num).is_some() {
+            hub.tell(Event::ClientGone { num });
         }
     }
 
@@ -122,58 +295,94 @@
         self.last.get()
     }
 
-    /// No new invocations: `/-/ready` says so.
+    /// Invocations are wanted from now on, unless it is leaving by now.
+    pub fn open(&self) {
+        if self.phase.get() == Phase::Starting {
+            self.phase.set(Phase::Open);
+        }
+    }
+
+    /// No new invocations are wanted; those that come are still served.
     pub fn leave(&self) {
-        self.open.set(false);
+        self.phase.set(Phase::Leaving);
     }
 
-    /// Takes no further connections and ends those there are after the answers they wait for.
-    pub fn close(&self) {
-        self.closing.notify_one();
-        self.clients.borrow().values().for_each(|c| c.close.notify_one());
+    /// Takes what the machine has accepted and no more, and ends all connections after the answers that
+    /// they wait for.
+    pub fn close(&self, now: f64) {
+        self.phase.set(Phase::Closing);
+        self.changed.notify_one();
+        self.clients.borrow().values().for_each(|c| c.leave(now));
     }
 
-    /// Connections that wait for an answer, and all.
-    pub fn clients(&self) -> (usize, usize) {
-        let clients = self.clients.borrow();
-        (clients.values().filter(|c| c.busy.get()).count(), clients.len())
+    /// Connections that have not closed.
+    pub fn clients(&self) -> usize {
+        self.clients.borrow().len()
     }
 
-    /// Makes room for a new connection: the one that has waited longest for its next invocation closes.
-    fn close_oldest(&self) {
+    /// Makes room for new connections. One that has sent its end, or is cut short, gives its place at once
+    /// where it has to be `at_once`; else the one that has waited longest for its next invocation ends.
+    fn make_room(&self, now: f64, at_once: bool) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter(|c| !c.busy.get() && !c.leaving.get());
-        if let Some(c) = idle.min_by(|a, b| a.idle_since.get().total_cmp(&b.idle_since.get())) {
-            c.close.notify_one();
+        let since = |c: &Client| match c.stage.get() {
+            Stage::Ended { since } if at_once => Some((false, since)),
+            Stage::Resting { since } | Stage::Coming { since } if !c.leaving() => Some((true, since)),
+            _ => None,
+        };
+        let candidates = clients.values().filter_map(|c| Some((since(c)?, c)));
+        match candidates.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))) {
+            Some(((true, _), c)) => c.leave(now),
+            Some((_, c)) => {
+                c.evicted.set(true);
+                c.changed.notify_one();
+            }
+            None => {}
         }
     }
 
-    /// Guards against clients that say nothing, or begin a message and never end it: they would keep their
-    /// places for good.
+    /// Guards against clients that say nothing, begin a message and never end it, or do not take their
+    /// answer: they would keep their places for good.
     pub fn sweep(&self, now: f64) {
-        let clients = self.clients.borrow();
-        let late = clients.values().filter(|c| c.half() && now - c.coming_since.get() > WHOLE);
-        late.for_each(|c| c.cut.notify_one());
+        self.clients.borrow().values().filter(|c| c.late(now)).for_each(|c| c.changed.notify_one());
     }
 
     pub async fn serve(hub: Rc<Hub>, listener: TcpListener) {
         let front = &hub.front;
+        let few = front.most - (front.most / 16).max(1);
+        let mut last_call = None;
         loop {
-            if front.clients.borrow().len() >= front.most {
-                front.close_oldest();
-                // Those that the machine accepts meanwhile wait in its own line.
-                let _ = tokio::time::timeout(Duration::from_millis(10), front.freed.notified()).await;
+            let now = hub.clock.now();
+            let closing = front.phase.get() == Phase::Closing;
+            // Those that the machine accepts meanwhile wait in its own line, though not beyond the close.
+            if closing && now > *last_call.get_or_insert(now) + LINGER {
+                return;
+            }
+            let open = front.clients();
+            if open >= few {
+                front.make_room(now, open >= front.most);
+            }
+            if open >= front.most {
+                let _ = tokio::time::timeout(Duration::from_millis(10), front.changed.notified()).await;
                 continue;
             }
             let accepted = tokio::select! {
                 biased;
-                _ = front.closing.notified() => return,
                 accepted = listener.accept() => accepted,
+                () = tokio::time::sleep(LAST_LOOK), if closing => return,
+                () = front.changed.notified() => continue,
             };
             match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    tokio::task::spawn_local(Self::connection(hub.clone(), stream));
+                    // It has its place before its task runs: none is overlooked by a close, none is over
+                    // the bound.
+                    let now = hub.clock.now();
+                    let client = Client::new(stream, now);
+                    if closing {
+                        client.leave(now);
+                    }
+                    let place = Place::new(&hub, &client);
+                    tokio::task::spawn_local(Self::connection(hub.clone(), client, place));
                 }
                 Err(e) => {
                     log::warn!("accept: {e}");
@@ -183,33 +392,41 @@
         }
     }
 
-    async fn connection(hub: Rc<Hub>, stream: TcpStream) {
-        let (idle_since, coming_since) = (Cell::new(hub.clock.now()), Cell::new(hub.clock.now()));
-        let (busy, leaving, close, cut) = (Cell::new(false), Cell::new(false), Notify::new(), Notify::new());
-        let client = Rc::new(Client { busy, leaving, idle_since, coming_since, close, cut });
-        let _place = Place::new(&hub, &client);
+    async fn connection(hub: Rc<Hub>, client: Rc<Client>, _place: Place) {
         hub.tell(Event::ClientConnected);
-        let door = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
-        let mut builder = hyper::server::conn::http1::Builder::new();
-        builder.auto_date_header(false).max_buf_size(MOST_BODY);
-        let wire = Wire { stream: TokioIo::new(stream), hub: hub.clone(), client: client.clone() };
-        let mut connection = pin!(builder.serve_connection(wire, door));
-        let ended = loop {
-            tokio::select! {
-                biased;
-                ended = &mut connection => break ended,
-                _ = client.close.notified() => {
-                    client.leaving.set(true);
+        {
+            let service = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.auto_date_header(false).max_buf_size(MOST_BODY);
+            let wire = Wire { hub: hub.clone(), client: client.clone() };
+            let mut connection = pin!(builder.serve_connection(wire, service));
+            let mut looked = false;
+            loop {
+                if client.late(hub.clock.now()) {
+                    break;
+                }
+                // One that rests ends a moment after it has to: a message may lie there that was not looked
+                // at yet. One with a message ends with that, or when it is late.
+                let ends = client.leaving() && matches!(client.stage.get(), Stage::Resting { .. });
+                if ends && looked {
                     connection.as_mut().graceful_shutdown();
                 }
-                _ = client.cut.notified(), if client.half() => break Ok(()),
-                // An answer that is still being written is let out, a half message is not waited for.
-                _ = tokio::time::sleep(LINGER), if client.leaving.get() && client.half() => break Ok(()),
+                tokio::select! {
+                    biased;
+                    ended = &mut connection => {
+                        if let Err(e) = ended {
+                            log::debug!("client: {e}");
+                        }
+                        break;
+                    }
+                    () = poll_fn(|cx| client.poll_gone(cx)) => return,
+                    () = client.changed.notified() => {}
+                    () = tokio::time::sleep(LAST_LOOK), if ends && !looked => looked = true,
+                }
             }
-        };
-        if let Err(e) = ended {
-            log::debug!("client: {e}");
+            // What is in hand ends with hyper's side, before anything else happens here.
         }
+        client.end(hub.clock.now()).await;
     }
 }
 
@@ -230,7 +447,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.hub.front.clients.borrow_mut().remove(&self.at);
-        self.hub.front.freed.notify_one();
+        self.hub.front.changed.notify_one();
     }
 }
 
@@ -273,9 +490,15 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let door = self.clone();
         Box::pin(async move {
-            let response = door.answer(request).await;
-            door.client.coming_since.set(f64::INFINITY);
-            door.client.idle_since.set(door.hub.clock.now());
+            let mut response = door.answer(request).await;
+            let until = match door.client.stage.get() {
+                Stage::InHand { until } => until + OVERTIME,
+                _ => door.hub.clock.now() + WHOLE,
+            };
+            door.client.stage.set(Stage::Answering { until });
+            if door.client.flooded() || door.client.leaving() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok(response)
         })
     }
@@ -284,9 +507,10 @@
 impl Door {
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == READY {
-            return match self.hub.front.open.get() {
-                true => plain(StatusCode::OK, "ready\n"),
-                false => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+            return match self.hub.front.phase.get() {
+                Phase::Starting => plain(StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+                Phase::Open => plain(StatusCode::OK, "ready\n"),
+                Phase::Leaving | Phase::Closing => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
             };
         }
         match self.invoke(request).await {
@@ -317,14 +541,13 @@
         if !self.hub.front.ids.borrow_mut().insert(id.clone()) {
             return Err(Fault::InHand);
         }
-        self.hub.front.waiting.borrow_mut().insert(num, tell);
         let _in_hand = InHand { hub: &self.hub, num, id };
         // Until its last byte was there it was not taken, and its connection could be closed for others.
-        self.client.busy.set(true);
-        self.client.coming_since.set(f64::INFINITY);
+        self.client.read_ahead.set(self.client.ahead.borrow().len());
+        self.client.stage.set(Stage::InHand { until: self.hub.clock.now() + asked.wait });
+        let waiting = Waiting { answer: tell, client: self.client.clone() };
+        self.hub.front.waiting.borrow_mut().insert(num, waiting);
         self.hub.tell(Event::Taken { num, asked });
-        let reply = told.await.unwrap_or(Reply::Errored);
-        self.client.busy.set(false);
-        Ok(reply)
+        Ok(told.await.unwrap_or(Reply::Errored))
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,17 +24,22 @@
 use serde_json::Value;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
-use tokio::time::{interval, sleep};
+use tokio::time::sleep;
 
 /// Clients keep coming for up to 0.4 s after SIGTERM; what comes over 0.7 s after it may not be answered.
 const LEAVING: Duration = Duration::from_millis(500);
 
+/// It is ready once discovery has told the list, or can't, at the latest after this: what discovery holds
+/// counts as told from the first moment of a new process, and the list it was given may be old.
+const FIRST_LIST: Duration = Duration::from_secs(1);
+
 /// Fewer descriptors than this leave nothing for clients beside what the program itself holds.
 const LEAST_SOCKETS: usize = 32;
 
@@ -51,7 +56,7 @@
     fleet: Option<operators::Plan>,
 }
 
-fn config(path: Option<String>) -> Result<Config, Fault> {
+fn read_config(path: Option<String>) -> Result<Config, Fault> {
     let path = path.ok_or_else(|| Fault::Config("RELAY_CONFIG names no file".into()))?;
     let text = std::fs::read_to_string(&path).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
     let v: Value = serde_json::from_str(&text).map_err(|e| Fault::Config(format!("{path}: {e}")))?;
@@ -81,8 +86,41 @@
     })
 }
 
-async fn run(mut config: Config) -> Result<(), Fault> {
-    let fail = |what: &'static str| move |e: std::io::Error| Fault::Config(format!("{what}: {e}"));
+fn fail(what: &'static str) -> impl Fn(std::io::Error) -> Fault {
+    move |e| Fault::Config(format!("{what}: {e}"))
+}
+
+/// What the process is told. Asked for before anything else: until then a SIGHUP would end it.
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+    usr1: Signal,
+}
+
+impl Signals {
+    fn ask() -> Result<Self, Fault> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate()).map_err(fail("SIGTERM"))?,
+            int: signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?,
+            hup: signal(SignalKind::hangup()).map_err(fail("SIGHUP"))?,
+            usr1: signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?,
+        })
+    }
+
+    /// SIGTERM or SIGINT.
+    async fn leave(term: &mut Signal, int: &mut Signal) {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    }
+}
+
+/// Reads the configuration and serves until it has left.
+async fn run() -> Result<(), Fault> {
+    let mut signals = Signals::ask()?;
+    let mut config = read_config(std::env::var("RELAY_CONFIG").ok())?;
     let clock = Clock::start();
     let read = &config.read;
     let names = reducer::names(read);
@@ -113,10 +151,6 @@
     if let Some(known) = known {
         hub.tell(Event::Roster(known));
     }
-    let mut term = signal(SignalKind::terminate()).map_err(fail("SIGTERM"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(fail("SIGINT"))?;
-    let mut hup = signal(SignalKind::hangup()).map_err(fail("SIGHUP"))?;
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(fail("SIGUSR1"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
     let (tell, told) = mpsc::unbounded_channel();
     let fleet = match config.fleet.take() {
@@ -132,42 +166,75 @@
         keep(&hub, "counter", move |hub| counter::Counter::run(hub, at));
     });
     keep(&hub, "discovery", discovery::Discovery::run);
-    tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
+    let listening = tokio::task::spawn_local(front::Front::serve(hub.clone(), listener));
     ::log::info!("{} serves on {}", config.name, config.listen);
-    let mut clients = interval(front::SWEEP);
-    let mut sweep = interval((idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1)));
+    keep(&hub, "clients' sweep", |hub| async move {
+        each(front::SWEEP, || hub.front.sweep(hub.clock.now())).await
+    });
+    let idle_sweep = (idle_time / 8).clamp(Duration::from_millis(10), Duration::from_secs(1));
+    keep(&hub, "servers' sweep", move |hub| async move {
+        each(idle_sweep, || hub.upstream.sweep(hub.clock.now())).await
+    });
+    let opening = hub.clone();
+    tokio::task::spawn_local(async move {
+        sleep(FIRST_LIST).await;
+        opening.front.open();
+    });
+    // Signals mean the same while it leaves, but for another one to leave: that changes nothing.
+    let mut leaving = pin!(None);
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
-            _ = hup.recv() => reload(&hub),
-            _ = usr1.recv() => {
+            () = Signals::leave(&mut signals.term, &mut signals.int), if leaving.is_none() => {
+                leaving.set(Some(leave(&hub, fleet.as_ref(), &listening)));
+            }
+            _ = signals.hup.recv() => reload(&hub),
+            _ = signals.usr1.recv() => {
                 ::log::info!("{}", hub.reducer.borrow().stats);
                 if let Some(fleet) = &fleet {
                     let _ = fleet.send(fleet::Told::Report);
                 }
             }
-            _ = clients.tick() => hub.front.sweep(hub.clock.now()),
-            _ = sweep.tick() => hub.upstream.sweep(hub.clock.now()),
+            () = async { leaving.as_mut().as_pin_mut().unwrap().await }, if leaving.is_some() => break,
         }
     }
+    ::log::info!("{}", hub.reducer.borrow().stats);
+    Ok(())
+}
+
+/// Leaves: clients move on, what was taken is answered, the connections end.
+async fn leave(
+    hub: &Rc<Hub>,
+    fleet: Option<&mpsc::UnboundedSender<fleet::Told>>,
+    listening: &tokio::task::JoinHandle<()>,
+) {
     ::log::info!("leaving with {} in hand", hub.reducer.borrow().in_hand());
     // Duties are handed over before anything else; nothing here waits for whoever takes them.
-    if let Some(fleet) = &fleet {
+    if let Some(fleet) = fleet {
         let _ = fleet.send(fleet::Told::Leave);
     }
     hub.front.leave();
     sleep(LEAVING).await;
-    hub.front.close();
-    drain(&hub).await;
-    ::log::info!("{}", hub.reducer.borrow().stats);
-    Ok(())
+    hub.front.close(hub.clock.now());
+    // Each connection ends by itself: after its answer, after a message that stays half, or when an answer
+    // is not taken in its client's time.
+    while !listening.is_finished() || hub.front.clients() > 0 {
+        sleep(Duration::from_millis(20)).await;
+        hub.front.sweep(hub.clock.now());
+    }
+}
+
+/// Does this again and again.
+async fn each(pause: Duration, act: impl Fn()) {
+    loop {
+        sleep(pause).await;
+        act();
+    }
 }
 
 /// SIGHUP: discovery and the counter may have moved, all that is in hand and all that is known stays. Guards
 /// against a file that can't be used, perhaps half written: then the old addresses hold.
 fn reload(hub: &Rc<Hub>) {
-    match config(std::env::var("RELAY_CONFIG").ok()) {
+    match read_config(std::env::var("RELAY_CONFIG").ok()) {
         Ok(config) => {
             ::log::info!("discovery at {}, counter at {:?}", config.discovery, config.counter);
             hub.discovery.move_to(config.discovery);
@@ -191,28 +258,12 @@
     });
 }
 
-/// Waits until all that was taken is answered and the connections are closed. One on which nothing is in
-/// hand may stay open for a moment, then it ends with the process.
-async fn drain(hub: &Rc<Hub>) {
-    let pause = Duration::from_millis(20);
-    let mut quiet = 0;
-    while quiet < 5 {
-        sleep(pause).await;
-        match hub.front.clients() {
-            (0, 0) => return,
-            (0, _) => quiet += 1,
-            _ => quiet = 0,
-        }
-    }
-}
-
 /// The whole program: reads the configuration that the environment names, serves, ends.
 pub fn main() -> ExitCode {
     log::start(std::env::var("RELAY_LOG").ok().as_deref());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = match runtime {
-        Ok(runtime) => config(std::env::var("RELAY_CONFIG").ok())
-            .and_then(|config| tokio::task::LocalSet::new().block_on(&runtime, run(config))),
+        Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, run()),
         Err(e) => Err(Fault::Config(format!("no runtime: {e}"))),
     };
     match ended {
--- /dev/null
+++ b/crates/gateway/tests/clients.rs
@@ -0,0 +1,191 @@
+//! Clients that leave, flood or fill the descriptors, over loopback sockets.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+fn sent(gateway: &Gateway, operation: &str, wait_ms: u32) -> TcpStream {
+    let mut stream = gateway.connect().unwrap();
+    stream.write_all(invocation("GET", operation, wait_ms, "").as_bytes()).unwrap();
+    stream
+}
+
+#[test]
+fn a_client_that_sent_more_and_left_is_seen_to_have_gone() {
+    let server = StandIn::server(Mood::Silent);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    // A few bytes, a whole message more, more than any message may hold.
+    for (at, more) in ["GET", &invocation("GET", "read", 2000, ""), &"x".repeat(300_000)].iter().enumerate() {
+        let mut stream = sent(&gateway, "once", 2000);
+        until("the delivery has come", || server.seen() == at + 1);
+        stream.write_all(more.as_bytes()).unwrap();
+        // What came has been read by then, so that only the end is new.
+        sleep(Duration::from_millis(50));
+        let left = Instant::now();
+        drop(stream);
+        until("its connection is closed", || server.ended.load(Ordering::SeqCst) == at + 1);
+        assert!(left.elapsed() < Duration::from_millis(500), "at once, not by a time-out");
+        assert_eq!(server.seen(), at + 1, "nothing that came behind it is sent on");
+    }
+}
+
+#[test]
+fn a_client_that_resets_or_ends_its_sending_has_gone() {
+    let server = StandIn::server(Mood::Silent);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    for at in 0..2 {
+        let stream = sent(&gateway, "once", 2000);
+        until("the delivery has come", || server.seen() == at + 1);
+        let left = Instant::now();
+        if at == 0 {
+            ends_by_reset(&stream);
+            drop(stream);
+        } else {
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        until("its connection is closed", || server.ended.load(Ordering::SeqCst) == at + 1);
+        assert!(left.elapsed() < Duration::from_millis(500), "at once, not by a time-out");
+    }
+}
+
+#[test]
+fn one_that_left_before_its_message_was_looked_at_is_not_sent_on() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    // A new connection to the server and one that is there already.
+    for seen in [0, 1] {
+        let mut resting = if seen > 0 { gateway.rested() } else { gateway.connect().unwrap() };
+        gateway.paused(|| {
+            resting.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+            drop(resting);
+            drop(sent(&gateway, "read", 2000));
+        });
+        sleep(Duration::from_millis(300));
+        assert_eq!(server.seen(), seen, "of those whose clients have gone none is sent on");
+    }
+    assert!(gateway.read().ends_with("served"));
+}
+
+#[test]
+fn none_is_sent_on_whose_client_left_while_the_counter_was_asked() {
+    let (server, slow) = (StandIn::server(Mood::Well), SETTINGS.replace("0.01,", "0.5,"));
+    let (gateway, _discovery, counter) = Gateway::before_by(&[server.address], &slow);
+    *counter.mood.lock().unwrap() = Mood::Silent;
+    let stream = sent(&gateway, "read", 2000);
+    until("the counter is asked", || counter.seen() == 1);
+    drop(stream);
+    sleep(Duration::from_millis(900));
+    assert_eq!(server.seen(), 0, "its client had gone when the call's time was up");
+}
+
+#[test]
+fn none_is_sent_on_whose_client_left_while_the_connection_came_up() {
+    let (listener, fills) = full_listener();
+    let address = listener.local_addr().unwrap();
+    let (gateway, _discovery, counter) =
+        Gateway::before_by(&[address], &SETTINGS.replace("\"dialTimeoutS\":0.25", "\"dialTimeoutS\":3"));
+    let stream = sent(&gateway, "once", 2000);
+    until("its units are leased", || counter.seen() > 0);
+    sleep(Duration::from_millis(100));
+    drop(stream);
+    let server = StandIn::on(listener, Mood::Well, |me, mut stream| {
+        while let Some(message) = message(&mut stream) {
+            me.seen.lock().unwrap().push(message);
+        }
+    });
+    drop(fills);
+    sleep(Duration::from_millis(1500));
+    assert_eq!(server.seen(), 0, "the connection that came up late carried nothing");
+}
+
+#[test]
+fn no_further_delivery_follows_a_reset_when_the_client_has_gone_by_then() {
+    // The first message is held until the test resets it, all others are answered.
+    let (tell, told) = std::sync::mpsc::channel::<()>();
+    let told = std::sync::Mutex::new(told);
+    let server = StandIn::scripted(move |me, _, stream| {
+        if me.seen() == 1 {
+            told.lock().unwrap().recv().unwrap();
+            ends_by_reset(stream);
+            return false;
+        }
+        stream.write_all(ok("served").as_bytes()).is_ok()
+    });
+    let settings = SETTINGS.replace("\"keepaliveS\":1.0", "\"keepaliveS\":10.0");
+    let (gateway, _discovery, _counter) = Gateway::before_by(&[server.address], &settings);
+    let stream = sent(&gateway, "read", 2000);
+    until("the delivery has come", || server.seen() == 1);
+    // Another connection stands ready, so that nothing delays the next delivery.
+    assert!(gateway.read().ends_with("served"));
+    gateway.paused(|| {
+        tell.send(()).unwrap();
+        until("it is reset", || server.ended.load(Ordering::SeqCst) == 1);
+        drop(stream);
+    });
+    sleep(Duration::from_millis(400));
+    assert_eq!(server.seen(), 2, "the one that had gone was not sent again");
+}
+
+#[test]
+fn hundreds_that_leave_at_once_leave_nothing_behind() {
+    let server = StandIn::server(Mood::Silent);
+    let known = list(1, true, &[(0, server.address, "Ready")]);
+    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
+    let gateway = Gateway::with(&known, discovery.address, counter.address, 1024);
+    let streams: Vec<_> = (0..300).map(|_| sent(&gateway, "read", 4000)).collect();
+    until("some are out", || server.seen() > 0);
+    sleep(Duration::from_millis(100));
+    drop(streams);
+    sleep(Duration::from_millis(100));
+    let (seen, open) = (server.seen(), server.connections.load(Ordering::SeqCst));
+    until("all deliveries end", || server.ended.load(Ordering::SeqCst) == open);
+    sleep(Duration::from_millis(700));
+    assert_eq!(server.seen(), seen, "nothing is sent for who has gone");
+    *server.mood.lock().unwrap() = Mood::Well;
+    assert!(gateway.read().ends_with("served"));
+}
+
+#[test]
+fn a_flood_without_a_message_ends_its_connection_only() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut flood = gateway.connect().unwrap();
+    let began = Instant::now();
+    let writes = (0..200).take_while(|_| flood.write_all(&[b'x'; 65536]).is_ok()).count();
+    assert!(writes < 200 || flood.read(&mut [0; 16]).is_ok_and(|n| n < 16), "13 MB are not read");
+    assert!(began.elapsed() < Duration::from_secs(5));
+    assert!(gateway.read().ends_with("served"));
+    assert_eq!(server.seen(), 1);
+}
+
+#[test]
+fn descriptors_full_of_idle_clients_leave_room_for_discovery_servers_and_the_counter() {
+    let (kept, drains) = (StandIn::server(Mood::Well), StandIn::server(Mood::Well));
+    let known = list(1, true, &[(0, kept.address, "Ready"), (1, drains.address, "Ready")]);
+    let (discovery, counter) =
+        (StandIn::discovery(known.clone(), Mood::Silent), StandIn::counter(Mood::Well));
+    let gateway = Gateway::with(&known, discovery.address, counter.address, 64);
+    let mut clients = Vec::new();
+    // Twice as many as there are descriptors, each rests after an answer or before its first message.
+    for at in 0..64 {
+        clients.push(gateway.rested());
+        clients.extend(gateway.connect().filter(|_| at % 2 == 0));
+    }
+    assert!(gateway.read().ends_with("served"), "while discovery is silent");
+    discovery.news.lock().unwrap()[0] = list(2, false, &[(1, drains.address, "Terminating")]);
+    let asked = discovery.seen();
+    *discovery.mood.lock().unwrap() = Mood::Well;
+    until("it is watched again", || discovery.seen() > asked);
+    sleep(Duration::from_millis(100));
+    let (before, calls) = (drains.seen(), counter.seen());
+    let other = |n: u64| invocation("GET", "read", 2000, "").replace("b4d65521", &format!("{n:08x}"));
+    (0..20).for_each(|n| assert!(gateway.ask(&other(n)).unwrap().ends_with("served")));
+    assert_eq!(drains.seen(), before, "the drain is heeded");
+    assert!(counter.seen() > calls, "the counter is asked");
+    drop(clients);
+}
--- /dev/null
+++ b/crates/gateway/tests/shutdown.rs
@@ -0,0 +1,237 @@
+//! What happens between SIGTERM and the exit, and at the start, over loopback sockets.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::Command;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Serves what comes with GET and is silent on all else.
+fn holds_posts() -> Arc<StandIn> {
+    StandIn::scripted(|_, message, stream| {
+        !message.starts_with("GET") || stream.write_all(ok("served").as_bytes()).is_ok()
+    })
+}
+
+fn held(gateway: &Gateway, server: &StandIn) -> TcpStream {
+    let before = server.seen();
+    let mut stream = gateway.connect().unwrap();
+    stream.write_all(invocation("POST", "once", 2000, "").as_bytes()).unwrap();
+    until("it is out", || server.seen() > before);
+    stream
+}
+
+#[test]
+fn idle_connections_to_servers_are_closed_in_time_while_it_leaves() {
+    let server = holds_posts();
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let _held = held(&gateway, &server);
+    assert!(gateway.read().ends_with("served"));
+    let began = Instant::now();
+    gateway.signal("-TERM");
+    until("the idle one is closed", || server.ended.load(Ordering::SeqCst) == 1);
+    assert!(began.elapsed() < Duration::from_millis(1400), "before its server would, not at the exit");
+}
+
+#[test]
+fn what_the_machine_accepted_before_the_close_is_answered() {
+    let server = holds_posts();
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut resting = gateway.rested();
+    let began = Instant::now();
+    gateway.signal("-TERM");
+    sleep(Duration::from_millis(250));
+    let mut clients = Vec::new();
+    gateway.paused(|| {
+        clients.extend((0..5).map(|_| gateway.connect().unwrap()));
+        clients.iter_mut().chain([&mut resting]).for_each(|c| {
+            c.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+        });
+        // The time at which it closes passes meanwhile.
+        sleep(Duration::from_millis(800).saturating_sub(began.elapsed()));
+    });
+    for client in clients.iter_mut().chain([&mut resting]) {
+        let answer = message(client).expect("an answer");
+        assert!(answer.ends_with("served") && answer.contains("connection: close"), "{answer}");
+    }
+    drop((clients, resting));
+    assert!(gateway.output().status.success());
+}
+
+#[test]
+fn what_comes_after_the_end_was_sent_is_not_sent_on() {
+    let server = holds_posts();
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut resting = gateway.rested();
+    gateway.signal("-TERM");
+    let mut told = Vec::new();
+    resting.read_to_end(&mut told).unwrap();
+    assert!(told.is_empty());
+    _ = resting.write_all(invocation("GET", "read", 2000, "").as_bytes());
+    assert!(!resting.read(&mut [0; 64]).is_ok_and(|n| n > 0), "nothing is answered after the end");
+    drop(resting);
+    assert!(gateway.output().status.success());
+    assert_eq!(server.seen(), 1);
+}
+
+/// Clients that go on sending on kept connections while a third of what is sent is never answered: each
+/// message gets one answer in its time, or its connection ends without any and it was never sent on.
+#[test]
+fn clients_that_send_to_the_last_lose_nothing_while_servers_hang() {
+    let server = StandIn::scripted(|me, _, stream| {
+        me.seen() % 3 == 0 || stream.write_all(ok("served").as_bytes()).is_ok()
+    });
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let address = gateway.address;
+    let sends = move |at: u64| {
+        let (mut answered, mut unanswered) = (0, Vec::new());
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+        loop {
+            let text = invocation("GET", ["read", "once"][at as usize % 2], 1000, "");
+            let began = Instant::now();
+            if stream.write_all(text.as_bytes()).is_err() {
+                return (answered, unanswered);
+            }
+            match message(&mut stream) {
+                Some(_) => answered += 1,
+                None => {
+                    unanswered.push(id(&text).to_owned());
+                    return (answered, unanswered);
+                }
+            }
+            assert!(began.elapsed() < Duration::from_millis(1500), "answered in its time");
+            sleep(Duration::from_millis(7 + at));
+        }
+    };
+    let clients: Vec<_> = (0..12).map(|at| spawn(move || sends(at))).collect();
+    sleep(Duration::from_millis(300));
+    let began = Instant::now();
+    gateway.signal("-TERM");
+    let ends: Vec<_> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    let output = gateway.output();
+    assert!(output.status.success());
+    assert!(began.elapsed() < Duration::from_millis(500 + 1000 + 1200), "{:?}", began.elapsed());
+    let answered: usize = ends.iter().map(|e| e.0).sum();
+    let seen = server.seen.lock().unwrap();
+    let lost = |lost: &String| seen.iter().any(|m| id(m) == lost);
+    let lost: Vec<_> = ends.iter().flat_map(|e| &e.1).filter(|l| lost(l)).collect();
+    assert!(answered > 50 && lost.is_empty(), "{answered} answered, sent on and never answered: {lost:?}");
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(told.contains(&format!("taken={answered} ")), "{answered}: {told}");
+}
+
+/// A close over bytes that nobody read is a reset, which takes with it what the client has not read yet.
+#[test]
+fn a_slow_reader_gets_its_whole_answer_though_more_lies_behind_its_message() {
+    let body = "a long answer ".repeat(4000);
+    let answer = ok(&body);
+    let server = StandIn::scripted(move |_, _, stream| stream.write_all(answer.as_bytes()).is_ok());
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&gateway.address.into()).unwrap();
+    let mut client = TcpStream::from(socket);
+    client.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    let mut text = invocation("GET", "read", 2000, "");
+    text.push_str("POST /api HTTP/1.1\r\nContent-Length: 900000\r\n\r\n");
+    text.push_str(&"x".repeat(200_000));
+    let mut writer = client.try_clone().unwrap();
+    let writes = spawn(move || _ = writer.write_all(text.as_bytes()));
+    until("it is sent on", || server.seen() == 1);
+    gateway.signal("-TERM");
+    let mut told = Vec::new();
+    let mut part = [0; 1024];
+    while let Ok(n) = client.read(&mut part) {
+        told.extend_from_slice(&part[..n]);
+        if n == 0 || told.ends_with(b"errored\n") {
+            break;
+        }
+        sleep(Duration::from_millis(20));
+    }
+    writes.join().unwrap();
+    let told = String::from_utf8_lossy(&told);
+    assert!(told.contains(&body), "{} bytes of {}", told.len(), body.len());
+    drop(client);
+    assert!(gateway.output().status.success());
+    assert_eq!(server.seen(), 1, "nothing behind it was sent on");
+}
+
+#[test]
+fn a_message_that_comes_in_while_it_closes_is_answered_or_cut_unsent() {
+    let server = holds_posts();
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let (mut quick, mut slow) = (gateway.rested(), gateway.rested());
+    let text = invocation("GET", "read", 2000, "");
+    let (first, rest) = text.split_at(text.len() / 2);
+    let began = Instant::now();
+    gateway.signal("-TERM");
+    sleep(Duration::from_millis(250));
+    gateway.paused(|| {
+        // Half of it lies there when it closes, the other half is there as well, or never comes.
+        quick.write_all(first.as_bytes()).unwrap();
+        quick.write_all(rest.as_bytes()).unwrap();
+        slow.write_all(first.as_bytes()).unwrap();
+        sleep(Duration::from_millis(600).saturating_sub(began.elapsed()));
+    });
+    assert!(message(&mut quick).unwrap().ends_with("served"));
+    let mut told = Vec::new();
+    slow.read_to_end(&mut told).unwrap();
+    assert!(told.is_empty(), "an end and no reset");
+    drop((quick, slow));
+    assert!(gateway.output().status.success());
+    assert!(began.elapsed() < Duration::from_millis(2000), "half a message is not waited for");
+    assert_eq!(server.seen(), 3);
+}
+
+#[test]
+fn further_signals_while_it_leaves_change_nothing() {
+    let server = holds_posts();
+    let (mut gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut held = held(&gateway, &server);
+    for name in ["-TERM", "-HUP", "-INT", "-TERM", "-USR1"] {
+        gateway.signal(name);
+        sleep(Duration::from_millis(50));
+    }
+    assert!(gateway.read().ends_with("served"));
+    assert!(message(&mut held).unwrap().starts_with("HTTP/1.1 502 "), "what is in hand has its time");
+    drop(held);
+    assert!(gateway.output().status.success());
+}
+
+/// The configuration comes through a pipe, which holds the process between its start and its first line.
+#[test]
+fn a_reload_in_the_middle_of_the_start_does_not_end_it() {
+    let path = std::env::temp_dir().join(format!("dunespur-pipe-{}", std::process::id()));
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let server = holds_posts();
+    let known = list(1, true, &[(0, server.address, "Ready")]);
+    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
+    let address = free_address();
+    let text = format!(
+        r#"{{"listen":"{address}","discovery":"{}","counter":"{}","seed":"1f","known":{known},
+            "settings":{SETTINGS}}}"#,
+        discovery.address, counter.address
+    );
+    let child = start(&path);
+    let gateway = Gateway { child: Some(child), address, config: path.clone() };
+    // Opening the pipe waits for the process to open it: from here to the write it reads.
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    gateway.signal("-HUP");
+    sleep(Duration::from_millis(100));
+    pipe.write_all(text.as_bytes()).unwrap();
+    drop(pipe);
+    until("it listens", || gateway.connect().is_some());
+    // It reads the file again, as it was told.
+    std::fs::write(&path, &text).unwrap();
+    until("it is ready", || {
+        gateway.connect().is_some()
+            && gateway.ask("GET /-/ready HTTP/1.1\r\n\r\n").is_some_and(|a| a.contains(" 200 "))
+    });
+    assert!(gateway.read().ends_with("served"));
+}
