Send nothing over a connection that has not rested, is too old, or for a client known to be gone

Cause, each seen by a test that failed on the text before: - upstream.rs used a connection again at once: a second copy of its last answer, 3 ms late, was taken for the answer to the next delivery, and a client got another one's body (a_second_copy_of_an_answer...). - Reducer::holds did not ask whether the window for repeats still stood when a connection had come up late: a keyed delivery was written 0.7 s after a window of 0.6 s began (a_window_for_repeats_that_ends...).

Change: a delivery on a connection that was answered less than 10 ms ago waits for the rest of it; what comes meanwhile ends the connection. Of a delivery that no byte of was written when a reused connection ended, the same server is reached over another one; that is no attempt. Age is looked at when a connection is taken. Before the first byte the client's connection is looked at once more. An answer before the delivery is whole ends the connection. holds asks the module's own rule on repeats.

--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -169,7 +169,9 @@
     pub fn holds(&self, d: &Delivery, now: f64) -> bool {
         let Some(held) = self.held.get(&d.num) else { return false };
         let known = &self.known[d.tgt];
-        held.open & (1 << d.n) != 0 && now < d.until && known.live && known.address == d.address
+        let there = known.live && known.address == d.address;
+        // Guards against a window for repeats that ended while the connection came up.
+        held.open & (1 << d.n) != 0 && now < d.until && there && self.limiter.resendable(&held.inv, now)
     }
 
     pub fn reduce(&mut self, event: Event, now: f64, out: &mut Vec<Effect>) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -22,7 +22,11 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
+
+/// A connection rests for so long between an answer and the next delivery, in seconds. Guards against a
+/// second copy of the answer, some milliseconds late: it would be taken for the answer to the next one.
+const REST: f64 = 0.01;
 
 /// How much of the present delivery has gone out.
 #[derive(Clone, Copy, Default)]
@@ -43,6 +47,10 @@
         self.body_left = self.body_left.saturating_sub(bytes.len());
     }
 
+    fn begun(self) -> bool {
+        self.head || self.last_four != 0
+    }
+
     fn whole(self) -> bool {
         self.head && self.body_left == 0
     }
@@ -125,8 +133,7 @@
 
     pub fn send(&self, hub: &Rc<Hub>, delivery: Delivery) {
         let Delivery { num, n, tgt, address, .. } = delivery;
-        let idle = self.idle.borrow_mut().get_mut(tgt).and_then(Vec::pop);
-        if let Some(line) = idle {
+        if let Some(line) = self.rested(tgt, hub.clock.now()) {
             line.written.set(Written::default());
             *line.job.borrow_mut() = Some(delivery);
             line.wake.notify_one();
@@ -195,6 +202,18 @@
         }
     }
 
+    /// The idle connection of this server that was used last of those that have rested, else the one that has
+    /// rested longest. Age is looked at here too: between two sweeps the server may close one just as it is
+    /// used again.
+    fn rested(&self, tgt: usize, now: f64) -> Option<Rc<Line>> {
+        let mut idle = self.idle.borrow_mut();
+        let lines = idle.get_mut(tgt)?;
+        let old = lines.partition_point(|l| now - l.idle_since.get() > self.idle_time);
+        lines.drain(..old).for_each(|l| l.close());
+        let rested = lines.partition_point(|l| now - l.idle_since.get() >= REST);
+        (!lines.is_empty()).then(|| lines.remove(rested.saturating_sub(1)))
+    }
+
     fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.iter_mut().filter(|lines| !lines.is_empty());
@@ -252,6 +271,23 @@
         hub.tell(Event::Ended { num, n, answered });
     }
 
+    /// The connection ended. Guards against ones that were idle and broke in the moment of their use: of a
+    /// delivery that no byte of was written, the server is as well reached over another one.
+    fn elsewhere(&self) -> Fault {
+        let Task(hub, line) = self;
+        let was_idle = line.idle_since.get() > 0.0;
+        if !was_idle || line.written.get().begun() || line.closed.get() {
+            return Fault::Broken;
+        }
+        line.close();
+        let delivery = line.job.borrow_mut().take();
+        if let Some(delivery) = delivery {
+            hub.upstream.out.borrow_mut().remove(&(delivery.num, delivery.n));
+            hub.upstream.send(hub, delivery);
+        }
+        Fault::Unwritten
+    }
+
     /// Connects, then carries deliveries until the connection ends; says why it did.
     async fn run(&self, address: SocketAddr) -> Fault {
         let Task(hub, line) = self;
@@ -271,6 +307,9 @@
         };
         let mut connection = pin!(connection);
         loop {
+            if line.closed.get() {
+                return Fault::Withdrawn;
+            }
             let job = line.job.borrow().clone();
             let Some(job) = job else {
                 // Idle, until a delivery comes or either side closes.
@@ -279,13 +318,24 @@
                     _ = line.wake.notified() => {}
                     _ = &mut connection => return Fault::Broken,
                 }
-                if line.closed.get() {
-                    return Fault::Withdrawn;
-                }
                 continue;
             };
             let now = hub.clock.now();
+            let rest = line.idle_since.get() + REST - now;
+            if rest > 0.0 {
+                tokio::select! {
+                    biased;
+                    _ = line.wake.notified() => {}
+                    _ = &mut connection => return self.elsewhere(),
+                    _ = sleep(Duration::from_secs_f64(rest)) => {}
+                }
+                continue;
+            }
             // The connection took its time: the client may be gone and the server withdrawn since.
+            hub.front.look_after(hub, job.num);
+            if line.closed.get() {
+                continue;
+            }
             if !hub.reducer.borrow().holds(&job, now) {
                 hub.upstream.keep(line, now);
                 self.ended(Err(Fault::Unwritten));
@@ -296,9 +346,13 @@
             let mut exchange = pin!(async {
                 sender.ready().await?;
                 let (head, body) = sender.send_request(request).await?.into_parts();
+                // What comes before the delivery is whole answers another one.
+                if !line.written.get().whole() {
+                    return Ok(None);
+                }
                 let last = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes() == b"close");
                 let body = Limited::new(body, MOST_BODY).collect().await;
-                Ok::<_, hyper::Error>((head, body, last))
+                Ok::<_, hyper::Error>(Some((head, body, last)))
             });
             let mut up = true;
             let result = loop {
@@ -313,23 +367,24 @@
                 }
             };
             match result {
-                Ok((head, Ok(body), last)) => {
+                Ok(Some((head, Ok(body), last))) => {
                     // It stands ready before the news of it asks for the next delivery.
                     if up && !last && !line.closed.get() {
-                        hub.upstream.keep(line, now);
+                        hub.upstream.keep(line, hub.clock.now());
                     }
                     self.ended(Ok(decode_answer(&head, body.to_bytes())));
                     if !up || last {
                         return Fault::Broken;
                     }
                 }
-                Ok((_, Err(e), _)) => {
+                Ok(Some((_, Err(e), _))) => {
                     log::debug!("server {}: {e}", line.tgt);
                     return Fault::Broken;
                 }
+                Ok(None) => return Fault::Unwritten,
                 Err(e) => {
                     log::debug!("server {}: {e}", line.tgt);
-                    return Fault::Broken;
+                    return self.elsewhere();
                 }
             }
         }
--- /dev/null
+++ b/crates/gateway/tests/attempts.rs
@@ -0,0 +1,222 @@
+//! Deliveries whose connection breaks, comes up late or says too much, over loopback sockets.
+
+mod common;
+
+use common::*;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Three effects: each with its operation and whether it may be sent again after it may have run.
+const EFFECTS: [(&str, &str, bool); 3] =
+    [("GET", "read", true), ("POST", "write", true), ("POST", "once", false)];
+
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_the_next_one() {
+    let server = StandIn::scripted(|_, message, stream| {
+        let answer = ok(id(message));
+        let mut copy = stream.try_clone().unwrap();
+        sleep(Duration::from_millis(15));
+        _ = stream.write_all(answer.as_bytes());
+        let answered = Instant::now();
+        spawn(move || {
+            sleep(Duration::from_millis(3));
+            // Not on a machine so busy that it would come at a time no page speaks of.
+            if answered.elapsed() < Duration::from_millis(7) {
+                _ = copy.write_all(answer.as_bytes());
+            }
+        });
+        true
+    });
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    for at in 0..30 {
+        let text = invocation("GET", "read", 2000, "");
+        let answer = gateway.ask(&text).unwrap();
+        assert!(answer.ends_with(id(&text)), "{at}: the answer to another one: {answer}");
+    }
+}
+
+#[test]
+fn a_connection_that_idled_too_long_is_not_used_again_though_no_sweep_came() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut resting = gateway.rested();
+    gateway.paused(|| {
+        // The server would close it after a second; three quarters of that are what it is trusted for.
+        sleep(Duration::from_millis(850));
+        resting.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    });
+    assert!(message(&mut resting).unwrap().ends_with("served"));
+    assert_eq!(server.connections.load(Ordering::SeqCst), 2, "over a new one");
+}
+
+#[test]
+fn a_window_for_repeats_that_ends_while_the_connection_comes_up_is_heeded() {
+    let (listener, fills) = full_listener();
+    let address = listener.local_addr().unwrap();
+    let settings = SETTINGS
+        .replace("\"dialTimeoutS\":0.25", "\"dialTimeoutS\":3")
+        .replace("\"goalTimeS\":0.5,\"deadlineS\":1.5", "\"goalTimeS\":3.0,\"deadlineS\":4.0")
+        .replace("\"windowS\":2.5", "\"windowS\":0.6");
+    assert!(settings.contains("0.6}"));
+    // The first message is reset once the listener is full again; it is full for longer than the window
+    // lasts, then the dial comes up and what comes over it is answered.
+    let served = spawn(move || {
+        drop(listener.accept().unwrap());
+        drop(fills);
+        let (mut first, _) = listener.accept().unwrap();
+        assert!(message(&mut first).is_some());
+        let fills = TcpStream::connect(address).unwrap();
+        ends_by_reset(&first);
+        drop(first);
+        sleep(Duration::from_millis(700));
+        drop((listener.accept().unwrap(), fills));
+        let (mut late, _) = listener.accept().unwrap();
+        let came = message(&mut late).is_some();
+        _ = late.write_all(ok("served").as_bytes());
+        came
+    });
+    let (gateway, _discovery, _counter) = Gateway::before_by(&[address], &settings);
+    let answer = gateway.ask(&invocation("POST", "write", 4000, "")).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 502 "), "it may have run: {answer}");
+    drop(gateway);
+    assert!(!served.join().unwrap(), "it is not sent again once the window is over");
+}
+
+#[test]
+fn a_server_that_vanishes_in_its_answer_is_followed_only_where_that_is_harmless() {
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nser";
+    let parts = [begun, &begun[..30], "HTTP/1.1 200 OK\r\n\r\nserved", "HTTP/1.1 200 OK\r\n\r\n"];
+    for (part, (method, operation, again)) in parts.iter().flat_map(|p| EFFECTS.map(|e| (p.to_string(), e))) {
+        let server = StandIn::scripted(move |me, _, stream| {
+            if me.seen() > 1 {
+                return stream.write_all(ok("served").as_bytes()).is_ok();
+            }
+            stream.write_all(part.as_bytes()).unwrap();
+            // The part is on its way before the reset, which would overtake it here and there.
+            sleep(Duration::from_millis(30));
+            ends_by_reset(stream);
+            false
+        });
+        let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+        let answer = gateway.ask(&invocation(method, operation, 2000, "")).unwrap();
+        if again {
+            assert!(answer.ends_with("served") && server.seen() == 2, "{operation}: {answer}");
+        } else {
+            assert!(answer.starts_with("HTTP/1.1 502 ") && server.seen() == 1, "{operation}: {answer}");
+        }
+    }
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+    let server = StandIn::scripted(|_, _, stream| {
+        _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nser");
+        sleep(Duration::from_millis(30));
+        _ = stream.write_all(b"ved");
+        _ = stream.shutdown(Shutdown::Write);
+        true
+    });
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    for (method, operation, _) in EFFECTS {
+        let answer = gateway.ask(&invocation(method, operation, 2000, "")).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("served"), "{answer}");
+    }
+    assert_eq!(server.seen(), 3);
+}
+
+#[test]
+fn an_answer_that_never_ends_costs_its_time_and_no_more() {
+    let bodies =
+        ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", "HTTP/1.1 2"];
+    for begin in bodies {
+        let server = StandIn::scripted(move |me, _, stream| {
+            if me.mood() == Mood::Well {
+                return stream.write_all(ok("served").as_bytes()).is_ok();
+            }
+            _ = stream.write_all(begin.as_bytes());
+            while stream.write_all(b"0").is_ok() {
+                sleep(Duration::from_millis(1));
+            }
+            false
+        });
+        let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+        *server.mood.lock().unwrap() = Mood::Slow;
+        let began = Instant::now();
+        let answer = gateway.ask(&invocation("POST", "once", 600, "")).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 502 ") && began.elapsed() < Duration::from_millis(700));
+        assert_eq!(server.seen(), 1);
+        until("its connection is closed", || server.ended.load(Ordering::SeqCst) == 1);
+        *server.mood.lock().unwrap() = Mood::Well;
+        until("it is used again", || gateway.read().ends_with("served"));
+    }
+}
+
+#[test]
+fn half_a_line_on_a_resting_connection_ends_that_connection() {
+    let server = StandIn::scripted(|me, _, stream| {
+        let first = me.seen() == 1;
+        _ = stream.write_all(ok("served").as_bytes());
+        if first {
+            sleep(Duration::from_millis(30));
+            _ = stream.write_all(b"HTTP/1.1 200");
+        }
+        true
+    });
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    assert!(gateway.read().ends_with("served"));
+    until("it is closed", || server.ended.load(Ordering::SeqCst) == 1);
+    assert!(gateway.read().ends_with("served"));
+    assert_eq!((server.seen(), server.connections.load(Ordering::SeqCst)), (2, 2));
+}
+
+#[test]
+fn a_connection_that_ends_in_the_moment_of_its_use_costs_no_attempt() {
+    let server = StandIn::scripted(|me, _, stream| {
+        _ = stream.write_all(ok("served").as_bytes());
+        if me.seen() == 1 {
+            until("it stands still", || me.mood() == Mood::Slow);
+        }
+        me.seen() > 1
+    });
+    let settings = SETTINGS.replace("\"keepaliveS\":1.0", "\"keepaliveS\":10.0");
+    let (mut gateway, _discovery, _counter) = Gateway::before_by(&[server.address], &settings);
+    let mut resting = gateway.rested();
+    gateway.paused(|| {
+        *server.mood.lock().unwrap() = Mood::Slow;
+        until("the connection has ended", || server.ended.load(Ordering::SeqCst) == 1);
+        resting.write_all(invocation("POST", "once", 2000, "").as_bytes()).unwrap();
+    });
+    assert!(message(&mut resting).unwrap().ends_with("served"));
+    drop(resting);
+    gateway.signal("-TERM");
+    let told = String::from_utf8_lossy(&gateway.output().stderr).into_owned();
+    assert!(told.contains("deliveries sent=2 succeeded=2 "), "{told}");
+}
+
+#[test]
+fn bytes_that_came_while_it_stood_still_spoil_no_answer() {
+    // Half a line and the next message reach it in the same moment.
+    let server: Arc<StandIn> = StandIn::scripted(|me, _, stream| {
+        _ = stream.write_all(ok("served").as_bytes());
+        if me.seen() == 1 {
+            until("it stands still", || me.mood() == Mood::Slow);
+            _ = stream.write_all(ok("spoilt").as_bytes());
+            *me.mood.lock().unwrap() = Mood::Well;
+        }
+        true
+    });
+    let settings = SETTINGS.replace("\"keepaliveS\":1.0", "\"keepaliveS\":10.0");
+    let (gateway, _discovery, _counter) = Gateway::before_by(&[server.address], &settings);
+    let mut resting = gateway.rested();
+    gateway.paused(|| {
+        *server.mood.lock().unwrap() = Mood::Slow;
+        until("the bytes are there", || server.mood() == Mood::Well);
+        resting.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    });
+    let answer = message(&mut resting).unwrap();
+    assert!(answer.ends_with("served"), "{answer}");
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -745,7 +745,7 @@
     }
 
     /// No effect twice: whether a further delivery is allowed now.
-    fn resendable(&self, inv: &Invocation, now: f64) -> bool {
+    pub fn resendable(&self, inv: &Invocation, now: f64) -> bool {
         let Some(n) = inv.may_have_run else { return true };
         match self.operations[inv.operation].effect {
             Effect::Idempotent => true,
