Open a broken watch anew well within six seconds, whatever trickles over the old one

Cause, each seen by a test that failed on the text before: - discovery.rs reckoned silence by frames: bytes that never make a line kept a dead watch alive for ever (a_watch_that_goes_wrong_right_before_a_drain..., one of seven ways). - An attempt on a silent discovery took 2 s and the pause behind it up to 3 s: with bad luck its return was met after more than 5 s, and a refused dial between made it more (a_silent_discovery_is_asked_so_often...). - SIGHUP did not cut that pause short (a_reload_cuts_the_pause...). - Lists that come indented were no list (lists_may_come_indented_and_in_pieces). - A member that could not be read was passed over and its news taken for heard (a_spoilt_member...). - A new process said that it is ready before it had heard what the agent holds (it_is_not_ready_before...).

Change: only a whole list or an empty line breaks the silence, 4.25 s; connection and head of the answer have 1 s together, the longest pause is 1 s and half by chance, and a reload ends it. Lists are cut out by their brackets. A list with a member that can't be read holds for the others, names nobody gone, and is asked for again.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,9 +4,8 @@
 use crate::fault::Fault;
 use crate::fleet::Told;
 use crate::hub::Hub;
-use crate::message::{decode_news, encode_watch, take_line};
+use crate::message::{decode_news, encode_watch, Lines};
 use crate::reducer::Event;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -17,14 +16,19 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at, Instant};
 
-/// A watch says something this often, be it an empty line; no answer at all is awaited longer.
-const HEARTBEAT: Duration = Duration::from_secs(2);
-/// Time from the end of one watch to the next; twice as long after each that never began, up to a heartbeat,
+/// A watch says something every 2 s, be it an empty line. One that brought no whole line for two of these and
+/// some is silent, whatever else came over it.
+const SILENCE: Duration = Duration::from_millis(4250);
+/// A connection and the head of its answer are awaited together no longer than this.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Time from the end of one watch to the next; twice as long after each that never began, up to `LONGEST`,
 /// and up to half more or less by chance. Guards against hundreds that ask a discovery with no room for them
-/// again at once, and all together.
+/// again at once, and all together. With `ANSWER` it stays well under the six seconds after which what
+/// discovery could tell counts as told, in whichever moment of a pause discovery is back.
 const AGAIN: Duration = Duration::from_millis(100);
+const LONGEST: Duration = Duration::from_secs(1);
 
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -86,60 +90,89 @@
             if hub.discovery.on_request {
                 hub.discovery.wanted.notified().await;
             }
-            again = (again * 2).min(HEARTBEAT);
+            again = (again * 2).min(LONGEST);
             let fault = loop {
                 if hub.discovery.relayed.get() {
                     hub.discovery.moved.notified().await;
                     continue;
                 }
+                let address = hub.discovery.address.get();
                 tokio::select! {
-                    fault = hub.discovery.follow(&hub, &mut again) => break fault,
+                    fault = hub.discovery.follow(&hub, address, &mut again) => break fault,
                     // The watch goes on at the new address, nothing is lost.
-                    _ = hub.discovery.moved.notified() => {}
+                    () = hub.discovery.leaves(address) => {}
                 }
             };
             log::debug!("discovery: {fault}");
+            // It can't tell: what is known has to do.
+            hub.front.open();
             hub.tell(Event::RosterLost);
-            sleep(again.mul_f64(0.5 + fastrand::f64())).await;
+            let address = hub.discovery.address.get();
+            tokio::select! {
+                () = sleep(again.mul_f64(0.5 + fastrand::f64())) => {}
+                () = hub.discovery.leaves(address) => {}
+            }
         }
     }
 
-    /// Follows one watch to its end; one that is answered sets the pause after it back.
-    async fn follow(&self, hub: &Rc<Hub>, again: &mut Duration) -> Fault {
-        // Two heartbeats and some: a silent watch may be cut off without a word.
-        let silence = HEARTBEAT * 2 + HEARTBEAT / 2;
+    /// Ends once no watch is to stand at this address any more. A permit left over from an earlier move ends
+    /// nothing.
+    async fn leaves(&self, address: SocketAddr) {
+        while self.address.get() == address && !self.relayed.get() {
+            self.moved.notified().await;
+        }
+    }
+
+    /// Follows one watch to its end; one that tells something sets the pause after it back.
+    async fn follow(&self, hub: &Rc<Hub>, address: SocketAddr, again: &mut Duration) -> Fault {
+        let answered_by = Instant::now() + ANSWER;
         let connect = async {
-            let stream = TcpStream::connect(self.address.get()).await.map_err(|_| Fault::NotConnected)?;
+            let stream = TcpStream::connect(address).await.map_err(|_| Fault::NotConnected)?;
             let _ = stream.set_nodelay(true);
             let io = TokioIo::new(stream);
             hyper::client::conn::http1::handshake(io).await.map_err(|_| Fault::Unwritten)
         };
-        let (mut sender, connection) = match timeout(HEARTBEAT, connect).await {
+        let (mut sender, connection) = match timeout_at(answered_by, connect).await {
             Ok(Ok(pair)) => pair,
             Ok(Err(fault)) => return fault,
             Err(_) => return Fault::NotConnected,
         };
         let read = async {
-            let request = encode_watch(self.revision.get(), self.address.get())?;
-            let answer = timeout(HEARTBEAT, sender.send_request(request)).await.map_err(|_| Fault::Silent)?;
-            let mut body = answer.map_err(|_| Fault::Broken)?.into_body();
-            *again = AGAIN;
-            let mut buffer = BytesMut::new();
+            let request = encode_watch(self.revision.get(), address)?;
+            let answer = timeout_at(answered_by, sender.send_request(request)).await;
+            let mut body = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?.into_body();
+            let mut lines = Lines::default();
             loop {
-                let frame = timeout(silence, body.frame()).await.map_err(|_| Fault::Silent)?;
-                let Some(Ok(frame)) = frame else { return Err(Fault::Broken) };
-                buffer.extend_from_slice(frame.data_ref().map_or(&[], |d| d));
-                while let Some(line) = take_line(&mut buffer)? {
-                    if line.is_empty() {
-                        self.tell_tap(|| None);
-                        continue;
+                let silent_at = Instant::now() + SILENCE;
+                // Only a whole line breaks the silence: bytes that trickle would keep a dead watch alive.
+                let line = loop {
+                    if let Some(line) = lines.take()? {
+                        break line;
                     }
-                    let value: Value =
-                        serde_json::from_slice(&line).map_err(|e| Fault::Malformed(e.to_string()))?;
-                    let news = decode_news(&value, &hub.names)?;
+                    let frame = timeout_at(silent_at, body.frame()).await.map_err(|_| Fault::Silent)?;
+                    let Some(Ok(frame)) = frame else { return Err(Fault::Broken) };
+                    lines.add(frame.data_ref().map_or(&[], |d| d));
+                };
+                let Some(value) = line else {
+                    *again = AGAIN;
+                    self.tell_tap(|| None);
+                    continue;
+                };
+                let mut news = decode_news(&value, &hub.names)?;
+                let whole = news.whole;
+                // Guards against one spoilt member that costs the news of all others, and against its own
+                // news passing for heard: what can be read holds, and the watch begins anew from before it.
+                // Until then nothing it does not name is taken for gone.
+                news.complete &= whole;
+                if whole {
+                    *again = AGAIN;
                     self.revision.set(news.revision);
                     self.tell_tap(|| Some(value));
-                    hub.tell(Event::Roster(news));
+                }
+                hub.tell(Event::Roster(news));
+                hub.front.open();
+                if !whole {
+                    return Err(Fault::Malformed("a member of the list".into()));
                 }
             }
         };
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -94,6 +94,8 @@
     pub revision: u64,
     pub complete: bool,
     pub members: Vec<Member>,
+    /// Every member could be read.
+    pub whole: bool,
 }
 
 fn malformed(what: &str) -> Fault {
@@ -271,26 +273,67 @@
     };
     // One member that can't be read must not cost the news of all others.
     let known = |m: &Value| member(m).map_err(|fault| log::warn!("discovery: {fault}")).ok();
+    let read: Vec<Member> = members.iter().filter_map(known).collect();
     Ok(News {
+        whole: read.len() == members.len(),
         revision: v["revision"].as_u64().ok_or_else(|| malformed("the list has no revision"))?,
         complete: v["complete"].as_bool().unwrap_or(false),
-        members: members.iter().filter_map(known).collect(),
+        members: read,
     })
 }
 
-/// Takes one line of a watch off the buffer: None until it is whole, an empty one where nothing changed.
-pub fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, Fault> {
-    match buffer.iter().position(|&b| b == b'\n') {
-        Some(end) => {
-            let mut line = buffer.split_to(end + 1).freeze();
-            line.truncate(end);
-            if line.last() == Some(&b'\r') {
-                line.truncate(line.len() - 1);
+/// The lines of a watch as they come in. A list stands on one line, or on several where it is indented.
+#[derive(Default)]
+pub struct Lines {
+    buffer: BytesMut,
+    /// Bytes at the front that were looked at; how deep in brackets they end, and whether in a text.
+    seen: usize,
+    depth: usize,
+    text: bool,
+    escaped: bool,
+    /// The line that `seen` stands in has something on it.
+    filled: bool,
+}
+
+impl Lines {
+    pub fn add(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next list once it is whole; nothing in it where an empty line says that nothing changed.
+    pub fn take(&mut self) -> Result<Option<Option<Value>>, Fault> {
+        while let Some(&byte) = self.buffer.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                b'\n' if self.text || (self.depth > 0 && !self.filled) => {
+                    return Err(malformed("a list that breaks off"));
+                }
+                b'\n' if self.depth > 0 => self.filled = false,
+                b'\n' => {
+                    let line = self.buffer.split_to(std::mem::take(&mut self.seen));
+                    return match std::mem::take(&mut self.filled) {
+                        true => serde_json::from_slice(&line).map(|v| Some(Some(v))),
+                        false => Ok(Some(None)),
+                    }
+                    .map_err(|e| Fault::Malformed(e.to_string()));
+                }
+                _ => {
+                    self.filled |= !byte.is_ascii_whitespace();
+                    match byte {
+                        _ if self.escaped => self.escaped = false,
+                        b'\\' if self.text => self.escaped = true,
+                        b'"' => self.text = !self.text,
+                        b'{' | b'[' if !self.text => self.depth += 1,
+                        b'}' | b']' if !self.text => self.depth = self.depth.saturating_sub(1),
+                        _ => {}
+                    }
+                }
             }
-            Ok(Some(line))
         }
-        None if buffer.len() > MOST_LINE => Err(Fault::TooLarge),
-        None => Ok(None),
+        if self.buffer.len() > MOST_LINE {
+            return Err(Fault::TooLarge);
+        }
+        Ok(None)
     }
 }
 
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -479,7 +479,7 @@
                             readiness: if live[tgt] { Readiness::Live } else { Readiness::Draining },
                         };
                         let members = (0..4).map(member).collect();
-                        Event::Roster(News { revision: step, complete: false, members })
+                        Event::Roster(News { revision: step, complete: false, members, whole: true })
                     }
                     _ => {
                         now += any(40) as f64 / 1000.0 * if last { 10.0 } else { 1.0 };
--- /dev/null
+++ b/crates/gateway/tests/watches.rs
@@ -0,0 +1,218 @@
+//! Watches on the list that fall silent, break, trickle, are refused or moved, over loopback sockets.
+
+mod common;
+
+use common::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// What discovery could tell counts as told after so long.
+const TOLD: Duration = Duration::from_secs(6);
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> Vec<u8> {
+    format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
+}
+
+/// Two servers, of which the second is to drain, and a gateway that knows both from before.
+struct Case {
+    kept: Arc<StandIn>,
+    drains: Arc<StandIn>,
+    gateway: Gateway,
+    _counter: Arc<StandIn>,
+}
+
+impl Case {
+    fn with(discovery: impl FnOnce(&StandIn, &StandIn) -> Arc<StandIn>) -> (Case, Arc<StandIn>) {
+        let works = |_: &StandIn, _: &str, stream: &mut TcpStream| {
+            sleep(Duration::from_millis(15));
+            stream.write_all(ok("served").as_bytes()).is_ok()
+        };
+        let (kept, drains) = (StandIn::scripted(works), StandIn::scripted(works));
+        let known = list(1, true, &[(0, kept.address, "Ready"), (1, drains.address, "Ready")]);
+        let (discovery, counter) = (discovery(&kept, &drains), StandIn::counter(Mood::Well));
+        let gateway = Gateway::with(&known, discovery.address, counter.address, 256);
+        (Case { kept, drains, gateway, _counter: counter }, discovery)
+    }
+
+    /// Whether the drain is heeded by now: of some sent together none goes there, as half of them else do.
+    fn heeded(&self) -> bool {
+        let before = (self.kept.seen(), self.drains.seen());
+        let mut clients: Vec<_> = (0..4).map(|_| self.gateway.connect().unwrap()).collect();
+        for client in &mut clients {
+            client.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+        }
+        clients.iter_mut().for_each(|c| assert!(message(c).unwrap().ends_with("served")));
+        assert!(self.kept.seen() > before.0);
+        self.drains.seen() == before.1
+    }
+}
+
+fn drain(drains: &StandIn) -> String {
+    list(2, false, &[(1, drains.address, "Terminating")])
+}
+
+/// A discovery whose first watch goes wrong as the test says and whose later ones tell of the drain.
+fn first_goes_wrong(news: String, first: impl Fn(&mut dyn Write) + Send + Sync + 'static) -> Arc<StandIn> {
+    StandIn::start(Mood::Well, move |me, mut stream| {
+        let Some(asked) = message(&mut stream) else { return };
+        me.seen.lock().unwrap().push(asked);
+        if me.seen() == 1 {
+            return first(&mut stream);
+        }
+        _ = stream.write_all(HEAD);
+        _ = stream.write_all(&chunk(&format!("{news}\n")));
+        while stream.write_all(&chunk("\n")).is_ok() {
+            sleep(Duration::from_millis(200));
+        }
+    })
+}
+
+#[test]
+fn a_watch_that_goes_wrong_right_before_a_drain_is_opened_anew_in_time() {
+    type Wrong = fn(&mut dyn Write);
+    let wrongs: [(&str, Wrong); 7] = [
+        ("silent from its first byte", |_| sleep(Duration::from_secs(20))),
+        ("silent after a line", |to| {
+            _ = to.write_all(&[HEAD, &chunk("\n")].concat());
+            sleep(Duration::from_secs(20));
+        }),
+        ("a head that never ends", |to| {
+            _ = to.write_all(b"HTTP/1.1 200 OK\r\n");
+            while to.write_all(b"A: b\r\n").is_ok() {
+                sleep(Duration::from_millis(300));
+            }
+        }),
+        ("bytes that never make a line", |to| {
+            _ = to.write_all(HEAD);
+            while to.write_all(&chunk(" ")).is_ok() {
+                sleep(Duration::from_millis(300));
+            }
+        }),
+        ("a list that never ends", |to| {
+            _ = to.write_all(HEAD);
+            while to.write_all(&chunk("{\"revision\":[[\n")).is_ok() {
+                sleep(Duration::from_millis(300));
+            }
+        }),
+        ("spoilt", |to| _ = to.write_all(&[HEAD, &chunk("{\"revision\":oh}\n")].concat())),
+        ("ended", |_| {}),
+    ];
+    let cases = wrongs.map(|(what, wrong)| {
+        std::thread::spawn(move || {
+            let (case, discovery) = Case::with(|_, drains| first_goes_wrong(drain(drains), wrong));
+            until("the first watch", || discovery.seen() > 0);
+            let began = Instant::now();
+            until(what, || discovery.seen() > 1);
+            until(what, || case.heeded());
+            assert!(began.elapsed() < TOLD - Duration::from_millis(700), "{what}: {:?}", began.elapsed());
+        })
+    });
+    cases.into_iter().for_each(|c| c.join().unwrap());
+}
+
+#[test]
+fn a_silent_discovery_is_asked_so_often_that_its_return_is_never_missed_for_long() {
+    let asked: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let times = asked.clone();
+    let (_case, discovery) = Case::with(|_, _| {
+        StandIn::start(Mood::Silent, move |me, mut stream| {
+            while let Some(message) = message(&mut stream) {
+                me.seen.lock().unwrap().push(message);
+                times.lock().unwrap().push(Instant::now());
+            }
+        })
+    });
+    let began = Instant::now();
+    while discovery.seen() < 8 && began.elapsed() < Duration::from_secs(20) {
+        sleep(Duration::from_millis(50));
+    }
+    let asked = asked.lock().unwrap();
+    let longest = asked.windows(2).map(|w| w[1] - w[0]).max().unwrap();
+    // In the worst case discovery is back just after one of them was written.
+    assert!(longest < Duration::from_millis(2800), "{longest:?} between two: {asked:?}");
+}
+
+#[test]
+fn a_reload_cuts_the_pause_before_the_next_watch_short() {
+    let (case, old) = Case::with(|_, _| {
+        StandIn::start(Mood::Silent, |me, mut stream| {
+            while let Some(message) = message(&mut stream) {
+                me.seen.lock().unwrap().push(message);
+            }
+        })
+    });
+    let moved = StandIn::discovery(drain(&case.drains), Mood::Well);
+    // By the fourth the pause is long; it begins when the connection has been given up.
+    until("four watches were in vain", || old.ended.load(Ordering::SeqCst) == 4);
+    let text = std::fs::read_to_string(&case.gateway.config).unwrap();
+    let text = text.replace(&old.address.to_string(), &moved.address.to_string());
+    std::fs::write(&case.gateway.config, text).unwrap();
+    let began = Instant::now();
+    case.gateway.signal("-HUP");
+    until("the new one is asked", || moved.seen() == 1);
+    assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+    until("the drain is heeded", || case.heeded());
+}
+
+#[test]
+fn lists_may_come_indented_and_in_pieces() {
+    let (case, discovery) = Case::with(|kept, drains| {
+        let flat = list(2, true, &[(0, kept.address, "Ready"), (1, drains.address, "Terminating")]);
+        let indented = flat.replace(",", ",\n  ").replace("{", "{\n").replace("}", "\r\n}");
+        StandIn::start(Mood::Well, move |me, mut stream| {
+            let Some(asked) = message(&mut stream) else { return };
+            me.seen.lock().unwrap().push(asked);
+            _ = stream.write_all(HEAD);
+            for piece in indented.as_bytes().chunks(7) {
+                _ = stream.write_all(&chunk(std::str::from_utf8(piece).unwrap()));
+            }
+            while stream.write_all(&chunk("\n")).is_ok() {
+                sleep(Duration::from_millis(200));
+            }
+        })
+    });
+    until("the drain is heeded", || case.heeded());
+    assert_eq!(discovery.seen(), 1, "one watch told it");
+}
+
+#[test]
+fn a_spoilt_member_costs_no_news_of_the_others_and_is_asked_for_again() {
+    let (case, discovery) = Case::with(|kept, drains| {
+        let good = list(2, true, &[(0, kept.address, "Ready"), (1, drains.address, "Terminating")]);
+        let spoilt = good.replacen("\"Ready\"", "\"Rea\"", 1);
+        let first = move |to: &mut dyn Write| {
+            _ = to.write_all(&[HEAD, &chunk(&format!("{spoilt}\n"))].concat());
+            sleep(Duration::from_secs(20));
+        };
+        first_goes_wrong(good, first)
+    });
+    until("it is asked again", || discovery.seen() == 2);
+    let again = discovery.seen.lock().unwrap()[1].clone();
+    assert!(again.contains("since=1 "), "from before the list that could not be read whole: {again}");
+    assert!(case.heeded(), "what could be read holds, and the one that could not stays in use");
+}
+
+#[test]
+fn it_is_not_ready_before_it_has_heard_what_discovery_holds() {
+    let told: Arc<Mutex<bool>> = Arc::default();
+    let held = told.clone();
+    let (case, _discovery) = Case::with(|_, drains| {
+        let news = drain(drains);
+        StandIn::start(Mood::Well, move |_, mut stream| {
+            let Some(_) = message(&mut stream) else { return };
+            // Long enough for one that does not wait to be ready.
+            sleep(Duration::from_millis(400));
+            *held.lock().unwrap() = true;
+            _ = stream.write_all(&[HEAD, &chunk(&format!("{news}\n"))].concat());
+            sleep(Duration::from_secs(20));
+        })
+    });
+    assert!(*told.lock().unwrap(), "ready before");
+    assert!(case.heeded(), "from the first invocation on");
+}
