Keep a silent watch until the next one has asked, so that discovery's return is heard at once

What the agent gets at the return counts at once.

Change: an attempt or a watch that fell silent is still read during the pause, and dropped when the next one has written its request; it goes on if it speaks first. No more attempts are made than before.

Test: a_return_of_discovery_between_two_attempts_is_heard_at_once fails without it.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -10,13 +10,16 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A watch says something every 2 s, be it an empty line. One that brought no whole line for two of these and
 /// some is silent, whatever else came over it.
@@ -84,33 +87,48 @@
         self.wanted.notify_one();
     }
 
+    /// Keeps a watch open for as long as the process lives.
     pub async fn run(hub: Rc<Hub>) {
+        let discovery = &hub.discovery;
         let mut again = AGAIN;
+        // One that fell silent, kept until the next has asked: guards against a return of discovery in the
+        // pause between two, which is told over whatever waits for it then.
+        let mut silent: Option<Watch> = None;
         loop {
-            if hub.discovery.on_request {
-                hub.discovery.wanted.notified().await;
+            while discovery.relayed.get() {
+                silent = None;
+                discovery.moved.notified().await;
             }
-            again = (again * 2).min(LONGEST);
-            let fault = loop {
-                if hub.discovery.relayed.get() {
-                    hub.discovery.moved.notified().await;
-                    continue;
+            let address = discovery.address.get();
+            let mut watch = match silent.take_if(|w| !w.signs.silent.get()) {
+                Some(spoke_again) => spoke_again,
+                None => {
+                    if discovery.on_request {
+                        until_it_speaks(&mut silent, discovery.wanted.notified()).await;
+                    }
+                    Watch::open(&hub, address)
                 }
-                let address = hub.discovery.address.get();
-                tokio::select! {
-                    fault = hub.discovery.follow(&hub, address, &mut again) => break fault,
-                    // The watch goes on at the new address, nothing is lost.
-                    () = hub.discovery.leaves(address) => {}
+            };
+            let fault = tokio::select! {
+                fault = watch.stand(&mut silent) => fault,
+                // The watch goes on at the new address, nothing is lost.
+                () = discovery.leaves(address) => {
+                    silent = None;
+                    continue;
                 }
             };
             log::debug!("discovery: {fault}");
+            again = if watch.signs.spoke.get().is_some() { AGAIN } else { (again * 2).min(LONGEST) };
+            if fault == Fault::Silent {
+                silent = Some(watch);
+            }
             // It can't tell: what is known has to do.
             hub.front.open();
             hub.tell(Event::RosterLost);
-            let address = hub.discovery.address.get();
+            let pause = sleep(again.mul_f64(0.5 + fastrand::f64()));
             tokio::select! {
-                () = sleep(again.mul_f64(0.5 + fastrand::f64())) => {}
-                () = hub.discovery.leaves(address) => {}
+                () = until_it_speaks(&mut silent, pause) => {}
+                () = discovery.leaves(address) => silent = None,
             }
         }
     }
@@ -123,38 +141,36 @@
         }
     }
 
-    /// Follows one watch to its end; one that tells something sets the pause after it back.
-    async fn follow(&self, hub: &Rc<Hub>, address: SocketAddr, again: &mut Duration) -> Fault {
-        let answered_by = Instant::now() + ANSWER;
+    /// Follows one watch to its end; what it says of itself are its signs.
+    async fn follow(&self, hub: &Rc<Hub>, address: SocketAddr, signs: &Signs) -> Fault {
         let connect = async {
             let stream = TcpStream::connect(address).await.map_err(|_| Fault::NotConnected)?;
             let _ = stream.set_nodelay(true);
             let io = TokioIo::new(stream);
             hyper::client::conn::http1::handshake(io).await.map_err(|_| Fault::Unwritten)
         };
-        let (mut sender, connection) = match timeout_at(answered_by, connect).await {
+        let (mut sender, connection) = match timeout(ANSWER, connect).await {
             Ok(Ok(pair)) => pair,
             Ok(Err(fault)) => return fault,
             Err(_) => return Fault::NotConnected,
         };
         let read = async {
             let request = encode_watch(self.revision.get(), address)?;
-            let answer = timeout_at(answered_by, sender.send_request(request)).await;
-            let mut body = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?.into_body();
+            let answer = sender.send_request(request);
+            signs.asked.set(true);
+            let mut body = answer.await.map_err(|_| Fault::Broken)?.into_body();
             let mut lines = Lines::default();
             loop {
-                let silent_at = Instant::now() + SILENCE;
                 // Only a whole line breaks the silence: bytes that trickle would keep a dead watch alive.
                 let line = loop {
                     if let Some(line) = lines.take()? {
                         break line;
                     }
-                    let frame = timeout_at(silent_at, body.frame()).await.map_err(|_| Fault::Silent)?;
-                    let Some(Ok(frame)) = frame else { return Err(Fault::Broken) };
+                    let Some(Ok(frame)) = body.frame().await else { return Err(Fault::Broken) };
                     lines.add(frame.data_ref().map_or(&[], |d| d));
                 };
                 let Some(value) = line else {
-                    *again = AGAIN;
+                    signs.speak();
                     self.tell_tap(|| None);
                     continue;
                 };
@@ -165,7 +181,7 @@
                 // Until then nothing it does not name is taken for gone.
                 news.complete &= whole;
                 if whole {
-                    *again = AGAIN;
+                    signs.speak();
                     self.revision.set(news.revision);
                     self.tell_tap(|| Some(value));
                 }
@@ -187,3 +203,91 @@
         }
     }
 }
+
+/// How far a watch has come.
+struct Signs {
+    begun: Instant,
+    /// Its request is on its way.
+    asked: Cell<bool>,
+    /// When a whole line came last.
+    spoke: Cell<Option<Instant>>,
+    /// It was found silent, and has not spoken since.
+    silent: Cell<bool>,
+}
+
+impl Signs {
+    fn speak(&self) {
+        self.spoke.set(Some(Instant::now()));
+        self.silent.set(false);
+    }
+
+    /// When it is to be taken for silent.
+    fn silent_at(&self) -> Instant {
+        self.spoke.get().map_or(self.begun + ANSWER, |spoke| spoke + SILENCE)
+    }
+}
+
+/// One watch, that stands for as long as it is polled.
+struct Watch {
+    signs: Rc<Signs>,
+    end: Pin<Box<dyn Future<Output = Fault>>>,
+}
+
+impl Watch {
+    fn open(hub: &Rc<Hub>, address: SocketAddr) -> Self {
+        let (asked, spoke, silent) = (Cell::new(false), Cell::new(None), Cell::new(false));
+        let signs = Rc::new(Signs { begun: Instant::now(), asked, spoke, silent });
+        let (hub, shared) = (hub.clone(), signs.clone());
+        Watch { signs, end: Box::pin(async move { hub.discovery.follow(&hub, address, &shared).await }) }
+    }
+
+    /// Stands until it ends or is silent. The one before it is let go once this one has asked, and takes its
+    /// place if it speaks first.
+    async fn stand(&mut self, before: &mut Option<Watch>) -> Fault {
+        loop {
+            let silent_at = self.signs.silent_at();
+            tokio::select! {
+                biased;
+                fault = poll_fn(|cx| self.poll(before, cx)) => return fault,
+                () = sleep_until(silent_at) => {}
+            }
+            if Instant::now() >= self.signs.silent_at() {
+                self.signs.silent.set(true);
+                return Fault::Silent;
+            }
+        }
+    }
+
+    fn poll(&mut self, before: &mut Option<Watch>, cx: &mut Context) -> Poll<Fault> {
+        let ended = self.end.as_mut().poll(cx);
+        if ended.is_ready() || self.signs.asked.get() {
+            if ended.is_pending() {
+                *before = None;
+            }
+            return ended;
+        }
+        if poll_silent(before, cx) {
+            *self = before.take().expect("it has just spoken");
+            return self.poll(before, cx);
+        }
+        Poll::Pending
+    }
+}
+
+/// Whether the silent watch has spoken again; none is left where it ended.
+fn poll_silent(silent: &mut Option<Watch>, cx: &mut Context) -> bool {
+    let Some(watch) = silent else { return false };
+    if watch.end.as_mut().poll(cx).is_ready() {
+        *silent = None;
+        return false;
+    }
+    !watch.signs.silent.get()
+}
+
+/// Waits for this, no longer than until the silent watch speaks again.
+async fn until_it_speaks(silent: &mut Option<Watch>, wait: impl Future<Output = ()>) {
+    tokio::select! {
+        () = wait => {}
+        () = poll_fn(|cx| if poll_silent(silent, cx) { Poll::Ready(()) } else { Poll::Pending }) => {}
+    }
+}
--- a/crates/gateway/tests/watches.rs
+++ b/crates/gateway/tests/watches.rs
@@ -5,7 +5,6 @@
 use common::*;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -138,6 +137,34 @@
     assert!(longest < Duration::from_millis(2800), "{longest:?} between two: {asked:?}");
 }
 
+#[test]
+fn a_return_of_discovery_between_two_attempts_is_heard_at_once() {
+    let back: Arc<Mutex<bool>> = Arc::default();
+    let held = back.clone();
+    let (case, discovery) = Case::with(|_, drains| {
+        let news = drain(drains);
+        // Like an agent that is cut off: it takes what is asked, and answers all of it when it is back.
+        StandIn::start(Mood::Silent, move |me, mut stream| {
+            let Some(asked) = message(&mut stream) else { return };
+            me.seen.lock().unwrap().push(asked);
+            until("it is back", || *held.lock().unwrap());
+            _ = stream.write_all(&[HEAD, &chunk(&format!("{news}\n"))].concat());
+            while stream.write_all(&chunk("\n")).is_ok() {
+                sleep(Duration::from_millis(200));
+            }
+        })
+    });
+    // By the fourth the pause is half a second at least, and begins a second after it was asked.
+    until("four were asked in vain", || discovery.seen() == 4);
+    sleep(Duration::from_millis(1150));
+    assert_eq!(discovery.seen(), 4, "in the pause");
+    *back.lock().unwrap() = true;
+    let began = Instant::now();
+    until("the drain is heeded", || case.heeded());
+    assert!(began.elapsed() < Duration::from_millis(300), "{:?}", began.elapsed());
+    assert_eq!(discovery.seen(), 4, "over a watch that was there");
+}
+
 #[test]
 fn a_reload_cuts_the_pause_before_the_next_watch_short() {
     let (case, old) = Case::with(|_, _| {
@@ -148,8 +175,9 @@
         })
     });
     let moved = StandIn::discovery(drain(&case.drains), Mood::Well);
-    // By the fourth the pause is long; it begins when the connection has been given up.
-    until("four watches were in vain", || old.ended.load(Ordering::SeqCst) == 4);
+    // By the fourth the pause is half a second at least, and begins a second after it was asked.
+    until("four watches were in vain", || old.seen() == 4);
+    sleep(Duration::from_millis(1150));
     let text = std::fs::read_to_string(&case.gateway.config).unwrap();
     let text = text.replace(&old.address.to_string(), &moved.address.to_string());
     std::fs::write(&case.gateway.config, text).unwrap();
