Keep 16 kB of what comes behind a message in hand, and test how room is made

Cause, read: up to 64 kB were kept for each client beside hyper's buffer, 640 clients and memory limits from 32 MB. Clients of this protocol send one message at a time. Change: with more than 16 kB behind a message the rest is dropped and the connection ends after its answer.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -40,6 +40,8 @@
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Bytes read off behind an end or behind a message in hand; nothing beyond is read.
 const MOST_AHEAD: usize = 1024 * 1024;
+/// Bytes kept of those behind a message in hand; clients of this protocol send none. With more it ends.
+const MOST_KEPT: usize = 16 * 1024;
 /// How often late messages are looked after.
 pub const SWEEP: Duration = Duration::from_millis(250);
 
@@ -141,9 +143,9 @@
         false
     }
 
-    /// More came behind one message than any other may hold: it is dropped, and the connection ends.
+    /// More came behind one message than is kept: it is dropped, and the connection ends.
     fn flooded(&self) -> bool {
-        self.read_ahead.get() > MOST_BODY
+        self.read_ahead.get() > MOST_KEPT
     }
 
     /// The next bytes; None at the end, orderly or not.
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -189,3 +189,25 @@
     assert!(counter.seen() > calls, "the counter is asked");
     drop(clients);
 }
+
+#[test]
+fn a_connection_that_makes_room_ends_in_order_and_takes_nothing_more() {
+    let server = StandIn::server(Mood::Well);
+    let known = list(1, true, &[(0, server.address, "Ready")]);
+    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
+    let gateway = Gateway::with(&known, discovery.address, counter.address, 32);
+    let mut clients: Vec<_> = (0..60).map(|_| gateway.rested()).collect();
+    let mut ended = 0;
+    for client in &mut clients[..30] {
+        client.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        let mut told = Vec::new();
+        assert!(client.read_to_end(&mut told).is_ok() && told.is_empty(), "an end, no reset");
+        let before = server.seen();
+        _ = client.write_all(invocation("GET", "read", 2000, "").as_bytes());
+        assert!(!client.read(&mut [0; 64]).is_ok_and(|n| n > 0), "nothing is answered after the end");
+        assert_eq!(server.seen(), before, "nor sent on");
+        ended += 1;
+    }
+    assert_eq!(ended, 30, "the oldest went first");
+    assert!(gateway.read().ends_with("served"));
+}
