Bound what the bodies of all messages under way may take by the memory there is

Cause: 900 clients that each send most of a 65 kB body brought the process to 62 MB (release build, measured by its high-water mark, 1,024 descriptors), the text before the repair as well; processes run under limits from 32 MB. Change: a body is read once a quarter of limits.memory_mb has room for it beside all others that are read or in hand; else its client gets 503, at which trying again is harmless, and an orderly end. limits.memory_mb is read, 192 where absent, 8 at least. Test: 500 clients with 60 kB bodies, half of them never whole, under 32 MB; then there is room again.

--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -15,6 +15,8 @@
     InHand,
     /// A body over the bound.
     TooLarge,
+    /// No memory for one more body; later there is.
+    Crowded,
     /// No connection came up.
     NotConnected,
     /// The connection broke before the last byte was written.
@@ -30,7 +32,9 @@
 impl Fault {
     pub fn ending(&self) -> Ending {
         match self {
-            Fault::NotConnected | Fault::Unwritten | Fault::Config(_) => Ending::ConnectFailed,
+            Fault::NotConnected | Fault::Unwritten | Fault::Crowded | Fault::Config(_) => {
+                Ending::ConnectFailed
+            }
             Fault::Silent => Ending::Timeout,
             Fault::Withdrawn => Ending::Cancelled,
             Fault::Broken | Fault::Malformed(_) | Fault::InHand | Fault::TooLarge => Ending::Reset,
@@ -42,6 +46,7 @@
             Fault::TooLarge => 413,
             Fault::Malformed(_) => 400,
             Fault::InHand => 409,
+            Fault::Crowded => 503,
             _ => 502,
         }
     }
@@ -54,6 +59,7 @@
             Fault::Malformed(what) => write!(f, "malformed: {what}"),
             Fault::InHand => f.write_str("the id is that of an invocation in hand"),
             Fault::TooLarge => f.write_str("the body is too large"),
+            Fault::Crowded => f.write_str("no memory for one more body, trying again is harmless"),
             Fault::NotConnected => f.write_str("no connection came up"),
             Fault::Unwritten => f.write_str("the connection broke before the last byte was written"),
             Fault::Broken => f.write_str("the connection broke after the last byte was written"),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -253,6 +253,9 @@
 
 pub struct Front {
     most: usize,
+    /// Bytes that the bodies of all messages under way may take, and those they take.
+    most_bodies: usize,
+    bodies: Cell<usize>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     /// The ids that clients gave to what is in hand.
     ids: RefCell<HashSet<HeaderValue>>,
@@ -264,9 +267,11 @@
 }
 
 impl Front {
-    pub fn new(most: usize) -> Self {
+    pub fn new(most: usize, most_bodies: usize) -> Self {
         Front {
             most,
+            most_bodies,
+            bodies: Cell::new(0),
             waiting: RefCell::default(),
             ids: RefCell::default(),
             last: Cell::new(0),
@@ -453,6 +458,30 @@
     }
 }
 
+/// What the body of a message under way takes of the memory for all. Guards against clients that each send a
+/// large one at once, or half of one: together they would take more than the process may have.
+struct Room<'a> {
+    hub: &'a Rc<Hub>,
+    bytes: usize,
+}
+
+impl<'a> Room<'a> {
+    fn take(hub: &'a Rc<Hub>, bytes: usize) -> Result<Self, Fault> {
+        let taken = hub.front.bodies.get() + bytes;
+        if bytes > 0 && taken > hub.front.most_bodies {
+            return Err(Fault::Crowded);
+        }
+        hub.front.bodies.set(taken);
+        Ok(Room { hub, bytes })
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.hub.front.bodies.set(self.hub.front.bodies.get() - self.bytes);
+    }
+}
+
 /// An invocation that waits for its answer; hyper drops it when the client leaves.
 struct InHand<'a> {
     hub: &'a Rc<Hub>,
@@ -530,6 +559,7 @@
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(Fault::TooLarge);
         }
+        let _room = Room::take(&self.hub, body.size_hint().lower() as usize)?;
         let body = Limited::new(body, MOST_BODY).collect().await.map_err(|e| {
             if e.is::<LengthLimitError>() {
                 Fault::TooLarge
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,12 +43,17 @@
 /// Fewer descriptors than this leave nothing for clients beside what the program itself holds.
 const LEAST_SOCKETS: usize = 32;
 
+/// Less memory than this leaves nothing for bodies beside what the program itself takes.
+const LEAST_MEMORY: usize = 8 * 1024 * 1024;
+
 struct Config {
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     counter: Option<SocketAddr>,
     sockets: usize,
+    /// Bytes that the process may have.
+    memory: usize,
     known: Value,
     read: Read,
     seed: u64,
@@ -70,6 +75,10 @@
     if sockets < LEAST_SOCKETS {
         return Err(Fault::Config(format!("limits.sockets is under {LEAST_SOCKETS}")));
     }
+    let memory = v["limits"]["memory_mb"].as_u64().unwrap_or(192) as usize * 1024 * 1024;
+    if memory < LEAST_MEMORY {
+        return Err(Fault::Config(format!("limits.memory_mb is under {}", LEAST_MEMORY >> 20)));
+    }
     let name = v["name"].as_str().unwrap_or("gateway").to_owned();
     let read = dunespur_settings::read(&v["settings"], seed).map_err(Fault::Config)?;
     let fleet = operators::plan(&name, &read.zones, read.settings.zone, read.settings.count_wait)?;
@@ -79,6 +88,7 @@
         discovery: address("discovery")?,
         counter: if v["counter"].is_null() { None } else { Some(address("counter")?) },
         sockets,
+        memory,
         known: v["known"].clone(),
         read,
         seed,
@@ -143,7 +153,8 @@
         clock,
         names,
         reducer,
-        front::Front::new(clients),
+        // A quarter of the memory holds bodies; each may lie there twice while it is read.
+        front::Front::new(clients, config.memory / 4),
         upstream::Upstream::new(dial, read.idle_time * 0.75, servers),
         counter::Counter::new(config.counter, dial, calls),
         discovery::Discovery::new(config.discovery, read.settings.ask_roster, revision),
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -211,3 +211,38 @@
     assert_eq!(ended, 30, "the oldest went first");
     assert!(gateway.read().ends_with("served"));
 }
+
+#[test]
+fn large_bodies_of_many_clients_stay_within_the_memory_there_is() {
+    let server = StandIn::server(Mood::Silent);
+    let known = list(1, true, &[(0, server.address, "Ready")]);
+    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
+    let gateway = Gateway::with(&known, discovery.address, counter.address, 1024);
+    let body = "x".repeat(60_000);
+    let mut clients = Vec::new();
+    let mut refused = 0;
+    for at in 0..500 {
+        let text = invocation("POST", "write", 1500, &body);
+        let mut client = gateway.connect().unwrap();
+        // Half of them send all, half of them never send the end.
+        _ = client.write_all(&text.as_bytes()[..text.len() - at % 2]);
+        clients.push(client);
+    }
+    for client in &mut clients {
+        let answer = message(client).unwrap_or_default();
+        refused += usize::from(answer.starts_with("HTTP/1.1 503 "));
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.as_ref().unwrap().id()));
+    let most: usize = status
+        .unwrap()
+        .lines()
+        .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse().ok())
+        .unwrap();
+    assert!(most < 32 * 1024, "{most} kB of 32 MB");
+    assert!(refused > 100, "{refused} were told to come again");
+    drop(clients);
+    *server.mood.lock().unwrap() = Mood::Well;
+    until("there is room again", || {
+        gateway.ask(&invocation("POST", "write", 1500, &body)).is_some_and(|a| a.ends_with("served"))
+    });
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -295,7 +295,7 @@
         let config = std::env::temp_dir().join(name);
         let text = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","counter":"{counter}",
-                "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+                "seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets},"memory_mb":32}},
                 "known":{known},"settings":{settings}}}"#
         );
         std::fs::write(&config, text).unwrap();
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -421,6 +421,7 @@
         (good.replace("\"free\"", "\"fre\""), "fre"),
         (good.replace("\"dialTimeoutS\":0.25", "\"dialTimeoutS\":1e300"), "dialTimeoutS"),
         (good.replace("\"seed\":\"1f\"", "\"seed\":\"1f\",\"limits\":{\"sockets\":3}"), "sockets"),
+        (good.replace("\"seed\":\"1f\"", "\"seed\":\"1f\",\"limits\":{\"memory_mb\":3}"), "memory_mb"),
         (good.clone(), "listen"),
     ];
     for (at, (text, word)) in bad.iter().enumerate() {
