--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,8 +21,8 @@
 /// Share of it that a server's mean answer time may reach before its places shrink: about twice the bare
 /// work where the objective leaves room for the slowest in a hundred.
 const FULL: f64 = 0.25;
-/// Share of the latency objective that the line may hold an invocation; more only makes all late.
-const LINE: f64 = 0.1;
+/// Share of the latency objective that the queue may hold an invocation; more only makes all late.
+const QUEUE: f64 = 0.1;
 /// Share of recent deliveries ending late or turned away from which the limiter sees overload.
 const PRESSED: f64 = 0.2;
 /// Share of a server's recent deliveries ending badly from which it is rested, if others do better.
@@ -100,7 +100,7 @@
     /// What calls to the counter are worth and cost, and the mean worth of an invocation.
     pricing: Calls,
     /// Billed value of the operation and number of those that wait for a place, the dearest first.
-    line: VecDeque<(f64, u64)>,
+    queue: VecDeque<(f64, u64)>,
     pressure: f64,
     /// Recent share of those with their units that got no place.
     crowd: f64,
@@ -204,12 +204,17 @@
         if now >= self.give_up(inv) {
             return self.refuse(inv, Cause::Waited, self.objective, now);
         }
-        // A line too long to clear in time is refused at once, before it costs quota.
+        // A queue too long to clear in time is refused at once, before it costs quota.
         if inv.stage == Stage::New {
             let ahead = self.ahead(inv, false);
             let clears = ahead as f64 * self.fleet_slow / self.window.max(1.0);
-            if clears > LINE {
-                return self.refuse(inv, Cause::Line, clears * self.operations[inv.operation].objective, now);
+            if clears > QUEUE {
+                return self.refuse(
+                    inv,
+                    Cause::Queue,
+                    clears * self.operations[inv.operation].objective,
+                    now,
+                );
             }
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
@@ -262,9 +267,9 @@
             }
             inv.paid = true;
         }
-        // In line for a place at a server.
-        if inv.stage != Stage::Line {
-            inv.stage = Stage::Line;
+        // In the queue for a place at a server.
+        if inv.stage != Stage::Queued {
+            inv.stage = Stage::Queued;
             if self.join(inv, false) > 0 {
                 return Answer::Hold;
             }
@@ -305,7 +310,7 @@
         // Another delivery only where it is allowed, can still earn, and adds nothing to an overload.
         let left = inv.sent.len() < self.most_deliveries.min(FURTHER + 1) && self.pressure < PRESSED;
         if left && outcome.ending != Ending::Moot && now < self.give_up(inv) && self.resendable(inv, now) {
-            inv.stage = Stage::Line;
+            inv.stage = Stage::Queued;
             if let Some(tgt) = self.pick(inv, now) {
                 return self.send(inv, tgt, now);
             }
@@ -527,7 +532,7 @@
 
     /// Beyond the quota: throttled at once, unless the plan says that an excess pays and servers idle.
     fn beyond(&mut self, inv: &mut Invocation, cause: Cause, pause: f64, now: f64) -> Answer {
-        let idle = self.line.is_empty() && self.pressure < PRESSED / 2.0;
+        let idle = self.queue.is_empty() && self.pressure < PRESSED / 2.0;
         if self.plans[inv.plan].beyond_pays && idle {
             inv.beyond = true;
             if let Some(tgt) = self.pick(inv, now) {
@@ -611,7 +616,7 @@
         self.accounts.len() - 1
     }
 
-    // ---- The line ----
+    // ---- The queue ----
 
     /// When an unsent invocation, or one between deliveries, can no longer be answered in time.
     fn give_up(&self, inv: &Invocation) -> f64 {
@@ -619,29 +624,29 @@
         let late = if operation.pays_late { f64::INFINITY } else { inv.came + operation.objective };
         let ends = inv.until.min(late) - self.fleet_slow.min(CALM) * operation.objective / 2.0;
         // Guards against a counter that is slow beside short objectives: its time-out is waited out.
-        let line = (LINE * operation.objective).max(self.count_wait);
-        ends.min(if inv.sent.is_empty() { inv.came + line } else { f64::INFINITY })
+        let held = (QUEUE * operation.objective).max(self.count_wait);
+        ends.min(if inv.sent.is_empty() { inv.came + held } else { f64::INFINITY })
     }
 
-    /// How many are ahead in the line: dearer operations, whatever the plan, and equals unless it was out.
+    /// How many are ahead in the queue: dearer operations, whatever the plan, and equals unless it was out.
     fn ahead(&self, inv: &Invocation, again: bool) -> usize {
         let value = self.operations[inv.operation].value;
-        self.line.partition_point(|&(v, _)| v > value || (v == value && !again))
+        self.queue.partition_point(|&(v, _)| v > value || (v == value && !again))
     }
 
     fn join(&mut self, inv: &Invocation, again: bool) -> usize {
         let ahead = self.ahead(inv, again);
-        self.line.insert(ahead, (self.operations[inv.operation].value, inv.num));
+        self.queue.insert(ahead, (self.operations[inv.operation].value, inv.num));
         ahead
     }
 
     fn ask_front(&mut self) {
-        self.acts.extend(self.line.front().map(|&(_, num)| Act::Ask(num)));
+        self.acts.extend(self.queue.front().map(|&(_, num)| Act::Ask(num)));
     }
 
     fn refuse(&mut self, inv: &mut Invocation, cause: Cause, pause: f64, now: f64) -> Answer {
         let unsent = inv.paid && inv.sent.is_empty();
-        let crowded = cause == Cause::Line || (unsent && inv.stage == Stage::Line);
+        let crowded = cause == Cause::Queue || (unsent && inv.stage == Stage::Queued);
         self.crowd += if crowded { NEWEST * (1.0 - self.crowd) } else { 0.0 };
         let unrun = inv.may_have_run.is_none() && inv.out == 0;
         let effect = self.operations[inv.operation].effect;
@@ -658,9 +663,9 @@
     }
 
     fn finish(&mut self, inv: &mut Invocation, answer: Answer) -> Answer {
-        if inv.stage == Stage::Line {
-            // Guards against a line that stands with nothing out: whoever leaves asks its front.
-            self.line.retain(|&(_, num)| num != inv.num);
+        if inv.stage == Stage::Queued {
+            // Guards against a queue that stands with nothing out: whoever leaves asks its front.
+            self.queue.retain(|&(_, num)| num != inv.num);
             self.ask_front();
         }
         inv.stage = Stage::Done;
@@ -856,7 +861,7 @@
         // Guards against servers that slow down under what they hold, and stay slow: places grow by one
         // while the mean answer is quick and all are in use, and shrink once for what was sent since the
         // last shrink. A fresh server's cap doubles as fast; one with slow work of its own gets less.
-        let used = v.out.iter().sum::<f64>() + 2.0 > self.window || !self.line.is_empty();
+        let used = v.out.iter().sum::<f64>() + 2.0 > self.window || !self.queue.is_empty();
         if v.places[tgt] < 1.0 {
             // Guards against figures that rest on a handful of answers: where many limiters share a server
             // and each has under one place there, one answer speaks for all servers. A delivery that was
@@ -875,7 +880,7 @@
                 v.shrunk[tgt] = now;
                 v.places[tgt] = (v.places[tgt] * 0.8).max(1.0 / fleet);
             }
-        } else if ok && (v.out[tgt] + 2.0 > v.places[tgt] || !self.line.is_empty()) {
+        } else if ok && (v.out[tgt] + 2.0 > v.places[tgt] || !self.queue.is_empty()) {
             v.places[tgt] += 1.0 / (fleet * v.places[tgt]);
         }
         // Rested when it fails far more than the fleet; an error that many return is not one server's
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,7 +90,7 @@
     /// Waits for the counter's answer.
     Quota,
     /// Holds its units and waits for a place at a server.
-    Line,
+    Queued,
     Out,
     Done,
 }
@@ -210,9 +210,9 @@
     Ceiling,
     /// As many deliveries are out as the plan allows.
     Open,
-    /// The line could not be cleared in time.
-    Line,
-    /// It waited, for the counter or in the line, until nothing could be earned.
+    /// The queue could not be cleared in time.
+    Queue,
+    /// It waited, for the counter or in the queue, until nothing could be earned.
     Waited,
     /// It was sent and never taken, and nothing further is allowed or can earn.
     Undelivered,
@@ -224,7 +224,7 @@
         (Cause::Unasked, "unasked"),
         (Cause::Ceiling, "ceiling"),
         (Cause::Open, "open"),
-        (Cause::Line, "line"),
+        (Cause::Queue, "queue"),
         (Cause::Waited, "waited"),
         (Cause::Undelivered, "undelivered"),
     ];
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -119,7 +119,7 @@
 
 #[test]
 fn an_answer_of_the_counter_within_its_time_is_waited_for() {
-    // With a short objective the line's bound ran out first: seven in a hundred were throttled for it.
+    // With a short objective the queue's bound ran out first: seven in a hundred were throttled for it.
     let quick = OperationSettings { objective: 0.2, ..operation(Effect::Idempotent, 1.0) };
     let mut f = Front::new(Settings { operations: vec![quick], ..settings(1) }, 4);
     f.quick = false;
@@ -217,7 +217,7 @@
 }
 
 #[test]
-fn dearer_operations_leave_the_line_first() {
+fn dearer_operations_leave_the_queue_first() {
     let operations = vec![operation(Effect::Idempotent, 1.0), operation(Effect::Idempotent, 3.0)];
     let mut f = Front::new(Settings { operations, ..settings(1) }, 1);
     while f.out.len() < 2 {
@@ -230,7 +230,7 @@
 }
 
 #[test]
-fn a_full_fleet_answers_its_line_in_time() {
+fn a_full_fleet_answers_its_queue_in_time() {
     let mut f = Front::new(settings(1), 1);
     f.takes(0, 50);
     f.pass(0.3);
@@ -350,8 +350,8 @@
 }
 
 #[test]
-fn a_line_does_not_stand_with_nothing_out() {
-    // The first in line found no place, nothing was out to ask it again, and all behind it were throttled.
+fn a_queue_does_not_stand_with_nothing_out() {
+    // The first in the queue found no place, nothing was out to ask it again, and all behind it were throttled.
     let mut f = Front::new(settings(1), 2);
     let list = (0..2).map(|tgt| Server { came_up: f.now, ..server(tgt) }).collect();
     f.roster(0, list, true);
