--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -116,14 +116,14 @@
     }
 
     fn carry_out(&mut self, name: &str, now: f64, out: &mut impl Write) -> Done {
-        while let Some(act) = self.limiter.next_act() {
-            match act {
-                Act::Ask(num) => self.place(name, num, now, out)?,
-                Act::Count { name: count, add, life, .. } => {
+        while let Some(action) = self.limiter.next_action() {
+            match action {
+                Action::Ask(num) => self.place(name, num, now, out)?,
+                Action::Count { name: count, add, life, .. } => {
                     writeln!(out, "TALLY {name} {life} {add:.6} {count}")?;
                 }
-                Act::WatchRoster => writeln!(out, "STREAM_CHANGES {name} 1")?,
-                Act::Tick(after) => writeln!(out, "TIMER {name} {TICK} {after:.6}")?,
+                Action::WatchRoster => writeln!(out, "STREAM_CHANGES {name} 1")?,
+                Action::Tick(after) => writeln!(out, "TIMER {name} {TICK} {after:.6}")?,
             }
         }
         Ok(())
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -338,10 +338,10 @@
     }
 
     fn carry_out(&mut self, now: f64, out: &mut Vec<Effect>) {
-        while let Some(act) = self.limiter.next_act() {
-            match act {
-                Act::Ask(num) => self.place(num, now, out),
-                Act::Count { name, add, life, about } => {
+        while let Some(action) = self.limiter.next_action() {
+            match action {
+                Action::Ask(num) => self.place(num, now, out),
+                Action::Count { name, add, life, about } => {
                     self.last_call += 1;
                     self.stats.calls += 1;
                     let call = self.last_call;
@@ -349,8 +349,8 @@
                     self.timers.push(Due(now + self.count_wait, Timer::Call(call)));
                     out.push(Effect::Count { call, name, add, life, about });
                 }
-                Act::WatchRoster => out.push(Effect::Watch),
-                Act::Tick(after) => self.timers.push(Due(now + after, Timer::Tick)),
+                Action::WatchRoster => out.push(Effect::Watch),
+                Action::Tick(after) => self.timers.push(Due(now + after, Timer::Tick)),
             }
         }
     }
--- a/crates/lab/src/service.rs
+++ b/crates/lab/src/service.rs
@@ -7,7 +7,9 @@
 use crate::quotas::Bucket;
 use crate::trial::Quota;
 use dunespur::rules::Limiter;
-use dunespur::types::{self as types, Act, Answer, Counted, Effect, Ending, Invocation, Outcome, Readiness};
+use dunespur::types::{
+    self as types, Action, Answer, Counted, Effect, Ending, Invocation, Outcome, Readiness,
+};
 use dunespur_duties::Slot;
 use dunespur_shared_state::lend::{self, Anew, Ask, Borrower, Broker, Way};
 use rand::{RngExt, SeedableRng};
@@ -378,7 +380,7 @@
         }
         let answer = g.limiter.place(&mut held.inv, now);
         self.answer(gate, num, answer, now, out);
-        self.acts(gate, now, out);
+        self.carry_out(gate, now, out);
     }
 
     fn answer(&mut self, gate: usize, num: u64, answer: Answer, now: f64, out: &mut Vec<Out>) {
@@ -443,15 +445,15 @@
         let outcome = Outcome { n, ending, spent, done, used: None, settled: None };
         let answer = g.limiter.after(&mut held.inv, &outcome, now);
         self.answer(gate, num, answer, now, out);
-        self.acts(gate, now, out);
+        self.carry_out(gate, now, out);
     }
 
     /// What the module wants done.
-    fn acts(&mut self, gate: usize, now: f64, out: &mut Vec<Out>) {
-        while let Some(act) = self.gates[gate].limiter.next_act() {
-            match act {
-                Act::Ask(num) => self.place(gate, num, now, out),
-                Act::Count { name, add, life, about } => {
+    fn carry_out(&mut self, gate: usize, now: f64, out: &mut Vec<Out>) {
+        while let Some(action) = self.gates[gate].limiter.next_action() {
+            match action {
+                Action::Ask(num) => self.place(gate, num, now, out),
+                Action::Count { name, add, life, about } => {
                     let g = &mut self.gates[gate];
                     g.last_call += 1;
                     let (call, epoch) = (g.last_call, g.epoch);
@@ -523,7 +525,7 @@
         let Some((name, at)) = g.calls.remove(&call) else { return };
         g.borrower.counted(call);
         g.limiter.counted(name, counted, now - at, now);
-        self.acts(gate, now, out);
+        self.carry_out(gate, now, out);
     }
 
     /// What the broker of this limiter wants done.
--- a/crates/shared-state/tests/thin.rs
+++ b/crates/shared-state/tests/thin.rs
@@ -3,7 +3,7 @@
 
 use dunespur::rules::Limiter;
 use dunespur::types::{
-    About, Act, Counted, Effect, Ending, Invocation, OperationSettings, Outcome, PlanSettings,
+    About, Action, Counted, Effect, Ending, Invocation, OperationSettings, Outcome, PlanSettings,
 };
 use dunespur::types::{Readiness, Server, Settings};
 use dunespur_shared_state::lend::{self, Anew, Answer, Ask, Broker, Output};
@@ -106,13 +106,13 @@
     }
 
     fn pump(&mut self, gate: usize) {
-        while let Some(act) = self.gates[gate].next_act() {
-            match act {
-                Act::Count { name, add, life, about } => {
+        while let Some(action) = self.gates[gate].next_action() {
+            match action {
+                Action::Count { name, add, life, about } => {
                     let counted = self.add(gate, name, add, life, about);
                     self.gates[gate].counted(name, counted, 0.001, self.now);
                 }
-                Act::Ask(num) => self.place(num),
+                Action::Ask(num) => self.place(num),
                 _ => {}
             }
         }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,7 +2,7 @@
 //! invocation, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long to
 //! wait: for a delivery until it is abandoned, for a held invocation until `place` is asked again). It
 //! passes on what it observes through `roster`, `counted`, `gone`, `roster_lost` and `tick`, and after
-//! each call carries out what `next_act` yields. The interface, all plain values, is in `types.rs`.
+//! each call carries out what `next_action` yields. The interface, all plain values, is in `types.rs`.
 
 use crate::calls::Calls;
 use crate::ceilings::{whole, Ceiling};
@@ -116,7 +116,7 @@
     /// Recent sends to warm servers.
     sends: f64,
     flow_at: f64,
-    acts: VecDeque<Act>,
+    actions: VecDeque<Action>,
 }
 
 impl Limiter {
@@ -175,13 +175,13 @@
             fleet_slow: CALM / 2.0,
             answered: CALM / 2.0,
             flow_at: now,
-            acts: s.ask_roster.then_some(Act::WatchRoster).into_iter().collect(),
+            actions: s.ask_roster.then_some(Action::WatchRoster).into_iter().collect(),
             ..Limiter::default()
         }
     }
 
-    pub fn next_act(&mut self) -> Option<Act> {
-        self.acts.pop_front()
+    pub fn next_action(&mut self) -> Option<Action> {
+        self.actions.pop_front()
     }
 
     pub fn customers(&self) -> usize {
@@ -206,15 +206,10 @@
         }
         // A queue too long to clear in time is refused at once, before it costs quota.
         if inv.stage == Stage::New {
-            let ahead = self.ahead(inv, false);
-            let clears = ahead as f64 * self.fleet_slow / self.window.max(1.0);
+            let clears = self.ahead(inv, false) as f64 * self.fleet_slow / self.window.max(1.0);
             if clears > QUEUE {
-                return self.refuse(
-                    inv,
-                    Cause::Queue,
-                    clears * self.operations[inv.operation].objective,
-                    now,
-                );
+                let pause = clears * self.operations[inv.operation].objective;
+                return self.refuse(inv, Cause::Queue, pause, now);
             }
         }
         // Over the hard ceiling nothing else matters: no lease, no place.
@@ -364,7 +359,7 @@
         let (plan, asked, needs) = (account.plan, call.asked, call.needs);
         let about = About { customer, plan, asked, needs, start, length: account.length, rate, most };
         let name = mix(customer, call.window as u64) >> 1;
-        self.acts.push_back(Act::Count { name, add: call.add, life: NAME_LIFE, about });
+        self.actions.push_back(Action::Count { name, add: call.add, life: NAME_LIFE, about });
         self.calls.entry(name).or_default().push_back(call);
     }
 
@@ -467,7 +462,7 @@
     }
 
     fn wake(&mut self, a: usize) {
-        self.acts.extend(self.accounts[a].waiting.drain(..).map(Act::Ask));
+        self.actions.extend(self.accounts[a].waiting.drain(..).map(Action::Ask));
     }
 
     /// What this invocation earns if it is sent now: its worth times the chance of an answer in its time.
@@ -641,7 +636,7 @@
     }
 
     fn ask_front(&mut self) {
-        self.acts.extend(self.queue.front().map(|&(_, num)| Act::Ask(num)));
+        self.actions.extend(self.queue.front().map(|&(_, num)| Action::Ask(num)));
     }
 
     fn refuse(&mut self, inv: &mut Invocation, cause: Cause, pause: f64, now: f64) -> Answer {
@@ -942,12 +937,12 @@
 
     /// The roster's subscription broke; what it misses counts as told soon, however long objectives are.
     pub fn roster_lost(&mut self) {
-        let again = Act::Tick(self.objective.min(0.5) * (1.0 + self.rng.f64()));
-        self.acts.extend(self.watch.then_some(again));
+        let again = Action::Tick(self.objective.min(0.5) * (1.0 + self.rng.f64()));
+        self.actions.extend(self.watch.then_some(again));
     }
 
     pub fn tick(&mut self) {
-        self.acts.extend(self.watch.then_some(Act::WatchRoster));
+        self.actions.extend(self.watch.then_some(Action::WatchRoster));
     }
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -263,7 +263,7 @@
 
 /// Something for the front to carry out.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Act {
+pub enum Action {
     /// Ask again about this held invocation.
     Ask(u64),
     Count {
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -203,14 +203,14 @@
 
     fn carry_out(&mut self, gate: usize) {
         loop {
-            while let Some(act) = self.gates[gate].next_act() {
-                match act {
-                    Act::Ask(num) => self.place(num),
-                    Act::Count { name, add, .. } => {
+            while let Some(action) = self.gates[gate].next_action() {
+                match action {
+                    Action::Ask(num) => self.place(num),
+                    Action::Count { name, add, .. } => {
                         self.counts += 1;
                         self.calls.push((gate, name, add));
                     }
-                    Act::WatchRoster | Act::Tick(_) => {}
+                    Action::WatchRoster | Action::Tick(_) => {}
                 }
             }
             let Some(at) = self.calls.iter().position(|c| self.quick && c.0 == gate) else { return };
