--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -22,7 +22,7 @@
 
 /// A connection's calls.
 #[derive(Default)]
-struct Lane {
+struct CallQueue {
     unwritten: RefCell<VecDeque<(u64, Bytes)>>,
     /// There are calls to write, or the counter moved.
     more: Notify,
@@ -32,13 +32,13 @@
     address: Cell<Option<SocketAddr>>,
     dial: Duration,
     /// Guards against a spoilt answer or a reset: it costs the calls behind it too, and here few are.
-    lanes: Vec<Lane>,
+    queues: Vec<CallQueue>,
 }
 
 impl Counter {
     pub fn new(address: Option<SocketAddr>, dial: Duration, connections: usize) -> Self {
-        let lanes = (0..connections.max(1)).map(|_| Lane::default()).collect();
-        Counter { address: Cell::new(address), dial, lanes }
+        let queues = (0..connections.max(1)).map(|_| CallQueue::default()).collect();
+        Counter { address: Cell::new(address), dial, queues }
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
@@ -46,21 +46,21 @@
     }
 
     pub fn connections(&self) -> usize {
-        self.lanes.len()
+        self.queues.len()
     }
 
     pub fn call(&self, call: u64, name: u64, add: f64, life: f64) {
         // A name keeps to its connection, so that its totals come in the order of its calls.
-        let lane = &self.lanes[(name % self.lanes.len() as u64) as usize];
-        lane.unwritten.borrow_mut().push_back((call, encode_count(name, add, life)));
-        lane.more.notify_one();
+        let queue = &self.queues[(name % self.queues.len() as u64) as usize];
+        queue.unwritten.borrow_mut().push_back((call, encode_count(name, add, life)));
+        queue.more.notify_one();
     }
 
     /// Stops waiting for a call: what was never written was not added. The answer to one that was, which
     /// keeps its turn among the others, finds nobody who waits.
     pub fn abandon(&self, hub: &Rc<Hub>, call: u64) {
-        let never = self.lanes.iter().any(|lane| {
-            let mut unwritten = lane.unwritten.borrow_mut();
+        let never = self.queues.iter().any(|queue| {
+            let mut unwritten = queue.unwritten.borrow_mut();
             let at = unwritten.iter().position(|c| c.0 == call);
             at.and_then(|at| unwritten.remove(at)).is_some()
         });
@@ -71,11 +71,11 @@
     /// From now on calls go to this address.
     pub fn move_to(&self, address: Option<SocketAddr>) {
         self.address.set(address);
-        self.lanes.iter().for_each(|lane| lane.more.notify_one());
+        self.queues.iter().for_each(|queue| queue.more.notify_one());
     }
 }
 
-impl Lane {
+impl CallQueue {
     /// No connection came up.
     fn refuse(&self, hub: &Rc<Hub>) {
         let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
@@ -88,26 +88,26 @@
 impl Counter {
     /// Keeps the connection with this number for as long as the process lives.
     pub async fn run(hub: Rc<Hub>, at: usize) {
-        let (counter, lane) = (&hub.counter, &hub.counter.lanes[at]);
+        let (counter, queue) = (&hub.counter, &hub.counter.queues[at]);
         loop {
             // A call is worth a connection, none is kept for its own sake.
-            while lane.unwritten.borrow().is_empty() {
-                lane.more.notified().await;
+            while queue.unwritten.borrow().is_empty() {
+                queue.more.notified().await;
             }
             let Some(address) = counter.address.get() else {
-                lane.refuse(&hub);
+                queue.refuse(&hub);
                 continue;
             };
             match timeout(counter.dial, TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
                     let mut link = Link::new(address, stream);
-                    if link.serve(&hub, lane).await {
+                    if link.serve(&hub, queue).await {
                         // Guards against losing what is under way when the configuration names another
                         // counter: the old connection brings the answers it owes.
                         let hub = hub.clone();
                         tokio::task::spawn_local(async move {
-                            link.serve(&hub, &Lane::default()).await;
+                            link.serve(&hub, &CallQueue::default()).await;
                             link.broken(&hub);
                         });
                     } else {
@@ -116,11 +116,11 @@
                 }
                 Ok(Err(e)) => {
                     log::debug!("counter: {e}");
-                    lane.refuse(&hub);
+                    queue.refuse(&hub);
                 }
                 Err(_) => {
                     log::debug!("counter: no connection came up");
-                    lane.refuse(&hub);
+                    queue.refuse(&hub);
                 }
             }
         }
@@ -148,18 +148,18 @@
 
     /// Writes and reads until the connection breaks or the counter has moved, says whether it has; after
     /// that only until what was begun is answered.
-    async fn serve(&mut self, hub: &Rc<Hub>, lane: &Lane) -> bool {
+    async fn serve(&mut self, hub: &Rc<Hub>, queue: &CallQueue) -> bool {
         loop {
             if !self.leaving && hub.counter.address.get() != Some(self.address) {
                 self.leaving = true;
                 return true;
             }
-            if let Err(e) = self.write(lane) {
+            if let Err(e) = self.write(queue) {
                 log::debug!("counter: {e}");
                 return false;
             }
             let waiting = !self.written.is_empty();
-            let unwritten = self.part.is_some() || (!self.leaving && !lane.unwritten.borrow().is_empty());
+            let unwritten = self.part.is_some() || (!self.leaving && !queue.unwritten.borrow().is_empty());
             if self.leaving && !waiting && !unwritten {
                 return false;
             }
@@ -167,7 +167,7 @@
                 ready = self.stream.readable() => {
                     ready.and_then(|()| self.stream.try_read_buf(&mut self.buffer))
                 }
-                _ = lane.more.notified(), if !self.leaving => {
+                _ = queue.more.notified(), if !self.leaving => {
                     if !waiting {
                         self.heard = Instant::now();
                     }
@@ -206,10 +206,10 @@
         }
     }
 
-    fn write(&mut self, lane: &Lane) -> std::io::Result<()> {
+    fn write(&mut self, queue: &CallQueue) -> std::io::Result<()> {
         loop {
             if self.part.is_none() && !self.leaving {
-                self.part = lane.unwritten.borrow_mut().pop_front();
+                self.part = queue.unwritten.borrow_mut().pop_front();
             }
             let Some((call, bytes)) = &mut self.part else { return Ok(()) };
             match self.stream.try_write(bytes) {
