--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -57,7 +57,7 @@
 }
 
 /// One connection, shared between its task and whoever may have to close it at once.
-struct Line {
+struct Connection {
     tgt: usize,
     /// How often its server's connections had been retired when it was opened.
     retired: u64,
@@ -69,7 +69,7 @@
     wake: Notify,
 }
 
-impl Line {
+impl Connection {
     /// Closes the socket here and now, not when the task next runs: no second copy may cross it.
     fn close(&self) {
         self.closed.set(true);
@@ -86,7 +86,7 @@
 }
 
 /// What hyper reads and writes.
-struct Wire(Rc<Line>);
+struct Wire(Rc<Connection>);
 
 impl Read for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: ReadBufCursor) -> Poll<Io<()>> {
@@ -120,9 +120,9 @@
     most: usize,
     open: Cell<usize>,
     /// Idle connections of each server, the newest last.
-    idle: RefCell<Vec<Vec<Rc<Line>>>>,
+    idle: RefCell<Vec<Vec<Rc<Connection>>>>,
     retired: RefCell<Vec<u64>>,
-    out: RefCell<HashMap<(u64, usize), Rc<Line>>>,
+    out: RefCell<HashMap<(u64, usize), Rc<Connection>>>,
 }
 
 impl Upstream {
@@ -133,11 +133,11 @@
 
     pub fn send(&self, hub: &Rc<Hub>, delivery: Delivery) {
         let Delivery { num, n, tgt, address, .. } = delivery;
-        if let Some(line) = self.rested(tgt, hub.clock.now()) {
-            line.written.set(Written::default());
-            *line.job.borrow_mut() = Some(delivery);
-            line.wake.notify_one();
-            self.out.borrow_mut().insert((num, n), line);
+        if let Some(conn) = self.rested(tgt, hub.clock.now()) {
+            conn.written.set(Written::default());
+            *conn.job.borrow_mut() = Some(delivery);
+            conn.wake.notify_one();
+            self.out.borrow_mut().insert((num, n), conn);
             return;
         }
         if self.open.get() >= self.most && !self.close_oldest() {
@@ -145,7 +145,7 @@
             let answered = Answered::none(Fault::NotConnected.ending());
             return hub.tell(Event::Ended { num, n, answered });
         }
-        let line = Rc::new(Line {
+        let conn = Rc::new(Connection {
             tgt,
             retired: self.retired(tgt),
             stream: RefCell::default(),
@@ -156,24 +156,24 @@
             wake: Notify::new(),
         });
         self.open.set(self.open.get() + 1);
-        self.out.borrow_mut().insert((num, n), line.clone());
+        self.out.borrow_mut().insert((num, n), conn.clone());
         let hub = hub.clone();
         tokio::task::spawn_local(async move {
             // Its end, a panic's too, is seen by the guard.
-            let task = Task(&hub, &line);
+            let task = Task(&hub, &conn);
             let fault = task.run(address).await;
-            log::trace!("server {}: {fault}", line.tgt);
+            log::trace!("server {}: {fault}", conn.tgt);
         });
     }
 
     /// Ends a delivery now. What was not written whole can never have run.
     pub fn abandon(&self, hub: &Rc<Hub>, num: u64, n: usize, ending: Ending) {
         // With no connection left its task has panicked: the invocation is owed an end all the same.
-        let line = self.out.borrow_mut().remove(&(num, n));
-        let unsent = line.is_some_and(|line| {
-            line.job.borrow_mut().take();
-            line.close();
-            ending == Ending::Timeout && !line.written.get().whole()
+        let conn = self.out.borrow_mut().remove(&(num, n));
+        let unsent = conn.is_some_and(|conn| {
+            conn.job.borrow_mut().take();
+            conn.close();
+            ending == Ending::Timeout && !conn.written.get().whole()
         });
         let ending = if unsent { Fault::Unwritten.ending() } else { ending };
         hub.tell(Event::Ended { num, n, answered: Answered::none(ending) });
@@ -186,8 +186,8 @@
             retired.resize(tgt + 1, 0);
         }
         retired[tgt] += 1;
-        let lines = self.idle.borrow_mut().get_mut(tgt).map(std::mem::take);
-        lines.into_iter().flatten().for_each(|l| l.close());
+        let connections = self.idle.borrow_mut().get_mut(tgt).map(std::mem::take);
+        connections.into_iter().flatten().for_each(|l| l.close());
     }
 
     fn retired(&self, tgt: usize) -> u64 {
@@ -196,64 +196,64 @@
 
     /// Closes what has stood idle for so long that the server might close it first.
     pub fn sweep(&self, now: f64) {
-        for lines in self.idle.borrow_mut().iter_mut() {
-            let old = lines.partition_point(|l| now - l.idle_since.get() > self.idle_time);
-            lines.drain(..old).for_each(|l| l.close());
+        for connections in self.idle.borrow_mut().iter_mut() {
+            let old = connections.partition_point(|l| now - l.idle_since.get() > self.idle_time);
+            connections.drain(..old).for_each(|l| l.close());
         }
     }
 
     /// The idle connection of this server that was used last of those that have rested, else the one that has
     /// rested longest. Age is looked at here too: between two sweeps the server may close one just as it is
     /// used again.
-    fn rested(&self, tgt: usize, now: f64) -> Option<Rc<Line>> {
+    fn rested(&self, tgt: usize, now: f64) -> Option<Rc<Connection>> {
         let mut idle = self.idle.borrow_mut();
-        let lines = idle.get_mut(tgt)?;
-        let old = lines.partition_point(|l| now - l.idle_since.get() > self.idle_time);
-        lines.drain(..old).for_each(|l| l.close());
-        let rested = lines.partition_point(|l| now - l.idle_since.get() >= REST);
-        (!lines.is_empty()).then(|| lines.remove(rested.saturating_sub(1)))
+        let connections = idle.get_mut(tgt)?;
+        let old = connections.partition_point(|l| now - l.idle_since.get() > self.idle_time);
+        connections.drain(..old).for_each(|l| l.close());
+        let rested = connections.partition_point(|l| now - l.idle_since.get() >= REST);
+        (!connections.is_empty()).then(|| connections.remove(rested.saturating_sub(1)))
     }
 
     fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.iter_mut().filter(|lines| !lines.is_empty());
+        let oldest = idle.iter_mut().filter(|connections| !connections.is_empty());
         match oldest.min_by(|a, b| a[0].idle_since.get().total_cmp(&b[0].idle_since.get())) {
-            Some(lines) => {
-                lines.remove(0).close();
+            Some(connections) => {
+                connections.remove(0).close();
                 true
             }
             None => false,
         }
     }
 
-    fn keep(&self, line: &Rc<Line>, now: f64) {
-        if line.retired != self.retired(line.tgt) {
-            return line.close();
+    fn keep(&self, conn: &Rc<Connection>, now: f64) {
+        if conn.retired != self.retired(conn.tgt) {
+            return conn.close();
         }
-        line.idle_since.set(now);
+        conn.idle_since.set(now);
         let mut idle = self.idle.borrow_mut();
-        if idle.len() <= line.tgt {
-            idle.resize_with(line.tgt + 1, Vec::new);
+        if idle.len() <= conn.tgt {
+            idle.resize_with(conn.tgt + 1, Vec::new);
         }
-        idle[line.tgt].push(line.clone());
+        idle[conn.tgt].push(conn.clone());
     }
 }
 
 /// A connection's task; whatever ends it, the delivery on it is accounted for and the place given back.
-struct Task<'a>(&'a Rc<Hub>, &'a Rc<Line>);
+struct Task<'a>(&'a Rc<Hub>, &'a Rc<Connection>);
 
 impl Drop for Task<'_> {
     fn drop(&mut self) {
-        let Task(hub, line) = self;
-        line.close();
+        let Task(hub, conn) = self;
+        conn.close();
         let upstream = &hub.upstream;
         upstream.open.set(upstream.open.get() - 1);
-        if let Some(lines) = upstream.idle.borrow_mut().get_mut(line.tgt) {
-            lines.retain(|l| !Rc::ptr_eq(l, line));
+        if let Some(connections) = upstream.idle.borrow_mut().get_mut(conn.tgt) {
+            connections.retain(|l| !Rc::ptr_eq(l, conn));
         }
         // A panic in here on top of another would end the process; the delivery's time-out ends it instead.
         if !std::thread::panicking() {
-            let fault = if line.written.get().whole() { Fault::Broken } else { Fault::Unwritten };
+            let fault = if conn.written.get().whole() { Fault::Broken } else { Fault::Unwritten };
             self.ended(Err(fault));
         }
     }
@@ -262,8 +262,8 @@
 impl Task<'_> {
     /// Tells how the delivery on this connection ended, once.
     fn ended(&self, result: Result<Answered, Fault>) {
-        let Task(hub, line) = self;
-        let Some(Delivery { num, n, .. }) = line.job.borrow_mut().take() else { return };
+        let Task(hub, conn) = self;
+        let Some(Delivery { num, n, .. }) = conn.job.borrow_mut().take() else { return };
         if hub.upstream.out.borrow_mut().remove(&(num, n)).is_none() {
             return;
         }
@@ -274,13 +274,13 @@
     /// The connection ended. Guards against ones that were idle and broke in the moment of their use: of a
     /// delivery that no byte of was written, the server is as well reached over another one.
     fn elsewhere(&self) -> Fault {
-        let Task(hub, line) = self;
-        let was_idle = line.idle_since.get() > 0.0;
-        if !was_idle || line.written.get().begun() || line.closed.get() {
+        let Task(hub, conn) = self;
+        let was_idle = conn.idle_since.get() > 0.0;
+        if !was_idle || conn.written.get().begun() || conn.closed.get() {
             return Fault::Broken;
         }
-        line.close();
-        let delivery = line.job.borrow_mut().take();
+        conn.close();
+        let delivery = conn.job.borrow_mut().take();
         if let Some(delivery) = delivery {
             hub.upstream.out.borrow_mut().remove(&(delivery.num, delivery.n));
             hub.upstream.send(hub, delivery);
@@ -290,42 +290,42 @@
 
     /// Connects, then carries deliveries until the connection ends; says why it did.
     async fn run(&self, address: SocketAddr) -> Fault {
-        let Task(hub, line) = self;
+        let Task(hub, conn) = self;
         let connected = tokio::select! {
             biased;
-            _ = line.wake.notified() => return Fault::Withdrawn,
+            _ = conn.wake.notified() => return Fault::Withdrawn,
             connected = timeout(hub.upstream.dial, TcpStream::connect(address)) => connected,
         };
         let Ok(Ok(stream)) = connected else { return Fault::NotConnected };
         let _ = stream.set_nodelay(true);
-        *line.stream.borrow_mut() = Some(TokioIo::new(stream));
+        *conn.stream.borrow_mut() = Some(TokioIo::new(stream));
         hub.tell(Event::ServerConnected);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MOST_BODY);
-        let Ok((mut sender, connection)) = builder.handshake(Wire((*line).clone())).await else {
+        let Ok((mut sender, connection)) = builder.handshake(Wire((*conn).clone())).await else {
             return Fault::Unwritten;
         };
         let mut connection = pin!(connection);
         loop {
-            if line.closed.get() {
+            if conn.closed.get() {
                 return Fault::Withdrawn;
             }
-            let job = line.job.borrow().clone();
+            let job = conn.job.borrow().clone();
             let Some(job) = job else {
                 // Idle, until a delivery comes or either side closes.
                 tokio::select! {
                     biased;
-                    _ = line.wake.notified() => {}
+                    _ = conn.wake.notified() => {}
                     _ = &mut connection => return Fault::Broken,
                 }
                 continue;
             };
             let now = hub.clock.now();
-            let rest = line.idle_since.get() + REST - now;
+            let rest = conn.idle_since.get() + REST - now;
             if rest > 0.0 {
                 tokio::select! {
                     biased;
-                    _ = line.wake.notified() => {}
+                    _ = conn.wake.notified() => {}
                     _ = &mut connection => return self.elsewhere(),
                     _ = sleep(Duration::from_secs_f64(rest)) => {}
                 }
@@ -333,21 +333,21 @@
             }
             // The connection took its time: the client may be gone and the server withdrawn since.
             hub.front.look_after(hub, job.num);
-            if line.closed.get() {
+            if conn.closed.get() {
                 continue;
             }
             if !hub.reducer.borrow().holds(&job, now) {
-                hub.upstream.keep(line, now);
+                hub.upstream.keep(conn, now);
                 self.ended(Err(Fault::Unwritten));
                 continue;
             }
-            line.written.set(Written { body_left: job.asked.body_len(), ..Written::default() });
+            conn.written.set(Written { body_left: job.asked.body_len(), ..Written::default() });
             let request = encode_delivery(&job.asked, job.until - now);
             let mut exchange = pin!(async {
                 sender.ready().await?;
                 let (head, body) = sender.send_request(request).await?.into_parts();
                 // What comes before the delivery is whole answers another one.
-                if !line.written.get().whole() {
+                if !conn.written.get().whole() {
                     return Ok(None);
                 }
                 let last = head.headers.get(CONNECTION).is_some_and(|v| v.as_bytes() == b"close");
@@ -359,7 +359,7 @@
                 tokio::select! {
                     biased;
                     result = &mut exchange => break result,
-                    _ = line.wake.notified() => if line.closed.get() {
+                    _ = conn.wake.notified() => if conn.closed.get() {
                         return Fault::Withdrawn;
                     },
                     // What was answered before the end is still to be had.
@@ -369,8 +369,8 @@
             match result {
                 Ok(Some((head, Ok(body), last))) => {
                     // It stands ready before the news of it asks for the next delivery.
-                    if up && !last && !line.closed.get() {
-                        hub.upstream.keep(line, hub.clock.now());
+                    if up && !last && !conn.closed.get() {
+                        hub.upstream.keep(conn, hub.clock.now());
                     }
                     self.ended(Ok(decode_answer(&head, body.to_bytes())));
                     if !up || last {
@@ -378,12 +378,12 @@
                     }
                 }
                 Ok(Some((_, Err(e), _))) => {
-                    log::debug!("server {}: {e}", line.tgt);
+                    log::debug!("server {}: {e}", conn.tgt);
                     return Fault::Broken;
                 }
                 Ok(None) => return Fault::Unwritten,
                 Err(e) => {
-                    log::debug!("server {}: {e}", line.tgt);
+                    log::debug!("server {}: {e}", conn.tgt);
                     return self.elsewhere();
                 }
             }
