--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -402,7 +402,7 @@
     async fn connection(hub: Rc<Hub>, client: Rc<Client>, _place: Place) {
         hub.tell(Event::ClientConnected);
         {
-            let service = TowerToHyperService::new(Door { hub: hub.clone(), client: client.clone() });
+            let service = TowerToHyperService::new(Handler { hub: hub.clone(), client: client.clone() });
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder.auto_date_header(false).max_buf_size(MOST_BODY);
             let wire = Wire { hub: hub.clone(), client: client.clone() };
@@ -502,14 +502,14 @@
 
 /// The service that hyper calls for each message of one connection.
 #[derive(Clone)]
-struct Door {
+struct Handler {
     hub: Rc<Hub>,
     client: Rc<Client>,
 }
 
 type Answer = Result<Response<Full<Bytes>>, Infallible>;
 
-impl tower::Service<Request<Incoming>> for Door {
+impl tower::Service<Request<Incoming>> for Handler {
     type Response = Response<Full<Bytes>>;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Answer>>>;
@@ -519,15 +519,15 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let door = self.clone();
+        let handler = self.clone();
         Box::pin(async move {
-            let mut response = door.answer(request).await;
-            let until = match door.client.stage.get() {
+            let mut response = handler.answer(request).await;
+            let until = match handler.client.stage.get() {
                 Stage::InHand { until } => until + OVERTIME,
-                _ => door.hub.clock.now() + WHOLE,
+                _ => handler.hub.clock.now() + WHOLE,
             };
-            door.client.stage.set(Stage::Answering { until });
-            if door.client.flooded() || door.client.leaving() {
+            handler.client.stage.set(Stage::Answering { until });
+            if handler.client.flooded() || handler.client.leaving() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok(response)
@@ -535,7 +535,7 @@
     }
 }
 
-impl Door {
+impl Handler {
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == READY {
             return match self.hub.front.phase.get() {
@@ -568,7 +568,7 @@
             }
         })?;
         let asked = Rc::new(decode_asked(head, body.to_bytes(), &self.hub.names)?);
-        let (num, (tell, told), id) = (self.hub.front.next(), oneshot::channel(), asked.id().clone());
+        let (num, (answer, answered), id) = (self.hub.front.next(), oneshot::channel(), asked.id().clone());
         // Guards against a copy of what another client has in hand: to a server it would be a second one.
         if !self.hub.front.ids.borrow_mut().insert(id.clone()) {
             return Err(Fault::InHand);
@@ -577,9 +577,9 @@
         // Until its last byte was there it was not taken, and its connection could be closed for others.
         self.client.read_ahead.set(self.client.ahead.borrow().len());
         self.client.stage.set(Stage::InHand { until: self.hub.clock.now() + asked.wait });
-        let waiting = Waiting { answer: tell, client: self.client.clone() };
+        let waiting = Waiting { answer, client: self.client.clone() };
         self.hub.front.waiting.borrow_mut().insert(num, waiting);
         self.hub.tell(Event::Taken { num, asked });
-        Ok(told.await.unwrap_or(Reply::Errored))
+        Ok(answered.await.unwrap_or(Reply::Errored))
     }
 }
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -17,7 +17,7 @@
         num: u64,
         asked: Rc<Asked>,
     },
-    /// A client's message was turned down at the door.
+    /// A client's message was turned down by the front.
     TurnedDown,
     ClientGone {
         num: u64,
