--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -252,14 +252,14 @@
                 let plan = position(&host.read.plans, parts.text("tariff")?, "tariff")?;
                 let operation = position(&host.read.operations, parts.text("tierClass")?, "tierClass")?;
                 let first = parts.whole("firstDoor")? as u32;
-                let doors = parts.whole("setSize")? as u32;
+                let gateways = parts.whole("setSize")? as u32;
                 let customer = parts.whole("holder")?;
                 let repeat = parts.whole("bitmap")? & REPEAT != 0;
                 let until = parts.number("validUntilS")?;
                 host.last += 1;
                 let num = host.last;
                 let mut inv =
-                    Invocation::new(num, customer, plan, operation, units, (first, doors), now, until);
+                    Invocation::new(num, customer, plan, operation, units, (first, gateways), now, until);
                 inv.repeat = repeat;
                 host.by_id.insert(id.clone(), num);
                 host.held.insert(num, (id, inv));
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -47,8 +47,8 @@
     pub plan: usize,
     pub operation: usize,
     pub units: f64,
-    pub first_door: u32,
-    pub doors: u32,
+    pub first_gateway: u32,
+    pub gateways: u32,
     /// The client marks it as a repeat.
     pub repeat: bool,
     /// Seconds that the client waits for the answer.
@@ -159,14 +159,14 @@
     let millis = header(headers, "x-timeout-ms")?.parse().ok();
     let millis = millis.filter(|ms| (1..=MOST_WAIT).contains(ms));
     let millis = millis.ok_or_else(|| malformed("X-Timeout-Ms is no whole number in range"))?;
-    let (units, doors, first_door) = weight(header(headers, "x-weight")?, names)?;
+    let (units, gateways, first_gateway) = weight(header(headers, "x-weight")?, names)?;
     Ok(Asked {
         customer: customer(headers)?,
         plan: index(&names.plans, header(headers, "x-tariff")?, "X-Tariff")?,
         operation: index(&names.operations, header(headers, "x-priority-class")?, "X-Priority-Class")?,
         units,
-        first_door,
-        doors,
+        first_gateway,
+        gateways,
         repeat: headers.get("x-retried").is_some_and(|v| v == "1"),
         wait: f64::from(millis) / 1000.0,
         host: headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("")),
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -206,8 +206,8 @@
         self.stats.taken += 1;
         // The answer has to be with the client before its time is up.
         let until = now + (asked.wait - self.answer_slack).max(0.0);
-        let (a, doors) = (&asked, (asked.first_door, asked.doors));
-        let mut inv = Invocation::new(num, a.customer, a.plan, a.operation, a.units, doors, now, until);
+        let (a, gateways) = (&asked, (asked.first_gateway, asked.gateways));
+        let mut inv = Invocation::new(num, a.customer, a.plan, a.operation, a.units, gateways, now, until);
         inv.repeat = a.repeat;
         self.held.insert(num, Held { asked, inv, due: f64::INFINITY, open: 0 });
         self.place(num, now, out);
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -884,15 +884,15 @@
         let number = n;
         n += 1;
         // With quotas whose and where are drawn; without, in turn.
-        let (customer, limiter, doors, first) = match &quota {
+        let (customer, limiter, gateways, first) = match &quota {
             None => (number % 7, number as usize % limiters.len(), limiters.len(), 0),
             Some(q) => {
                 let customer = (rules.chance() * q.customers as f64) as usize;
-                let doors = q.spread.min(limiters.len());
+                let gateways = q.spread.min(limiters.len());
                 let first = customer * 7 % limiters.len();
-                let thick = q.thin && rules.chance() < 25.0 / (24.0 + doors as f64);
-                let door = if thick { 0 } else { (rules.chance() * doors as f64) as usize };
-                (customer as u64, (first + door) % limiters.len(), doors, first)
+                let thick = q.thin && rules.chance() < 25.0 / (24.0 + gateways as f64);
+                let door = if thick { 0 } else { (rules.chance() * gateways as f64) as usize };
+                (customer as u64, (first + door) % limiters.len(), gateways, first)
             }
         };
         tokio::task::spawn_local(async move {
@@ -903,7 +903,7 @@
                 ("x-priority-class", "read".to_owned()),
                 ("x-tariff", "small".to_owned()),
                 ("x-timeout-ms", "2000".to_owned()),
-                ("x-weight", format!("units=1,spread={doors},first={first}")),
+                ("x-weight", format!("units=1,spread={gateways},first={first}")),
                 ("cookie", format!("account={:016x}", customer + 1)),
             ];
             let before = l.excused.get();
--- a/crates/lab/src/quotas.rs
+++ b/crates/lab/src/quotas.rs
@@ -33,14 +33,14 @@
 /// at the beginning and the end of a fault; each is at most a burst, or one unit for each limiter where that
 /// is more.
 pub fn bound(trial: &Trial, quota: &Quota) -> f64 {
-    let doors = quota.spread.min(trial.fleet.limiters) as f64;
+    let gateways = quota.spread.min(trial.fleet.limiters) as f64;
     let passes = trial.faults.iter().filter(|f| f.kind != Kind::Clock).count() as f64 * 2.0;
     let names = (trial.seconds / NAME).ceil() + 1.0;
     // Where the counter can't take all, those whose calls fail let in their share beside the others. Most
     // tries over a quota make two calls, as what was refused is taken back.
     let scarce = quota.counter < 2.0 * quota.rate * quota.customers as f64 * quota.times;
     let beside = if scarce { quota.rate * trial.seconds } else { 0.0 };
-    quota.burst.max(doors) * (names + passes) + beside
+    quota.burst.max(gateways) * (names + passes) + beside
 }
 
 /// Units of what the quotas hold from which on their share served says something: draws of the load vary.
--- a/crates/lab/src/service.rs
+++ b/crates/lab/src/service.rs
@@ -350,13 +350,13 @@
         let all = q.rate * q.times * q.customers as f64;
         let pause = -(1.0 - self.rng.random::<f64>()).ln() / all;
         let customer = self.rng.random_range(0..q.customers);
-        let doors = q.spread.clamp(1, self.limiters);
+        let gateways = q.spread.clamp(1, self.limiters);
         let first = customer * 7 % self.limiters;
         // A thin customer comes in at its first limiter twenty-five times as often as at the others.
         let door = match q.thin {
-            true if self.rng.random_bool(25.0 / (25.0 + doors as f64 - 1.0)) => 0,
-            true => self.rng.random_range(0..doors),
-            false => self.rng.random_range(0..doors),
+            true if self.rng.random_bool(25.0 / (25.0 + gateways as f64 - 1.0)) => 0,
+            true => self.rng.random_range(0..gateways),
+            false => self.rng.random_range(0..gateways),
         };
         let gate = (first + door) % self.limiters;
         out.push(Out::At(now + pause, Ev::Come));
@@ -365,9 +365,9 @@
         }
         self.last += 1;
         let num = self.last;
-        let doors = (first as u32, doors as u32);
+        let gateways = (first as u32, gateways as u32);
         let id = customer as u64 * 0x9E37_79B9 + 11;
-        let inv = Invocation::new(num, id, 0, 0, 1.0, doors, now, now + PATIENCE);
+        let inv = Invocation::new(num, id, 0, 0, 1.0, gateways, now, now + PATIENCE);
         self.gates[gate].held.insert(num, Held { inv, customer, came: now, open: 0 });
         self.place(gate, num, now, out);
     }
--- a/src/ceilings.rs
+++ b/src/ceilings.rs
@@ -23,26 +23,26 @@
 impl Ceiling {
     /// One limiter's even part of the rate and the burst; where short windows lease the quota, what that
     /// leaves, as long as it covers a unit: else none of the burst.
-    pub fn part(&self, doors: f64, short: bool) -> (f64, f64) {
+    pub fn part(&self, gateways: f64, short: bool) -> (f64, f64) {
         if !short {
-            return (self.rate / doors, self.burst / doors);
+            return (self.rate / gateways, self.burst / gateways);
         }
-        let burst = (self.burst - self.quota_burst) / doors;
-        ((self.rate - self.quota_rate) / doors, if burst < 1.0 { 0.0 } else { burst })
+        let burst = (self.burst - self.quota_burst) / gateways;
+        ((self.rate - self.quota_rate) / gateways, if burst < 1.0 { 0.0 } else { burst })
     }
 
     /// What may be leased in one short window, and its length: with the parts, two windows are no more than
     /// the ceiling's burst, and one after the other no more than its rate.
-    pub fn window(&self, doors: f64) -> (f64, f64) {
+    pub fn window(&self, gateways: f64) -> (f64, f64) {
         if self.rate <= 0.0 {
             return (self.quota_burst, self.quota_burst / self.quota_rate);
         }
-        let part = self.part(doors, true).1;
+        let part = self.part(gateways, true).1;
         let (burst, rate) = match part > 0.0 {
             true => (self.quota_burst / BORDER, self.quota_rate),
             false => (self.quota_burst, self.rate),
         };
-        let most = burst.min((self.burst - part * doors) / BORDER);
+        let most = burst.min((self.burst - part * gateways) / BORDER);
         (most, most / rate)
     }
 
@@ -50,10 +50,10 @@
     /// unit, if that still holds. All limiters earn the ceiling's rate one after the other, and a unit holds
     /// for as long as the rate takes to fill the burst; so over any time no more is earned and held than the
     /// ceiling gives, if nothing else is let in. The phase keeps customers apart.
-    pub fn turn(&self, doors: f64, rank: f64, phase: f64, now: f64) -> Option<f64> {
-        let round = doors / self.rate;
+    pub fn turn(&self, gateways: f64, rank: f64, phase: f64, now: f64) -> Option<f64> {
+        let round = gateways / self.rate;
         let offset = phase + rank / self.rate;
         let earned = ((now - offset) / round).floor() * round + offset;
-        (rank < doors && now - earned < (self.burst - 1.0) / self.rate).then_some(earned)
+        (rank < gateways && now - earned < (self.burst - 1.0) / self.rate).then_some(earned)
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,7 @@
 impl Account {
     /// What the next add reports; what was let in a while ago has been earned again at an even share.
     fn owed(&mut self, plan: &Plan, now: f64) -> f64 {
-        let earned = plan.rate / self.doors * (now - self.debt_at);
+        let earned = plan.rate / self.gateways * (now - self.debt_at);
         self.debt_at = now;
         (self.debt - earned).max(self.debt.min(0.0))
     }
@@ -222,7 +222,7 @@
             let account = &mut self.accounts[a];
             let plan = &self.plans[inv.plan];
             // A plan limited by open deliveries gets an even whole part of the limit, at least one.
-            if plan.open > 0.0 && account.open >= (plan.open / account.doors).floor().max(1.0) {
+            if plan.open > 0.0 && account.open >= (plan.open / account.gateways).floor().max(1.0) {
                 return self.beyond(inv, Cause::Open, self.objective, now);
             }
             if plan.rate > 0.0 {
@@ -336,8 +336,8 @@
         let backlog = (account.backlog - plan.rate * (now - account.heard)).max(0.0);
         let room = plan.burst - backlog;
         let want = account.demand.max(needs).min(plan.burst.max(needs));
-        let few = (room / account.doors / SHRINK).max(needs);
-        let asked = if want * account.doors > room { want.min(few) } else { want };
+        let few = (room / account.gateways / SHRINK).max(needs);
+        let asked = if want * account.gateways > room { want.min(few) } else { want };
         // A new name starts at nothing: the backlog known here goes over with the first add.
         let carried = if account.window == window || account.short { 0.0 } else { backlog };
         // Units left of the last lease go back with the same add.
@@ -352,7 +352,7 @@
     fn count(&mut self, call: Call) {
         let account = &self.accounts[call.account];
         let (customer, plan) = (account.customer, &self.plans[account.plan]);
-        let most = if account.short { plan.hard.window(account.doors).0 } else { plan.burst };
+        let most = if account.short { plan.hard.window(account.gateways).0 } else { plan.burst };
         let most = if account.short { whole(most, call.window) } else { most };
         let rate = if account.short { 0.0 } else { plan.rate };
         let start = window_start(customer, call.window, account.length);
@@ -404,7 +404,7 @@
             true if now - account.full_at.max(self.pricing.silent_until()) < HOLD * plan.span => {
                 (0.0, plan.rate * account.length)
             }
-            true => (0.0, plan.hard.window(account.doors).0),
+            true => (0.0, plan.hard.window(account.gateways).0),
             false => (plan.rate * (now - start), plan.burst),
         };
         let most = if account.short { whole(most, call.window) } else { most };
@@ -420,8 +420,8 @@
         let base = (before - call.back - line).max(floor).min(most);
         let room = (most - base - call.debt).max(0.0);
         let mut grant = call.asked;
-        if grant * account.doors > room {
-            grant = grant.min((room / account.doors / SHRINK).max(call.needs));
+        if grant * account.gateways > room {
+            grant = grant.min((room / account.gateways / SHRINK).max(call.needs));
         }
         if grant > room || (account.short && now >= ends) {
             grant = 0.0;
@@ -429,7 +429,7 @@
         let target = line + (base + call.debt + grant).min(most);
         let off = target - total;
         // In a long set one invocation says little: else a call would follow each answer.
-        let hot = account.demand * account.doors > plan.burst / 2.0 && account.demand > call.needs;
+        let hot = account.demand * account.gateways > plan.burst / 2.0 && account.demand > call.needs;
         let idle = hot || floor > 0.0 || off > plan.burst;
         // A short window that had no room is shut until it ends, so nothing is put right there.
         let correct =
@@ -486,7 +486,7 @@
         let (likely, usual) = (account.likely(plan, inv.repeat), plan.had_room[usize::from(inv.repeat)]);
         let likely = (usual + (likely - usual) * (-(now - account.heard) / plan.span).exp()).min(SURE);
         // A lease that serves many is worth more than one that serves one, as near the limit of a long set.
-        let few = if account.demand * account.doors > plan.burst { 0.0 } else { account.demand };
+        let few = if account.demand * account.gateways > plan.burst { 0.0 } else { account.demand };
         let serves = (few / inv.units.max(1e-9)).max(1.0);
         worth * serves * if blind { (1.0 - likely) * plan.excess } else { likely }
     }
@@ -499,7 +499,7 @@
         let account = &mut self.accounts[a];
         let plan = &mut self.plans[account.plan];
         // One that was heard to use less than its rate may come unevenly: here it gets the whole.
-        let part = if account.calm { 1.0 } else { (plan.openness / account.doors).min(1.0) };
+        let part = if account.calm { 1.0 } else { (plan.openness / account.gateways).min(1.0) };
         let most = (plan.burst * part).max(units);
         let since = now - account.share_at;
         if since > plan.span {
@@ -548,12 +548,12 @@
         if inv.drawn || plan.hard.rate <= 0.0 {
             return None;
         }
-        let (rate, burst) = plan.hard.part(account.doors, account.short);
+        let (rate, burst) = plan.hard.part(account.gateways, account.short);
         // Where no part covers a unit, the limiters let in by turns while the counter is silent.
         if account.short && burst <= 0.0 {
-            let rank = (self.slot + self.fleet - inv.first_door % self.fleet) % self.fleet;
-            let apart = phase(account.customer, account.doors / plan.hard.rate);
-            let turn = plan.hard.turn(account.doors, f64::from(rank), apart, now);
+            let rank = (self.slot + self.fleet - inv.first_gateway % self.fleet) % self.fleet;
+            let apart = phase(account.customer, account.gateways / plan.hard.rate);
+            let turn = plan.hard.turn(account.gateways, f64::from(rank), apart, now);
             let since = self.pricing.silent_since().unwrap_or(now);
             account.turn = turn.filter(|turn| *turn > since.max(account.spent));
             return (account.turn.is_none() || inv.units > 1.0).then_some(self.max_pause);
@@ -569,17 +569,17 @@
         if let Some(&a) = self.by_customer.get(&inv.customer) {
             return a;
         }
-        let (plan, doors) = (&self.plans[inv.plan], f64::from(inv.doors.clamp(1, self.fleet)));
+        let (plan, gateways) = (&self.plans[inv.plan], f64::from(inv.gateways.clamp(1, self.fleet)));
         // Where a part of the ceiling covers little, short windows bound leases whatever is forgotten.
         // In a set so long that no gateway's part of the burst covers a unit a lease serves one invocation;
         // what a refused one added would cost another call to take back, and windows forget it themselves.
-        let thin = self.counter && plan.hard.rate <= 0.0 && plan.rate > 0.0 && plan.burst < doors;
-        let short = thin || (plan.halves && plan.hard.burst < COARSE * doors);
-        let (hard_rate, hard_burst) = plan.hard.part(doors, short);
+        let thin = self.counter && plan.hard.rate <= 0.0 && plan.rate > 0.0 && plan.burst < gateways;
+        let short = thin || (plan.halves && plan.hard.burst < COARSE * gateways);
+        let (hard_rate, hard_burst) = plan.hard.part(gateways, short);
         let account = Account {
             customer: inv.customer,
             plan: inv.plan,
-            doors,
+            gateways,
             seen: now,
             window: i64::MIN,
             debt_at: now,
@@ -587,7 +587,7 @@
             failed_at: f64::NEG_INFINITY,
             spent: f64::NEG_INFINITY,
             short,
-            length: if short { plan.hard.window(doors).1 } else { WINDOW },
+            length: if short { plan.hard.window(gateways).1 } else { WINDOW },
             full_at: f64::NEG_INFINITY,
             hard: (hard_rate * (now - self.born)).min(hard_burst),
             hard_at: now,
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,7 +37,7 @@
 pub(crate) struct Account {
     pub customer: u64,
     pub plan: usize,
-    pub doors: f64,
+    pub gateways: f64,
     pub demand: f64,
     pub seen: f64,
     pub lease: f64,
--- a/tests/ceilings.rs
+++ b/tests/ceilings.rs
@@ -24,15 +24,15 @@
 
 quickcheck! {
     /// Every limiter spends each turn at a moment of its own, the worst of which is all at once.
-    fn turns_never_pass_the_ceiling(rate: u8, burst: u8, ratio: u8, doors: u16, at_once: u8) -> bool {
+    fn turns_never_pass_the_ceiling(rate: u8, burst: u8, ratio: u8, gateways: u16, at_once: u8) -> bool {
         let c = any(rate, burst, ratio);
-        let doors = f64::from(doors % 400 + 2);
+        let gateways = f64::from(gateways % 400 + 2);
         let step = 0.05 + f64::from(at_once) / 50.0;
-        let (mut spent, mut sends) = (vec![f64::NEG_INFINITY; doors as usize], Vec::new());
+        let (mut spent, mut sends) = (vec![f64::NEG_INFINITY; gateways as usize], Vec::new());
         for round in 1..200 {
             let now = 1000.0 + f64::from(round) * step;
             for (rank, spent) in spent.iter_mut().enumerate() {
-                if let Some(turn) = c.turn(doors, rank as f64, 0.3, now).filter(|turn| *turn > *spent) {
+                if let Some(turn) = c.turn(gateways, rank as f64, 0.3, now).filter(|turn| *turn > *spent) {
                     *spent = turn;
                     sends.push(now);
                 }
@@ -42,19 +42,19 @@
     }
 
     /// A window filled at its very end and the next at its start, again and again, with all parts.
-    fn windows_and_parts_never_pass_the_ceiling(rate: u8, burst: u8, ratio: u8, doors: u16) -> bool {
+    fn windows_and_parts_never_pass_the_ceiling(rate: u8, burst: u8, ratio: u8, gateways: u16) -> bool {
         let c = any(rate, burst, ratio);
-        let doors = f64::from(doors % 400 + 2);
-        let (most, length) = c.window(doors);
+        let gateways = f64::from(gateways % 400 + 2);
+        let (most, length) = c.window(gateways);
         let mut sends = Vec::new();
         for border in (1..60).step_by(2) {
             let at = border as f64 * length;
             sends.extend(vec![at; (whole(most, border - 1) + whole(most, border)) as usize]);
         }
-        let (part_rate, part) = c.part(doors, true);
-        let parts = if part > 0.0 { (0..(part * doors).floor() as usize).collect() } else { Vec::new() };
+        let (part_rate, part) = c.part(gateways, true);
+        let parts = if part > 0.0 { (0..(part * gateways).floor() as usize).collect() } else { Vec::new() };
         let mut all: Vec<f64> = parts.iter().map(|_| length).collect();
-        let refill = if part > 0.0 { part_rate * doors } else { 0.0 };
+        let refill = if part > 0.0 { part_rate * gateways } else { 0.0 };
         let ticks = (60.0 * length * refill) as usize;
         all.extend((0..ticks).map(|i| length + (i + 1) as f64 / refill));
         all.extend(sends);
@@ -66,11 +66,12 @@
 #[test]
 fn a_turn_comes_to_every_limiter_and_ends() {
     let c = ceiling(13.0, 2.0, 30.0);
-    let doors = 200.0;
-    let held = |now: f64| (0..200).filter(|&rank| c.turn(doors, f64::from(rank), 0.0, now).is_some()).count();
+    let gateways = 200.0;
+    let held =
+        |now: f64| (0..200).filter(|&rank| c.turn(gateways, f64::from(rank), 0.0, now).is_some()).count();
     assert!((57..=60).contains(&held(500.0)), "{} hold a unit of a burst of 60", held(500.0));
     let ever = (0..200)
-        .filter(|&r| (0..80).any(|t| c.turn(doors, f64::from(r), 0.0, f64::from(t) / 10.0).is_some()));
+        .filter(|&r| (0..80).any(|t| c.turn(gateways, f64::from(r), 0.0, f64::from(t) / 10.0).is_some()));
     assert_eq!(ever.count(), 200, "some never had a turn in one round");
-    assert_eq!(c.turn(doors, 200.0, 0.0, 500.0), None, "one outside the set had a turn");
+    assert_eq!(c.turn(gateways, 200.0, 0.0, 500.0), None, "one outside the set had a turn");
 }
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -144,8 +144,8 @@
     pub fn take(&mut self, gate: usize, customer: u64, plan: usize, operation: usize, units: f64) -> u64 {
         self.last += 1;
         let until = self.now + self.settings.operations[operation].integration_timeout;
-        let doors = (0, self.settings.fleet);
-        let inv = Invocation::new(self.last, customer, plan, operation, units, doors, self.now, until);
+        let gateways = (0, self.settings.fleet);
+        let inv = Invocation::new(self.last, customer, plan, operation, units, gateways, self.now, until);
         self.see(Seen::Took { gate, inv: inv.clone() });
         self.held.insert(self.last, (gate, inv, f64::INFINITY));
         let num = self.last;
