--- a/crates/drill/src/host.rs
+++ b/crates/drill/src/host.rs
@@ -122,7 +122,7 @@
                 Action::Count { name: count, add, life, .. } => {
                     writeln!(out, "TALLY {name} {life} {add:.6} {count}")?;
                 }
-                Action::WatchRoster => writeln!(out, "STREAM_CHANGES {name} 1")?,
+                Action::WatchEndpoints => writeln!(out, "STREAM_CHANGES {name} 1")?,
                 Action::Tick(after) => writeln!(out, "TIMER {name} {TICK} {after:.6}")?,
             }
         }
@@ -193,7 +193,7 @@
             let scope = parts.text("scope")?;
             parts.whole("seqNo")?;
             if scope == "lost" {
-                host.limiter.roster_lost();
+                host.limiter.watch_lost();
             } else {
                 let complete = match scope {
                     "incr" => false,
@@ -212,7 +212,7 @@
                         readiness: row.readiness,
                     });
                 }
-                host.limiter.roster(&entries, complete, now);
+                host.limiter.endpoints(&entries, complete, now);
             }
         } else if verb != "NEW_INSTANCE" {
             Self::event(host, &name, verb, &mut parts, now, out)?;
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -124,7 +124,7 @@
             }
             // It can't tell: what is known has to do.
             hub.front.open();
-            hub.tell(Event::RosterLost);
+            hub.tell(Event::WatchLost);
             let pause = sleep(again.mul_f64(0.5 + fastrand::f64()));
             tokio::select! {
                 () = until_it_speaks(&mut silent, pause) => {}
@@ -185,7 +185,7 @@
                     self.revision.set(news.revision);
                     self.tell_tap(|| Some(value));
                 }
-                hub.tell(Event::Roster(news));
+                hub.tell(Event::Endpoints(news));
                 hub.front.open();
                 if !whole {
                     return Err(Fault::Malformed("a member of the list".into()));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -787,7 +787,7 @@
                     self.relayed += 1;
                     // Its own watch would go on from here.
                     hub.discovery.heard(revision);
-                    hub.tell(Event::Roster(news));
+                    hub.tell(Event::Endpoints(news));
                 }
             }
         }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 
 /// Unix time as read once at the start, carried on by the monotonic clock: the gateways' windows and the
-/// roster's start times must agree, and no step of the machine's clock may disturb them.
+/// endpoints' start times must agree, and no step of the machine's clock may disturb them.
 pub struct Clock {
     started: Instant,
     unix: f64,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -157,10 +157,10 @@
         front::Front::new(clients, config.memory / 4),
         upstream::Upstream::new(dial, read.idle_time * 0.75, servers),
         counter::Counter::new(config.counter, dial, calls),
-        discovery::Discovery::new(config.discovery, read.settings.ask_roster, revision),
+        discovery::Discovery::new(config.discovery, read.settings.watch_on_request, revision),
     );
     if let Some(known) = known {
-        hub.tell(Event::Roster(known));
+        hub.tell(Event::Endpoints(known));
     }
     let listener = TcpListener::bind(config.listen).await.map_err(fail("listen"))?;
     let (tell, told) = mpsc::unbounded_channel();
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -32,8 +32,8 @@
         call: u64,
         counted: Counted,
     },
-    Roster(News),
-    RosterLost,
+    Endpoints(News),
+    WatchLost,
     /// What the fleet saw of the server at this address: bad for so long, or good again after it.
     Told {
         address: SocketAddr,
@@ -185,10 +185,10 @@
                 self.stats.counted(counted);
                 self.limiter.counted(name, counted, now - at, now);
             }
-            Event::Roster(news) => self.roster(news, now, out),
-            Event::RosterLost => {
+            Event::Endpoints(news) => self.endpoints(news, now, out),
+            Event::WatchLost => {
                 self.stats.news_lost += 1;
-                self.limiter.roster_lost();
+                self.limiter.watch_lost();
             }
             Event::Told { address, bad, pause } => {
                 if let Some(tgt) = self.known.iter().position(|k| k.live && k.address == address) {
@@ -281,7 +281,7 @@
         self.answer(num, Answer::Done, now, out);
     }
 
-    fn roster(&mut self, news: News, now: f64, out: &mut Vec<Effect>) {
+    fn endpoints(&mut self, news: News, now: f64, out: &mut Vec<Effect>) {
         self.stats.news += 1;
         if news.complete {
             self.known.iter_mut().for_each(|k| k.live = false);
@@ -309,7 +309,7 @@
         }
         let shut = self.known.iter().enumerate().filter(|(_, k)| !k.live);
         out.extend(shut.map(|(tgt, _)| Effect::Retire { tgt }));
-        self.limiter.roster(&entries, news.complete, now);
+        self.limiter.endpoints(&entries, news.complete, now);
     }
 
     fn due(&mut self, now: f64, out: &mut Vec<Effect>) {
@@ -349,7 +349,7 @@
                     self.timers.push(Due(now + self.count_wait, Timer::Call(call)));
                     out.push(Effect::Count { call, name, add, life, about });
                 }
-                Action::WatchRoster => out.push(Effect::Watch),
+                Action::WatchEndpoints => out.push(Effect::Watch),
                 Action::Tick(after) => self.timers.push(Due(now + after, Timer::Tick)),
             }
         }
@@ -405,7 +405,7 @@
             cold_for: 10.0,
             fall_multiple: 4.0,
             answer_slack: 0.016,
-            ask_roster: false,
+            watch_on_request: false,
         }
     }
 
@@ -479,7 +479,7 @@
                             readiness: if live[tgt] { Readiness::Live } else { Readiness::Draining },
                         };
                         let members = (0..4).map(member).collect();
-                        Event::Roster(News { revision: step, complete: false, members, whole: true })
+                        Event::Endpoints(News { revision: step, complete: false, members, whole: true })
                     }
                     _ => {
                         now += any(40) as f64 / 1000.0 * if last { 10.0 } else { 1.0 };
--- a/crates/gateway/src/stats.rs
+++ b/crates/gateway/src/stats.rs
@@ -72,7 +72,7 @@
         )?;
         write!(
             f,
-            "counter calls={} totals={} refused={} silent={}; roster news={} lost={}; connections clients={} \
+            "counter calls={} totals={} refused={} silent={}; endpoints news={} lost={}; connections clients={} \
              servers={}",
             self.calls,
             self.totals,
--- a/crates/lab/src/service.rs
+++ b/crates/lab/src/service.rs
@@ -249,7 +249,7 @@
             cold_for: 10.0,
             fall_multiple: 4.0,
             answer_slack: 0.016,
-            ask_roster: false,
+            watch_on_request: false,
         };
         let mut limiter = Limiter::new(&settings, now);
         let server = |tgt| types::Server {
@@ -260,7 +260,7 @@
             readiness: Readiness::Live,
         };
         let servers: Vec<types::Server> = (0..q.servers).map(server).collect();
-        limiter.roster(&servers, true, now);
+        limiter.endpoints(&servers, true, now);
         Gate {
             epoch,
             up: true,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -109,7 +109,7 @@
         cold_for: number(rules, "coldS")?,
         fall_multiple: number(rules, "fallMultiple")?,
         answer_slack: number(rules, "answerSlackS")?,
-        ask_roster: v["discovery"] == "on_request",
+        watch_on_request: v["discovery"] == "on_request",
     };
     Ok(Read {
         settings,
--- a/crates/shared-state/tests/thin.rs
+++ b/crates/shared-state/tests/thin.rs
@@ -49,12 +49,12 @@
                     cold_for: 10.0,
                     fall_multiple: 3.0,
                     answer_slack: 0.02,
-                    ask_roster: false,
+                    watch_on_request: false,
                 },
                 now,
             );
             let server = |tgt| Server { tgt, zone: 0, cell: 0, came_up: 0.0, readiness: Readiness::Live };
-            limiter.roster(&[0, 1, 2, 3].map(server), true, now);
+            limiter.endpoints(&[0, 1, 2, 3].map(server), true, now);
             limiter
         };
         let settings = lend::Settings {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,7 @@
 //! All decisions of a limiter. A front asks three things of a [`Limiter`]: `place` (where to send this
 //! invocation, or not yet, or never), `after` (what to do after this outcome) and `wait` (how long to
 //! wait: for a delivery until it is abandoned, for a held invocation until `place` is asked again). It
-//! passes on what it observes through `roster`, `counted`, `gone`, `roster_lost` and `tick`, and after
+//! passes on what it observes through `endpoints`, `counted`, `gone`, `watch_lost` and `tick`, and after
 //! each call carries out what `next_action` yields. The interface, all plain values, is in `types.rs`.
 
 use crate::calls::Calls;
@@ -164,7 +164,7 @@
             cold_for: s.cold_for.max(1e-3),
             lead: (s.fall_multiple / 2.0).clamp(1.0, 2.0),
             slack: s.answer_slack,
-            watch: s.ask_roster,
+            watch: s.watch_on_request,
             objective: if objective.is_finite() { objective.max(1e-3) } else { 1.0 },
             operations,
             born: now,
@@ -175,7 +175,7 @@
             fleet_slow: CALM / 2.0,
             answered: CALM / 2.0,
             flow_at: now,
-            actions: s.ask_roster.then_some(Action::WatchRoster).into_iter().collect(),
+            actions: s.watch_on_request.then_some(Action::WatchEndpoints).into_iter().collect(),
             ..Limiter::default()
         }
     }
@@ -846,7 +846,7 @@
         if ok {
             v.rest[tgt] = 0.0;
             if v.on_trial[tgt] {
-                // Trust returns slowly: the server may be back cold before the roster says so.
+                // Trust returns slowly: the server may be back cold before the endpoints says so.
                 v.on_trial[tgt] = false;
                 v.bad[tgt] = SICK / 2.0;
                 v.places[tgt] = START / fleet;
@@ -894,8 +894,8 @@
         }
     }
 
-    /// The roster: changed entries, or the complete list.
-    pub fn roster(&mut self, entries: &[Server], complete: bool, now: f64) {
+    /// The endpoints: changed entries, or the complete list.
+    pub fn endpoints(&mut self, entries: &[Server], complete: bool, now: f64) {
         if complete {
             self.servers.live.iter_mut().for_each(|l| *l = false);
         }
@@ -935,14 +935,14 @@
         self.ask_front();
     }
 
-    /// The roster's subscription broke; what it misses counts as told soon, however long objectives are.
-    pub fn roster_lost(&mut self) {
+    /// The watch broke; what it misses counts as told soon, however long objectives are.
+    pub fn watch_lost(&mut self) {
         let again = Action::Tick(self.objective.min(0.5) * (1.0 + self.rng.f64()));
         self.actions.extend(self.watch.then_some(again));
     }
 
     pub fn tick(&mut self) {
-        self.actions.extend(self.watch.then_some(Action::WatchRoster));
+        self.actions.extend(self.watch.then_some(Action::WatchEndpoints));
     }
 }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -62,8 +62,8 @@
     /// Multiple of its present capacity that pushes a cold server over.
     pub fall_multiple: f64,
     pub answer_slack: f64,
-    /// The roster comes only when asked for.
-    pub ask_roster: bool,
+    /// The endpoints comes only when asked for.
+    pub watch_on_request: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,7 +73,7 @@
     Gone,
 }
 
-/// One line of the roster.
+/// One entry of the list of endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct Server {
     pub tgt: usize,
@@ -272,8 +272,8 @@
         life: f64,
         about: About,
     },
-    /// Ask for the roster from now on.
-    WatchRoster,
+    /// Ask for the endpoints from now on.
+    WatchEndpoints,
     /// Call `tick` after this long.
     Tick(f64),
 }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -33,7 +33,7 @@
     let step = 1.0 / (CAPACITY * SERVERS as f64);
     let (began, mut up, mut came_up) = (f.now, true, f64::INFINITY);
     let tell = |f: &mut Front, gates: &dyn Fn(usize) -> bool, entry: Server| {
-        (0..limiters).filter(|&gate| gates(gate)).for_each(|gate| f.roster(gate, vec![entry], false));
+        (0..limiters).filter(|&gate| gates(gate)).for_each(|gate| f.endpoints(gate, vec![entry], false));
     };
     let (down, back, end) = (4.0, 12.0, 30.0);
     let (mut late, mut sends) = (Vec::new(), Vec::new());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -209,7 +209,7 @@
     rounds(&mut f, 100, 1, 0.02, Ending::Succeeded);
     f.seen.clear();
     let cold = Server { came_up: f.now, ..server(0) };
-    f.roster(0, vec![cold], false);
+    f.endpoints(0, vec![cold], false);
     rounds(&mut f, 300, 8, 0.01, Ending::Succeeded);
     let got = |tgt: usize| f.sends().iter().filter(|&&s| s == tgt).count();
     let (cold, warm) = (got(0), got(1));
@@ -354,7 +354,7 @@
     // The first in the queue found no place, nothing was out to ask it again, and all behind it were throttled.
     let mut f = Front::new(settings(1), 2);
     let list = (0..2).map(|tgt| Server { came_up: f.now, ..server(tgt) }).collect();
-    f.roster(0, list, true);
+    f.endpoints(0, list, true);
     rounds(&mut f, 2000, 1, 0.01, Ending::Succeeded);
     assert!(f.sends().len() > 1000, "{} of 2000 sent to two idle servers", f.sends().len());
 }
@@ -389,7 +389,7 @@
     }
     f.seen.clear();
     let cold = Server { came_up: f.now, ..server(0) };
-    (0..200).for_each(|gate| f.roster(gate, vec![cold], false));
+    (0..200).for_each(|gate| f.endpoints(gate, vec![cold], false));
     for _ in 0..10 {
         (0..200).for_each(|gate| _ = f.take(gate, 1, 0, 0, 1.0));
         f.pass(0.1);
@@ -576,7 +576,7 @@
 }
 
 fn tell_all(f: &mut Front, news: &[Server]) {
-    (0..f.gates.len()).for_each(|gate| f.roster(gate, news.to_vec(), false));
+    (0..f.gates.len()).for_each(|gate| f.endpoints(gate, news.to_vec(), false));
 }
 
 fn gone(tgt: usize) -> Server {
--- a/tests/front/mod.rs
+++ b/tests/front/mod.rs
@@ -70,7 +70,7 @@
         cold_for: 10.0,
         fall_multiple: 3.0,
         answer_slack: 0.02,
-        ask_roster: false,
+        watch_on_request: false,
     }
 }
 
@@ -100,7 +100,7 @@
         for gate in 0..front.settings.fleet as usize {
             let limiter = front.limiter(gate);
             front.gates.push(limiter);
-            front.roster(gate, front.lists[gate].clone(), true);
+            front.endpoints(gate, front.lists[gate].clone(), true);
         }
         front
     }
@@ -121,10 +121,10 @@
         self.out.retain(|o| o.gate != gate);
         self.calls.retain(|c| c.0 != gate);
         self.gates[gate] = self.limiter(gate);
-        self.roster(gate, self.lists[gate].clone(), true);
+        self.endpoints(gate, self.lists[gate].clone(), true);
     }
 
-    pub fn roster(&mut self, gate: usize, entries: Vec<Server>, complete: bool) {
+    pub fn endpoints(&mut self, gate: usize, entries: Vec<Server>, complete: bool) {
         if complete {
             for old in std::mem::take(&mut self.lists[gate]) {
                 if !entries.iter().any(|e| e.tgt == old.tgt) {
@@ -137,7 +137,7 @@
             self.lists[gate].retain(|e| e.tgt != entry.tgt);
             self.lists[gate].push(entry);
         }
-        self.gates[gate].roster(&entries, complete, self.now);
+        self.gates[gate].endpoints(&entries, complete, self.now);
         self.carry_out(gate);
     }
 
@@ -210,7 +210,7 @@
                         self.counts += 1;
                         self.calls.push((gate, name, add));
                     }
-                    Action::WatchRoster | Action::Tick(_) => {}
+                    Action::WatchEndpoints | Action::Tick(_) => {}
                 }
             }
             let Some(at) = self.calls.iter().position(|c| self.quick && c.0 == gate) else { return };
--- a/tests/rules_model.rs
+++ b/tests/rules_model.rs
@@ -116,11 +116,11 @@
             Step::Tell { gate, tgt, readiness, fresh } => {
                 let came_up = if fresh { f.now } else { 0.0 };
                 let entry = Server { readiness, came_up, ..server(tgt) };
-                (gate * wide..(gate + 1) * wide).for_each(|g| f.roster(g, vec![entry], false));
+                (gate * wide..(gate + 1) * wide).for_each(|g| f.endpoints(g, vec![entry], false));
             }
             Step::List { gate, none } => {
                 let all = (0..if none { 0 } else { 4 }).map(server).collect();
-                f.roster(gate * wide, all, true);
+                f.endpoints(gate * wide, all, true);
             }
             Step::Restart(gate) => f.restart(gate * wide),
             Step::Leave(num) => f.leave(num),
