--- a/src/rules.rs
+++ b/src/rules.rs
@@ -846,7 +846,7 @@
         if ok {
             v.rest[tgt] = 0.0;
             if v.on_trial[tgt] {
-                // Trust returns slowly: the server may be back cold before the endpoints says so.
+                // Trust returns slowly: the server may be back cold before the list says so.
                 v.on_trial[tgt] = false;
                 v.bad[tgt] = SICK / 2.0;
                 v.places[tgt] = START / fleet;
--- a/src/types.rs
+++ b/src/types.rs
@@ -62,7 +62,7 @@
     /// Multiple of its present capacity that pushes a cold server over.
     pub fall_multiple: f64,
     pub answer_slack: f64,
-    /// The endpoints comes only when asked for.
+    /// The endpoints come only when asked for.
     pub watch_on_request: bool,
 }
 
