Share the descriptors out so that all parts fit, at any bound, and test under the real one

Cause: the tests gave the program a bound that the machine did not enforce. With `ulimit -n` set to it, the listener logged "Too many open files" 81 times in two test files: five eighths for clients, a quarter for servers, the counter's connections (twice after a reload), two watches and the process's own eleven are more than there are at 32 and 64; at 256 and beyond they fit by two. Change: clients and servers keep their shares where all fits, else less. Tests: the program runs under its bound in all socket tests; a_connection_that_makes_room..., more_clients_than_there_is_room_for... and descriptors_full_of_idle_clients... fail without the change.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,9 @@
 /// Fewer descriptors than this leave nothing for clients beside what the program itself holds.
 const LEAST_SOCKETS: usize = 32;
 
+/// Descriptors of the process itself: streams, queues of events, signals, the listener, two watches, a file.
+const OWN_SOCKETS: usize = 16;
+
 /// Less memory than this leaves nothing for bodies beside what the program itself takes.
 const LEAST_MEMORY: usize = 8 * 1024 * 1024;
 
@@ -127,6 +130,26 @@
     }
 }
 
+/// How the descriptors are shared out.
+struct Sockets {
+    clients: usize,
+    servers: usize,
+    calls: usize,
+}
+
+impl Sockets {
+    /// Five eighths serve clients, a quarter servers. Guards against fewer descriptors than those and all else
+    /// need together: then the listener takes nobody, and neither discovery nor the counter is reached.
+    fn share(sockets: usize) -> Self {
+        // A counter holds no more than 32 of one gateway, and may see the end of one late.
+        let calls = (sockets / 32).clamp(1, 16);
+        // After a reload the old connections to the counter bring the answers they owe.
+        let left = sockets - OWN_SOCKETS - 2 * calls;
+        let servers = (sockets / 4).min(left * 2 / 7);
+        Sockets { clients: (sockets * 5 / 8).min(left - servers), servers, calls }
+    }
+}
+
 /// Reads the configuration and serves until it has left.
 async fn run() -> Result<(), Fault> {
     let mut signals = Signals::ask()?;
@@ -144,10 +167,7 @@
     };
     let dial = seconds(read.dial_timeout, "dialTimeoutS")?;
     let idle_time = seconds(read.idle_time, "keepaliveS")?;
-    // Five eighths of the descriptors serve clients, a quarter servers; the rest is for all else.
-    let (clients, servers) = (config.sockets * 5 / 8, config.sockets / 4);
-    // A counter holds no more than 32 of one gateway, and may see the end of one late.
-    let calls = (config.sockets / 32).min(16);
+    let Sockets { clients, servers, calls } = Sockets::share(config.sockets);
     let reducer = reducer::Reducer::new(&read.settings, clock.now());
     let hub = Hub::new(
         clock,
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -169,7 +169,7 @@
     let known = list(1, true, &[(0, kept.address, "Ready"), (1, drains.address, "Ready")]);
     let (discovery, counter) =
         (StandIn::discovery(known.clone(), Mood::Silent), StandIn::counter(Mood::Well));
-    let gateway = Gateway::with(&known, discovery.address, counter.address, 64);
+    let mut gateway = Gateway::with(&known, discovery.address, counter.address, 64);
     let mut clients = Vec::new();
     // Twice as many as there are descriptors, each rests after an answer or before its first message.
     for at in 0..64 {
@@ -187,6 +187,9 @@
     (0..20).for_each(|n| assert!(gateway.ask(&other(n)).unwrap().ends_with("served")));
     assert_eq!(drains.seen(), before, "the drain is heeded");
     assert!(counter.seen() > calls, "the counter is asked");
+    gateway.signal("-KILL");
+    let told = String::from_utf8_lossy(&gateway.output().stderr).into_owned();
+    assert!(!told.contains("Too many open files"), "{told}");
     drop(clients);
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -299,7 +299,7 @@
                 "known":{known},"settings":{settings}}}"#
         );
         std::fs::write(&config, text).unwrap();
-        let child = start(&config);
+        let child = start_within(&config, sockets);
         let mut gateway = Gateway { child: Some(child), address, config };
         let began = Instant::now();
         while gateway.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| !a.contains(" 200 ")) {
@@ -392,6 +392,18 @@
     command.spawn().unwrap()
 }
 
+/// The same where the machine lets it hold no more descriptors than it was told.
+pub fn start_within(config: &PathBuf, sockets: usize) -> Child {
+    let mut command = Command::new("sh");
+    command.args([
+        "-c",
+        &format!("ulimit -n {sockets}; exec \"$0\""),
+        env!("CARGO_BIN_EXE_dunespur-gateway"),
+    ]);
+    command.env("RELAY_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().unwrap()
+}
+
 pub fn invocation(method: &str, operation: &str, wait_ms: u32, body: &str) -> String {
     static LAST: AtomicUsize = AtomicUsize::new(1);
     let id = LAST.fetch_add(1, Ordering::SeqCst);
