Let clients that come before the first list wait for it, a fifth of a second at most

Cause, read: what the agent holds counts as told from the first moment of a new process, and clients that have not noticed that a limiter died send to the new process as soon as it listens; it served them by the list of its configuration. Change: the listener takes its first connection when the first list has come, or discovery can't tell, or 0.2 s after the start; the machine's queue holds them until then. Test: a client that had sent before discovery answered was sent to a server that was gone (fails without the change).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -38,6 +38,9 @@
 /// The listener, and a connection that rests, stay open for so long after the last that came over them once
 /// they are to end: long enough for the machine to tell of all that it has accepted.
 const LAST_LOOK: Duration = Duration::from_millis(5);
+/// Connections wait in the machine's queue for so long until the first list has come: much longer than an agent
+/// that answers takes, much shorter than clients wait.
+const FIRST_LOOK: Duration = Duration::from_millis(200);
 /// Bytes read off behind an end or behind a message in hand; nothing beyond is read.
 const MOST_AHEAD: usize = 1024 * 1024;
 /// Bytes kept of those behind a message in hand; clients of this protocol send none. With more it ends.
@@ -306,6 +309,15 @@
     pub fn open(&self) {
         if self.phase.get() == Phase::Starting {
             self.phase.set(Phase::Open);
+            self.changed.notify_one();
+        }
+    }
+
+    /// Ends with the start. Guards against clients that come before they are told to, which would be served by
+    /// a list that may be old.
+    async fn started(&self) {
+        while self.phase.get() == Phase::Starting {
+            self.changed.notified().await;
         }
     }
 
@@ -357,6 +369,7 @@
         let front = &hub.front;
         let few = front.most - (front.most / 16).max(1);
         let mut last_call = None;
+        let _ = tokio::time::timeout(FIRST_LOOK, front.started()).await;
         loop {
             let now = hub.clock.now();
             let closing = front.phase.get() == Phase::Closing;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -299,6 +299,27 @@
         counter: SocketAddr,
         sockets: usize,
         settings: &str,
+    ) -> Gateway {
+        let mut gateway = Self::started(known, discovery, counter, sockets, settings);
+        let began = Instant::now();
+        while gateway.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| !a.contains(" 200 ")) {
+            if began.elapsed() > Duration::from_secs(10) {
+                gateway.signal("-KILL");
+                let told = String::from_utf8_lossy(&gateway.output().stderr).into_owned();
+                panic!("the gateway was never ready: {told}");
+            }
+            sleep(Duration::from_millis(10));
+        }
+        gateway
+    }
+
+    /// One that may not listen yet.
+    pub fn started(
+        known: &str,
+        discovery: SocketAddr,
+        counter: SocketAddr,
+        sockets: usize,
+        settings: &str,
     ) -> Gateway {
         static LAST: AtomicUsize = AtomicUsize::new(0);
         let address = free_address();
@@ -311,17 +332,7 @@
         );
         std::fs::write(&config, text).unwrap();
         let child = start_within(&config, sockets);
-        let mut gateway = Gateway { child: Some(child), address, config };
-        let began = Instant::now();
-        while gateway.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").is_none_or(|a| !a.contains(" 200 ")) {
-            if began.elapsed() > Duration::from_secs(10) {
-                gateway.signal("-KILL");
-                let told = String::from_utf8_lossy(&gateway.output().stderr).into_owned();
-                panic!("the gateway was never ready: {told}");
-            }
-            sleep(Duration::from_millis(10));
-        }
-        gateway
+        Gateway { child: Some(child), address, config }
     }
 
     /// One with these servers, a counter and discovery that are well.
--- a/crates/gateway/tests/watches.rs
+++ b/crates/gateway/tests/watches.rs
@@ -251,6 +251,29 @@
     assert!(case.heeded(), "what could be read holds, and the one that could not stays in use");
 }
 
+#[test]
+fn a_client_that_comes_before_the_first_list_waits_for_it() {
+    let (gone, new) = (StandIn::server(Mood::Well), StandIn::server(Mood::Well));
+    let news = list(2, true, &[(1, new.address, "Ready")]);
+    let sent: Arc<Mutex<bool>> = Arc::default();
+    let held = sent.clone();
+    let discovery = StandIn::start(Mood::Well, move |_, mut stream| {
+        let Some(_) = message(&mut stream) else { return };
+        until("the client has sent", || *held.lock().unwrap());
+        _ = stream.write_all(&[HEAD, &chunk(&format!("{news}\n"))].concat());
+        sleep(Duration::from_secs(20));
+    });
+    let counter = StandIn::counter(Mood::Well);
+    let known = list(1, true, &[(0, gone.address, "Ready")]);
+    let gateway = Gateway::started(&known, discovery.address, counter.address, 256, SETTINGS);
+    until("it listens", || gateway.connect().is_some());
+    let mut client = gateway.connect().unwrap();
+    client.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    *sent.lock().unwrap() = true;
+    assert!(message(&mut client).unwrap().ends_with("served"));
+    assert_eq!((gone.seen(), new.seen()), (0, 1), "by the list that discovery had from the first moment");
+}
+
 #[test]
 fn it_is_not_ready_before_it_has_heard_what_discovery_holds() {
     let told: Arc<Mutex<bool>> = Arc::default();
