--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -119,7 +119,7 @@
             };
             log::debug!("discovery: {fault}");
             again = if watch.signs.spoke.get().is_some() { AGAIN } else { (again * 2).min(LONGEST) };
-            if fault == Fault::Silent {
+            if fault == Fault::Silent && watch.signs.asked.get() {
                 silent = Some(watch);
             }
             // It can't tell: what is known has to do.
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -134,9 +134,7 @@
 #[test]
 fn hundreds_that_leave_at_once_leave_nothing_behind() {
     let server = StandIn::server(Mood::Silent);
-    let known = list(1, true, &[(0, server.address, "Ready")]);
-    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
-    let gateway = Gateway::with(&known, discovery.address, counter.address, 1024);
+    let (gateway, _discovery, _counter) = Gateway::within(&[server.address], 1024, SETTINGS);
     let streams: Vec<_> = (0..300).map(|_| sent(&gateway, "read", 4000)).collect();
     until("some are out", || server.seen() > 0);
     sleep(Duration::from_millis(100));
@@ -196,9 +194,7 @@
 #[test]
 fn a_connection_that_makes_room_ends_in_order_and_takes_nothing_more() {
     let server = StandIn::server(Mood::Well);
-    let known = list(1, true, &[(0, server.address, "Ready")]);
-    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
-    let gateway = Gateway::with(&known, discovery.address, counter.address, 32);
+    let (gateway, _discovery, _counter) = Gateway::within(&[server.address], 32, SETTINGS);
     let mut clients: Vec<_> = (0..60).map(|_| gateway.rested()).collect();
     let mut ended = 0;
     for client in &mut clients[..30] {
@@ -218,9 +214,7 @@
 #[test]
 fn large_bodies_of_many_clients_stay_within_the_memory_there_is() {
     let server = StandIn::server(Mood::Silent);
-    let known = list(1, true, &[(0, server.address, "Ready")]);
-    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
-    let gateway = Gateway::with(&known, discovery.address, counter.address, 1024);
+    let (gateway, _discovery, _counter) = Gateway::within(&[server.address], 1024, SETTINGS);
     let body = "x".repeat(60_000);
     let mut clients = Vec::new();
     let mut refused = 0;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -337,14 +337,22 @@
 
     /// One with these servers, a counter and discovery that are well.
     pub fn before(servers: &[SocketAddr]) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
-        Self::before_by(servers, SETTINGS)
+        Self::within(servers, 256, SETTINGS)
     }
 
     pub fn before_by(servers: &[SocketAddr], settings: &str) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
+        Self::within(servers, 256, settings)
+    }
+
+    pub fn within(
+        servers: &[SocketAddr],
+        sockets: usize,
+        settings: &str,
+    ) -> (Gateway, Arc<StandIn>, Arc<StandIn>) {
         let live: Vec<_> = servers.iter().enumerate().map(|(id, &a)| (id, a, "Ready")).collect();
         let (known, counter) = (list(1, true, &live), StandIn::counter(Mood::Well));
         let discovery = StandIn::discovery(known.clone(), Mood::Well);
-        (Gateway::of(&known, discovery.address, counter.address, 256, settings), discovery, counter)
+        (Gateway::of(&known, discovery.address, counter.address, sockets, settings), discovery, counter)
     }
 
     pub fn connect(&self) -> Option<TcpStream> {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -296,9 +296,7 @@
 #[test]
 fn more_clients_than_there_is_room_for_are_served_in_turn() {
     let server = StandIn::server(Mood::Well);
-    let known = list(1, true, &[(0, server.address, "Ready")]);
-    let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
-    let gateway = Gateway::with(&known, discovery.address, counter.address, 32);
+    let (gateway, _discovery, _counter) = Gateway::within(&[server.address], 32, SETTINGS);
     // More connections than it keeps: idle ones, half a head, half a body.
     let half = invocation("POST", "write", 1500, &"x".repeat(100));
     let parts = ["", "GET /api HTTP/1.1\r\nHost:", &half[..half.len() - 50]];
