See a client leave behind megabytes, and take one that floods without end for gone

Change: up to 16 MB are read and dropped, in turns with others; who sends more has gone. Tests: 5 MB and an end, 130 MB without one.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -41,8 +41,12 @@
 /// Connections wait in the machine's queue for so long until the first list has come: much longer than an agent
 /// that answers takes, much shorter than clients wait.
 const FIRST_LOOK: Duration = Duration::from_millis(200);
-/// Bytes read off behind an end or behind a message in hand; nothing beyond is read.
-const MOST_AHEAD: usize = 1024 * 1024;
+/// Bytes read off behind an end; nothing beyond is read.
+const MOST_READ_OFF: usize = 1024 * 1024;
+/// Bytes read behind a message in hand; who sends more is no client of this protocol and counts as gone.
+const MOST_AHEAD: usize = 16 * 1024 * 1024;
+/// Reads of one connection at a time; then others have their turn.
+const READS: usize = 16;
 /// Bytes kept of those behind a message in hand; clients of this protocol send none. With more it ends.
 const MOST_KEPT: usize = 16 * 1024;
 /// How often late messages are looked after.
@@ -118,7 +122,7 @@
 
     /// Ready once the client of the message in hand is found to have gone.
     fn poll_gone(&self, cx: &mut Context) -> Poll<()> {
-        while matches!(self.stage.get(), Stage::InHand { .. }) && self.read_ahead.get() < MOST_AHEAD {
+        while let Stage::InHand { .. } = self.stage.get() {
             ready!(self.stream.borrow().inner().poll_read_ready(cx)).ok();
             if self.has_gone() {
                 return Poll::Ready(());
@@ -131,7 +135,7 @@
     /// hand: guards against an end that stands behind bytes, as hyper reads no further once it holds some.
     /// One that only ended its sending has gone too, nothing tells the two apart.
     fn has_gone(&self) -> bool {
-        while self.read_ahead.get() < MOST_AHEAD {
+        for _ in 0..READS {
             let mut bytes = [0; 4096];
             let read = match self.stream.borrow().inner().try_read(&mut bytes) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
@@ -142,6 +146,9 @@
             if !self.flooded() {
                 self.ahead.borrow_mut().extend_from_slice(&bytes[..read]);
             }
+            if self.read_ahead.get() > MOST_AHEAD {
+                return true;
+            }
         }
         false
     }
@@ -168,7 +175,7 @@
             return;
         }
         let read_off = async {
-            let (mut bytes, mut left) = ([0; 4096], MOST_AHEAD);
+            let (mut bytes, mut left) = ([0; 4096], MOST_READ_OFF);
             while let Some(n) = poll_fn(|cx| self.poll_bytes(cx, &mut bytes)).await {
                 left = left.saturating_sub(n);
                 if left == 0 {
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -19,8 +19,10 @@
 fn a_client_that_sent_more_and_left_is_seen_to_have_gone() {
     let server = StandIn::server(Mood::Silent);
     let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
-    // A few bytes, a whole message more, more than any message may hold.
-    for (at, more) in ["GET", &invocation("GET", "read", 2000, ""), &"x".repeat(300_000)].iter().enumerate() {
+    // A few bytes, a whole message more, more than any message may hold, much more.
+    let whole = invocation("GET", "read", 2000, "");
+    let floods = [300_000, 5_000_000].map(|bytes| "x".repeat(bytes));
+    for (at, more) in ["GET", &whole, &floods[0], &floods[1]].iter().enumerate() {
         let mut stream = sent(&gateway, "once", 2000);
         until("the delivery has come", || server.seen() == at + 1);
         stream.write_all(more.as_bytes()).unwrap();
@@ -34,6 +36,19 @@
     }
 }
 
+#[test]
+fn who_floods_behind_a_message_without_end_has_gone() {
+    let server = StandIn::server(Mood::Silent);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut stream = sent(&gateway, "once", 8000);
+    until("the delivery has come", || server.seen() == 1);
+    let writes = (0..2000).take_while(|_| stream.write_all(&[b'x'; 65536]).is_ok()).count();
+    assert!(writes < 2000, "130 MB are not read");
+    until("the delivery is given up", || server.ended.load(Ordering::SeqCst) == 1);
+    *server.mood.lock().unwrap() = Mood::Well;
+    assert!(gateway.read().ends_with("served"));
+}
+
 #[test]
 fn a_client_that_resets_or_ends_its_sending_has_gone() {
     let server = StandIn::server(Mood::Silent);
