--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -429,13 +429,15 @@
             let mut connection = pin!(builder.serve_connection(wire, service));
             let mut looked = false;
             loop {
-                if client.late(hub.clock.now()) {
+                // One that is late, or rests and has to end, does so a moment after: a message, or the rest of
+                // one, may lie there that was not looked at yet. One in hand ends with its answer.
+                let late = client.late(hub.clock.now());
+                let ends = client.leaving() && matches!(client.stage.get(), Stage::Resting { .. });
+                looked &= late || ends;
+                if looked && late {
                     break;
                 }
-                // One that rests ends a moment after it has to: a message may lie there that was not looked
-                // at yet. One with a message ends with that, or when it is late.
-                let ends = client.leaving() && matches!(client.stage.get(), Stage::Resting { .. });
-                if ends && looked {
+                if looked {
                     connection.as_mut().graceful_shutdown();
                 }
                 tokio::select! {
@@ -448,7 +450,7 @@
                     }
                     () = poll_fn(|cx| client.poll_gone(cx)) => return,
                     () = client.changed.notified() => {}
-                    () = tokio::time::sleep(LAST_LOOK), if ends && !looked => looked = true,
+                    () = tokio::time::sleep(LAST_LOOK), if (late || ends) && !looked => looked = true,
                 }
             }
             // What is in hand ends with hyper's side, before anything else happens here.
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -50,6 +50,23 @@
     assert_eq!(server.connections.load(Ordering::SeqCst), 2, "over a new one");
 }
 
+#[test]
+fn a_connection_that_idled_too_long_is_not_used_between_two_sweeps() {
+    // Trusted for six seconds of eight; a sweep comes each second from the start on.
+    let settings = SETTINGS.replace("\"keepaliveS\":1.0", "\"keepaliveS\":8.0");
+    let server = StandIn::server(Mood::Well);
+    let began = Instant::now();
+    let (gateway, _discovery, _counter) = Gateway::before_by(&[server.address], &settings);
+    let at = |seconds: f64| sleep(Duration::from_secs_f64(seconds).saturating_sub(began.elapsed()));
+    at(0.2);
+    assert!(gateway.read().ends_with("served"));
+    // Six seconds and some after it; the last sweep was a moment too early for it, the next one is to come.
+    at(6.6);
+    assert_eq!(server.ended.load(Ordering::SeqCst), 0, "no sweep has closed it");
+    assert!(gateway.read().ends_with("served"));
+    assert_eq!(server.connections.load(Ordering::SeqCst), 2, "over a new one");
+}
+
 #[test]
 fn a_window_for_repeats_that_ends_while_the_connection_comes_up_is_heeded() {
     let (listener, fills) = full_listener();
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -49,6 +49,24 @@
     assert!(gateway.read().ends_with("served"));
 }
 
+#[test]
+fn a_message_that_becomes_whole_as_it_is_to_be_cut_is_answered_and_so_is_the_next() {
+    let server = StandIn::server(Mood::Well);
+    let (gateway, _discovery, _counter) = Gateway::before(&[server.address]);
+    let mut client = gateway.rested();
+    let text = invocation("GET", "read", 2000, "");
+    client.write_all(&text.as_bytes()[..40]).unwrap();
+    sleep(Duration::from_millis(1700));
+    // Its two seconds pass, the rest of it comes, and a sweep is due: all in one moment.
+    gateway.paused(|| {
+        client.write_all(&text.as_bytes()[40..]).unwrap();
+        sleep(Duration::from_millis(700));
+    });
+    assert!(message(&mut client).expect("an answer").ends_with("served"));
+    client.write_all(invocation("GET", "read", 2000, "").as_bytes()).unwrap();
+    assert!(message(&mut client).expect("an answer").ends_with("served"));
+}
+
 #[test]
 fn a_client_that_resets_or_ends_its_sending_has_gone() {
     let server = StandIn::server(Mood::Silent);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -253,7 +253,7 @@
 /// address or a connection that is closed meanwhile is not.
 static STARTS: Mutex<()> = Mutex::new(());
 
-fn spawned(command: &mut Command) -> Child {
+pub fn spawned(command: &mut Command) -> Child {
     let _alone = STARTS.lock();
     command.spawn().unwrap()
 }
--- a/crates/gateway/tests/shutdown.rs
+++ b/crates/gateway/tests/shutdown.rs
@@ -208,7 +208,7 @@
 #[test]
 fn a_reload_in_the_middle_of_the_start_does_not_end_it() {
     let path = std::env::temp_dir().join(format!("dunespur-pipe-{}", std::process::id()));
-    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    assert!(spawned(Command::new("mkfifo").arg(&path)).wait().unwrap().success());
     let server = holds_posts();
     let known = list(1, true, &[(0, server.address, "Ready")]);
     let (discovery, counter) = (StandIn::discovery(known.clone(), Mood::Well), StandIn::counter(Mood::Well));
