--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -16,12 +16,13 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, Read, Seek};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -217,14 +218,17 @@
     runs: Cell<u64>,
 }
 
-/// A free port on a loopback address that no other trial, and nothing else on the machine, uses.
+/// A free port on a loopback address that no other trial, and nothing else on the machine, uses. Guards against
+/// one that was given before and is not in use yet: the machine gives it again.
 fn free() -> std::io::Result<SocketAddrV4> {
+    static GIVEN: Mutex<BTreeSet<SocketAddrV4>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let id = std::process::id();
     let host = format!("127.{}.{}.{}:0", 64 + (id >> 16) % 128, (id >> 8) & 255, id & 255);
     loop {
         let tcp = std::net::TcpListener::bind(&host)?;
         if let SocketAddr::V4(at) = tcp.local_addr()? {
-            if std::net::UdpSocket::bind(at).is_ok() {
+            if std::net::UdpSocket::bind(at).is_ok() && given.insert(at) {
                 return Ok(at);
             }
         }
@@ -920,3 +924,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
