--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -380,7 +380,7 @@
         loop {
             let now = hub.clock.now();
             let closing = front.phase.get() == Phase::Closing;
-            // Those that the machine accepts meanwhile wait in its own line, though not beyond the close.
+            // Those that the machine accepts meanwhile wait in its own queue, though not beyond the close.
             if closing && now > *last_call.get_or_insert(now) + LINGER {
                 return;
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -417,9 +417,7 @@
 }
 
 pub fn start(config: &PathBuf) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_dunespur-gateway"));
-    command.env("RELAY_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
-    spawned(&mut command)
+    start_by(Command::new(env!("CARGO_BIN_EXE_dunespur-gateway")), config)
 }
 
 /// The same where the machine lets it hold no more descriptors than it was told.
@@ -430,8 +428,11 @@
         &format!("ulimit -n {sockets}; exec \"$0\""),
         env!("CARGO_BIN_EXE_dunespur-gateway"),
     ]);
-    command.env("RELAY_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
-    spawned(&mut command)
+    start_by(command, config)
+}
+
+fn start_by(mut command: Command, config: &PathBuf) -> Child {
+    spawned(command.env("RELAY_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped()))
 }
 
 pub fn invocation(method: &str, operation: &str, wait_ms: u32, body: &str) -> String {
