--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,1 @@
+//! A program's counter of tokens and the leases that limiters hold on it.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control state that the core agrees on: configuration, servers, stores, budgets.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls between the processes of the system over kept TCP connections.
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane: clients' and servers' connections, streams, retries, drain.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Files of the system on redb: what is acknowledged has been synced.
