--- /dev/null
+++ b/crates/link/tests/calls.rs
@@ -0,0 +1,149 @@
+//! Calls over loopback: answers, messages without, ended connections, bytes that are no frames.
+
+use bytes::Bytes;
+use dunespur_link::{serve, CallError, Client, Service};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Answers with the payload turned round; `end` ends the connection, `never` is not answered.
+#[derive(Default)]
+struct Echo {
+    seen: RefCell<Vec<Bytes>>,
+    noticed: Notify,
+}
+
+impl Service for Echo {
+    async fn call(self: Rc<Self>, payload: Bytes) -> Option<Bytes> {
+        self.seen.borrow_mut().push(payload.clone());
+        self.noticed.notify_one();
+        if payload == "end" {
+            return None;
+        }
+        if payload == "never" {
+            std::future::pending::<()>().await;
+        }
+        Some(payload.iter().rev().copied().collect())
+    }
+}
+
+async fn started() -> (Rc<Echo>, std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = Rc::new(Echo::default());
+    spawn_local(serve(listener, service.clone()));
+    (service, address)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn calls_are_answered_each_with_its_own() {
+    run(async {
+        let (_, address) = started().await;
+        let client = Client::new(address);
+        let (a, b) = tokio::join!(
+            client.call(Bytes::from_static(b"abc"), LIMIT),
+            client.call(Bytes::from_static(b"xyz"), LIMIT)
+        );
+        assert_eq!(a.unwrap(), "cba");
+        assert_eq!(b.unwrap(), "zyx");
+    });
+}
+
+#[test]
+fn large_payloads_pass_and_larger_ones_are_refused_unsent() {
+    run(async {
+        let (service, address) = started().await;
+        let client = Client::new(address);
+        let large = Bytes::from(vec![7; 3 * 1024 * 1024]);
+        assert_eq!(client.call(large.clone(), LIMIT).await.unwrap(), large);
+        let too_large = Bytes::from(vec![7; dunespur_link::MOST_FRAME]);
+        assert_eq!(client.call(too_large, LIMIT).await, Err(CallError::Full));
+        assert_eq!(service.seen.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn messages_arrive_in_order() {
+    run(async {
+        let (service, address) = started().await;
+        let client = Client::new(address);
+        for text in ["one", "two", "three"] {
+            client.notify(Bytes::from_static(text.as_bytes())).unwrap();
+        }
+        client.call(Bytes::from_static(b"last"), LIMIT).await.unwrap();
+        assert_eq!(*service.seen.borrow(), ["one", "two", "three", "last"]);
+    });
+}
+
+#[test]
+fn a_closed_port_is_unreachable_and_noticed() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let notices = Rc::new(Cell::new(0));
+        let counted = notices.clone();
+        let client = Client::with_notice(address, Box::new(move || counted.set(counted.get() + 1)));
+        assert_eq!(client.call(Bytes::new(), LIMIT).await, Err(CallError::Unreachable));
+        assert_eq!(notices.get(), 1);
+    });
+}
+
+#[test]
+fn a_connection_that_ends_fails_its_calls_and_the_next_call_opens_another() {
+    run(async {
+        let (_, address) = started().await;
+        let client = Client::new(address);
+        let (hanging, ending) = tokio::join!(
+            client.call(Bytes::from_static(b"never"), LIMIT),
+            client.call(Bytes::from_static(b"end"), LIMIT)
+        );
+        assert_eq!(hanging, Err(CallError::Closed));
+        assert_eq!(ending, Err(CallError::Closed));
+        assert_eq!(client.call(Bytes::from_static(b"ab"), LIMIT).await.unwrap(), "ba");
+    });
+}
+
+#[test]
+fn bytes_that_are_no_frame_end_only_their_connection() {
+    run(async {
+        let (service, address) = started().await;
+        let client = Client::new(address);
+        client.call(Bytes::from_static(b"ab"), LIMIT).await.unwrap();
+        for spoilt in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[9, 0, 0, 0, 1, 2, 3, 4, 0, 0, 0, 0, 0, 0, 0, 0, 65]]
+        {
+            let mut stranger = TcpStream::connect(address).await.unwrap();
+            stranger.write_all(spoilt).await.unwrap();
+            let mut rest = Vec::new();
+            let _ = stranger.read_to_end(&mut rest).await;
+            assert!(rest.is_empty());
+        }
+        assert_eq!(client.call(Bytes::from_static(b"cd"), LIMIT).await.unwrap(), "dc");
+        assert_eq!(service.seen.borrow().len(), 2);
+    });
+}
+
+#[test]
+fn a_dropped_client_ends_its_connection() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = Client::new(listener.local_addr().unwrap());
+        client.notify(Bytes::from_static(b"hello")).unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(client);
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+    });
+}
