--- /dev/null
+++ b/crates/node/src/core/disk.rs
@@ -0,0 +1,53 @@
+//! The thread that writes a core member's disk: syncs block, and a slow disk must not hold up the data plane.
+
+use dunespur_chain::Write;
+use dunespur_storage::core::CoreDisk;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Pause before a write that failed (a full disk, say) is tried again; nothing is acknowledged meanwhile.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Stack of the thread in bytes.
+const STACK_SIZE: usize = 256 * 1024;
+
+/// One sync.
+pub struct Batch {
+    pub number: u64,
+    pub writes: Vec<Write>,
+}
+
+/// Hands batches to the disk's thread.
+pub struct DiskWriter {
+    batches: mpsc::Sender<Batch>,
+}
+
+impl DiskWriter {
+    /// Starts the thread; `persisted` gets the number of each batch that is synced. Both queues are bounded by what
+    /// the chain has under way.
+    pub fn start(disk: CoreDisk, persisted: UnboundedSender<u64>) -> std::io::Result<DiskWriter> {
+        let (batches, queue) = mpsc::channel::<Batch>();
+        thread::Builder::new().name("core-disk".to_owned()).stack_size(STACK_SIZE).spawn(move || {
+            while let Ok(batch) = queue.recv() {
+                write(&disk, &batch);
+                if persisted.send(batch.number).is_err() {
+                    return;
+                }
+            }
+        })?;
+        Ok(DiskWriter { batches })
+    }
+
+    /// Queues a batch.
+    pub fn write(&self, batch: Batch) {
+        let _ = self.batches.send(batch);
+    }
+}
+
+fn write(disk: &CoreDisk, batch: &Batch) {
+    while let Err(error) = disk.write(&batch.writes) {
+        log::error!("the core's disk does not take batch {}: {error:#}", batch.number);
+        thread::sleep(RETRY_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,350 @@
+//! What a process knows of the control state, kept up to date by a watch on one core member, and its way to the
+//! core for operations and reads.
+
+use crate::clock::Clock;
+use crate::messages::{decode, encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
+use bytes::Bytes;
+use dunespur_chain::View;
+use dunespur_configuration::{Document, Table};
+use dunespur_control::{Change, Operation, Outcome, RetireState, ServerReport};
+use dunespur_link::{CallError, Client};
+use dunespur_turns::Store;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A core member answers a watch within this time, or another one is asked. It answers after 0.4 s at the latest.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// One core member gets so long for an operation before another one is asked.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after all known members were asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+/// A process that knows of a view is asked for it with this limit.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// After a longer silence of all core members, in milliseconds, this process counts as out of touch.
+const IN_TOUCH_MS: u64 = 2_000;
+
+/// No core member has answered in time: the operation may or may not be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unavailable;
+
+/// The parts of the control state that data planes and stores act on.
+#[derive(Default)]
+pub struct Known {
+    /// Index of the control state; `None` until the first answer.
+    pub index: Option<u64>,
+    pub table: Option<Rc<Table>>,
+    pub servers: BTreeMap<String, ServerReport>,
+    pub stores: BTreeMap<String, Store>,
+}
+
+/// What a change of the control state concerns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Touched {
+    pub configuration: bool,
+    pub servers: bool,
+    pub stores: bool,
+}
+
+/// Follows the control state.
+pub struct Directory {
+    clock: Clock,
+    known: RefCell<Known>,
+    view: RefCell<Option<View>>,
+    /// Addresses to ask while no view is known, or all of its members are silent.
+    seeds: RefCell<Vec<SocketAddr>>,
+    clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
+    /// The member that answered last.
+    attached: Cell<Option<SocketAddr>>,
+    /// Steady time of the last answer to a watch.
+    answered_at: Cell<u64>,
+    /// Servers heard of since the last watch.
+    heard: RefCell<BTreeSet<String>>,
+    /// This process's own lease, if it holds one.
+    lease: RefCell<Option<NodeLease>>,
+    /// Told when the view or a part of the state has changed.
+    changed: Notify,
+    on_change: RefCell<Option<Box<dyn Fn(Touched)>>>,
+}
+
+impl Directory {
+    pub fn new(clock: Clock, seeds: Vec<SocketAddr>) -> Rc<Directory> {
+        Rc::new(Directory {
+            clock,
+            known: RefCell::default(),
+            view: RefCell::default(),
+            seeds: RefCell::new(seeds),
+            clients: RefCell::default(),
+            attached: Cell::new(None),
+            answered_at: Cell::new(0),
+            heard: RefCell::default(),
+            lease: RefCell::default(),
+            changed: Notify::new(),
+            on_change: RefCell::default(),
+        })
+    }
+
+    /// Calls `action` after every change of the state.
+    pub fn when_changed(&self, action: Box<dyn Fn(Touched)>) {
+        *self.on_change.borrow_mut() = Some(action);
+    }
+
+    /// The settings name other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    /// Renews this lease with every watch.
+    pub fn hold_lease(&self, lease: NodeLease) {
+        *self.lease.borrow_mut() = Some(lease);
+    }
+
+    /// A server's heartbeat came in.
+    pub fn heard(&self, server: &str) {
+        self.heard.borrow_mut().insert(server.to_owned());
+    }
+
+    /// Whether a core member has answered lately.
+    pub fn in_touch(&self) -> bool {
+        let silence = self.clock.now().saturating_sub(self.answered_at.get());
+        self.answered_at.get() > 0 && silence < IN_TOUCH_MS
+    }
+
+    /// What is known now.
+    pub fn known(&self) -> std::cell::Ref<'_, Known> {
+        self.known.borrow()
+    }
+
+    /// The newest view that this process knows of.
+    pub fn view(&self) -> Option<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Learns a view; older ones are ignored.
+    pub fn learn_view(&self, view: View) {
+        let mut known = self.view.borrow_mut();
+        if known.as_ref().is_some_and(|known| known.number >= view.number) {
+            return;
+        }
+        *known = Some(view);
+        drop(known);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits for the next change of the view or of the state.
+    pub async fn next_change(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Follows the control state for as long as the task lives.
+    pub async fn follow(self: Rc<Self>) {
+        loop {
+            for address in self.members() {
+                while self.watch_once(address).await {}
+            }
+            self.look_for_view().await;
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Core members to ask, the one that answered last first.
+    fn members(&self) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let members = view.as_ref().map(|view| view.members.as_slice()).unwrap_or_default();
+        let mut addresses: Vec<_> = members.iter().map(|peer| peer.address).collect();
+        fastrand::shuffle(&mut addresses);
+        let attached = self.attached.get();
+        addresses.sort_by_key(|address| Some(*address) != attached);
+        addresses
+    }
+
+    /// One watch at one member; false if another one has to be asked.
+    async fn watch_once(&self, address: SocketAddr) -> bool {
+        let servers = std::mem::take(&mut *self.heard.borrow_mut());
+        let request = WatchRequest {
+            after: self.known.borrow().index,
+            view: self.view.borrow().as_ref().map_or(0, |view| view.number),
+            heard: Heard {
+                servers: servers.iter().cloned().collect(),
+                nodes: self.lease.borrow().iter().cloned().collect(),
+            },
+        };
+        let payload = encode(&Request::Watch(request));
+        match self.call(address, payload, WATCH_TIMEOUT).await {
+            Ok(Reply::Watched(watched)) => {
+                self.attached.set(Some(address));
+                self.answered_at.set(self.clock.now());
+                self.take(watched);
+                true
+            }
+            Ok(_) => self.keep_heard(servers),
+            Err(error) => {
+                if error == CallError::TimedOut {
+                    // A connection behind a cut stays silent for long; the next call opens another one.
+                    self.client(address).disconnect();
+                }
+                self.keep_heard(servers)
+            }
+        }
+    }
+
+    /// The watch failed: what was heard is told with the next one.
+    fn keep_heard(&self, servers: BTreeSet<String>) -> bool {
+        self.heard.borrow_mut().extend(servers);
+        false
+    }
+
+    async fn look_for_view(&self) {
+        let seeds = self.seeds.borrow().clone();
+        let calls = seeds.into_iter().map(|seed| self.hello(seed));
+        for call in calls {
+            if let Some(view) = call.await {
+                self.learn_view(view);
+            }
+        }
+    }
+
+    /// Asks one process for the view it knows.
+    pub async fn hello(&self, address: SocketAddr) -> Option<View> {
+        match self.call(address, encode(&Request::Hello), HELLO_TIMEOUT).await {
+            Ok(Reply::View(view)) => view,
+            _ => None,
+        }
+    }
+
+    /// Takes what a watch brought. The index never goes back: an answer from a member that is behind says nothing.
+    fn take(&self, watched: Watched) {
+        if let Some(view) = watched.view {
+            self.learn_view(view);
+        }
+        let mut known = self.known.borrow_mut();
+        if known.index.is_some_and(|index| watched.index <= index) {
+            return;
+        }
+        if watched.whole {
+            known.servers.clear();
+            known.stores.clear();
+        }
+        let mut touched = Touched { configuration: false, servers: watched.whole, stores: watched.whole };
+        for change in watched.changes {
+            known.apply(change, &mut touched);
+        }
+        known.index = Some(watched.index);
+        drop(known);
+        if touched != Touched::default() {
+            if let Some(action) = &*self.on_change.borrow() {
+                action(touched);
+            }
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Carries out an operation at the core.
+    pub async fn execute(&self, operation: &Operation, limit: Duration) -> Result<Outcome, Unavailable> {
+        let payload = encode(&Request::Execute(operation.clone()));
+        match self.ask_core(payload, limit).await? {
+            Reply::Executed(outcome) => Ok(outcome),
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// The newest configuration, confirmed by the core.
+    pub async fn read_configuration(&self, limit: Duration) -> Result<Option<String>, Unavailable> {
+        match self.ask_core(encode(&Request::ReadConfiguration), limit).await? {
+            Reply::Configuration(json) => Ok(json),
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// How far a retirement is, confirmed by the core.
+    pub async fn read_retirement(
+        &self,
+        node: &str,
+        limit: Duration,
+    ) -> Result<Option<RetireState>, Unavailable> {
+        let payload = encode(&Request::ReadRetirement { node: node.to_owned() });
+        match self.ask_core(payload, limit).await? {
+            Reply::Retirement(state) => Ok(state),
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// Asks core members in turn until one answers or the time is over.
+    async fn ask_core(&self, payload: Bytes, limit: Duration) -> Result<Reply, Unavailable> {
+        let end = Instant::now() + limit;
+        timeout(limit, async {
+            loop {
+                for address in self.members() {
+                    let left = end.saturating_duration_since(Instant::now());
+                    let attempt = ATTEMPT_TIMEOUT.min(left);
+                    match self.call(address, payload.clone(), attempt).await {
+                        Ok(Reply::Unavailable) | Err(_) => {}
+                        Ok(reply) => return reply,
+                    }
+                }
+                sleep(ROUND_PAUSE).await;
+            }
+        })
+        .await
+        .map_err(|_| Unavailable)
+    }
+
+    /// Calls one process of the system.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        payload: Bytes,
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let answer = self.client(address).call(payload, limit).await?;
+        decode(&answer).ok_or(CallError::Closed)
+    }
+
+    fn client(&self, address: SocketAddr) -> Rc<Client> {
+        self.clients.borrow_mut().entry(address).or_insert_with(|| Client::new(address)).clone()
+    }
+
+    /// The process's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+}
+
+impl Known {
+    fn apply(&mut self, change: Change, touched: &mut Touched) {
+        match change {
+            Change::Configuration { generation, json } => {
+                if self.table.as_ref().is_some_and(|table| table.generation() >= generation) {
+                    return;
+                }
+                match Document::replace(json.as_bytes()) {
+                    Ok(document) => self.table = Some(Rc::new(Table::new(&document))),
+                    Err(findings) => log::error!("configuration {generation} can't be used: {findings}"),
+                }
+                touched.configuration = true;
+            }
+            Change::Server(report) => {
+                self.servers.insert(report.id.clone(), report);
+                touched.servers = true;
+            }
+            Change::ServerGone { id } => {
+                self.servers.remove(&id);
+                touched.servers = true;
+            }
+            Change::Store(store) => {
+                self.stores.insert(store.name.clone(), store.into());
+                touched.stores = true;
+            }
+            Change::StoreGone { name } => {
+                self.stores.remove(&name);
+                touched.stores = true;
+            }
+            Change::Gateways { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/founding.rs
@@ -0,0 +1,59 @@
+//! The first view of the system: at the first start every machine has the same seeds and nobody knows how many
+//! there are. One process, that of the lowest seed address, collects the machines with a disk and tells them the
+//! first view, once.
+
+use crate::messages::Candidacy;
+use dunespur_chain::{Peer, View};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// How long candidates are collected, in milliseconds: all machines start within 0.3 s of each other, and a
+/// process needs some time to come up.
+const COLLECT_MS: u64 = 1_500;
+/// Fewer candidates found no system: guards against a founder that was restarted and hears of a late one only.
+const LEAST_CANDIDATES: usize = 2;
+/// After this time, in milliseconds, one candidate is enough: a system of one machine.
+const ALONE_MS: u64 = 6_000;
+/// Number of the first view.
+const FIRST_VIEW: u64 = 1;
+/// Members of the first view.
+const MOST_MEMBERS: usize = 7;
+
+/// What the founder knows.
+pub enum Founding {
+    Collecting { since: u64, candidates: BTreeMap<SocketAddr, Peer> },
+    Founded(View),
+}
+
+impl Founding {
+    pub fn new(now: u64) -> Founding {
+        Founding::Collecting { since: now, candidates: BTreeMap::new() }
+    }
+
+    /// A candidate has asked; `standing` is a view that this process knows of.
+    pub fn asked(&mut self, peer: Peer, standing: Option<&View>, now: u64) -> Candidacy {
+        if let Some(view) = standing {
+            *self = Founding::Founded(view.clone());
+        }
+        self.collect(&peer, now);
+        match self {
+            Founding::Collecting { .. } => Candidacy::Wait,
+            Founding::Founded(view) if view.number == FIRST_VIEW && view.members.contains(&peer) => {
+                Candidacy::Found(view.clone())
+            }
+            Founding::Founded(view) => Candidacy::Join(view.clone()),
+        }
+    }
+
+    fn collect(&mut self, peer: &Peer, now: u64) {
+        let Founding::Collecting { since, candidates } = self else { return };
+        candidates.insert(peer.address, peer.clone());
+        let waited = now.saturating_sub(*since);
+        let enough = candidates.len() >= LEAST_CANDIDATES && waited >= COLLECT_MS;
+        if enough || waited >= ALONE_MS {
+            let members: Vec<Peer> = candidates.values().take(MOST_MEMBERS).cloned().collect();
+            let chain = members.iter().map(|member| member.id.clone()).collect();
+            *self = Founding::Founded(View { number: FIRST_VIEW, members, chain });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/joining.rs
@@ -0,0 +1,76 @@
+//! How a machine with a disk becomes a member of the core: by the first view, by joining a standing one, or by its
+//! disk, on which it is one already.
+
+use crate::core::Coordinator;
+use crate::directory::Directory;
+use crate::messages::{encode, Candidacy, Reply, Request};
+use crate::settings::Settings;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Pause between two tries while this machine is in no view.
+const TRY_PAUSE: Duration = Duration::from_millis(100);
+/// How often a member looks whether it still is one.
+const CHECK_PAUSE: Duration = Duration::from_millis(1000);
+/// The founder answers a candidate within this time.
+const CANDIDATE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Keeps this machine in the core for as long as the task lives.
+pub async fn keep_joined(coordinator: Rc<Coordinator>, directory: Rc<Directory>, settings: Settings) {
+    loop {
+        if let Some(view) = coordinator.view() {
+            directory.learn_view(view);
+        }
+        let pause = match standing(&coordinator, &directory) {
+            Standing::Member => CHECK_PAUSE,
+            Standing::Outside(contacts) => {
+                coordinator.join(contacts);
+                CHECK_PAUSE
+            }
+            Standing::Alone => {
+                look_round(&coordinator, &directory, &settings).await;
+                TRY_PAUSE
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Where this machine stands to the newest view it knows of.
+enum Standing {
+    Member,
+    /// A view without this machine; addresses of its members.
+    Outside(Vec<SocketAddr>),
+    /// No view is known.
+    Alone,
+}
+
+fn standing(coordinator: &Coordinator, directory: &Directory) -> Standing {
+    let Some(view) = directory.view() else { return Standing::Alone };
+    let own = coordinator.peer();
+    if view.members.iter().any(|peer| peer.id == own.id) && coordinator.view().is_some() {
+        return Standing::Member;
+    }
+    Standing::Outside(view.members.iter().map(|peer| peer.address).collect())
+}
+
+/// Asks the seeds for a view; at the first start of the system also the founder for a place in the first one.
+async fn look_round(coordinator: &Coordinator, directory: &Directory, settings: &Settings) {
+    let own = settings.internal_address();
+    let seeds = settings.seed_addresses();
+    for seed in seeds.iter().filter(|seed| **seed != own) {
+        if let Some(view) = directory.hello(*seed).await {
+            directory.learn_view(view);
+            return;
+        }
+    }
+    let Some(founder) = seeds.first().filter(|_| settings.bootstrap) else { return };
+    let payload = encode(&Request::Candidate { peer: coordinator.peer() });
+    match directory.call(*founder, payload, CANDIDATE_TIMEOUT).await {
+        Ok(Reply::Candidacy(Candidacy::Found(view))) => coordinator.found(view),
+        Ok(Reply::Candidacy(Candidacy::Join(view))) => directory.learn_view(view),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/messages.rs
@@ -0,0 +1,103 @@
+//! What processes of the system say to each other, as postcard payloads of `dunespur-link` frames.
+
+use bytes::Bytes;
+use dunespur_chain::{MemberId, Message, Peer, View};
+use dunespur_control::{Change, Operation, Outcome, RetireState};
+use dunespur_turns::message::{StoreReply, StoreRequest};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// A call or message to a process.
+#[derive(Serialize, Deserialize)]
+pub enum Request {
+    /// From one core member to another; not answered.
+    Chain { from: MemberId, message: Message },
+    /// Which view do you know of?
+    Hello,
+    /// A machine with an empty disk at the first start of the system asks to be part of the first view.
+    Candidate { peer: Peer },
+    /// Carry out an operation; answered once it is committed.
+    Execute(Operation),
+    /// The newest configuration, confirmed by the whole chain.
+    ReadConfiguration,
+    /// How far a retirement is, confirmed by the whole chain.
+    ReadRetirement { node: String },
+    /// Changes of the control state after an index; waits for some, a bounded time.
+    Watch(WatchRequest),
+    /// Leases that other core members were told of.
+    Heard(Heard),
+    /// To a store.
+    Store(StoreRequest),
+}
+
+/// Asks for changes, and renews leases on the way.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// The newest index that the caller holds; `None` asks for everything.
+    pub after: Option<u64>,
+    /// Number of the newest view that the caller knows.
+    pub view: u64,
+    pub heard: Heard,
+}
+
+/// Servers and nodes that were heard of lately.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Ids of servers.
+    pub servers: Vec<String>,
+    pub nodes: Vec<NodeLease>,
+}
+
+/// One life of a process that renews its membership.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct NodeLease {
+    pub name: String,
+    pub incarnation: u64,
+}
+
+/// Answers.
+#[derive(Serialize, Deserialize)]
+pub enum Reply {
+    /// The process can't answer this now; another one may.
+    Unavailable,
+    View(Option<View>),
+    Candidacy(Candidacy),
+    Executed(Outcome),
+    Configuration(Option<String>),
+    Retirement(Option<RetireState>),
+    Watched(Watched),
+    Store(StoreReply),
+}
+
+/// What a candidate for the first view is told.
+#[derive(Serialize, Deserialize)]
+pub enum Candidacy {
+    /// Ask again soon.
+    Wait,
+    /// The first view, with the asking machine in it.
+    Found(View),
+    /// The system stands already: join it.
+    Join(View),
+}
+
+/// Changes after the index that was asked for.
+#[derive(Serialize, Deserialize)]
+pub struct Watched {
+    /// The index up to which these changes go.
+    pub index: u64,
+    /// The list holds the whole state, and replaces what the caller has.
+    pub whole: bool,
+    pub changes: Vec<Change>,
+    /// The view, if it is newer than the caller's.
+    pub view: Option<View>,
+}
+
+/// The payload of a message.
+pub fn encode<T: Serialize>(message: &T) -> Bytes {
+    postcard::to_stdvec(message).map(Bytes::from).unwrap_or_default()
+}
+
+/// The message of a payload, if it is one.
+pub fn decode<T: DeserializeOwned>(payload: &[u8]) -> Option<T> {
+    postcard::from_bytes(payload).ok()
+}
--- /dev/null
+++ b/crates/node/src/service.rs
@@ -0,0 +1,72 @@
+//! What a gateway process answers to the other processes of the system.
+
+use crate::clock::Clock;
+use crate::core::Coordinator;
+use crate::directory::Directory;
+use crate::founding::Founding;
+use crate::messages::{decode, encode, Reply, Request};
+use bytes::Bytes;
+use dunespur_chain::{Peer, View};
+use dunespur_link::Service;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Answers internal calls; the core's part is there on machines with a disk.
+pub struct GatewayService {
+    pub clock: Clock,
+    pub directory: Rc<Directory>,
+    pub coordinator: Option<Rc<Coordinator>>,
+    /// Only at the process that founds the system.
+    pub founding: Option<RefCell<Founding>>,
+}
+
+impl Service for GatewayService {
+    async fn call(self: Rc<Self>, payload: Bytes) -> Option<Bytes> {
+        let request = decode::<Request>(&payload)?;
+        Some(encode(&self.answer(request).await))
+    }
+}
+
+impl GatewayService {
+    async fn answer(&self, request: Request) -> Reply {
+        match request {
+            Request::Hello => Reply::View(self.view()),
+            Request::Candidate { peer } => self.candidate(peer),
+            request => match &self.coordinator {
+                Some(coordinator) => core_answer(coordinator, request).await,
+                None => Reply::Unavailable,
+            },
+        }
+    }
+
+    /// The newest view that this process knows of, as a member or by its watch.
+    fn view(&self) -> Option<View> {
+        let own = self.coordinator.as_ref().and_then(|coordinator| coordinator.view());
+        let learnt = self.directory.view();
+        own.into_iter().chain(learnt).max_by_key(|view| view.number)
+    }
+
+    fn candidate(&self, peer: Peer) -> Reply {
+        let Some(founding) = &self.founding else { return Reply::Unavailable };
+        let candidacy = founding.borrow_mut().asked(peer, self.view().as_ref(), self.clock.now());
+        Reply::Candidacy(candidacy)
+    }
+}
+
+async fn core_answer(coordinator: &Coordinator, request: Request) -> Reply {
+    match request {
+        Request::Chain { from, message } => {
+            coordinator.received(from, message);
+            Reply::View(None)
+        }
+        Request::Execute(operation) => coordinator.execute(&operation).await,
+        Request::ReadConfiguration => coordinator.read_configuration().await,
+        Request::ReadRetirement { node } => coordinator.read_retirement(&node).await,
+        Request::Watch(request) => coordinator.watch(request).await,
+        Request::Heard(heard) => {
+            coordinator.told(&heard);
+            Reply::View(None)
+        }
+        Request::Hello | Request::Candidate { .. } | Request::Store(_) => Reply::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/node/src/signals.rs
@@ -0,0 +1,43 @@
+//! Signals of the platform: SIGTERM asks to leave, SIGHUP says that the settings file has changed.
+
+use crate::directory::Directory;
+use crate::settings::Settings;
+use anyhow::Context;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::sleep;
+
+/// The settings file may change without a signal; a process that has lost the core looks this often.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn asked_to_leave() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Reads the settings anew on SIGHUP, and from time to time while no core member answers. Only the seeds are taken:
+/// addresses and the disk of a process don't change while it lives.
+pub async fn follow_settings(path: PathBuf, directory: Rc<Directory>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    loop {
+        let asked = tokio::select! {
+            signal = hangup.recv() => signal.is_some(),
+            () = sleep(LOOK_PAUSE) => false,
+        };
+        if !asked && directory.in_touch() {
+            continue;
+        }
+        match Settings::read(&path) {
+            Ok(settings) => directory.set_seeds(settings.seed_addresses()),
+            Err(error) => log::error!("the settings are not taken: {error}"),
+        }
+    }
+}
