--- /dev/null
+++ b/crates/routing/tests/common/mod.rs
@@ -0,0 +1,62 @@
+//! Servers and requests for the tests.
+#![allow(dead_code)]
+
+use dunespur_routing::{Ask, EngineShape, Part, Server};
+
+pub const ENGINES: &str = "engines";
+pub const PLAIN: &str = "plain";
+
+pub fn engine_server(number: usize, zone: &str) -> Server {
+    let shape = EngineShape { kv_capacity: 220_000, slots: 24, chunk_tokens: 3 };
+    Server { engine: Some(shape), slots: 24, ..server(ENGINES, number, zone) }
+}
+
+pub fn plain_server(number: usize, zone: &str) -> Server {
+    server(PLAIN, number, zone)
+}
+
+fn server(backend: &str, number: usize, zone: &str) -> Server {
+    Server {
+        id: format!("{backend}-{number}").into(),
+        backend: backend.into(),
+        address: ([10, 0, 0, number as u8], 8080).into(),
+        zone: zone.into(),
+        slots: 6,
+        draining: false,
+        cold_left_ms: 0,
+        engine: None,
+        max_conns: 120,
+    }
+}
+
+pub fn plain_ask() -> Ask<'static> {
+    Ask {
+        backend: PLAIN,
+        program: None,
+        session: None,
+        prefix: &[],
+        prompt_tokens: 0,
+        most_tokens: 0,
+        idempotent: true,
+        priority: 1,
+        time_left_ms: 2_000,
+        target_ms: 150,
+        tried: &[],
+    }
+}
+
+pub fn engine_ask<'a>(program: &'a str, prefix: &'a [Part]) -> Ask<'a> {
+    Ask {
+        backend: ENGINES,
+        program: Some(program),
+        session: Some("session"),
+        prefix,
+        prompt_tokens: prefix.iter().map(|part| part.tokens).sum(),
+        most_tokens: 40,
+        idempotent: false,
+        priority: 0,
+        time_left_ms: 5_000,
+        target_ms: 200,
+        tried: &[],
+    }
+}
