--- /dev/null
+++ b/crates/budget/src/lease/program.rs
@@ -0,0 +1,184 @@
+//! One program's lease at this limiter.
+
+use super::demand::Demand;
+use super::exchange::Exchange;
+use super::verdict::Verdicts;
+use crate::{LeaseSettings, Millis};
+use std::collections::VecDeque;
+
+/// Near the limit: nobody-held units below this many turns' most. Units no longer reserved then go back at once.
+const TIGHT_TURNS: u64 = 4;
+
+/// What a program wants next, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Planned {
+    pub(crate) at: Millis,
+    pub(crate) step: Step,
+}
+
+/// A step that time brings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The counter has been silent too long for the turns that wait.
+    RefuseWaiting,
+    /// The request under way is sent again.
+    Resend,
+    /// Units go back, together with the report of what was used.
+    GiveBack,
+    /// The counter is told what was used.
+    Report,
+    /// Nothing is held, awaited or running any more.
+    Forget,
+}
+
+/// The lease: units held for a program, and the exchange with its counter.
+#[derive(Clone, Debug)]
+pub(crate) struct ProgramLease {
+    /// Units held and not reserved.
+    pub(crate) free: u64,
+    /// Units used since the last request to the counter.
+    pub(crate) unreported: u64,
+    /// Turns running or waiting.
+    pub(crate) turns: usize,
+    /// Turns that wait, in the order in which they came.
+    pub(crate) waiting: VecDeque<u64>,
+    pub(crate) exchange: Exchange,
+    pub(crate) verdicts: Verdicts,
+    pub(crate) demand: Demand,
+    /// Where the schedule has the program.
+    pub(crate) due_at: Option<Millis>,
+    /// The most of the last turn.
+    last_most: u64,
+    /// Whether the counter was near its limit at the last grant.
+    tight: bool,
+    lapses_at: Millis,
+    /// When a turn last ended, if that was after the last grant.
+    freed_at: Option<Millis>,
+    last_end: Millis,
+    /// When the last exchange ended.
+    reported_at: Millis,
+}
+
+impl ProgramLease {
+    pub(crate) fn new(now: Millis) -> Self {
+        Self {
+            free: 0,
+            unreported: 0,
+            turns: 0,
+            waiting: VecDeque::new(),
+            exchange: Exchange::Quiet,
+            verdicts: Verdicts::default(),
+            demand: Demand::new(now),
+            due_at: None,
+            last_most: 0,
+            tight: false,
+            lapses_at: 0,
+            freed_at: None,
+            last_end: now,
+            reported_at: now,
+        }
+    }
+
+    /// A turn of this size came.
+    pub(crate) fn turn_came(&mut self, most: u64) {
+        self.last_most = most;
+    }
+
+    /// Reserves units if the lease covers them and has not lapsed.
+    pub(crate) fn reserve(&mut self, units: u64, now: Millis) -> bool {
+        if units == 0 {
+            return true;
+        }
+        if now >= self.lapses_at || self.free < units {
+            return false;
+        }
+        self.free -= units;
+        true
+    }
+
+    pub(crate) fn granted(&mut self, units: u64, left: u64, now: Millis, settings: &LeaseSettings) {
+        self.free = self.free.saturating_add(units);
+        self.lapses_at = now + settings.lease_ms;
+        self.tight = left < self.last_most.saturating_mul(TIGHT_TURNS);
+        self.freed_at = None;
+        self.verdicts.granted();
+    }
+
+    /// A turn ended and freed what it had reserved and not used.
+    pub(crate) fn turn_ended(&mut self, units: u64, now: Millis) {
+        self.free = self.free.saturating_add(units);
+        self.turns -= 1;
+        self.last_end = now;
+        self.freed_at = Some(now);
+    }
+
+    /// A turn used units: `beyond` of them it had not reserved, which other units make good as far as they go.
+    pub(crate) fn used(&mut self, units: u64, beyond: u64) {
+        self.free = self.free.saturating_sub(beyond);
+        self.unreported = self.unreported.saturating_add(units);
+        self.demand.add(units);
+    }
+
+    /// Takes out the units that a request gives back.
+    pub(crate) fn take_free(&mut self) -> u64 {
+        self.freed_at = None;
+        std::mem::take(&mut self.free)
+    }
+
+    pub(crate) fn take_unreported(&mut self) -> u64 {
+        std::mem::take(&mut self.unreported)
+    }
+
+    /// The counter answered.
+    pub(crate) fn answered(&mut self, now: Millis) {
+        self.reported_at = now;
+    }
+
+    /// Whether the counter has been silent for longer than the bound.
+    pub(crate) fn silent(&self, now: Millis, settings: &LeaseSettings) -> bool {
+        self.exchange.asked().is_some_and(|asked| now >= asked.since + settings.silent_after_ms)
+    }
+
+    /// The next step, if nothing else happens before.
+    pub(crate) fn planned(&self, settings: &LeaseSettings) -> Option<Planned> {
+        match self.exchange.asked() {
+            Some(asked) => {
+                let resend = Planned { at: asked.resend_at, step: Step::Resend };
+                let refuse = self.waiting.front().map(|_| Planned {
+                    at: asked.since + settings.silent_after_ms,
+                    step: Step::RefuseWaiting,
+                });
+                earliest([refuse, Some(resend)])
+            }
+            None if self.turns > 0 => earliest([self.give_back_while_running(), Some(self.report(settings))]),
+            None => Some(self.planned_at_rest(settings)),
+        }
+    }
+
+    /// Between turns: what is held goes back after a while, at once near the limit.
+    fn planned_at_rest(&self, settings: &LeaseSettings) -> Planned {
+        if self.free == 0 && self.unreported == 0 {
+            return Planned { at: self.last_end + settings.forget_ms, step: Step::Forget };
+        }
+        let pause = if self.tight { 0 } else { settings.idle_return_ms };
+        Planned { at: self.last_end + pause, step: Step::GiveBack }
+    }
+
+    /// While turns run: what is free goes back when the lease lapses, at once near the limit if a turn freed it.
+    fn give_back_while_running(&self) -> Option<Planned> {
+        if self.free == 0 {
+            return None;
+        }
+        let freed_at = self.freed_at.filter(|_| self.tight);
+        let at = freed_at.map_or(self.lapses_at, |at| at.min(self.lapses_at));
+        Some(Planned { at, step: Step::GiveBack })
+    }
+
+    fn report(&self, settings: &LeaseSettings) -> Planned {
+        Planned { at: self.reported_at + settings.report_ms, step: Step::Report }
+    }
+}
+
+fn earliest<const N: usize>(planned: [Option<Planned>; N]) -> Option<Planned> {
+    planned.into_iter().flatten().min_by_key(|planned| planned.at)
+}
