--- a/crates/budget/src/lease/exchange.rs
+++ b/crates/budget/src/lease/exchange.rs
@@ -2,6 +2,9 @@
 
 use crate::{CounterRequest, LeaseSettings, Millis};
 
+/// Pauses between repeated requests double this often at most.
+const MAX_DOUBLINGS: u32 = 10;
+
 /// Whether a request is under way.
 #[derive(Clone, Debug)]
 pub(crate) enum Exchange {
@@ -19,14 +22,14 @@
     pub(crate) since: Millis,
     /// When it is to be sent again.
     pub(crate) resend_at: Millis,
-    /// How long the next failure to send delays it.
-    pause: Millis,
+    /// How often it was sent in vain.
+    failures: u32,
 }
 
 impl Exchange {
     pub(crate) fn begin(&mut self, request: CounterRequest, now: Millis, settings: &LeaseSettings) {
         let resend_at = now + settings.answer_wait_ms;
-        *self = Exchange::Asked(Asked { request, since: now, resend_at, pause: settings.resend_ms });
+        *self = Exchange::Asked(Asked { request, since: now, resend_at, failures: 0 });
     }
 
     /// Ends the exchange if that is the request under way; tells whether it was.
@@ -38,20 +41,18 @@
         awaited
     }
 
-    /// The request found no answer: it is sent again after a pause that grows.
+    /// It is known that no answer will come to the request: it is sent again soon.
     pub(crate) fn failed(&mut self, sequence: u64, now: Millis, settings: &LeaseSettings) {
         let Exchange::Asked(asked) = self else { return };
-        if asked.request.sequence != sequence {
-            return;
+        if asked.request.sequence == sequence {
+            asked.put_off(settings.resend_ms, now, settings);
         }
-        asked.resend_at = now + asked.pause;
-        asked.pause = (asked.pause * 2).min(settings.answer_wait_ms);
     }
 
     /// The request to send again.
     pub(crate) fn resend(&mut self, now: Millis, settings: &LeaseSettings) -> Option<CounterRequest> {
         let Exchange::Asked(asked) = self else { return None };
-        asked.resend_at = now + settings.answer_wait_ms;
+        asked.put_off(settings.answer_wait_ms, now, settings);
         Some(asked.request.clone())
     }
 
@@ -62,3 +63,12 @@
         }
     }
 }
+
+impl Asked {
+    /// Sets the time to send the request again: after a pause that doubles each time.
+    fn put_off(&mut self, pause: Millis, now: Millis, settings: &LeaseSettings) {
+        self.failures += 1;
+        let doubled = pause.saturating_mul(1 << self.failures.min(MAX_DOUBLINGS));
+        self.resend_at = now + doubled.min(settings.resend_most_ms);
+    }
+}
--- a/crates/budget/src/lease/mod.rs
+++ b/crates/budget/src/lease/mod.rs
@@ -26,15 +26,8 @@
     most: u64,
     /// Units reserved for it and not used yet.
     left: u64,
-    state: TurnState,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TurnState {
-    /// Its most is not reserved yet.
-    Waiting,
-    /// Its most was reserved.
-    Running,
+    /// Whether a try of it was admitted.
+    admitted: bool,
 }
 
 impl Turn {
@@ -191,8 +184,7 @@
             return false;
         }
         let Some(program) = self.enrol_program(program, now) else { return false };
-        let state = TurnState::Waiting;
-        self.turns.insert(turn, Turn { program, budget: 0, most: 0, left: 0, state });
+        self.turns.insert(turn, Turn { program, budget: 0, most: 0, left: 0, admitted: false });
         true
     }
 
@@ -221,20 +213,17 @@
         let lacking = entry.lacking();
         if lease.reserve(lacking, now) {
             entry.left += lacking;
-            entry.state = TurnState::Running;
-            lease.waiting.retain(|waiting| *waiting != turn);
+            entry.admitted = true;
+            lease.wait_no_more(turn);
             return Admission::Admitted;
         }
         if let Some(refusal) = lease.verdicts.on(lacking, entry.budget, now) {
             return self.refuse(turn, refusal, now);
         }
-        if lease.silent(now, &self.settings) {
+        if lease.waited_out(turn, now, &self.settings) {
             return self.refuse(turn, Refusal::Silent, now);
         }
-        if entry.state == TurnState::Running || !lease.waiting.contains(&turn) {
-            entry.state = TurnState::Waiting;
-            lease.waiting.push_back(turn);
-        }
+        lease.wait(turn, now);
         if lease.exchange.asked().is_some() {
             return Admission::Waiting;
         }
@@ -293,15 +282,18 @@
     }
 
     fn first_waiting(&self, program: &str) -> Option<u64> {
-        self.programs.get(program)?.waiting.front().copied()
+        self.programs.get(program)?.first_waiting()
     }
 
     /// Takes a turn out; gives its program.
     fn strike(&mut self, turn: u64, now: Millis) -> Option<Arc<str>> {
         let entry = self.turns.remove(&turn)?;
         let lease = self.programs.get_mut(&entry.program)?;
-        lease.waiting.retain(|waiting| *waiting != turn);
-        lease.turn_ended(entry.left, now);
+        lease.wait_no_more(turn);
+        lease.turns -= 1;
+        if entry.admitted {
+            lease.turn_ended(entry.left, now);
+        }
         Some(entry.program)
     }
 
--- a/crates/budget/src/lease/program.rs
+++ b/crates/budget/src/lease/program.rs
@@ -31,6 +31,13 @@
     Forget,
 }
 
+/// A turn that waits for the counter.
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    turn: u64,
+    since: Millis,
+}
+
 /// The lease: units held for a program, and the exchange with its counter.
 #[derive(Clone, Debug)]
 pub(crate) struct ProgramLease {
@@ -41,7 +48,7 @@
     /// Turns running or waiting.
     pub(crate) turns: usize,
     /// Turns that wait, in the order in which they came.
-    pub(crate) waiting: VecDeque<u64>,
+    waiting: VecDeque<Waiter>,
     pub(crate) exchange: Exchange,
     pub(crate) verdicts: Verdicts,
     pub(crate) demand: Demand,
@@ -101,15 +108,17 @@
         self.lapses_at = now + settings.lease_ms;
         self.tight = left < self.last_most.saturating_mul(TIGHT_TURNS);
         self.freed_at = None;
-        self.verdicts.granted();
+        self.verdicts.units_came();
     }
 
-    /// A turn ended and freed what it had reserved and not used.
+    /// A turn that had been admitted ended and freed what it had reserved and not used.
     pub(crate) fn turn_ended(&mut self, units: u64, now: Millis) {
         self.free = self.free.saturating_add(units);
-        self.turns -= 1;
         self.last_end = now;
         self.freed_at = Some(now);
+        if units > 0 {
+            self.verdicts.units_came();
+        }
     }
 
     /// A turn used units: `beyond` of them it had not reserved, which other units make good as far as they go.
@@ -134,9 +143,39 @@
         self.reported_at = now;
     }
 
-    /// Whether the counter has been silent for longer than the bound.
-    pub(crate) fn silent(&self, now: Millis, settings: &LeaseSettings) -> bool {
-        self.exchange.asked().is_some_and(|asked| now >= asked.since + settings.silent_after_ms)
+    /// Puts a turn behind those that wait, unless it waits already.
+    pub(crate) fn wait(&mut self, turn: u64, now: Millis) {
+        if !self.waiting.iter().any(|waiter| waiter.turn == turn) {
+            self.waiting.push_back(Waiter { turn, since: now });
+        }
+    }
+
+    /// The turn waits no longer.
+    pub(crate) fn wait_no_more(&mut self, turn: u64) {
+        self.waiting.retain(|waiter| waiter.turn != turn);
+    }
+
+    pub(crate) fn first_waiting(&self) -> Option<u64> {
+        self.waiting.front().map(|waiter| waiter.turn)
+    }
+
+    /// Whether a turn may not wait any longer: the counter is silent, or the turn has waited for the bound, maybe
+    /// through several answers.
+    pub(crate) fn waited_out(&self, turn: u64, now: Millis, settings: &LeaseSettings) -> bool {
+        let waiter = self.waiting.iter().find(|waiter| waiter.turn == turn);
+        let began = waiter.map(|waiter| waiter.since).into_iter().chain(self.asked_since()).min();
+        began.is_some_and(|began| now >= began + settings.silent_after_ms)
+    }
+
+    fn asked_since(&self) -> Option<Millis> {
+        self.exchange.asked().map(|asked| asked.since)
+    }
+
+    /// When the turn that has waited longest is refused.
+    fn refuse_waiting(&self, settings: &LeaseSettings) -> Option<Planned> {
+        let first = self.waiting.front()?;
+        let began = self.asked_since().map_or(first.since, |asked| asked.min(first.since));
+        Some(Planned { at: began + settings.silent_after_ms, step: Step::RefuseWaiting })
     }
 
     /// The next step, if nothing else happens before.
@@ -144,11 +183,7 @@
         match self.exchange.asked() {
             Some(asked) => {
                 let resend = Planned { at: asked.resend_at, step: Step::Resend };
-                let refuse = self.waiting.front().map(|_| Planned {
-                    at: asked.since + settings.silent_after_ms,
-                    step: Step::RefuseWaiting,
-                });
-                earliest([refuse, Some(resend)])
+                earliest([self.refuse_waiting(settings), Some(resend)])
             }
             None if self.turns > 0 => earliest([self.give_back_while_running(), Some(self.report(settings))]),
             None => Some(self.planned_at_rest(settings)),
@@ -161,7 +196,11 @@
             return Planned { at: self.last_end + settings.forget_ms, step: Step::Forget };
         }
         let pause = if self.tight { 0 } else { settings.idle_return_ms };
-        Planned { at: self.last_end + pause, step: Step::GiveBack }
+        let mut at = self.last_end + pause;
+        if self.free > 0 {
+            at = at.min(self.lapses_at);
+        }
+        Planned { at, step: Step::GiveBack }
     }
 
     /// While turns run: what is free goes back when the lease lapses, at once near the limit if a turn freed it.
--- a/crates/budget/src/lease/settings.rs
+++ b/crates/budget/src/lease/settings.rs
@@ -5,12 +5,15 @@
 /// Times and bounds of a limiter's leases, with the project's defaults.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseSettings {
-    /// A counter that has not answered for this long is silent: turns that need it are refused.
+    /// A counter that has not answered for this long is silent: turns that need it are refused. No turn waits
+    /// longer.
     pub silent_after_ms: Millis,
-    /// A request without an answer is sent again after this long.
+    /// A request without an answer is sent again after this long, doubled each time up to `resend_most_ms`.
     pub answer_wait_ms: Millis,
-    /// A request whose sending failed is sent again after this long, doubled each time up to `answer_wait_ms`.
+    /// A request whose sending failed is sent again after this long, doubled each time up to `resend_most_ms`.
     pub resend_ms: Millis,
+    /// The longest pause before a request is sent again.
+    pub resend_most_ms: Millis,
     /// A lease lapses this long after it was granted: longer than a pause between turns of a program.
     pub lease_ms: Millis,
     /// Units are given back this long after the program's last turn here.
@@ -35,8 +38,9 @@
     fn default() -> Self {
         Self {
             silent_after_ms: 1_000,
-            answer_wait_ms: 1_000,
+            answer_wait_ms: 300,
             resend_ms: 50,
+            resend_most_ms: 1_000,
             lease_ms: 10_000,
             idle_return_ms: 1_000,
             report_ms: 5_000,
--- a/crates/budget/src/lease/verdict.rs
+++ b/crates/budget/src/lease/verdict.rs
@@ -39,8 +39,8 @@
         self.put_off = Some(Verdict { refusal, from, budget, until });
     }
 
-    /// Units came: what was put off may fit now.
-    pub(crate) fn granted(&mut self) {
+    /// Units came, granted or freed: what was put off may fit now.
+    pub(crate) fn units_came(&mut self) {
         self.put_off = None;
     }
 
--- a/crates/budget/tests/common/mod.rs
+++ b/crates/budget/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests share: short ways to build requests and to play a limiter against a counter.
 #![allow(dead_code)]
 
+pub mod world;
+
 use dunespur_budget::{
     Admission, CounterChange, CounterReply, CounterRequest, Counters, LeaseBook, LimiterId, TurnOutcome,
 };
