Keep turns on several stores: placement, writing, reading, index, repair, disk

A store acknowledges a turn only with its whole chain synced, a new disk is not whole before a pass over all others that began after old writers ended, and unknown is said only if every store says so, is whole and names no store that the reader's list lacks.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,3 @@
 //! Files of the system on redb: what is acknowledged has been synced.
+
+pub mod turns;
--- /dev/null
+++ b/crates/turns/src/node.rs
@@ -0,0 +1,841 @@
+//! One store machine as a state machine: requests, the list of stores, answers of other stores, completions of
+//! the disk and the time go in; [`Effect`]s come out. The process around it owns sockets, disk and clock.
+//!
+//! After every call take all effects with [`StoreNode::poll`], and call [`StoreNode::tick`] when
+//! [`StoreNode::next_due`] says so. Disk work is to be done in the order in which it comes.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::commit::{CommitQueue, Committed, Waiter};
+use crate::complete::{Completions, ParkedPut};
+use crate::handoff::{Deliveries, DeliveryStep, Placement};
+use crate::index::{Index, IndexEntry, READ_HOLD_MS};
+use crate::message::{Refusal, StoreReply, StoreRequest, CHAIN_PAGE_BYTES, PAGE_BYTES};
+use crate::placement;
+use crate::repair::{PullAsk, Repair};
+use crate::roster::{Candidate, Store};
+use crate::turn::{HeldTurn, Turn};
+use crate::write::WRITE_DEADLINE_MS;
+
+/// Names a caller that waits for a reply; chosen by the process around the node.
+pub type CallerId = u64;
+/// Names a question to another store.
+pub type AskId = u64;
+/// Names a piece of disk work.
+pub type JobId = u64;
+
+/// A question to another store that has no answer after this long has failed.
+pub const ASK_TIMEOUT_MS: u64 = 800;
+/// A store with a new disk is not whole before a pass that began this long after its start has ended. By then
+/// every writer that still counted on the old disk has ended, and what it wrote elsewhere is listed.
+pub const SETTLE_MS: u64 = WRITE_DEADLINE_MS + 300;
+/// How often turns past their time are looked for.
+pub const EXPIRY_SWEEP_MS: u64 = 5_000;
+/// Most turns deleted from the disk in one piece of work.
+const REMOVE_BOUND: usize = 2_000;
+
+/// What the node is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Its name in the list of stores.
+    pub name: String,
+    /// How many stores keep each turn: as many as may be lost at one time, and one more.
+    pub copies: usize,
+    /// Most bytes of bodies that it takes in.
+    pub capacity_bytes: u64,
+    /// A store that is absent for this long is replaced: what it held gets further copies elsewhere.
+    pub absent_repair_ms: u64,
+}
+
+/// What the disk brought at the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DiskState {
+    /// Names this life of the disk.
+    pub disk: u64,
+    /// It has not been whole in this life.
+    pub fresh: bool,
+    pub entries: Vec<IndexEntry>,
+}
+
+/// What the process around the node has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Answer a caller.
+    Reply { caller: CallerId, reply: StoreReply },
+    /// Ask another store; its answer goes to [`StoreNode::peer_answered`].
+    Ask { ask: AskId, store: String, request: StoreRequest },
+    /// Work for the disk; its completion goes to [`StoreNode::disk_done`].
+    Disk { job: JobId, work: DiskWork },
+    /// Tell the core.
+    Declare(Declaration),
+}
+
+/// Work for the disk.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DiskWork {
+    /// One synced commit.
+    Put(Vec<Turn>),
+    /// Read these, in this order.
+    Get(Vec<String>),
+    Remove(Vec<String>),
+    /// Remember, synced, that the disk is whole.
+    MarkWhole,
+}
+
+/// How a piece of disk work ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DiskOutcome {
+    Done,
+    /// For [`DiskWork::Get`]: what was found, in the order asked for.
+    Turns(Vec<Turn>),
+    Failed,
+}
+
+/// What the core has to hear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Declaration {
+    /// Everything that this store should hold is there.
+    Whole,
+    /// Everything that this store held is kept by enough others: its machine may be taken away.
+    Retired,
+}
+
+/// How far the store is with its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wholeness {
+    /// A new disk; some present store has not heard of this one yet, so no turns are taken.
+    Joining,
+    /// A new disk, being filled; turns are taken.
+    Filling,
+    /// All is there; the disk is being told.
+    Marking,
+    Whole,
+}
+
+/// Whether the store is used or emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    InUse,
+    Emptying,
+    Emptied,
+}
+
+/// What the answer of another store is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum AskPurpose {
+    Pull { pass: u64 },
+    Want { id: String },
+    Delivery { serial: u64 },
+}
+
+#[derive(Debug)]
+struct OpenAsk {
+    purpose: AskPurpose,
+    store: String,
+    give_up_at_ms: u64,
+}
+
+/// What a piece of disk work is for.
+#[derive(Debug)]
+enum JobPurpose {
+    Commit,
+    Chain { caller: CallerId, missing: Option<String>, more: bool },
+    Fetch { caller: CallerId },
+    Delivery { serial: u64 },
+    Removal,
+    MarkWhole,
+}
+
+/// One store machine.
+#[derive(Debug)]
+pub struct StoreNode {
+    settings: Settings,
+    /// A pass begun after this makes a new disk whole.
+    settled_at_ms: u64,
+    wholeness: Wholeness,
+    service: Service,
+    index: Index,
+    commits: CommitQueue,
+    completions: Completions,
+    repair: Repair,
+    deliveries: Deliveries,
+    /// The list as it came last; empty before the first.
+    stores: Vec<Store>,
+    /// Since when a store of the list is absent.
+    absent_since: BTreeMap<String, u64>,
+    /// Stores that turns are placed on, those absent for long left out.
+    candidates: Vec<Candidate>,
+    /// Stores that asked but are not in the list yet.
+    guests: BTreeSet<String>,
+    /// Stores that have heard of this one.
+    introduced_to: BTreeSet<String>,
+    asks: BTreeMap<AskId, OpenAsk>,
+    jobs: BTreeMap<JobId, JobPurpose>,
+    last_number: u64,
+    sweep_at_ms: u64,
+    effects: VecDeque<Effect>,
+}
+
+impl StoreNode {
+    /// A store that has just started, `wall_ms` by the wall clock and `now_ms` by the steady one.
+    pub fn new(settings: Settings, disk: DiskState, wall_ms: u64, now_ms: u64) -> Self {
+        let wholeness = if disk.fresh { Wholeness::Joining } else { Wholeness::Whole };
+        Self {
+            settings,
+            settled_at_ms: now_ms.saturating_add(SETTLE_MS),
+            wholeness,
+            service: Service::InUse,
+            index: Index::load(disk.entries, wall_ms, now_ms),
+            commits: CommitQueue::default(),
+            completions: Completions::default(),
+            repair: Repair::default(),
+            deliveries: Deliveries::default(),
+            stores: Vec::new(),
+            absent_since: BTreeMap::new(),
+            candidates: Vec::new(),
+            guests: BTreeSet::new(),
+            introduced_to: BTreeSet::new(),
+            asks: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            last_number: 0,
+            sweep_at_ms: now_ms.saturating_add(EXPIRY_SWEEP_MS),
+            effects: VecDeque::new(),
+        }
+    }
+
+    /// The next thing to be done.
+    pub fn poll(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// Everything that it should hold is there.
+    pub fn is_whole(&self) -> bool {
+        self.wholeness == Wholeness::Whole
+    }
+
+    /// Its machine may be taken away.
+    pub fn is_emptied(&self) -> bool {
+        self.service == Service::Emptied
+    }
+
+    /// What it holds.
+    pub fn index(&self) -> &Index {
+        &self.index
+    }
+
+    /// The list of stores, as the core has it now.
+    pub fn list_changed(&mut self, stores: Vec<Store>, now_ms: u64) {
+        let before = std::mem::replace(&mut self.stores, stores);
+        self.note_absences(now_ms);
+        let stores = &self.stores;
+        self.guests.retain(|guest| !stores.iter().any(|store| store.name == *guest));
+        let moved = self.place_anew(now_ms) || places_differ(&before, &self.stores);
+        self.note_service(now_ms);
+        if moved {
+            self.pull_from_all(now_ms);
+            self.empty_anew(now_ms);
+        } else {
+            self.pull_from_returned(&before, now_ms);
+        }
+        self.advance(now_ms);
+    }
+
+    /// A gateway or another store asks something.
+    pub fn request(&mut self, caller: CallerId, request: StoreRequest, now_ms: u64) {
+        match request {
+            StoreRequest::Put { turn, hint } => self.put(caller, turn, hint, now_ms),
+            StoreRequest::Chain { id } => self.chain(caller, &id, now_ms),
+            StoreRequest::List { home, candidates, copies, after } => {
+                self.meet(&home);
+                let page = self.index.missing_at(&home, &candidates, copies, after.as_deref(), now_ms);
+                self.reply(caller, StoreReply::Listed { turns: page.turns, next: page.next });
+            }
+            StoreRequest::Fetch { ids, with_ancestors } => self.fetch(caller, &ids, with_ancestors, now_ms),
+            StoreRequest::Offer { ids } => {
+                let lacking = ids.into_iter().filter(|id| !self.index.contains(id)).collect();
+                self.reply(caller, StoreReply::Lacks { ids: lacking });
+            }
+            StoreRequest::Handoff { turns } => self.take_over(caller, turns, now_ms),
+        }
+        self.advance(now_ms);
+    }
+
+    /// Another store answered, or could not be asked (`None`).
+    pub fn peer_answered(&mut self, ask: AskId, reply: Option<StoreReply>, now_ms: u64) {
+        let Some(open) = self.asks.remove(&ask) else {
+            return;
+        };
+        match open.purpose {
+            AskPurpose::Pull { pass } if pass == self.repair.pass() => {
+                self.pull_answered(&open.store, reply, now_ms)
+            }
+            AskPurpose::Pull { .. } => {}
+            AskPurpose::Want { id } => self.want_answered(id, reply, now_ms),
+            AskPurpose::Delivery { serial } => self.delivery_answered(serial, reply, now_ms),
+        }
+        self.advance(now_ms);
+    }
+
+    /// A piece of disk work has ended.
+    pub fn disk_done(&mut self, job: JobId, outcome: DiskOutcome, now_ms: u64) {
+        let Some(purpose) = self.jobs.remove(&job) else {
+            return;
+        };
+        match purpose {
+            JobPurpose::Commit => self.commit_done(outcome != DiskOutcome::Failed, now_ms),
+            JobPurpose::Chain { caller, missing, more } => self.chain_read(caller, missing, more, outcome),
+            JobPurpose::Fetch { caller } => self.fetch_read(caller, outcome, now_ms),
+            JobPurpose::Delivery { serial } => self.delivery_read(serial, outcome, now_ms),
+            JobPurpose::Removal => {}
+            JobPurpose::MarkWhole => self.marked(outcome != DiskOutcome::Failed, now_ms),
+        }
+        self.advance(now_ms);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.end_late_asks(now_ms);
+        self.sweep(now_ms);
+        if self.place_anew(now_ms) {
+            self.pull_from_all(now_ms);
+            self.empty_anew(now_ms);
+        }
+        self.advance(now_ms);
+    }
+
+    /// When [`Self::tick`] has to be called.
+    pub fn next_due(&self) -> u64 {
+        let settle = (self.wholeness == Wholeness::Filling).then_some(self.settled_at_ms);
+        let placed = |name: &str| self.candidates.iter().any(|candidate| candidate.name == name);
+        let absences = self.absent_since.iter().filter(|(name, _)| placed(name));
+        self.asks
+            .values()
+            .map(|open| open.give_up_at_ms)
+            .chain(settle.filter(|_| self.repair.began_at_ms() < self.settled_at_ms))
+            .chain(absences.map(|(_, since)| since.saturating_add(self.settings.absent_repair_ms)))
+            .chain(self.repair.next_due())
+            .chain(self.deliveries.next_due(|name| self.is_present(name)))
+            .chain([self.sweep_at_ms])
+            .min()
+            .unwrap_or(self.sweep_at_ms)
+    }
+}
+
+/// The list of stores.
+impl StoreNode {
+    fn note_absences(&mut self, now_ms: u64) {
+        let absent = |store: &&Store| !store.present && store.name != self.settings.name;
+        let names: Vec<String> = self.stores.iter().filter(absent).map(|store| store.name.clone()).collect();
+        self.absent_since.retain(|name, _| names.contains(name));
+        for name in names {
+            self.absent_since.entry(name).or_insert(now_ms);
+        }
+    }
+
+    /// Computes anew on which stores turns are placed; says whether that has changed.
+    fn place_anew(&mut self, now_ms: u64) -> bool {
+        let lasting = |store: &&Store| {
+            let since = self.absent_since.get(&store.name);
+            since.is_none_or(|since| now_ms < since + self.settings.absent_repair_ms)
+        };
+        let candidates: Vec<Candidate> = self
+            .stores
+            .iter()
+            .filter(|store| store.takes_turns())
+            .filter(lasting)
+            .map(Candidate::from)
+            .collect();
+        let changed = candidates != self.candidates;
+        self.candidates = candidates;
+        changed
+    }
+
+    fn note_service(&mut self, now_ms: u64) {
+        let own = self.stores.iter().find(|store| store.name == self.settings.name);
+        let leaving = own.is_some_and(|own| own.retiring || own.retired);
+        match (self.service, leaving) {
+            (Service::InUse, true) => self.enter_service(Service::Emptying, now_ms),
+            (Service::Emptying | Service::Emptied, false) => self.enter_service(Service::InUse, now_ms),
+            _ => {}
+        }
+    }
+
+    fn enter_service(&mut self, service: Service, now_ms: u64) {
+        self.service = service;
+        match service {
+            Service::InUse => self.deliveries.stop_emptying(),
+            Service::Emptying => self.empty_anew(now_ms),
+            Service::Emptied => self.effects.push_back(Effect::Declare(Declaration::Retired)),
+        }
+    }
+
+    /// Offers everything to the new homes from the start, if this store is being emptied.
+    fn empty_anew(&mut self, now_ms: u64) {
+        if self.service != Service::Emptying {
+            return;
+        }
+        // Fewer homes than copies: nothing can be declared until another store has come.
+        let homes = if self.candidates.len() < self.settings.copies { &[] } else { &self.candidates[..] };
+        let names: Vec<String> = homes.iter().map(|home| home.name.clone()).collect();
+        self.deliveries.begin_emptying(names, now_ms);
+    }
+
+    /// Pulls from the stores that have come back, and no more from those that have gone.
+    fn pull_from_returned(&mut self, before: &[Store], now_ms: u64) {
+        for peer in peers(before, &self.settings.name) {
+            if !self.is_present(&peer.name) {
+                self.repair.remove(&peer.name);
+            }
+        }
+        let came: Vec<String> = peers(&self.stores, &self.settings.name)
+            .filter(|peer| !before.iter().any(|old| old.name == peer.name && old.present))
+            .map(|peer| peer.name.clone())
+            .collect();
+        for peer in came {
+            self.repair.add(&peer, now_ms);
+        }
+    }
+
+    fn pull_from_all(&mut self, now_ms: u64) {
+        let peers: Vec<String> =
+            peers(&self.stores, &self.settings.name).map(|peer| peer.name.clone()).collect();
+        self.repair.begin(peers, now_ms);
+    }
+
+    fn is_present(&self, name: &str) -> bool {
+        self.stores.iter().any(|store| store.name == name && store.present && !store.retired)
+    }
+
+    /// A store asks; if the list does not name it yet, it is told to readers as one that may hold turns.
+    fn meet(&mut self, name: &str) {
+        if name != self.settings.name && !self.stores.iter().any(|store| store.name == name) {
+            self.guests.insert(name.to_owned());
+        }
+    }
+
+    fn known_stores(&self) -> Vec<String> {
+        let listed = self.stores.iter().filter(|store| !store.retired).map(|store| &store.name);
+        let mut names: Vec<String> = listed.chain(&self.guests).cloned().collect();
+        if !names.contains(&self.settings.name) {
+            names.push(self.settings.name.clone());
+        }
+        names
+    }
+}
+
+/// Requests of gateways and other stores.
+impl StoreNode {
+    fn reply(&mut self, caller: CallerId, reply: StoreReply) {
+        self.effects.push_back(Effect::Reply { caller, reply });
+    }
+
+    fn put(&mut self, caller: CallerId, turn: Turn, hint: Option<String>, now_ms: u64) {
+        let header = turn.header();
+        let term = header.full_term_ms();
+        let known = self.index.agrees_with(&header);
+        if known && self.first_missing(Some(&header.id)).is_none() {
+            self.index.extend(&header.id, now_ms.saturating_add(term));
+            return self.reply(caller, StoreReply::Kept);
+        }
+        if let Some(refusal) = self.refusal(&turn).filter(|refusal| !known || *refusal != Refusal::Conflict) {
+            return self.reply(caller, StoreReply::Refused(refusal));
+        }
+        let put = ParkedPut { caller, turn: HeldTurn { turn, remaining_ms: term }, hint };
+        self.go_on_with(put, now_ms);
+    }
+
+    /// Why a turn is not taken, if so.
+    fn refusal(&self, turn: &Turn) -> Option<Refusal> {
+        let used = self.index.bytes() + self.commits.bytes() + self.completions.bytes();
+        if self.service != Service::InUse {
+            Some(Refusal::Retiring)
+        } else if self.wholeness == Wholeness::Joining {
+            Some(Refusal::Joining)
+        } else if self.index.contains(&turn.id) {
+            Some(Refusal::Conflict)
+        } else if used + turn.size() > self.settings.capacity_bytes {
+            Some(Refusal::Full)
+        } else {
+            None
+        }
+    }
+
+    /// Commits a put, or lets it wait for the part of its chain that is not here.
+    fn go_on_with(&mut self, put: ParkedPut, now_ms: u64) {
+        let Some(missing) = self.first_missing(put.turn.turn.previous.as_deref()) else {
+            return self.commit_put(put, now_ms);
+        };
+        let sources = self.likely_holders(&put.turn.turn.program);
+        if let Err(caller) = self.completions.park(&missing, sources, put) {
+            self.reply(caller, StoreReply::Refused(Refusal::Busy));
+        }
+    }
+
+    fn commit_put(&mut self, put: ParkedPut, now_ms: u64) {
+        let waiter = Waiter::Caller { caller: put.caller, hint: put.hint };
+        self.commit(vec![put.turn], waiter, now_ms);
+    }
+
+    fn commit(&mut self, turns: Vec<HeldTurn>, waiter: Waiter, now_ms: u64) {
+        if let Err(refusal) = self.commits.push(turns, waiter.clone()) {
+            self.commit_failed(waiter, refusal, now_ms);
+        }
+    }
+
+    /// The first turn on the way to the start of the chain that is neither held nor on its way to the disk.
+    fn first_missing(&self, previous: Option<&str>) -> Option<String> {
+        let mut missing = self.index.first_missing(previous?)?;
+        // Bounded by the commits waiting; each step is one of them.
+        while let Some(previous) = self.commits.previous_of(&missing) {
+            missing = self.index.first_missing(previous?)?;
+        }
+        Some(missing)
+    }
+
+    /// The other present stores, the program's homes first.
+    fn likely_holders(&self, program: &str) -> Vec<String> {
+        let peers: Vec<&Store> = peers(&self.stores, &self.settings.name).collect();
+        placement::order_of(program, &peers).into_iter().map(|store| store.name.clone()).collect()
+    }
+
+    fn chain(&mut self, caller: CallerId, id: &str, now_ms: u64) {
+        let Some(chain) = self.index.chain(id, CHAIN_PAGE_BYTES, now_ms) else {
+            let reply = StoreReply::Unknown { whole: self.is_whole(), knows: self.known_stores() };
+            return self.reply(caller, reply);
+        };
+        self.index.extend(id, now_ms.saturating_add(READ_HOLD_MS));
+        let ids = chain.ids.iter().rev().map(|id| id.to_string()).collect();
+        let missing = chain.missing.map(|id| id.to_string());
+        self.work(JobPurpose::Chain { caller, missing, more: chain.more }, DiskWork::Get(ids));
+    }
+
+    fn chain_read(&mut self, caller: CallerId, missing: Option<String>, more: bool, outcome: DiskOutcome) {
+        let reply = match outcome {
+            DiskOutcome::Turns(turns) if !turns.is_empty() => StoreReply::Found { turns, missing, more },
+            _ => StoreReply::Refused(Refusal::Disk),
+        };
+        self.reply(caller, reply);
+    }
+
+    fn fetch(&mut self, caller: CallerId, ids: &[String], with_ancestors: bool, now_ms: u64) {
+        let mut wanted: Vec<String> = Vec::new();
+        let mut bytes = 0;
+        for id in ids {
+            let held = if with_ancestors {
+                self.index.chain(id, PAGE_BYTES, now_ms).map(|chain| chain.ids).unwrap_or_default()
+            } else {
+                self.index.chain(id, 0, now_ms).map(|chain| chain.ids).unwrap_or_default()
+            };
+            for id in held {
+                let size = self.index.size(&id).unwrap_or(0);
+                if !wanted.is_empty() && bytes + size > PAGE_BYTES {
+                    break;
+                }
+                bytes += size;
+                wanted.push(id.to_string());
+            }
+        }
+        if wanted.is_empty() {
+            return self.reply(caller, StoreReply::Fetched { turns: Vec::new() });
+        }
+        self.work(JobPurpose::Fetch { caller }, DiskWork::Get(wanted));
+    }
+
+    fn fetch_read(&mut self, caller: CallerId, outcome: DiskOutcome, now_ms: u64) {
+        let reply = match outcome {
+            DiskOutcome::Turns(turns) => StoreReply::Fetched { turns: self.with_time_left(turns, now_ms) },
+            _ => StoreReply::Refused(Refusal::Disk),
+        };
+        self.reply(caller, reply);
+    }
+
+    fn with_time_left(&self, turns: Vec<Turn>, now_ms: u64) -> Vec<HeldTurn> {
+        let held = turns.into_iter().filter_map(|turn| {
+            let remaining_ms = self.index.remaining_ms(&turn.id, now_ms)?;
+            Some(HeldTurn { turn, remaining_ms })
+        });
+        held.collect()
+    }
+
+    /// Another store hands turns over.
+    fn take_over(&mut self, caller: CallerId, turns: Vec<HeldTurn>, now_ms: u64) {
+        let refusal = turns.iter().find_map(|held| match self.refusal(&held.turn) {
+            Some(Refusal::Conflict) | None => None,
+            refusal => refusal,
+        });
+        if let Some(refusal) = refusal {
+            return self.reply(caller, StoreReply::Refused(refusal));
+        }
+        self.commit(turns, Waiter::Caller { caller, hint: None }, now_ms);
+    }
+}
+
+/// Disk work.
+impl StoreNode {
+    fn number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    fn work(&mut self, purpose: JobPurpose, work: DiskWork) {
+        let job = self.number();
+        self.jobs.insert(job, purpose);
+        self.effects.push_back(Effect::Disk { job, work });
+    }
+
+    fn commit_done(&mut self, written: bool, now_ms: u64) {
+        for entry in self.commits.finish() {
+            if written {
+                self.committed(entry, now_ms);
+            } else {
+                self.commit_failed(entry.waiter, Refusal::Disk, now_ms);
+            }
+        }
+    }
+
+    fn committed(&mut self, entry: Committed, now_ms: u64) {
+        for turn in &entry.turns {
+            self.index.insert(&turn.header, now_ms.saturating_add(turn.remaining_ms));
+            for put in self.completions.is_here(&turn.header.id) {
+                self.go_on_with(put, now_ms);
+            }
+        }
+        match entry.waiter {
+            Waiter::Caller { caller, hint } => {
+                let id = entry.turns.first().map(|turn| turn.header.id.as_str());
+                if let (Some(home), Some(id)) = (hint, id) {
+                    self.deliveries.hint(&home, id, now_ms);
+                }
+                self.reply(caller, StoreReply::Kept);
+            }
+            Waiter::Pull { pass } => self.repair.committed(pass),
+            Waiter::Completion { .. } => {}
+        }
+    }
+
+    fn commit_failed(&mut self, waiter: Waiter, refusal: Refusal, now_ms: u64) {
+        match waiter {
+            Waiter::Caller { caller, .. } => self.reply(caller, StoreReply::Refused(refusal)),
+            Waiter::Pull { pass } if pass == self.repair.pass() => self.repair.failed(now_ms),
+            Waiter::Pull { .. } => {}
+            Waiter::Completion { id } => self.completions.not_written(&id),
+        }
+    }
+
+    fn marked(&mut self, written: bool, now_ms: u64) {
+        if !written {
+            // Not at once again: a disk that fails would be asked without end.
+            self.settled_at_ms = now_ms.saturating_add(SETTLE_MS);
+            return self.enter_wholeness(Wholeness::Filling);
+        }
+        self.enter_wholeness(Wholeness::Whole);
+        self.effects.push_back(Effect::Declare(Declaration::Whole));
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        if now_ms < self.sweep_at_ms {
+            return;
+        }
+        self.sweep_at_ms = now_ms.saturating_add(EXPIRY_SWEEP_MS);
+        let expired = self.index.expire(now_ms);
+        self.deliveries.forget_expired(&self.index);
+        for ids in expired.chunks(REMOVE_BOUND) {
+            self.work(JobPurpose::Removal, DiskWork::Remove(ids.to_vec()));
+        }
+    }
+}
+
+/// Questions to other stores.
+impl StoreNode {
+    fn ask(&mut self, store: String, purpose: AskPurpose, request: StoreRequest, now_ms: u64) {
+        let ask = self.number();
+        let give_up_at_ms = now_ms.saturating_add(ASK_TIMEOUT_MS);
+        self.asks.insert(ask, OpenAsk { purpose, store: store.clone(), give_up_at_ms });
+        self.effects.push_back(Effect::Ask { ask, store, request });
+    }
+
+    fn end_late_asks(&mut self, now_ms: u64) {
+        let late: Vec<AskId> =
+            self.asks.iter().filter(|(_, open)| open.give_up_at_ms <= now_ms).map(|(ask, _)| *ask).collect();
+        for ask in late {
+            self.peer_answered(ask, None, now_ms);
+        }
+    }
+
+    fn pull_answered(&mut self, store: &str, reply: Option<StoreReply>, now_ms: u64) {
+        match reply {
+            Some(StoreReply::Listed { turns, next }) => {
+                self.introduced_to.insert(store.to_owned());
+                self.repair.listed(turns, next);
+            }
+            Some(StoreReply::Fetched { turns }) => {
+                let turns = self.repair.fetched(turns);
+                if !turns.is_empty() {
+                    self.commit(turns, Waiter::Pull { pass: self.repair.pass() }, now_ms);
+                }
+            }
+            _ => self.repair.failed(now_ms),
+        }
+    }
+
+    fn want_answered(&mut self, id: String, reply: Option<StoreReply>, now_ms: u64) {
+        match reply {
+            Some(StoreReply::Fetched { turns }) if turns.iter().any(|held| held.turn.id == id) => {
+                self.completions.found(&id);
+                self.commit(turns, Waiter::Completion { id }, now_ms);
+            }
+            _ => self.completions.not_there(&id),
+        }
+    }
+
+    fn delivery_answered(&mut self, serial: u64, reply: Option<StoreReply>, now_ms: u64) {
+        match reply {
+            Some(StoreReply::Lacks { ids }) => self.deliveries.lacks(serial, ids),
+            Some(StoreReply::Kept) => self.deliveries.handed_over(serial),
+            _ => self.deliveries.failed(serial, now_ms),
+        }
+    }
+
+    fn delivery_read(&mut self, serial: u64, outcome: DiskOutcome, now_ms: u64) {
+        let DiskOutcome::Turns(turns) = outcome else {
+            return self.deliveries.failed(serial, now_ms);
+        };
+        let Some(peer) = self.deliveries.read(serial) else {
+            return;
+        };
+        let turns = self.with_time_left(turns, now_ms);
+        self.ask(peer, AskPurpose::Delivery { serial }, StoreRequest::Handoff { turns }, now_ms);
+    }
+}
+
+/// What follows from each change.
+impl StoreNode {
+    /// Begins whatever may begin now.
+    fn advance(&mut self, now_ms: u64) {
+        self.complete_chains(now_ms);
+        self.pull(now_ms);
+        self.deliver(now_ms);
+        if let Some(turns) = self.commits.begin() {
+            self.work(JobPurpose::Commit, DiskWork::Put(turns));
+        }
+        self.judge_wholeness(now_ms);
+        self.judge_emptiness(now_ms);
+    }
+
+    fn complete_chains(&mut self, now_ms: u64) {
+        // A pull brings turns by id, often before their ancestors: those it may still bring are not looked for.
+        if self.index.has_dangling() && !self.repair.is_pulling() {
+            self.want_dangling(now_ms);
+        }
+        while let Some(ask) = self.completions.next_ask() {
+            let request = StoreRequest::Fetch { ids: vec![ask.id.clone()], with_ancestors: true };
+            self.ask(ask.store, AskPurpose::Want { id: ask.id }, request, now_ms);
+        }
+        while let Some(parked) = self.completions.next_given_up(now_ms) {
+            for put in parked {
+                self.reply(put.caller, StoreReply::Refused(Refusal::Incomplete));
+            }
+        }
+    }
+
+    fn want_dangling(&mut self, now_ms: u64) {
+        let sources: Vec<String> =
+            peers(&self.stores, &self.settings.name).map(|peer| peer.name.clone()).collect();
+        if sources.is_empty() {
+            return;
+        }
+        for id in self.index.dangling() {
+            self.completions.want(id, &sources, now_ms);
+        }
+    }
+
+    fn pull(&mut self, now_ms: u64) {
+        while let Some(ask) = self.repair.next_ask(&self.index, now_ms) {
+            let purpose = AskPurpose::Pull { pass: self.repair.pass() };
+            match ask {
+                PullAsk::List { peer, after } => {
+                    let request = StoreRequest::List {
+                        home: self.settings.name.clone(),
+                        candidates: self.candidates.clone(),
+                        copies: self.settings.copies,
+                        after,
+                    };
+                    self.ask(peer, purpose, request, now_ms);
+                }
+                PullAsk::Fetch { peer, ids } => {
+                    let request = StoreRequest::Fetch { ids, with_ancestors: false };
+                    self.ask(peer, purpose, request, now_ms);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let stores = &self.stores;
+        let present =
+            |name: &str| stores.iter().any(|store| store.name == name && store.present && !store.retired);
+        let placement = Placement { candidates: &self.candidates, copies: self.settings.copies };
+        let Some(step) = self.deliveries.next_step(&self.index, placement, present, now_ms) else {
+            return;
+        };
+        let serial = self.deliveries.serial();
+        match step {
+            DeliveryStep::Offer { peer, ids } => {
+                self.ask(peer, AskPurpose::Delivery { serial }, StoreRequest::Offer { ids }, now_ms);
+            }
+            DeliveryStep::Read { ids } => self.work(JobPurpose::Delivery { serial }, DiskWork::Get(ids)),
+        }
+    }
+
+    fn enter_wholeness(&mut self, wholeness: Wholeness) {
+        self.wholeness = wholeness;
+    }
+
+    fn judge_wholeness(&mut self, now_ms: u64) {
+        if self.wholeness == Wholeness::Joining && self.is_introduced() {
+            self.enter_wholeness(Wholeness::Filling);
+        }
+        if self.wholeness != Wholeness::Filling || !self.repair.is_done() || !self.completions.is_idle() {
+            return;
+        }
+        if self.repair.began_at_ms() >= self.settled_at_ms {
+            self.enter_wholeness(Wholeness::Marking);
+            self.work(JobPurpose::MarkWhole, DiskWork::MarkWhole);
+        } else if now_ms >= self.settled_at_ms {
+            self.pull_from_all(now_ms);
+            self.pull(now_ms);
+        }
+    }
+
+    /// Every present store has heard of this one. Against readers with an old list: without it they could call
+    /// a turn unknown that only stores lie on that they have never heard of.
+    fn is_introduced(&self) -> bool {
+        let listed = self.stores.iter().any(|store| store.name == self.settings.name);
+        listed && peers(&self.stores, &self.settings.name).all(|peer| self.introduced_to.contains(&peer.name))
+    }
+
+    fn judge_emptiness(&mut self, now_ms: u64) {
+        let settled = self.commits.is_idle() && self.completions.is_idle();
+        if self.service == Service::Emptying && settled && self.deliveries.is_emptied() {
+            self.enter_service(Service::Emptied, now_ms);
+        }
+    }
+}
+
+/// The other stores that are present.
+fn peers<'a>(stores: &'a [Store], own: &'a str) -> impl Iterator<Item = &'a Store> + 'a {
+    stores.iter().filter(move |store| store.name != own && store.present && !store.retired)
+}
+
+/// Whether turns are placed otherwise under the new list, or a disk was lost.
+fn places_differ(before: &[Store], after: &[Store]) -> bool {
+    let places = |stores: &[Store]| {
+        let listed = stores.iter().filter(|store| !store.retired);
+        let mut places: Vec<(String, String, u64, bool)> = listed
+            .map(|store| (store.name.clone(), store.zone.clone(), store.disk, store.retiring))
+            .collect();
+        places.sort_unstable();
+        places
+    };
+    places(before) != places(after)
+}
