--- /dev/null
+++ b/crates/node/src/budgets.rs
@@ -0,0 +1,181 @@
+//! Leases on the budgets of programs: carries the requests of a [`LeaseBook`] to the core and its verdicts to the
+//! turns that wait.
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use dunespur_budget::{Admission, CounterRequest, LeaseBook, LimiterId, Refusal, TurnOutcome};
+use dunespur_control::{Operation, Outcome};
+use dunespur_proxy::{Reserve, TurnAsk, TurnKey};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// The core gets so long for one request; the book sends it again.
+const COUNTER_LIMIT: Duration = Duration::from_millis(900);
+/// When a turn may come back that could not be decided on, in milliseconds.
+const SILENT_RETRY_MS: u64 = 300;
+
+/// The budgets of programs that are active on this gateway.
+pub struct Budgets {
+    clock: Clock,
+    directory: Rc<Directory>,
+    book: RefCell<LeaseBook>,
+    /// Turns that wait for a verdict.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Admission>>>,
+    next_turn: Cell<u64>,
+    /// Told when the next due time may have changed.
+    rescheduled: Notify,
+    this: Weak<Budgets>,
+}
+
+impl Budgets {
+    pub fn start(limiter: LimiterId, directory: Rc<Directory>, clock: Clock) -> Rc<Budgets> {
+        let budgets = Rc::new_cyclic(|this| Budgets {
+            clock,
+            directory,
+            book: RefCell::new(LeaseBook::new(limiter)),
+            waiting: RefCell::default(),
+            next_turn: Cell::new(1),
+            rescheduled: Notify::new(),
+            this: this.clone(),
+        });
+        spawn_local(keep_due(budgets.clone()));
+        budgets
+    }
+
+    /// Sets aside the most that a turn may generate.
+    pub async fn reserve(&self, ask: TurnAsk<'_>) -> Reserve {
+        let turn = self.next_turn.replace(self.next_turn.get() + 1);
+        let now = self.clock.now();
+        let admission = self.book.borrow_mut().admit(ask.program, ask.budget, ask.most, turn, now);
+        self.rescheduled.notify_one();
+        let admission = match admission {
+            Admission::Ask(request) => {
+                let verdict = self.await_verdict(turn);
+                self.exchange(request);
+                verdict.await
+            }
+            Admission::Waiting => self.await_verdict(turn).await,
+            decided => decided,
+        };
+        match admission {
+            Admission::Admitted => Reserve::Admitted(TurnKey(turn)),
+            Admission::Refused(Refusal::Spent) => Reserve::Spent,
+            Admission::Refused(Refusal::Elsewhere { retry_after_ms }) => Reserve::Wait { retry_after_ms },
+            _ => Reserve::Wait { retry_after_ms: SILENT_RETRY_MS },
+        }
+    }
+
+    /// The verdict on a turn that waits. A future that is dropped before it is ready takes the turn out.
+    fn await_verdict(&self, turn: u64) -> impl std::future::Future<Output = Admission> + '_ {
+        let (sender, verdict) = oneshot::channel();
+        self.waiting.borrow_mut().insert(turn, sender);
+        let left = LeftWaiting { budgets: self, turn, decided: false };
+        async move {
+            let mut left = left;
+            let admission = verdict.await.unwrap_or(Admission::Refused(Refusal::Silent));
+            left.decided = true;
+            admission
+        }
+    }
+
+    /// Tokens of a turn that are about to be handed to its client.
+    pub fn used(&self, turn: TurnKey, tokens: u64) {
+        self.book.borrow_mut().used(turn.0, tokens);
+    }
+
+    /// A turn is over.
+    pub fn release(&self, turn: TurnKey) {
+        self.finish(turn.0);
+    }
+
+    fn finish(&self, turn: u64) {
+        let outcomes = {
+            let mut book = self.book.borrow_mut();
+            book.finish(turn, self.clock.now());
+            book.outcomes()
+        };
+        self.tell(outcomes);
+        self.rescheduled.notify_one();
+    }
+
+    /// Brings a request to the core and its answer to the book.
+    fn exchange(&self, request: CounterRequest) {
+        let Some(budgets) = self.this.upgrade() else { return };
+        spawn_local(async move {
+            let operation = Operation::Budget(request.clone());
+            let outcome = budgets.directory.execute(&operation, COUNTER_LIMIT).await;
+            let reply = match &outcome {
+                Ok(Outcome::Budget(reply)) => Some(reply),
+                _ => None,
+            };
+            let outcomes = budgets.book.borrow_mut().replied(&request, reply, budgets.clock.now());
+            budgets.tell(outcomes);
+            budgets.rescheduled.notify_one();
+        });
+    }
+
+    /// Hands verdicts to the turns that wait for them.
+    fn tell(&self, outcomes: Vec<TurnOutcome>) {
+        for TurnOutcome { turn, admission } in outcomes {
+            match admission {
+                Admission::Ask(request) => self.exchange(request),
+                Admission::Waiting => {}
+                decided => self.decided(turn, decided),
+            }
+        }
+    }
+
+    fn decided(&self, turn: u64, admission: Admission) {
+        let waiting = self.waiting.borrow_mut().remove(&turn);
+        let Some(sender) = waiting else { return };
+        if sender.send(admission).is_err() {
+            self.finish(turn);
+        }
+    }
+
+    fn due(&self) {
+        let (requests, outcomes) = {
+            let mut book = self.book.borrow_mut();
+            let requests = book.due(self.clock.now());
+            (requests, book.outcomes())
+        };
+        requests.into_iter().for_each(|request| self.exchange(request));
+        self.tell(outcomes);
+    }
+}
+
+/// Takes a turn out whose client left while it waited.
+struct LeftWaiting<'a> {
+    budgets: &'a Budgets,
+    turn: u64,
+    decided: bool,
+}
+
+impl Drop for LeftWaiting<'_> {
+    fn drop(&mut self) {
+        if !self.decided {
+            self.budgets.waiting.borrow_mut().remove(&self.turn);
+            self.budgets.finish(self.turn);
+        }
+    }
+}
+
+async fn keep_due(budgets: Rc<Budgets>) {
+    loop {
+        let due = budgets.book.borrow().next_due();
+        match due {
+            Some(due) => {
+                tokio::select! {
+                    () = sleep_until(budgets.clock.instant(due).into()) => budgets.due(),
+                    () = budgets.rescheduled.notified() => {}
+                }
+            }
+            None => budgets.rescheduled.notified().await,
+        }
+    }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use dunespur_chain::View;
 use dunespur_configuration::{Document, Table};
-use dunespur_control::{Change, Operation, Outcome, RetireState, ServerReport};
+use dunespur_control::{Change, Operation, Outcome, RetireState, ServerReport, StoreEntry};
 use dunespur_link::{CallError, Client};
-use dunespur_turns::Store;
+use dunespur_turns::roster::Store;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -41,6 +41,8 @@
     pub table: Option<Rc<Table>>,
     pub servers: BTreeMap<String, ServerReport>,
     pub stores: BTreeMap<String, Store>,
+    /// The life of each store's process that the core knows.
+    pub incarnations: BTreeMap<String, u64>,
 }
 
 /// What a change of the control state concerns.
@@ -336,15 +338,31 @@
                 self.servers.remove(&id);
                 touched.servers = true;
             }
-            Change::Store(store) => {
-                self.stores.insert(store.name.clone(), store.into());
+            Change::Store(entry) => {
+                self.incarnations.insert(entry.name.clone(), entry.incarnation);
+                self.stores.insert(entry.name.clone(), store(entry));
                 touched.stores = true;
             }
             Change::StoreGone { name } => {
                 self.stores.remove(&name);
+                self.incarnations.remove(&name);
                 touched.stores = true;
             }
             Change::Gateways { .. } => {}
         }
     }
 }
+
+/// A store as the keeping of turns sees it.
+fn store(entry: StoreEntry) -> Store {
+    Store {
+        name: entry.name,
+        zone: entry.zone,
+        address: entry.address,
+        disk: entry.disk,
+        whole: entry.whole,
+        present: entry.present,
+        retiring: entry.retiring,
+        retired: entry.retired,
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway.rs
@@ -0,0 +1,116 @@
+//! The `gateway` process: data plane, control interface, and the core's part on machines with a disk.
+
+use crate::api::{self, ControlApi};
+use crate::budgets::Budgets;
+use crate::clock::{wall_clock_ms, Clock};
+use crate::core::{Coordinator, CoreIdentity};
+use crate::directory::Directory;
+use crate::founding::Founding;
+use crate::joining::keep_joined;
+use crate::plane::Plane;
+use crate::service::GatewayService;
+use crate::settings::Settings;
+use crate::signals;
+use anyhow::Context;
+use dunespur_budget::LimiterId;
+use dunespur_proxy::{serve_ready, Front, FrontSettings};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Descriptors kept for files, internal connections and the control interface.
+const SPARE_DESCRIPTORS: u64 = 500;
+/// A leaving process ends after this time at the latest; the platform kills it a little later.
+const LEAVE_LIMIT: Duration = Duration::from_millis(7_500);
+
+/// Runs the process until it is asked to leave and has left.
+pub async fn run(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
+    let clock = Clock::start();
+    let directory = Directory::new(clock, settings.seed_addresses());
+    let coordinator = start_core(&settings, clock)?;
+    let limiter = LimiterId { node: settings.node.clone(), incarnation: wall_clock_ms() };
+    let budgets = Budgets::start(limiter, directory.clone(), clock);
+    let plane = Plane::new(directory.clone(), &settings.zone, budgets, settings.copies(), clock);
+
+    start_internal(&settings, clock, &directory, coordinator.clone()).await?;
+    start_control(&settings, &directory).await?;
+    if let Some(ready) = settings.listen.ready {
+        spawn_local(serve_ready(plane.clone(), listen(ready).await?));
+    }
+    let front = Front::new(plane.clone(), front_settings(&settings));
+    if let Some(address) = settings.listen.front {
+        spawn_local(front.clone().serve(listen(address).await?));
+    }
+    if let Some(coordinator) = &coordinator {
+        spawn_local(keep_joined(coordinator.clone(), directory.clone(), settings.clone()));
+    }
+    spawn_local(directory.clone().follow());
+    spawn_local(signals::follow_settings(path, directory));
+    log::info!("{} serves", settings.node);
+
+    signals::asked_to_leave().await?;
+    log::info!("{} leaves", settings.node);
+    plane.leave();
+    front.drain();
+    if let Some(coordinator) = &coordinator {
+        coordinator.leave();
+    }
+    if timeout(LEAVE_LIMIT, front.drained()).await.is_err() {
+        log::warn!("{} ends with requests in hand: {:?}", settings.node, front.counters());
+    }
+    Ok(())
+}
+
+fn start_core(settings: &Settings, clock: Clock) -> anyhow::Result<Option<Rc<Coordinator>>> {
+    let Some(data) = settings.core_disk() else { return Ok(None) };
+    let identity = CoreIdentity {
+        node: settings.node.clone(),
+        address: settings.internal_address(),
+        bootstrap: settings.bootstrap,
+        heartbeat_ms: settings.heartbeat_ms,
+    };
+    Coordinator::start(identity, data, clock).map(Some)
+}
+
+async fn start_internal(
+    settings: &Settings,
+    clock: Clock,
+    directory: &Rc<Directory>,
+    coordinator: Option<Rc<Coordinator>>,
+) -> anyhow::Result<()> {
+    let address = settings.internal_address();
+    let founds = settings.bootstrap && settings.seed_addresses().first() == Some(&address);
+    let founding = founds.then(|| RefCell::new(Founding::new(clock.now())));
+    let service = GatewayService { clock, directory: directory.clone(), coordinator, founding };
+    spawn_local(dunespur_link::serve(listen(address).await?, Rc::new(service)));
+    Ok(())
+}
+
+async fn start_control(settings: &Settings, directory: &Rc<Directory>) -> anyhow::Result<()> {
+    let Some(address) = settings.listen.control else { return Ok(()) };
+    let api =
+        ControlApi { directory: directory.clone(), tolerated_losses: settings.fault_tolerance.machines };
+    spawn_local(api::serve(Rc::new(api), listen(address).await?));
+    Ok(())
+}
+
+fn front_settings(settings: &Settings) -> FrontSettings {
+    let sockets = settings.limits.max_fds.saturating_sub(SPARE_DESCRIPTORS).max(64) as usize;
+    let memory = (settings.limits.memory_mb as usize) << 20;
+    FrontSettings {
+        max_connections: sockets / 2,
+        max_server_connections: sockets / 2,
+        memory_bytes: memory / 4,
+        ..FrontSettings::default()
+    }
+}
+
+/// Opens a listening socket.
+pub async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("listening on {address}"))
+}
--- /dev/null
+++ b/crates/node/src/keeping.rs
@@ -0,0 +1,163 @@
+//! Turns kept and looked up: carries out what the state machines of `dunespur-turns` want at the stores.
+
+use crate::clock::wall_clock_ms;
+use crate::directory::Directory;
+use crate::messages::{encode, Reply, Request};
+use dunespur_proxy::{History, KeptTurn};
+use dunespur_turns::message::{StoreReply, StoreRequest};
+use dunespur_turns::read::{Outcome, Reading};
+use dunespur_turns::roster::Store;
+use dunespur_turns::turn::Turn;
+use dunespur_turns::write::{Verdict, Writing, WRITE_DEADLINE_MS};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// A store that has not answered by then has failed.
+const STORE_TIMEOUT: Duration = Duration::from_millis(WRITE_DEADLINE_MS);
+/// When a client may come back whose history could not be read, in milliseconds.
+const UNSURE_RETRY_MS: u64 = 300;
+
+/// A store's answer to one question.
+struct StoreAnswer {
+    store: String,
+    /// The turn that was asked for, or kept.
+    id: String,
+    reply: Option<StoreReply>,
+}
+
+/// Reaches the stores for one gateway.
+pub struct Keeping {
+    directory: Rc<Directory>,
+    copies: usize,
+}
+
+impl Keeping {
+    /// `copies`: how many stores have to hold a turn.
+    pub fn new(directory: Rc<Directory>, copies: usize) -> Keeping {
+        Keeping { directory, copies }
+    }
+
+    /// What a turn goes on from.
+    pub async fn history(&self, program: &str, previous: &str) -> History {
+        let stores = self.stores();
+        if stores.is_empty() {
+            return History::Unsure { retry_after_ms: UNSURE_RETRY_MS };
+        }
+        let clock = self.directory.clock();
+        let mut reading = Reading::new(previous, program, &stores, self.copies, clock.now());
+        let (answers, mut queue) = mpsc::unbounded_channel();
+        loop {
+            while let Some(ask) = reading.poll() {
+                let request = StoreRequest::Chain { id: ask.id.clone() };
+                self.ask(&stores, ask.store, ask.id, request, &answers);
+            }
+            match reading.take_outcome() {
+                Some(Outcome::Chain(turns)) => return History::Found(pieces(turns)),
+                Some(Outcome::Unknown) => return History::Unknown,
+                Some(Outcome::Unsure | Outcome::TooLong) => {
+                    return History::Unsure { retry_after_ms: UNSURE_RETRY_MS };
+                }
+                None => {}
+            }
+            let due = clock.instant(reading.next_due().unwrap_or(clock.now()));
+            tokio::select! {
+                Some(answer) = queue.recv() => {
+                    let now = clock.now();
+                    match answer.reply {
+                        Some(reply) => reading.answered(&answer.store, &answer.id, reply, now),
+                        None => reading.failed(&answer.store, &answer.id, now),
+                    }
+                }
+                () = sleep_until(due.into()) => reading.due(clock.now()),
+            }
+        }
+    }
+
+    /// Keeps a turn; true once enough stores have it on their disks.
+    pub async fn keep(&self, kept: KeptTurn) -> bool {
+        let stores = self.stores();
+        let clock = self.directory.clock();
+        let turn = Turn {
+            id: kept.id,
+            previous: kept.previous,
+            program: kept.program,
+            input: kept.input,
+            output: kept.output,
+            ended_at_ms: wall_clock_ms(),
+            retention_ms: kept.retention_ms,
+        };
+        let mut writing = Writing::new(&turn.header(), &stores, self.copies, clock.now());
+        let (answers, mut queue) = mpsc::unbounded_channel();
+        loop {
+            while let Some(put) = writing.poll() {
+                let request = StoreRequest::Put { turn: turn.clone(), hint: put.hint };
+                self.ask(&stores, put.store, turn.id.clone(), request, &answers);
+            }
+            if let Some(verdict) = writing.verdict() {
+                return verdict == Verdict::Kept;
+            }
+            let due = clock.instant(writing.next_due().unwrap_or(clock.now()));
+            tokio::select! {
+                Some(answer) = queue.recv() => {
+                    let now = clock.now();
+                    match answer.reply {
+                        Some(StoreReply::Kept) => writing.acknowledged(&answer.store, now),
+                        _ => writing.failed(&answer.store, now),
+                    }
+                }
+                () = sleep_until(due.into()) => writing.due(clock.now()),
+            }
+        }
+    }
+
+    fn stores(&self) -> Vec<Store> {
+        self.directory.known().stores.values().cloned().collect()
+    }
+
+    /// Asks one store; its answer goes to `answers`, if anybody still listens.
+    fn ask(
+        &self,
+        stores: &[Store],
+        store: String,
+        id: String,
+        request: StoreRequest,
+        answers: &mpsc::UnboundedSender<StoreAnswer>,
+    ) {
+        let answers = answers.clone();
+        let Some(address) = address_of(stores, &store) else {
+            let _ = answers.send(StoreAnswer { store, id, reply: None });
+            return;
+        };
+        let directory = self.directory.clone();
+        spawn_local(async move {
+            let reply = ask_store(&directory, address, request, STORE_TIMEOUT).await;
+            let _ = answers.send(StoreAnswer { store, id, reply });
+        });
+    }
+}
+
+/// Asks the store at an address; `None` without an answer.
+pub async fn ask_store(
+    directory: &Directory,
+    address: SocketAddr,
+    request: StoreRequest,
+    limit: Duration,
+) -> Option<StoreReply> {
+    match directory.call(address, encode(&Request::Store(request)), limit).await {
+        Ok(Reply::Store(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
+/// Where a store of the list listens.
+pub fn address_of(stores: &[Store], name: &str) -> Option<SocketAddr> {
+    stores.iter().find(|store| store.name == name).map(|store| store.address)
+}
+
+fn pieces(turns: Vec<Turn>) -> Vec<bytes::Bytes> {
+    turns.into_iter().flat_map(|turn| [turn.input, turn.output]).collect()
+}
--- /dev/null
+++ b/crates/node/src/plane.rs
@@ -0,0 +1,127 @@
+//! The data plane's side of a gateway: answers what a [`Front`](dunespur_proxy::Front) asks of its node.
+
+use crate::budgets::Budgets;
+use crate::clock::Clock;
+use crate::directory::{Directory, Touched};
+use crate::keeping::Keeping;
+use dunespur_configuration::Table;
+use dunespur_control::{ServerReport, ServerState};
+use dunespur_proxy::{History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
+use dunespur_routing::{Ask, Choice, Chooser, EngineShape, Outcome, Server};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// One gateway's data plane.
+pub struct Plane {
+    clock: Clock,
+    directory: Rc<Directory>,
+    chooser: RefCell<Chooser>,
+    budgets: Rc<Budgets>,
+    keeping: Keeping,
+    leaving: Cell<bool>,
+}
+
+impl Plane {
+    pub fn new(
+        directory: Rc<Directory>,
+        zone: &str,
+        budgets: Rc<Budgets>,
+        copies: usize,
+        clock: Clock,
+    ) -> Rc<Plane> {
+        let plane = Rc::new(Plane {
+            clock,
+            chooser: RefCell::new(Chooser::new(zone.into(), fastrand::u64(..))),
+            budgets,
+            keeping: Keeping::new(directory.clone(), copies),
+            directory: directory.clone(),
+            leaving: Cell::new(false),
+        });
+        let weak = Rc::downgrade(&plane);
+        directory.when_changed(Box::new(move |touched| {
+            if let Some(plane) = weak.upgrade() {
+                plane.changed(touched);
+            }
+        }));
+        plane
+    }
+
+    /// No new clients are wanted from now on.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn changed(&self, touched: Touched) {
+        if !touched.servers && !touched.configuration {
+            return;
+        }
+        let known = self.directory.known();
+        let table = known.table.as_deref();
+        let servers = known.servers.values().map(|report| server(report, table)).collect();
+        self.chooser.borrow_mut().set_servers(servers, self.clock.now());
+    }
+}
+
+/// A server as the choice sees it; what its service is comes from the configuration.
+fn server(report: &ServerReport, table: Option<&Table>) -> Server {
+    let service = table.and_then(|table| table.service(&report.backend));
+    let engine = service.and_then(|service| service.engine.as_ref()).map(|engine| EngineShape {
+        kv_capacity: engine.kv_capacity,
+        slots: engine.slots,
+        chunk_tokens: engine.chunk_tokens,
+    });
+    Server {
+        id: report.id.as_str().into(),
+        backend: report.backend.as_str().into(),
+        address: report.address,
+        zone: report.zone.as_str().into(),
+        slots: report.slots,
+        draining: report.state == ServerState::Draining,
+        cold_left_ms: 0,
+        engine,
+        max_conns: service.map_or(0, |service| service.max_conns),
+    }
+}
+
+impl Node for Plane {
+    fn table(&self) -> Option<Rc<Table>> {
+        self.directory.known().table.clone()
+    }
+
+    fn ready(&self) -> bool {
+        let known = self.directory.known();
+        !self.leaving.get() && known.table.is_some() && !known.servers.is_empty()
+    }
+
+    fn choose(&self, ask: &Ask) -> Choice {
+        self.chooser.borrow_mut().choose(ask, self.clock.now())
+    }
+
+    fn first_event(&self, key: u64) {
+        self.chooser.borrow_mut().first_event(key, self.clock.now());
+    }
+
+    fn finished(&self, key: u64, outcome: Outcome) {
+        self.chooser.borrow_mut().finished(key, outcome, self.clock.now());
+    }
+
+    async fn reserve(&self, turn: TurnAsk<'_>) -> Reserve {
+        self.budgets.reserve(turn).await
+    }
+
+    fn used(&self, turn: TurnKey, tokens: u64) {
+        self.budgets.used(turn, tokens);
+    }
+
+    fn release(&self, turn: TurnKey) {
+        self.budgets.release(turn);
+    }
+
+    async fn history(&self, program: &str, previous: &str) -> History {
+        self.keeping.history(program, previous).await
+    }
+
+    async fn keep(&self, turn: KeptTurn) -> bool {
+        self.keeping.keep(turn).await
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,11 +62,12 @@
 pub struct ProcessLimits {
     pub memory_mb: u64,
     pub max_fds: u64,
+    pub disk_mb: Option<u64>,
 }
 
 impl Default for ProcessLimits {
     fn default() -> Self {
-        ProcessLimits { memory_mb: 256, max_fds: 1024 }
+        ProcessLimits { memory_mb: 256, max_fds: 1024, disk_mb: None }
     }
 }
 
