--- /dev/null
+++ b/crates/chain/src/guards.rs
@@ -0,0 +1,19 @@
+//! Switches that take single guards out, so that tests can show what each is against.
+
+/// All guards stand by default; only tests take one out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// Messages of the chain count only within their view, and not at a member that has promised the next one.
+    /// Against a chain that was replaced and doesn't know it.
+    pub views_checked: bool,
+    /// Entries and votes are passed on only when they are on disk. Against a loss of power right after.
+    pub synced_before_passed_on: bool,
+    /// A read passes along the whole chain. Against reading from a member that was put out and doesn't know it.
+    pub reads_confirmed: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { views_checked: true, synced_before_passed_on: true, reads_confirmed: true }
+    }
+}
--- /dev/null
+++ b/crates/chain/src/random.rs
@@ -0,0 +1,26 @@
+//! A small seeded random source, for waits and session numbers.
+
+/// SplitMix64.
+#[derive(Clone, Debug)]
+pub struct Random {
+    state: u64,
+}
+
+impl Random {
+    pub fn new(seed: u64) -> Random {
+        Random { state: seed }
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Less than `bound`, which is above 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound
+    }
+}
