--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -145,7 +145,7 @@
             let report = reports.iter().find(|report| report.server == member.server.id);
             match report {
                 Some(report) => member.load.report(from, report.in_flight, report.waiting_tokens, now),
-                None => member.load.forget(from),
+                None => member.load.report(from, 0, 0, now),
             }
         }
     }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -16,7 +16,7 @@
 /// A subject falls to this many times its share of the engines.
 const SUBJECT_SPREAD: f64 = 2.0;
 /// Share of a prompt that its home is presumed to hold from other gateways' sends.
-const PRESUMED_SHARE: f64 = 0.5;
+const PRESUMED_SHARE: f64 = 0.9;
 /// What the home counts for beyond that.
 const HOME_MS: f64 = 4.0;
 /// What another zone counts for: the way, and bytes that are priced.
@@ -119,7 +119,7 @@
 /// The weight that an engine needs to belong to a subject.
 fn threshold(pool: &Pool, eligible: &[usize], subject: Subject) -> u64 {
     let wanted = (SUBJECT_SPREAD * subject.popularity * eligible.len() as f64).ceil() as usize;
-    let wanted = wanted.max(FEWEST_FOR_SUBJECT);
+    let wanted = wanted.max(1);
     if wanted >= eligible.len() {
         return 0;
     }
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -26,12 +26,12 @@
 /// How fast these means follow.
 const MEAN_GAIN: f64 = 0.05;
 /// Share of the time read for a request that each request beside it loses.
-const STALL_WEIGHT: f64 = 0.25;
+const STALL_WEIGHT: f64 = 1.0;
 /// What reading tokens anew counts beyond its time: work done twice is priced.
-const REREAD_WEIGHT: f64 = 0.5;
+const REREAD_WEIGHT: f64 = 2.0;
 /// Waiting for a place or for memory counts this many times in the choice: such a server may turn the request
 /// away or preempt another.
-const WAIT_WEIGHT: f64 = 3.0;
+const WAIT_WEIGHT: f64 = 1.0;
 
 /// What the engines of one service have been seen to do.
 #[derive(Debug)]
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -6,14 +6,19 @@
 const REPORT_FRESH_MS: u64 = 600;
 /// From here on a report no longer counts: its gateway may be gone.
 const REPORT_GONE_MS: u64 = 3_000;
+/// How far a new report moves what a gateway is taken to have in flight: a report is one moment's chance, while
+/// it counts until the next.
+const REPORT_GAIN: f64 = 0.4;
+/// Less than this in flight is none.
+const NEGLIGIBLE: f64 = 0.01;
 /// Gateways whose reports are kept for one server. Bounds memory.
 const MOST_REPORTERS: usize = 64;
 
 #[derive(Debug, Clone, Copy)]
 struct Reported {
     from: u64,
-    in_flight: u32,
-    waiting_tokens: u64,
+    in_flight: f64,
+    waiting_tokens: f64,
     at: Millis,
 }
 
@@ -62,7 +67,7 @@
 
     /// Requests of the other gateways, as far as their reports still hold.
     pub(crate) fn others_in_flight(&self, now: Millis) -> f64 {
-        self.others.iter().map(|report| report.weight(now) * f64::from(report.in_flight)).sum()
+        self.others.iter().map(|report| report.weight(now) * report.in_flight).sum()
     }
 
     /// Requests of all gateways.
@@ -72,32 +77,35 @@
 
     /// Tokens to be read for all gateways.
     pub(crate) fn waiting_tokens(&self, now: Millis) -> f64 {
-        let others: f64 =
-            self.others.iter().map(|report| report.weight(now) * report.waiting_tokens as f64).sum();
+        let others: f64 = self.others.iter().map(|report| report.weight(now) * report.waiting_tokens).sum();
         self.waiting_tokens as f64 + others
     }
 
-    /// Takes a gateway's report in place of its last one.
+    /// Takes a gateway's report; what it reported before still counts for a part.
     pub(crate) fn report(&mut self, from: u64, in_flight: u32, waiting_tokens: u64, now: Millis) {
-        self.forget(from);
-        if in_flight == 0 && waiting_tokens == 0 {
-            return;
-        }
-        if self.others.len() >= MOST_REPORTERS {
-            self.others.retain(|report| report.weight(now) > 0.0);
-        }
-        if self.others.len() < MOST_REPORTERS {
-            self.others.push(Reported { from, in_flight, waiting_tokens, at: now });
+        let (in_flight, waiting_tokens) = (f64::from(in_flight), waiting_tokens as f64);
+        if let Some(known) = self.others.iter_mut().find(|report| report.from == from) {
+            known.blend(in_flight, waiting_tokens, now);
+        } else if in_flight > 0.0 || waiting_tokens > 0.0 {
+            self.add(Reported { from, in_flight, waiting_tokens, at: now });
         }
+        self.others.retain(|report| report.in_flight > NEGLIGIBLE && report.weight(now) > 0.0);
     }
 
-    /// Drops a gateway's last report.
-    pub(crate) fn forget(&mut self, from: u64) {
-        self.others.retain(|report| report.from != from);
+    fn add(&mut self, report: Reported) {
+        if self.others.len() < MOST_REPORTERS {
+            self.others.push(report);
+        }
     }
 }
 
 impl Reported {
+    fn blend(&mut self, in_flight: f64, waiting_tokens: f64, now: Millis) {
+        self.in_flight += REPORT_GAIN * (in_flight - self.in_flight);
+        self.waiting_tokens += REPORT_GAIN * (waiting_tokens - self.waiting_tokens);
+        self.at = now;
+    }
+
     fn weight(&self, now: Millis) -> f64 {
         let age = now.saturating_sub(self.at);
         if age <= REPORT_FRESH_MS {
--- /dev/null
+++ b/crates/routing/tests/fleet/engine.rs
@@ -0,0 +1,206 @@
+//! A small model of an engine: requests run in a batch, prompts are read in pieces between tokens, parts of
+//! prompts are kept while there is memory, and the newest request is read anew once there is none.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use dunespur_routing::Part;
+
+/// How an engine of the model behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineModel {
+    pub slots: usize,
+    pub queue: usize,
+    pub kv_capacity: u64,
+    /// A step without any prompt.
+    pub step_ms: f64,
+    /// What each running request adds to a step.
+    pub step_per_request_ms: f64,
+    pub read_tokens_per_ms: f64,
+    /// Prompt tokens read in one step.
+    pub read_piece: u64,
+    pub chunk_tokens: u32,
+    /// 1 for an engine like the others, more for a slow one.
+    pub slowness: f64,
+}
+
+/// A request handed to an engine.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub number: usize,
+    pub prefix: Vec<Part>,
+    pub prompt_tokens: u64,
+    pub answer_tokens: u32,
+    pub priority: u8,
+}
+
+/// What happened to a job in a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    First(usize),
+    Finished(usize),
+}
+
+#[derive(Debug)]
+struct Running {
+    job: Job,
+    unread: u64,
+    answered: u32,
+    first_told: bool,
+    started: u64,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct Engine {
+    model: EngineModel,
+    waiting: VecDeque<Job>,
+    running: Vec<Running>,
+    kept: HashMap<u64, (u32, u64)>,
+    by_use: BTreeMap<u64, u64>,
+    kept_tokens: u64,
+    uses: u64,
+    pub tokens_read: u64,
+    pub preempted: u64,
+}
+
+impl Engine {
+    pub fn new(model: EngineModel) -> Self {
+        Self {
+            model,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            kept: HashMap::new(),
+            by_use: BTreeMap::new(),
+            kept_tokens: 0,
+            uses: 0,
+            tokens_read: 0,
+            preempted: 0,
+        }
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Takes a job; false if it is full.
+    pub fn offer(&mut self, job: Job) -> bool {
+        let full = self.running.len() + self.waiting.len() >= self.model.slots + self.model.queue;
+        if full || job.prompt_tokens + u64::from(job.answer_tokens) > self.model.kv_capacity {
+            return false;
+        }
+        self.waiting.push_back(job);
+        true
+    }
+
+    /// Makes a step: how long it takes and what comes of it at its end.
+    pub fn step(&mut self, events: &mut Vec<Event>) -> f64 {
+        self.admit();
+        let mut budget = self.model.read_piece;
+        let mut read = 0;
+        for request in &mut self.running {
+            let piece = request.unread.min(budget);
+            request.unread -= piece;
+            budget -= piece;
+            read += piece;
+        }
+        self.tokens_read += read;
+        let chunk = self.model.chunk_tokens;
+        for request in &mut self.running {
+            if request.unread > 0 {
+                continue;
+            }
+            request.answered += 1;
+            let is_first = request.answered >= chunk.min(request.job.answer_tokens);
+            if is_first && !request.first_told {
+                request.first_told = true;
+                events.push(Event::First(request.job.number));
+            }
+            if request.answered >= request.job.answer_tokens {
+                events.push(Event::Finished(request.job.number));
+            }
+        }
+        let batch = self.running.len() as f64;
+        self.running.retain(|request| request.answered < request.job.answer_tokens);
+        self.make_room();
+        let step_ms = self.model.step_ms
+            + self.model.step_per_request_ms * batch
+            + read as f64 / self.model.read_tokens_per_ms;
+        step_ms * self.model.slowness
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.model.slots {
+            let urgent = self.waiting.iter().enumerate().min_by_key(|(index, job)| (job.priority, *index));
+            let Some((index, _)) = urgent else {
+                return;
+            };
+            let needed = self.waiting[index].prompt_tokens + u64::from(self.waiting[index].answer_tokens);
+            if !self.running.is_empty() && self.running_tokens() + needed > self.model.kv_capacity {
+                return;
+            }
+            let Some(job) = self.waiting.remove(index) else {
+                return;
+            };
+            let unread = job.prompt_tokens - self.held(&job.prefix);
+            self.keep(&job.prefix);
+            self.uses += 1;
+            let started = self.uses;
+            self.running.push(Running { job, unread, answered: 0, first_told: false, started });
+            self.make_room();
+        }
+    }
+
+    fn running_tokens(&self) -> u64 {
+        self.running.iter().map(|request| request.job.prompt_tokens + u64::from(request.answered)).sum()
+    }
+
+    fn held(&self, prefix: &[Part]) -> u64 {
+        let mut held = 0;
+        for part in prefix {
+            let kept = self.kept.get(&part.id).map_or(0, |(tokens, _)| *tokens).min(part.tokens);
+            held += u64::from(kept);
+            if kept < part.tokens {
+                break;
+            }
+        }
+        held
+    }
+
+    fn keep(&mut self, prefix: &[Part]) {
+        for part in prefix.iter().rev() {
+            self.uses += 1;
+            if let Some((tokens, used)) = self.kept.insert(part.id, (part.tokens, self.uses)) {
+                self.kept_tokens -= u64::from(tokens);
+                self.by_use.remove(&used);
+            }
+            self.kept_tokens += u64::from(part.tokens);
+            self.by_use.insert(self.uses, part.id);
+        }
+    }
+
+    /// Kept parts give way first, then the newest of the least urgent requests.
+    fn make_room(&mut self) {
+        while self.running_tokens() > self.model.kv_capacity && self.running.len() > 1 {
+            let newest = self
+                .running
+                .iter()
+                .enumerate()
+                .max_by_key(|(_, request)| (request.job.priority, request.started))
+                .map(|(index, _)| index);
+            let Some(index) = newest else {
+                return;
+            };
+            let request = self.running.swap_remove(index);
+            self.preempted += 1;
+            self.waiting.push_front(request.job);
+        }
+        while self.kept_tokens > self.model.kv_capacity {
+            let Some((_, id)) = self.by_use.pop_first() else {
+                return;
+            };
+            if let Some((tokens, _)) = self.kept.remove(&id) {
+                self.kept_tokens -= u64::from(tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/fleet/mod.rs
@@ -0,0 +1,515 @@
+//! A fleet of gateways and engines under agent programs, played event by event from a seed.
+
+pub mod engine;
+pub mod router;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::rc::Rc;
+
+use dunespur_routing::{Ask, Chooser, EngineShape, LoadReport, Millis, Outcome, Part, Server};
+
+use engine::{Engine, EngineModel, Event, Job};
+use router::{Answer, Ours, Router, Rule, Simple};
+
+const ENGINES: &str = "engines";
+const REPORT_EVERY_MS: f64 = 300.0;
+const REPORT_DELAY_MS: f64 = 20.0;
+const GATEWAY_DELAY_MS: f64 = 1.0;
+const TARGET_MS: u64 = 200;
+const MOST_TRIES: usize = 3;
+
+/// How the prompt of a line's later turn is put together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Growth {
+    /// The line's last part grows.
+    LastPart,
+    /// Each turn adds a part.
+    NewParts,
+}
+
+/// A day to be played.
+#[derive(Debug, Clone)]
+pub struct Day {
+    pub seed: u64,
+    pub zones: usize,
+    pub gateways: usize,
+    pub engines: usize,
+    pub model: EngineModel,
+    /// Slowness of single engines.
+    pub slow: Vec<(usize, f64)>,
+    pub programs_per_s: f64,
+    pub length_ms: f64,
+    pub turns: usize,
+    pub subagents: f64,
+    pub subjects: usize,
+    pub common_tokens: u32,
+    pub subject_tokens: u32,
+    pub turn_tokens: u32,
+    pub answer_tokens: u32,
+    pub pause_ms: f64,
+    /// Whether a program keeps to one gateway.
+    pub keeps_gateway: bool,
+    pub growth: Growth,
+}
+
+/// How engines are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    Ours,
+    Simple(Rule),
+}
+
+/// What came of a day.
+#[derive(Debug, Clone, Default)]
+pub struct Outturn {
+    pub turns: usize,
+    pub failed: usize,
+    pub shed: usize,
+    pub refused: usize,
+    pub preempted: u64,
+    pub first_ms: Vec<f64>,
+    pub turn_ms: Vec<f64>,
+    pub tokens_read: u64,
+    pub tokens_new: u64,
+    pub other_zone: usize,
+}
+
+impl Outturn {
+    pub fn mean_first_ms(&self) -> f64 {
+        self.first_ms.iter().sum::<f64>() / self.first_ms.len().max(1) as f64
+    }
+
+    pub fn first_ms_at(&self, share: f64) -> f64 {
+        let mut sorted = self.first_ms.clone();
+        sorted.sort_by(f64::total_cmp);
+        sorted[((sorted.len() - 1) as f64 * share) as usize]
+    }
+
+    pub fn mean_turn_ms(&self) -> f64 {
+        self.turn_ms.iter().sum::<f64>() / self.turn_ms.len().max(1) as f64
+    }
+
+    /// Tokens read though some engine had read them before.
+    pub fn tokens_again(&self) -> u64 {
+        self.tokens_read.saturating_sub(self.tokens_new)
+    }
+
+    pub fn late_share(&self) -> f64 {
+        let late =
+            self.first_ms.iter().filter(|first_ms| **first_ms > TARGET_MS as f64).count() + self.failed;
+        late as f64 / self.turns.max(1) as f64
+    }
+}
+
+impl std::fmt::Display for Outturn {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            out,
+            "turns {} failed {} shed {} refused {} preempted {}; first token mean {:.1} p95 {:.1} p99 {:.1} ms; \
+             turn {:.1} ms; late {:.2} %; read again {} k of {} k; other zone {:.0} %",
+            self.turns,
+            self.failed,
+            self.shed,
+            self.refused,
+            self.preempted,
+            self.mean_first_ms(),
+            self.first_ms_at(0.95),
+            self.first_ms_at(0.99),
+            self.mean_turn_ms(),
+            100.0 * self.late_share(),
+            self.tokens_again() / 1000,
+            self.tokens_read / 1000,
+            100.0 * self.other_zone as f64 / self.turns.max(1) as f64,
+        )
+    }
+}
+
+/// A line of turns of a program.
+#[derive(Debug, Clone)]
+struct Line {
+    program: Rc<str>,
+    session: Rc<str>,
+    zone: usize,
+    gateway: usize,
+    prefix: Vec<Part>,
+    turns_left: usize,
+    is_main: bool,
+}
+
+#[derive(Debug)]
+struct Turn {
+    line: Line,
+    asked_at: f64,
+    first_at: Option<f64>,
+    tried: Vec<Rc<str>>,
+    tries: usize,
+    gateway: usize,
+    key: u64,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Program,
+    Ask(usize),
+    Arrive { turn: usize, engine: usize, priority: u8 },
+    Step(usize),
+    Told { gateway: usize, turn: usize, event: Event },
+    Report(usize),
+    Reported { from: usize, reports: Rc<Vec<LoadReport>> },
+}
+
+#[derive(Debug)]
+struct At {
+    time: f64,
+    order: u64,
+    happening: Happening,
+}
+
+impl PartialEq for At {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for At {}
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for At {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.time.total_cmp(&other.time).then(self.order.cmp(&other.order))
+    }
+}
+
+/// Plays a day with a way to choose engines.
+pub fn play(day: &Day, way: Way) -> Outturn {
+    Fleet::new(day.clone(), way).play()
+}
+
+struct Fleet {
+    day: Day,
+    servers: Vec<Server>,
+    engines: Vec<Engine>,
+    stepping: Vec<bool>,
+    routers: Vec<Box<dyn Router>>,
+    queue: BinaryHeap<Reverse<At>>,
+    order: u64,
+    turns: HashMap<usize, Turn>,
+    last_turn: usize,
+    programs: u64,
+    random: fastrand::Rng,
+    seen: HashSet<(u64, u32)>,
+    longest: HashMap<u64, u32>,
+    outturn: Outturn,
+}
+
+impl Fleet {
+    fn new(day: Day, way: Way) -> Self {
+        let servers: Vec<Server> = (0..day.engines).map(|number| server(&day, number)).collect();
+        let mut engines = Vec::new();
+        for number in 0..day.engines {
+            let slow = day.slow.iter().find(|(slow, _)| *slow == number);
+            let slowness = slow.map_or(1.0, |(_, slowness)| *slowness);
+            engines.push(Engine::new(EngineModel { slowness, ..day.model }));
+        }
+        let routers = (0..day.gateways).map(|gateway| router(&day, &servers, way, gateway)).collect();
+        Self {
+            random: fastrand::Rng::with_seed(day.seed),
+            stepping: vec![false; day.engines],
+            servers,
+            engines,
+            routers,
+            queue: BinaryHeap::new(),
+            order: 0,
+            turns: HashMap::new(),
+            last_turn: 0,
+            programs: 0,
+            seen: HashSet::new(),
+            longest: HashMap::new(),
+            outturn: Outturn::default(),
+            day,
+        }
+    }
+
+    fn play(mut self) -> Outturn {
+        self.put(0.0, Happening::Program);
+        for gateway in 0..self.day.gateways {
+            self.put(REPORT_EVERY_MS * gateway as f64 / self.day.gateways as f64, Happening::Report(gateway));
+        }
+        while let Some(Reverse(at)) = self.queue.pop() {
+            if at.time > self.day.length_ms + 20_000.0 {
+                break;
+            }
+            self.happen(at.time, at.happening);
+        }
+        self.outturn.tokens_read = self.engines.iter().map(|engine| engine.tokens_read).sum();
+        self.outturn.preempted = self.engines.iter().map(|engine| engine.preempted).sum();
+        self.outturn
+    }
+
+    fn happen(&mut self, now: f64, happening: Happening) {
+        match happening {
+            Happening::Program => self.start_program(now),
+            Happening::Ask(turn) => self.ask(turn, now),
+            Happening::Arrive { turn, engine, priority } => self.arrive(turn, engine, priority, now),
+            Happening::Step(engine) => self.step(engine, now),
+            Happening::Told { gateway, turn, event } => self.told(gateway, turn, event, now),
+            Happening::Report(gateway) => self.report(gateway, now),
+            Happening::Reported { from, reports } => self.reported(from, &reports, now),
+        }
+    }
+
+    fn put(&mut self, time: f64, happening: Happening) {
+        self.order += 1;
+        self.queue.push(Reverse(At { time, order: self.order, happening }));
+    }
+
+    fn start_program(&mut self, now: f64) {
+        if now > self.day.length_ms {
+            return;
+        }
+        let gap = -self.random.f64().max(1e-12).ln() * 1000.0 / self.day.programs_per_s;
+        self.put(now + gap, Happening::Program);
+        self.programs += 1;
+        let number = self.programs;
+        let zone = self.random.usize(..self.day.zones);
+        // Popular subjects come more often: the lesser of two.
+        let subject = self.random.usize(..self.day.subjects).min(self.random.usize(..self.day.subjects));
+        let line = Line {
+            program: format!("program-{number}").into(),
+            session: format!("session-{number}").into(),
+            zone,
+            gateway: self.gateway_in(zone),
+            prefix: vec![
+                Part { id: 1, tokens: self.day.common_tokens },
+                Part { id: 100 + subject as u64, tokens: self.day.subject_tokens },
+            ],
+            turns_left: self.day.turns,
+            is_main: true,
+        };
+        self.next_turn(line, now);
+    }
+
+    fn gateway_in(&mut self, zone: usize) -> usize {
+        let in_zone = self.day.gateways / self.day.zones;
+        zone + self.day.zones * self.random.usize(..in_zone)
+    }
+
+    fn next_turn(&mut self, mut line: Line, now: f64) {
+        line.turns_left -= 1;
+        let extra = self.random.u32(self.day.turn_tokens / 2..=self.day.turn_tokens * 3 / 2);
+        let own = line.prefix.len() > 2 && self.day.growth == Growth::LastPart && !line.is_fresh();
+        if own {
+            let last = line.prefix.last_mut().expect("a line has its own part");
+            last.tokens += extra;
+        } else {
+            let id = self.random.u64(1_000_000..);
+            line.prefix.push(Part { id, tokens: extra });
+        }
+        line.mark_used();
+        let gateway = if self.day.keeps_gateway { line.gateway } else { self.gateway_in(line.zone) };
+        self.last_turn += 1;
+        let turn = Turn { line, asked_at: now, first_at: None, tried: vec![], tries: 0, gateway, key: 0 };
+        self.turns.insert(self.last_turn, turn);
+        self.outturn.turns += 1;
+        self.put(now, Happening::Ask(self.last_turn));
+    }
+
+    fn ask(&mut self, number: usize, now: f64) {
+        let Some(turn) = self.turns.get_mut(&number) else {
+            return;
+        };
+        let time_left = 5_000.0 - (now - turn.asked_at);
+        if turn.tries >= MOST_TRIES || time_left <= 0.0 {
+            self.turns.remove(&number);
+            self.outturn.failed += 1;
+            return;
+        }
+        turn.tries += 1;
+        let prompt_tokens = turn.line.prefix.iter().map(|part| part.tokens).sum();
+        let ask = Ask {
+            backend: ENGINES,
+            program: Some(&turn.line.program),
+            session: Some(&turn.line.session),
+            prefix: &turn.line.prefix,
+            prompt_tokens,
+            most_tokens: self.day.answer_tokens * 3 / 2,
+            idempotent: false,
+            priority: 0,
+            time_left_ms: time_left as u64,
+            target_ms: TARGET_MS,
+            tried: &turn.tried,
+        };
+        match self.routers[turn.gateway].choose(&ask, now as Millis) {
+            Answer::Sent(sent) => {
+                let engine = self.servers.iter().position(|server| server.id == sent.server);
+                let engine = engine.expect("a router chooses known servers");
+                turn.key = sent.key;
+                turn.tried.push(sent.server);
+                let priority = sent.priority;
+                self.put(now + GATEWAY_DELAY_MS, Happening::Arrive { turn: number, engine, priority });
+            }
+            Answer::ComeBack(after_ms) => {
+                turn.tried.clear();
+                self.outturn.refused += 1;
+                self.put(now + after_ms as f64, Happening::Ask(number));
+            }
+        }
+    }
+
+    fn arrive(&mut self, number: usize, engine: usize, priority: u8, now: f64) {
+        let low = self.day.answer_tokens / 2;
+        let answer_tokens = self.random.u32(low..=low * 3);
+        let Some(turn) = self.turns.get(&number) else {
+            return;
+        };
+        let prompt_tokens = turn.line.prefix.iter().map(|part| u64::from(part.tokens)).sum();
+        let job = Job { number, prefix: turn.line.prefix.clone(), prompt_tokens, answer_tokens, priority };
+        if !self.engines[engine].offer(job) {
+            self.outturn.shed += 1;
+            let (gateway, key) = (turn.gateway, turn.key);
+            self.routers[gateway].finished(key, Outcome::Shed, now as Millis);
+            self.put(now + GATEWAY_DELAY_MS, Happening::Ask(number));
+            return;
+        }
+        let home_zone = self.day.zones;
+        if engine % home_zone != turn.line.zone {
+            self.outturn.other_zone += 1;
+        }
+        self.note_new_tokens(number);
+        if !self.stepping[engine] {
+            self.stepping[engine] = true;
+            self.put(now, Happening::Step(engine));
+        }
+    }
+
+    /// Tokens that no engine had read before.
+    fn note_new_tokens(&mut self, number: usize) {
+        let prefix = self.turns[&number].line.prefix.clone();
+        for part in prefix {
+            let longest = self.longest.entry(part.id).or_insert(0);
+            self.outturn.tokens_new += u64::from(part.tokens.saturating_sub(*longest));
+            *longest = part.tokens.max(*longest);
+            self.seen.insert((part.id, part.tokens));
+        }
+    }
+
+    fn step(&mut self, engine: usize, now: f64) {
+        if self.engines[engine].is_idle() {
+            self.stepping[engine] = false;
+            return;
+        }
+        let mut events = Vec::new();
+        let took = self.engines[engine].step(&mut events);
+        for event in events {
+            let (Event::First(number) | Event::Finished(number)) = event;
+            let gateway = self.turns[&number].gateway;
+            self.put(now + took + GATEWAY_DELAY_MS, Happening::Told { gateway, turn: number, event });
+        }
+        self.put(now + took, Happening::Step(engine));
+    }
+
+    fn told(&mut self, gateway: usize, number: usize, event: Event, now: f64) {
+        match event {
+            Event::First(_) => {
+                let turn = self.turns.get_mut(&number).expect("a turn lasts until it is finished");
+                turn.first_at = Some(now);
+                self.outturn.first_ms.push(now - turn.asked_at);
+                self.routers[gateway].first_event(turn.key, now as Millis);
+            }
+            Event::Finished(_) => {
+                let turn = self.turns.remove(&number).expect("a turn finishes once");
+                let served = Outcome::Served { tokens_out: self.day.answer_tokens };
+                self.routers[gateway].finished(turn.key, served, now as Millis);
+                self.outturn.turn_ms.push(now - turn.asked_at);
+                self.go_on(turn.line, now);
+            }
+        }
+    }
+
+    fn go_on(&mut self, line: Line, now: f64) {
+        if line.turns_left == 0 {
+            return;
+        }
+        if line.is_main && self.random.f64() < self.day.subagents {
+            for agent in 0..2 {
+                let mut child = line.clone();
+                child.session = format!("{}-{agent}-{}", line.session, line.turns_left).into();
+                child.turns_left = 2;
+                child.is_main = false;
+                child.mark_fresh();
+                self.next_turn(child, now);
+            }
+        }
+        let pause = self.day.pause_ms * (0.5 + self.random.f64());
+        self.next_turn(line, now + pause);
+    }
+
+    fn report(&mut self, gateway: usize, now: f64) {
+        let reports = Rc::new(self.routers[gateway].reports());
+        self.put(now + REPORT_DELAY_MS, Happening::Reported { from: gateway, reports });
+        if now < self.day.length_ms {
+            self.put(now + REPORT_EVERY_MS, Happening::Report(gateway));
+        }
+    }
+
+    fn reported(&mut self, from: usize, reports: &[LoadReport], now: f64) {
+        let name = format!("gateway-{from}");
+        for (gateway, router) in self.routers.iter_mut().enumerate() {
+            if gateway != from {
+                router.other_load(reports, &name, now as Millis);
+            }
+        }
+    }
+}
+
+impl Line {
+    /// A sub-agent's first turn adds a part of its own behind its parent's.
+    fn is_fresh(&self) -> bool {
+        self.session.ends_with('*')
+    }
+
+    fn mark_fresh(&mut self) {
+        self.session = format!("{}*", self.session).into();
+    }
+
+    fn mark_used(&mut self) {
+        if let Some(name) = self.session.strip_suffix('*') {
+            self.session = name.into();
+        }
+    }
+}
+
+fn server(day: &Day, number: usize) -> Server {
+    let shape = EngineShape {
+        kv_capacity: day.model.kv_capacity,
+        slots: day.model.slots as u32,
+        chunk_tokens: day.model.chunk_tokens,
+    };
+    Server {
+        id: format!("engine-{}-{number}", day.seed).into(),
+        backend: ENGINES.into(),
+        address: ([10, 0, 0, number as u8], 8080).into(),
+        zone: format!("zone-{}", number % day.zones).into(),
+        slots: day.model.slots as u32,
+        draining: false,
+        cold_left_ms: 0,
+        engine: Some(shape),
+        max_conns: 220,
+    }
+}
+
+fn router(day: &Day, servers: &[Server], way: Way, gateway: usize) -> Box<dyn Router> {
+    let seed = day.seed * 1_000 + gateway as u64;
+    match way {
+        Way::Simple(rule) => Box::new(Simple::new(rule, servers, seed)),
+        Way::Ours => {
+            let zone = format!("zone-{}", gateway % day.zones);
+            let mut chooser = Chooser::new(zone.into(), seed);
+            chooser.set_servers(servers.to_vec(), 0);
+            Box::new(Ours(chooser))
+        }
+    }
+}
