--- /dev/null
+++ b/crates/storage/src/core.rs
@@ -0,0 +1,186 @@
+//! The disk of a core member: the log, the snapshot, views and votes of [`dunespur_chain`], in one redb file.
+//!
+//! All calls block; the caller has a thread for them. What [`CoreDisk::write`] has returned from is on the disk,
+//! whole; of a call that was cut off by a loss of power, all or nothing is there.
+
+use anyhow::{bail, Context, Result};
+use dunespur_chain::{Entry, Saved, SavedSnapshot, Write};
+use redb::{Database, Durability, ReadableTable, Table, TableDefinition, WriteTransaction};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::collections::hash_map::RandomState;
+use std::fs::{self, File};
+use std::hash::{BuildHasher, Hasher};
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+/// Changes whenever older files can't be read any more.
+const FORMAT: u64 = 1;
+const CACHE_BYTES: usize = 1 << 20;
+
+/// Single values, each in postcard under its own key.
+const VALUES: TableDefinition<&str, &[u8]> = TableDefinition::new("values");
+/// The log's entries after the snapshot, by index, in postcard.
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+
+const KEY_FORMAT: &str = "format";
+const KEY_DISK: &str = "disk";
+const KEY_DECIDED: &str = "decided";
+const KEY_PROMISED: &str = "promised";
+const KEY_ACCEPTED: &str = "accepted";
+const KEY_SYNCED_VIEW: &str = "synced_view";
+const KEY_SNAPSHOT: &str = "snapshot";
+
+/// Which life of the disk this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiskIdentity {
+    /// Drawn at random when the file was made.
+    pub disk: u64,
+    /// The file was made just now.
+    pub fresh: bool,
+}
+
+/// The open file of a core member.
+pub struct CoreDisk {
+    database: Database,
+}
+
+impl CoreDisk {
+    /// Opens the file, or makes it with a new identity if there is none.
+    pub fn open(path: &Path) -> Result<(CoreDisk, DiskIdentity, Saved)> {
+        let fresh = !path.exists();
+        if fresh {
+            create(path).with_context(|| format!("making {}", path.display()))?;
+        }
+        let disk = CoreDisk { database: open_database(path)? };
+        let (identity, saved) = disk.read(fresh).with_context(|| format!("reading {}", path.display()))?;
+        Ok((disk, identity, saved))
+    }
+
+    /// Brings all writes to the disk with one sync, all or none of them.
+    pub fn write(&self, writes: &[Write]) -> Result<()> {
+        let mut transaction = self.database.begin_write()?;
+        transaction.set_durability(Durability::Immediate);
+        apply(&transaction, writes)?;
+        transaction.commit()?;
+        Ok(())
+    }
+
+    fn read(&self, fresh: bool) -> Result<(DiskIdentity, Saved)> {
+        let transaction = self.database.begin_read()?;
+        let values = transaction.open_table(VALUES)?;
+        let format: Option<u64> = value(&values, KEY_FORMAT)?;
+        if format != Some(FORMAT) {
+            bail!("format {format:?} is not {FORMAT}, the one that this program knows");
+        }
+        let disk = value(&values, KEY_DISK)?.context("no identity")?;
+        let mut entries: Vec<Entry> = Vec::new();
+        for row in transaction.open_table(ENTRIES)?.iter()? {
+            entries.push(postcard::from_bytes(row?.1.value())?);
+        }
+        let saved = Saved {
+            decided: value(&values, KEY_DECIDED)?,
+            promised: value(&values, KEY_PROMISED)?,
+            accepted: value(&values, KEY_ACCEPTED)?,
+            synced_view: value(&values, KEY_SYNCED_VIEW)?.unwrap_or_default(),
+            snapshot: value(&values, KEY_SNAPSHOT)?,
+            entries,
+        };
+        Ok((DiskIdentity { disk, fresh }, saved))
+    }
+}
+
+fn open_database(path: &Path) -> Result<Database> {
+    let opened = Database::builder().set_cache_size(CACHE_BYTES).open(path);
+    opened.with_context(|| format!("opening {}", path.display()))
+}
+
+/// Makes the file under another name first: what bears the right name is whole, whenever power is lost.
+fn create(path: &Path) -> Result<()> {
+    let unfinished = unfinished_path(path);
+    if unfinished.exists() {
+        fs::remove_file(&unfinished)?;
+    }
+    let database = Database::builder().set_cache_size(CACHE_BYTES).create(&unfinished)?;
+    let mut transaction = database.begin_write()?;
+    transaction.set_durability(Durability::Immediate);
+    {
+        let mut values = transaction.open_table(VALUES)?;
+        put(&mut values, KEY_FORMAT, &FORMAT)?;
+        put(&mut values, KEY_DISK, &random_disk())?;
+        transaction.open_table(ENTRIES)?;
+    }
+    transaction.commit()?;
+    drop(database);
+    fs::rename(&unfinished, path)?;
+    sync_folder(path)
+}
+
+fn unfinished_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".unfinished");
+    PathBuf::from(name)
+}
+
+/// Against a new name that is gone after a loss of power.
+fn sync_folder(path: &Path) -> Result<()> {
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()?;
+    Ok(())
+}
+
+/// The library's hash keys come from the operating system's random source; the time is mixed in should that be poor.
+fn random_disk() -> u64 {
+    let mut hasher = RandomState::new().build_hasher();
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_nanos());
+    hasher.write_u128(time);
+    hasher.write_u32(std::process::id());
+    hasher.finish()
+}
+
+fn value<T: DeserializeOwned>(
+    values: &impl ReadableTable<&'static str, &'static [u8]>,
+    key: &str,
+) -> Result<Option<T>> {
+    let Some(found) = values.get(key)? else { return Ok(None) };
+    let read = postcard::from_bytes(found.value());
+    read.map(Some).with_context(|| format!("value of {key}"))
+}
+
+fn put<T: Serialize>(values: &mut Table<&str, &[u8]>, key: &str, value: &T) -> Result<()> {
+    values.insert(key, postcard::to_stdvec(value)?.as_slice())?;
+    Ok(())
+}
+
+/// Does to the tables what [`Saved::apply`] does in memory.
+fn apply(transaction: &WriteTransaction, writes: &[Write]) -> Result<()> {
+    let mut values = transaction.open_table(VALUES)?;
+    let mut entries = transaction.open_table(ENTRIES)?;
+    for write in writes {
+        match write {
+            Write::Promise { ballot } => put(&mut values, KEY_PROMISED, ballot)?,
+            Write::Accept { accepted } => put(&mut values, KEY_ACCEPTED, accepted)?,
+            Write::Install { decided } => {
+                put(&mut values, KEY_DECIDED, decided)?;
+                values.remove(KEY_PROMISED)?;
+                values.remove(KEY_ACCEPTED)?;
+            }
+            Write::Synced { view } => put(&mut values, KEY_SYNCED_VIEW, view)?,
+            Write::Entry { entry } => {
+                entries.insert(entry.index(), postcard::to_stdvec(entry)?.as_slice())?;
+            }
+            Write::Truncate { index } => entries.retain_in(index + 1.., |_, _| false)?,
+            Write::Snapshot { snapshot } => install_snapshot(&mut values, &mut entries, snapshot)?,
+        }
+    }
+    Ok(())
+}
+
+fn install_snapshot(
+    values: &mut Table<&str, &[u8]>,
+    entries: &mut Table<u64, &[u8]>,
+    snapshot: &SavedSnapshot,
+) -> Result<()> {
+    entries.retain_in(..=snapshot.position.index, |_, _| false)?;
+    put(values, KEY_SNAPSHOT, snapshot)
+}
--- /dev/null
+++ b/crates/storage/tests/core.rs
@@ -0,0 +1,152 @@
+//! The core member's file holds what [`Saved::apply`] says, over restarts, and keeps its identity.
+
+use dunespur_chain::{
+    AcceptedView, Ballot, DecidedView, Entry, MemberId, Origin, Payload, Peer, Position, Saved,
+    SavedSnapshot, View, Write,
+};
+use dunespur_storage::core::CoreDisk;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// A folder of one test, removed at its end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("dunespur-core-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("a folder for the test");
+        Folder(path)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.0.join("core.redb")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn reopened(path: &Path) -> Saved {
+    let (_, identity, saved) = CoreDisk::open(path).expect("the file opens again");
+    assert!(!identity.fresh);
+    saved
+}
+
+fn member(number: u64) -> MemberId {
+    MemberId { node: format!("node-{number}"), disk: number }
+}
+
+fn view(number: u64) -> DecidedView {
+    let address = "10.1.0.1:7380".parse().expect("an address");
+    let members: Vec<Peer> = (0..3).map(|index| Peer { id: member(index + number), address }).collect();
+    let chain = members.iter().map(|member| member.id.clone()).collect();
+    DecidedView { view: View { number, members, chain }, base: number - 1 }
+}
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, proposer: member(round % 3), session: round * 7 }
+}
+
+fn entry(index: u64, view: u64) -> Entry {
+    let payload = Payload::from(vec![index as u8; (index % 200) as usize]);
+    Entry { position: Position { index, view }, origin: Origin { session: 5, ticket: index }, payload }
+}
+
+/// Writes as a member makes them, drawn from a small random source.
+struct Writer {
+    state: u64,
+    last: u64,
+    snapshot: u64,
+    view: u64,
+}
+
+impl Writer {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.state =
+            self.state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.state >> 33) % bound
+    }
+
+    fn next(&mut self) -> Write {
+        match self.below(12) {
+            0 => Write::Promise { ballot: ballot(self.below(100)) },
+            1 => {
+                let ballot = ballot(self.below(100));
+                Write::Accept { accepted: AcceptedView { ballot, proposal: view(self.view + 1) } }
+            }
+            2 => {
+                self.view += 1;
+                Write::Install { decided: view(self.view) }
+            }
+            3 => Write::Synced { view: self.view },
+            4 => {
+                self.last = self.snapshot + self.below(self.last - self.snapshot + 1);
+                Write::Truncate { index: self.last }
+            }
+            5 => {
+                self.snapshot += self.below(self.last - self.snapshot + 1);
+                let position = Position { index: self.snapshot, view: self.view };
+                let bytes = Payload::from(vec![self.snapshot as u8; 10_000]);
+                Write::Snapshot { snapshot: SavedSnapshot { position, bytes } }
+            }
+            _ => {
+                self.last += 1;
+                Write::Entry { entry: entry(self.last, self.view) }
+            }
+        }
+    }
+}
+
+#[test]
+fn what_was_written_is_found_again() {
+    for seed in 0..6 {
+        let folder = Folder::new(&format!("writes-{seed}"));
+        let mut writer = Writer { state: seed, last: 0, snapshot: 0, view: 1 };
+        let mut expected = Saved::default();
+        for _ in 0..6 {
+            let (disk, _, found) = CoreDisk::open(&folder.file()).expect("the file opens");
+            assert_eq!(found, expected);
+            for _ in 0..8 {
+                let writes: Vec<Write> = (0..writer.below(12)).map(|_| writer.next()).collect();
+                disk.write(&writes).expect("the disk takes it");
+                writes.iter().for_each(|write| expected.apply(write));
+            }
+        }
+        assert_eq!(reopened(&folder.file()), expected);
+    }
+}
+
+#[test]
+fn the_identity_lasts_as_long_as_the_file() {
+    let folder = Folder::new("identity");
+    let (disk, first, saved) = CoreDisk::open(&folder.file()).expect("the file is made");
+    assert!(first.fresh && saved.is_empty());
+    drop(disk);
+    let (disk, second, _) = CoreDisk::open(&folder.file()).expect("the file opens");
+    assert!(!second.fresh);
+    assert_eq!(first.disk, second.disk);
+    drop(disk);
+    fs::remove_file(folder.file()).expect("the file goes");
+    let (_, third, saved) = CoreDisk::open(&folder.file()).expect("the file is made anew");
+    assert!(third.fresh && saved.is_empty());
+    assert_ne!(first.disk, third.disk);
+}
+
+#[test]
+fn a_file_that_was_never_finished_is_made_anew() {
+    let folder = Folder::new("unfinished");
+    fs::write(folder.0.join("core.redb.unfinished"), b"half a file").expect("a torn file");
+    let (_, identity, saved) = CoreDisk::open(&folder.file()).expect("the file is made");
+    assert!(identity.fresh && saved.is_empty());
+}
+
+#[test]
+fn another_file_is_refused() {
+    let folder = Folder::new("foreign");
+    fs::write(folder.file(), b"not a database").expect("some file");
+    assert!(CoreDisk::open(&folder.file()).is_err());
+}
