--- /dev/null
+++ b/crates/proxy/src/exchange.rs
@@ -0,0 +1,333 @@
+//! One request of a client, from its head to the head of its answer.
+
+use crate::answer::AnswerBody;
+use crate::asked::{text, Asked};
+use crate::client::{Client, Stage};
+use crate::front::Front;
+use crate::hop;
+use crate::memory::{Full, Room};
+use crate::node::{History, KeptTurn, Node, Reserve, TurnAsk};
+use crate::plain::{self, Awaited};
+use crate::refusal::Refusal;
+use crate::sending::{Message, Reply, Sending, TimeLimit};
+use crate::stream::{is_stream, Begin, Keeping, Streaming};
+use crate::turn::{TokenCount, Turn};
+use bytes::{Bytes, BytesMut};
+use dunespur_configuration::{Kind, Route, Table};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, Uri, Version};
+use http_body::Body;
+use hyper::body::Incoming;
+use smallvec::SmallVec;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+
+/// An answer may still be written for so long after the time of its request; then nobody reads it.
+const OVERTIME_MS: u64 = 500;
+/// The same for an answer of the data plane's own.
+const REFUSAL_TIME_MS: u64 = 2000;
+/// When a client may come back before the first configuration has come.
+const NO_TABLE_RETRY_MS: u64 = 500;
+/// When a client may come back for whose body there is no memory.
+const NO_MEMORY_RETRY_MS: u64 = 300;
+/// When a client may come back whose turn waited for its admission until its time was over.
+const NOT_ADMITTED_RETRY_MS: u64 = 300;
+
+/// Answers a request of `client`.
+pub(crate) async fn answer<N: Node>(
+    front: Rc<Front<N>>,
+    client: Rc<Client>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    client.set_stage(Stage::InHand);
+    front.count_request();
+    let arrived_ms = front.clock.now_ms();
+    let mut until_ms = arrived_ms + REFUSAL_TIME_MS;
+    let mut response = match serve(&front, &client, request, arrived_ms, &mut until_ms).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(&front, &client, refusal),
+    };
+    if front.is_leaving() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let until_ms = until_ms.max(front.clock.now_ms()) + OVERTIME_MS;
+    client.set_stage(Stage::Answering { until_ms });
+    response
+}
+
+fn refuse<N: Node>(front: &Front<N>, client: &Rc<Client>, refusal: Refusal) -> Response<AnswerBody> {
+    log::debug!("refused: {refusal:?}");
+    front.count_refusal(refusal);
+    let head = refusal.head();
+    if hop::says_close(head.headers()) {
+        client.refuse_unread();
+    }
+    let reason = Bytes::from_static(refusal.reason().as_bytes());
+    head.map(|()| AnswerBody::whole(reason, client))
+}
+
+async fn serve<N: Node>(
+    front: &Rc<Front<N>>,
+    client: &Rc<Client>,
+    request: Request<Incoming>,
+    arrived_ms: u64,
+    until_ms: &mut u64,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let (head, body) = request.into_parts();
+    if head.version != Version::HTTP_11 {
+        return Err(Refusal::OldVersion);
+    }
+    let table = front.node.table().ok_or(Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS })?;
+    let route = find_route(&table, &head)?;
+    let asked = Asked::read(&head.headers)?;
+    let held_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    *until_ms = arrived_ms.saturating_add(held_ms);
+    let mut limit = TimeLimit::new(front, *until_ms);
+    let mut room = front.memory.room();
+    let input = collect(body, table.limits().max_body_bytes, &mut limit, &mut room).await?;
+    let pieces = prompt(front, &route, &asked, &input, &mut limit, &mut room).await?;
+    let turn = admit(front, &route, &asked, &mut limit).await?;
+    let keeping = keeping(front, &route, &asked, input);
+    let message = message(head, pieces, room);
+    let sending = Sending::new(front.clone(), route, asked, message, limit);
+    let work = Work { sending, turn, keeping, table };
+    work.run(client).await
+}
+
+fn find_route(table: &Table, head: &Parts) -> Result<Rc<Route>, Refusal> {
+    let named = || head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.authority().map(|authority| authority.as_str()).or_else(named);
+    let host = host.ok_or(Refusal::Malformed)?;
+    table.find(host, head.uri.path()).cloned().ok_or(Refusal::NoRoute)
+}
+
+/// The body of a client's request, whole.
+async fn collect(
+    mut body: Incoming,
+    most: usize,
+    limit: &mut TimeLimit,
+    room: &mut Room,
+) -> Result<Bytes, Refusal> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let stated = body.size_hint().lower();
+    if stated > most as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    take_room(room, stated as usize)?;
+    let mut pieces = Pieces::new(stated as usize);
+    loop {
+        let next = limit.bound(poll_fn(|cx| Pin::new(&mut body).poll_frame(cx))).await;
+        let frame = match next {
+            None => return Err(Refusal::Slow),
+            Some(None) => return Ok(pieces.join()),
+            Some(Some(Err(_))) => return Err(Refusal::Malformed),
+            Some(Some(Ok(frame))) => frame,
+        };
+        let Ok(bytes) = frame.into_data() else { continue };
+        if pieces.len + bytes.len() > most {
+            return Err(Refusal::TooLarge);
+        }
+        let beyond = (pieces.len + bytes.len()).saturating_sub(pieces.reserved);
+        take_room(room, beyond)?;
+        pieces.reserved += beyond;
+        pieces.add(bytes);
+    }
+}
+
+/// A body as it comes; copied only if it comes in several pieces.
+struct Pieces {
+    first: Bytes,
+    more: BytesMut,
+    len: usize,
+    reserved: usize,
+}
+
+impl Pieces {
+    fn new(reserved: usize) -> Pieces {
+        Pieces { first: Bytes::new(), more: BytesMut::new(), len: 0, reserved }
+    }
+
+    fn add(&mut self, bytes: Bytes) {
+        let is_first = self.len == 0;
+        self.len += bytes.len();
+        if is_first {
+            self.first = bytes;
+            return;
+        }
+        if self.more.is_empty() {
+            self.more.reserve(self.reserved.max(self.len));
+            self.more.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.more.extend_from_slice(&bytes);
+    }
+
+    fn join(self) -> Bytes {
+        if self.more.is_empty() {
+            self.first
+        } else {
+            self.more.freeze()
+        }
+    }
+}
+
+fn take_room(room: &mut Room, bytes: usize) -> Result<(), Refusal> {
+    room.grow(bytes).map_err(|Full| Refusal::Later { retry_after_ms: NO_MEMORY_RETRY_MS })
+}
+
+/// The body for the server: what the turn goes on from, then its input.
+async fn prompt<N: Node>(
+    front: &Front<N>,
+    route: &Route,
+    asked: &Asked,
+    input: &Bytes,
+    limit: &mut TimeLimit,
+    room: &mut Room,
+) -> Result<SmallVec<[Bytes; 1]>, Refusal> {
+    let mut pieces = SmallVec::new();
+    if route.persisted && asked.last_event_id.is_some() {
+        // Only the rest of the answer would come, and kept as the whole it would be another one.
+        return Err(Refusal::Later { retry_after_ms: NOT_ADMITTED_RETRY_MS });
+    }
+    let previous = text(&asked.previous).filter(|_| route.persisted);
+    if let Some(previous) = previous {
+        let program = text(&asked.program).unwrap_or_default();
+        let history = limit.bound(front.node.history(program, previous)).await;
+        match history {
+            Some(History::Found(found)) => {
+                take_room(room, found.iter().map(Bytes::len).sum())?;
+                pieces.extend(found);
+            }
+            Some(History::Unknown) => return Err(Refusal::UnknownTurn),
+            Some(History::Unsure { retry_after_ms }) => return Err(Refusal::Later { retry_after_ms }),
+            None => return Err(Refusal::Later { retry_after_ms: NOT_ADMITTED_RETRY_MS }),
+        }
+    }
+    pieces.push(input.clone());
+    Ok(pieces)
+}
+
+/// Sets aside what a turn may generate. Requests that state no budget are no turns.
+async fn admit<N: Node>(
+    front: &Front<N>,
+    route: &Route,
+    asked: &Asked,
+    limit: &mut TimeLimit,
+) -> Result<Option<Turn<N>>, Refusal> {
+    let (Some(budget), Some(program)) = (asked.budget, text(&asked.program)) else { return Ok(None) };
+    if route.kind != Kind::Streaming {
+        return Ok(None);
+    }
+    let ask = TurnAsk { program, budget, most: most_tokens(asked) };
+    match limit.bound(front.node.reserve(ask)).await {
+        Some(Reserve::Admitted(key)) => Ok(Some(Turn::new(&front.node, key))),
+        Some(Reserve::Spent) => Err(Refusal::Spent),
+        Some(Reserve::Wait { retry_after_ms }) => Err(Refusal::Later { retry_after_ms }),
+        None => Err(Refusal::Later { retry_after_ms: NOT_ADMITTED_RETRY_MS }),
+    }
+}
+
+/// The most that a turn generates; one that does not say may take its whole budget.
+fn most_tokens(asked: &Asked) -> u64 {
+    match asked.most_tokens {
+        0 => asked.budget.unwrap_or(0),
+        most => u64::from(most),
+    }
+}
+
+/// What is kept of the turn once its answer is whole.
+fn keeping<N: Node>(front: &Front<N>, route: &Route, asked: &Asked, input: Bytes) -> Option<Keeping> {
+    let of_text = |value: &Option<HeaderValue>| text(value).map(str::to_owned);
+    let turn = KeptTurn {
+        id: asked.id.to_str().ok()?.to_owned(),
+        previous: of_text(&asked.previous),
+        program: of_text(&asked.program).unwrap_or_default(),
+        input,
+        output: Bytes::new(),
+        retention_ms: route.retention_ms,
+    };
+    let is_kept = route.persisted && route.kind == Kind::Streaming;
+    is_kept.then(|| Keeping { turn, room: front.memory.room(), output: BytesMut::new() })
+}
+
+/// The message for the servers, but for what each of them gets of its own.
+fn message(head: Parts, pieces: SmallVec<[Bytes; 1]>, room: Room) -> Message {
+    let Parts { method, uri, mut headers, .. } = head;
+    hop::prepare_request(&mut headers);
+    let is_empty = pieces.iter().all(Bytes::is_empty);
+    if is_empty && matches!(method, Method::POST | Method::PUT | Method::PATCH) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
+    }
+    Message { method, uri: origin_form(uri), headers, pieces, _room: room }
+}
+
+/// Path and query as they came, without scheme and host.
+fn origin_form(uri: Uri) -> Uri {
+    if uri.authority().is_none() {
+        return uri;
+    }
+    uri.path_and_query().map(|path| Uri::from(path.clone())).unwrap_or_default()
+}
+
+/// A request that may be sent.
+struct Work<N: Node> {
+    sending: Sending<N>,
+    turn: Option<Turn<N>>,
+    keeping: Option<Keeping>,
+    table: Rc<Table>,
+}
+
+impl<N: Node> Work<N> {
+    async fn run(self, client: &Rc<Client>) -> Result<Response<AnswerBody>, Refusal> {
+        let Work { mut sending, turn, keeping, table } = self;
+        let mut streaming =
+            Streaming::new(token_count(&sending, &table), turn, keeping, last_id(&sending.asked));
+        drop(table);
+        loop {
+            let mut reply = sending.send().await?;
+            let time_up = if is_stream(sending.route.kind, &reply.head) {
+                match streaming.begin(&mut sending, &mut reply).await {
+                    Begin::Events(begun) => return Ok(streaming.respond(sending, reply, begun, client)),
+                    Begin::Cut { time_up } => time_up,
+                }
+            } else {
+                match plain::await_body(&mut sending, &mut reply).await {
+                    Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
+                    Awaited::Longer(begun) => {
+                        return Ok(plain::relayed_response(sending, reply, begun, client));
+                    }
+                    Awaited::Cut => false,
+                    Awaited::TimeUp => true,
+                }
+            };
+            sending.note_cut(reply.flight, time_up);
+            drop(reply.body);
+            sending.may_go_on()?;
+        }
+    }
+}
+
+fn finish_plain<N: Node>(
+    sending: &Sending<N>,
+    reply: Reply<N>,
+    body: Bytes,
+    client: &Rc<Client>,
+) -> Response<AnswerBody> {
+    let Reply { head, body: mut rest, flight } = reply;
+    flight.finish(plain::outcome(head.status));
+    rest.give_back(&sending.front);
+    plain::whole_response(head, body, client)
+}
+
+fn token_count<N: Node>(sending: &Sending<N>, table: &Table) -> TokenCount {
+    let engine = table.service(&sending.backend).and_then(|service| service.engine.as_ref());
+    TokenCount::new(engine.map_or(1, |engine| u64::from(engine.chunk_tokens)), most_tokens(&sending.asked))
+}
+
+/// The event that the client says it has.
+fn last_id(asked: &Asked) -> Option<u64> {
+    text(&asked.last_event_id)?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/plain.rs
@@ -0,0 +1,147 @@
+//! Answers that are no streams of events.
+
+use crate::answer::{flush, AnswerBody, Broken, Outlet};
+use crate::client::Client;
+use crate::flight::Flight;
+use crate::hop;
+use crate::node::Node;
+use crate::sending::{Next, Reply, ReplyBody, Sending};
+use bytes::{Bytes, BytesMut};
+use dunespur_routing::Outcome;
+use http::header::CONTENT_LENGTH;
+use http::response::Parts;
+use http::{HeaderMap, Response, StatusCode};
+use std::rc::Rc;
+
+/// An answer up to this length is awaited whole, so that one that breaks off can still become a refusal, or be had
+/// from another server. A longer one is passed on while it comes.
+const MOST_AWAITED: usize = 64 * 1024;
+
+/// An answer as far as it was awaited.
+pub(crate) enum Awaited {
+    Whole(Bytes),
+    /// Longer than that: what has come.
+    Longer(Bytes),
+    Cut,
+    TimeUp,
+}
+
+/// Waits for the body of an answer.
+pub(crate) async fn await_body<N: Node>(sending: &mut Sending<N>, reply: &mut Reply<N>) -> Awaited {
+    let mut body = BytesMut::new();
+    let mut first = Bytes::new();
+    loop {
+        match reply.body.next(&mut sending.limit).await {
+            Next::Piece(bytes) if first.is_empty() && body.is_empty() => first = bytes,
+            Next::Piece(bytes) => {
+                body.extend_from_slice(&std::mem::take(&mut first));
+                body.extend_from_slice(&bytes);
+            }
+            Next::End => return Awaited::Whole(joined(first, body)),
+            Next::Cut => return Awaited::Cut,
+            Next::TimeUp => return Awaited::TimeUp,
+        }
+        if first.len() + body.len() > MOST_AWAITED {
+            return Awaited::Longer(joined(first, body));
+        }
+    }
+}
+
+fn joined(first: Bytes, body: BytesMut) -> Bytes {
+    if body.is_empty() {
+        first
+    } else {
+        body.freeze()
+    }
+}
+
+/// The outcome of an answer that came whole.
+pub(crate) fn outcome(status: StatusCode) -> Outcome {
+    if status.is_server_error() {
+        Outcome::Failed
+    } else {
+        Outcome::Served { tokens_out: 0 }
+    }
+}
+
+/// The head for the client of an answer with this head.
+pub(crate) fn response_head(mut head: Parts) -> Parts {
+    hop::strip(&mut head.headers);
+    if matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        head.headers.remove(CONTENT_LENGTH);
+    }
+    head
+}
+
+/// The length that the headers of an answer state.
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+/// The answer to the client where the server's was awaited whole.
+pub(crate) fn whole_response(head: Parts, body: Bytes, client: &Rc<Client>) -> Response<AnswerBody> {
+    Response::from_parts(response_head(head), AnswerBody::whole(body, client))
+}
+
+/// The answer to the client where the rest of the server's is passed on while it comes.
+pub(crate) fn relayed_response<N: Node>(
+    sending: Sending<N>,
+    reply: Reply<N>,
+    begun: Bytes,
+    client: &Rc<Client>,
+) -> Response<AnswerBody> {
+    let Reply { head, body, flight } = reply;
+    let status = head.status;
+    let length = stated_length(&head.headers);
+    let outlet = Outlet::default();
+    let relay = Relay { sending, body, flight, status, left: length, outlet: outlet.clone() };
+    Response::from_parts(response_head(head), AnswerBody::pumped(relay.run(begun), outlet, length, client))
+}
+
+/// Passes the rest of an answer on.
+struct Relay<N: Node> {
+    sending: Sending<N>,
+    body: ReplyBody,
+    flight: Flight<N>,
+    status: StatusCode,
+    /// Bytes to come, where the length is known.
+    left: Option<u64>,
+    outlet: Outlet,
+}
+
+impl<N: Node> Relay<N> {
+    async fn run(mut self, begun: Bytes) -> Result<(), Broken> {
+        let mut piece = begun;
+        loop {
+            self.left = self.left.map(|left| left.saturating_sub(piece.len() as u64));
+            // Once the client has the last byte nobody polls this again: it comes after all else.
+            if self.left == Some(0) {
+                break;
+            }
+            self.outlet.put(piece).await;
+            piece = match self.body.next(&mut self.sending.limit).await {
+                Next::Piece(bytes) => bytes,
+                Next::End => {
+                    piece = Bytes::new();
+                    break;
+                }
+                next => return self.broken(next == Next::TimeUp).await,
+            };
+        }
+        if self.left == Some(0) && self.body.next(&mut self.sending.limit).await != Next::End {
+            return self.broken(false).await;
+        }
+        let Relay { sending, mut body, flight, status, outlet, .. } = self;
+        flight.finish(outcome(status));
+        body.give_back(&sending.front);
+        outlet.put(piece).await;
+        Ok(())
+    }
+
+    async fn broken(mut self, time_up: bool) -> Result<(), Broken> {
+        self.sending.note_cut(self.flight, time_up);
+        drop(self.body);
+        flush().await;
+        Err(Broken)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/stream.rs
@@ -0,0 +1,223 @@
+//! Answers that are streams of events: passed on as they come, counted, kept, taken up elsewhere after a cut.
+
+use crate::answer::{flush, AnswerBody, Broken, Outlet};
+use crate::client::Client;
+use crate::events::{Event, Splitter};
+use crate::flight::Flight;
+use crate::hop;
+use crate::memory::Room;
+use crate::node::{KeptTurn, Node};
+use crate::plain::response_head;
+use crate::sending::{Next, Reply, ReplyBody, Sending};
+use crate::turn::{TokenCount, Turn};
+use bytes::{Bytes, BytesMut};
+use dunespur_configuration::Kind;
+use dunespur_routing::Outcome;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::response::Parts;
+use http::{Response, StatusCode};
+use std::rc::Rc;
+
+/// The most output of one turn that is held until it is kept. A longer one can't be kept, so its answer ends
+/// broken: whole, it would promise that a later turn may go on from it.
+const MOST_OUTPUT: usize = 4 * 1024 * 1024;
+
+/// Whether an answer is a stream of events.
+pub(crate) fn is_stream(kind: Kind, head: &Parts) -> bool {
+    let content_type =
+        head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    kind == Kind::Streaming && head.status == StatusCode::OK && content_type.starts_with("text/event-stream")
+}
+
+/// A turn that is kept once its answer is whole.
+pub(crate) struct Keeping {
+    pub(crate) turn: KeptTurn,
+    pub(crate) room: Room,
+    pub(crate) output: BytesMut,
+}
+
+impl Keeping {
+    /// Guards against outputs that would take more memory than there is.
+    fn make_room(&mut self, bytes: usize) -> Result<(), Broken> {
+        if self.output.len() + bytes > MOST_OUTPUT {
+            return Err(Broken);
+        }
+        self.room.grow(bytes).map_err(|_| Broken)
+    }
+}
+
+/// What a stream has come to so far, over all its servers.
+pub(crate) struct Streaming<N: Node> {
+    splitter: Splitter,
+    /// The event that the client had already.
+    start_id: Option<u64>,
+    last_id: Option<u64>,
+    tokens: TokenCount,
+    turn: Option<Turn<N>>,
+    keeping: Option<Keeping>,
+}
+
+/// Where the events come from at present.
+struct Source<N: Node> {
+    body: ReplyBody,
+    flight: Flight<N>,
+}
+
+/// How a stream begins.
+pub(crate) enum Begin {
+    /// With these events, or with its end where there are none.
+    Events(Bytes),
+    /// It broke off before the first.
+    Cut { time_up: bool },
+}
+
+impl<N: Node> Streaming<N> {
+    /// `start_id` is the event that the client has already.
+    pub(crate) fn new(
+        tokens: TokenCount,
+        turn: Option<Turn<N>>,
+        keeping: Option<Keeping>,
+        start_id: Option<u64>,
+    ) -> Streaming<N> {
+        Streaming { splitter: Splitter::default(), start_id, last_id: start_id, tokens, turn, keeping }
+    }
+
+    /// Waits for the first event.
+    pub(crate) async fn begin(&mut self, sending: &mut Sending<N>, reply: &mut Reply<N>) -> Begin {
+        self.splitter.clear();
+        self.last_id = self.start_id;
+        if let Some(keeping) = &mut self.keeping {
+            keeping.output.clear();
+        }
+        loop {
+            match reply.body.next(&mut sending.limit).await {
+                Next::Piece(bytes) => match self.take(bytes) {
+                    Ok(whole) if whole.is_empty() => {}
+                    Ok(whole) => {
+                        reply.flight.first_event();
+                        return Begin::Events(whole);
+                    }
+                    Err(Broken) => return Begin::Cut { time_up: false },
+                },
+                Next::End if self.splitter.is_empty() => return Begin::Events(Bytes::new()),
+                next => return Begin::Cut { time_up: next == Next::TimeUp },
+            }
+        }
+    }
+
+    /// The answer to the client: the head of the first server, then the events of all.
+    pub(crate) fn respond(
+        self,
+        sending: Sending<N>,
+        reply: Reply<N>,
+        begun: Bytes,
+        client: &Rc<Client>,
+    ) -> Response<AnswerBody> {
+        let Reply { mut head, body, flight } = reply;
+        // The end of the answer is a sign of its own, held back until the turn is kept.
+        head.headers.remove(CONTENT_LENGTH);
+        let outlet = Outlet::default();
+        let pump = self.pump(sending, Source { body, flight }, begun, outlet.clone());
+        Response::from_parts(response_head(head), AnswerBody::pumped(pump, outlet, None, client))
+    }
+
+    async fn pump(
+        mut self,
+        mut sending: Sending<N>,
+        mut source: Source<N>,
+        begun: Bytes,
+        outlet: Outlet,
+    ) -> Result<(), Broken> {
+        outlet.put(begun).await;
+        loop {
+            let time_up = match source.body.next(&mut sending.limit).await {
+                Next::Piece(bytes) => match self.take(bytes) {
+                    Ok(whole) => {
+                        outlet.put(whole).await;
+                        continue;
+                    }
+                    Err(Broken) => false,
+                },
+                Next::End if self.splitter.is_empty() => break,
+                Next::End | Next::Cut => false,
+                Next::TimeUp => true,
+            };
+            source = match self.resume(&mut sending, source, time_up).await {
+                Ok(source) => source,
+                Err(broken) => {
+                    flush().await;
+                    return Err(broken);
+                }
+            };
+        }
+        let tokens_out = u32::try_from(self.tokens.counted()).unwrap_or(u32::MAX);
+        source.flight.finish(Outcome::Served { tokens_out });
+        source.body.give_back(&sending.front);
+        self.keep(&mut sending).await
+    }
+
+    /// Takes what came; gives the whole events, counted, to be passed on.
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, Broken> {
+        let whole = self.splitter.push(bytes).map_err(|_| Broken)?;
+        let mut tokens = 0;
+        for event in Event::all(&whole) {
+            self.check_id(&event)?;
+            tokens += self.tokens.next_event();
+            if let Some(keeping) = &mut self.keeping {
+                event.append_data(&mut keeping.output);
+            }
+        }
+        if let Some(keeping) = &mut self.keeping {
+            keeping.make_room(whole.len())?;
+        }
+        if let Some(turn) = &self.turn {
+            turn.used(tokens);
+        }
+        Ok(whole)
+    }
+
+    /// Guards against pieces that come twice, or out of another run.
+    fn check_id(&mut self, event: &Event) -> Result<(), Broken> {
+        let Some(id) = event.id() else { return Ok(()) };
+        if self.last_id.is_some_and(|last| id <= last) {
+            return Err(Broken);
+        }
+        self.last_id = Some(id);
+        Ok(())
+    }
+
+    /// Takes the stream up at another server behind the last event that was passed on.
+    async fn resume(
+        &mut self,
+        sending: &mut Sending<N>,
+        source: Source<N>,
+        time_up: bool,
+    ) -> Result<Source<N>, Broken> {
+        sending.note_cut(source.flight, time_up);
+        drop(source.body);
+        self.splitter.clear();
+        let last_id = self.last_id.filter(|_| sending.route.resumable && !time_up).ok_or(Broken)?;
+        sending.may_go_on().map_err(|_| Broken)?;
+        sending.message.headers.insert(hop::LAST_EVENT_ID, hop::number(last_id));
+        let reply = sending.send().await.map_err(|_| Broken)?;
+        if is_stream(sending.route.kind, &reply.head) {
+            reply.flight.first_event();
+            Ok(Source { body: reply.body, flight: reply.flight })
+        } else {
+            Err(Broken)
+        }
+    }
+
+    /// Keeps the turn, so that the end of its answer may go out.
+    async fn keep(self, sending: &mut Sending<N>) -> Result<(), Broken> {
+        let Some(Keeping { mut turn, output, room: _room }) = self.keeping else { return Ok(()) };
+        turn.output = output.freeze();
+        let node = sending.front.node.clone();
+        let kept = sending.limit.bound(node.keep(turn)).await;
+        if kept == Some(true) {
+            Ok(())
+        } else {
+            Err(Broken)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/requests.rs
@@ -0,0 +1,368 @@
+//! Requests and plain answers: what is passed on, what is refused, what is sent again.
+
+mod support;
+
+use dunespur_routing::Outcome;
+use support::*;
+
+const SERVED: Outcome = Outcome::Served { tokens_out: 0 };
+
+#[test]
+fn a_request_and_its_answer_are_passed_on_unchanged() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let request = post(
+            "/write/a%20b?c=d&e",
+            "r1",
+            "X-Other: kept\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n",
+            "body",
+        );
+        let mut client = gateway.ask(&request).await;
+
+        let (mut connection, message) = server.take().await;
+        assert_eq!(message.first_line, "POST /write/a%20b?c=d&e HTTP/1.1");
+        assert_eq!(message.id(), "r1");
+        assert_eq!(message.header("host"), Some("h.example"));
+        assert_eq!(message.header("x-other"), Some("kept"));
+        assert_eq!(message.header("x-dunespur-expect-instance"), Some("i-1"));
+        assert_eq!(message.header("content-length"), Some("4"));
+        for hop in ["connection", "x-hop", "te"] {
+            assert_eq!(message.header(hop), None, "{hop}");
+        }
+        assert_eq!(message.text(), "body");
+        let deadline: u64 = message.header("x-dunespur-deadline-ms").unwrap().parse().unwrap();
+        assert!(deadline > 0 && deadline <= 15_000);
+
+        connection.answer(201, "r1", "Keep-Alive: timeout=5\r\nX-More: yes\r\n", "done").await;
+        let answer = client.message().await;
+        assert_eq!(answer.status(), 201);
+        assert_eq!(answer.header("x-dunespur-response-stamp"), Some("s.r1"));
+        assert_eq!(answer.header("x-dunespur-request-id"), Some("r1"));
+        assert_eq!(answer.header("x-more"), Some("yes"));
+        assert_eq!(answer.header("keep-alive"), None);
+        assert_eq!(answer.text(), "done");
+        assert_eq!(gateway.node.outcomes(), [SERVED]);
+    });
+}
+
+#[test]
+fn what_the_system_says_to_servers_no_client_says() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.engine_priority.set(Some(2));
+        let _client = gateway
+            .ask(&post("/write/", "r1", "Priority: 0\r\nX-Dunespur-Expect-Instance: i-9\r\n", ""))
+            .await;
+        let (_, message) = server.take().await;
+        assert_eq!(message.header("priority"), Some("2"));
+        let instances: Vec<_> =
+            message.headers.iter().filter(|(name, _)| name == "x-dunespur-expect-instance").collect();
+        assert_eq!(instances.len(), 1);
+        assert_eq!(instances[0].1, "i-1");
+    });
+}
+
+#[test]
+fn what_can_not_be_served_is_refused() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let cases = [
+            (get("/nowhere/", "r1"), 404),
+            (get("/read", "r1"), 404),
+            ("GET /read/ HTTP/1.1\r\nHost: h.example\r\n\r\n".to_owned(), 400),
+            ("GET /read/ HTTP/1.1\r\nX-Dunespur-Request-Id: r1\r\n\r\n".to_owned(), 400),
+            ("GET /read/ HTTP/1.0\r\nHost: h.example\r\nX-Dunespur-Request-Id: r1\r\n\r\n".to_owned(), 505),
+            ("BAD\r\n\r\n".to_owned(), 400),
+        ];
+        for (request, status) in cases {
+            let answer = gateway.ask(&request).await.message().await;
+            assert_eq!(answer.status(), status, "{request}");
+            assert_eq!(answer.header("x-dunespur-response-stamp"), None);
+        }
+        assert!(server.is_untouched().await);
+    });
+}
+
+#[test]
+fn before_the_first_configuration_nothing_is_unknown() {
+    play(async {
+        let gateway = Gateway::start(&[]).await;
+        *gateway.node.table.borrow_mut() = None;
+        let answer = gateway.ask(&get("/nowhere/", "r1")).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn a_request_without_a_server_may_come_back() {
+    play(async {
+        let gateway = Gateway::start(&[]).await;
+        let answer = gateway.ask(&get("/read/", "r1")).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+
+        gateway.node.refuse.set(Some(1250));
+        let answer = gateway.ask(&get("/read/", "r2")).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(answer.header("retry-after"), Some("1.250"));
+    });
+}
+
+#[test]
+fn a_request_that_was_not_run_goes_to_the_next_server() {
+    play(async {
+        let dead = StandIn::dead("i-dead").await;
+        let (full, moved, good) =
+            (StandIn::start("i-1").await, StandIn::start("i-2").await, StandIn::start("i-3").await);
+        let gateway = Gateway::start(&[&dead, &full, &moved, &good]).await;
+        let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+
+        let (mut connection, _) = full.take().await;
+        connection.answer(503, "r1", "X-Dunespur-Not-Executed: full\r\n", "full").await;
+        let (mut connection, _) = moved.take().await;
+        connection.answer(421, "r1", "", "").await;
+        let (mut connection, _) = good.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+
+        let answer = client.message().await;
+        assert_eq!((answer.status(), answer.text()), (200, "ok"));
+        assert_eq!(gateway.node.outcomes(), [Outcome::Unreachable, Outcome::Shed, Outcome::Moved, SERVED]);
+        let tried: Vec<_> = gateway.node.asks().into_iter().map(|ask| ask.tried.len()).collect();
+        assert_eq!(tried, [0, 1, 2, 3]);
+    });
+}
+
+#[test]
+fn turned_away_by_all_it_may_come_back() {
+    play(async {
+        let full = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&full]).await;
+        let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+        let (mut connection, _) = full.take().await;
+        connection.answer(429, "r1", "X-Dunespur-Not-Executed: full\r\n", "").await;
+        let answer = client.message().await;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(answer.header("x-dunespur-response-stamp"), None);
+        assert!(answer.header("retry-after").is_some());
+    });
+}
+
+#[test]
+fn what_may_have_run_and_can_not_be_repeated_is_sent_once() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+        let (connection, _) = first.take().await;
+        connection.reset();
+        let answer = client.message().await;
+        assert_eq!(answer.status(), 502);
+        assert_eq!(answer.header("x-dunespur-response-stamp"), None);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed]);
+        assert!(second.is_untouched().await);
+    });
+}
+
+#[test]
+fn a_promise_that_nothing_backs_is_not_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        for (status, id) in [(503, "r1"), (429, "r2"), (408, "r3")] {
+            let mut client = gateway.ask(&post("/write/", id, "", "x")).await;
+            let (mut connection, _) = server.take().await;
+            connection.answer(status, id, "Connection: close\r\n", "").await;
+            let answer = client.message().await;
+            assert_eq!(answer.status(), 502);
+            assert_eq!(answer.header("x-dunespur-response-stamp"), None);
+        }
+    });
+}
+
+#[test]
+fn a_servers_own_failure_is_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        for (status, id, path) in [(500, "r1", "/write/"), (504, "r2", "/write/"), (500, "r3", "/read/")] {
+            let mut client = gateway.ask(&post(path, id, "", "x")).await;
+            let (mut connection, _) = server.take().await;
+            connection.answer(status, id, "Connection: close\r\n", "failed").await;
+            let answer = client.message().await;
+            assert_eq!((answer.status(), answer.text()), (status, "failed"));
+            assert_eq!(answer.header("x-dunespur-response-stamp"), Some(format!("s.{id}").as_str()));
+        }
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed; 3]);
+    });
+}
+
+#[test]
+fn an_idempotent_request_fails_over_as_often_as_its_route_allows() {
+    play(async {
+        let servers = [StandIn::start("i-1").await, StandIn::start("i-2").await, StandIn::start("i-3").await];
+        let gateway = Gateway::start(&[&servers[0], &servers[1], &servers[2]]).await;
+        let mut client = gateway.ask(&get("/read2/", "r1")).await;
+        let (mut connection, _) = servers[0].take().await;
+        connection.answer(500, "r1", "", "").await;
+        let (mut connection, _) = servers[1].take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.text(), "ok");
+
+        let mut client = gateway.ask(&get("/read2/", "r2")).await;
+        let (connection, _) = servers[0].take().await;
+        connection.reset();
+        let (mut connection, _) = servers[1].take().await;
+        connection.answer(500, "r2", "", "").await;
+        assert_eq!(client.message().await.status(), 500);
+        assert!(servers[2].is_untouched().await);
+    });
+}
+
+#[test]
+fn an_answer_that_is_not_the_servers_is_not_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let spoilt = [
+            ("another request's", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: other\r\nX-Dunespur-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok"),
+            ("without an id", "HTTP/1.1 200 OK\r\nX-Dunespur-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok"),
+            ("without a stamp", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok"),
+            ("encoded", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"),
+            ("without an end of its own", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\n\r\nok"),
+            ("not run, and yet a success", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\nX-Dunespur-Not-Executed: x\r\nContent-Length: 2\r\n\r\nok"),
+            ("no HTTP", "\x01\x02garbage\r\n\r\n"),
+            ("two lengths", "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk"),
+        ];
+        for (name, bytes) in spoilt {
+            let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+            let (mut connection, _) = server.take().await;
+            connection.send(bytes.as_bytes()).await;
+            let answer = client.message().await;
+            assert_eq!(answer.status(), 502, "{name}");
+            assert_eq!(answer.header("x-dunespur-response-stamp"), None, "{name}");
+            assert!(connection.is_closed().await, "{name}");
+        }
+    });
+}
+
+#[test]
+fn a_short_answer_that_breaks_off_becomes_a_failure() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let head = "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\n";
+        for rest in [
+            "Content-Length: 10\r\n\r\nhalf",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nha",
+        ] {
+            let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+            let (mut connection, _) = server.take().await;
+            connection.send(format!("{head}{rest}").as_bytes()).await;
+            drop(connection);
+            assert_eq!(client.message().await.status(), 502, "{rest}");
+        }
+    });
+}
+
+#[test]
+fn a_long_answer_that_breaks_off_looks_broken() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let head = "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\n";
+        let part = "x".repeat(80_000);
+        for framing in [
+            "Content-Length: 200000\r\n\r\n".to_owned(),
+            "Transfer-Encoding: chunked\r\n\r\n30d40\r\n".to_owned(),
+        ] {
+            let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+            let (mut connection, _) = server.take().await;
+            connection.send(format!("{head}{framing}{part}").as_bytes()).await;
+            drop(connection);
+            assert!(client.try_message().await.is_err(), "{framing}");
+        }
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed; 2]);
+    });
+}
+
+#[test]
+fn a_long_answer_comes_whole() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let body = "0123456789".repeat(30_000);
+        let mut client = gateway.ask(&get("/read/", "r1")).await;
+        let (mut connection, _) = server.take().await;
+        let (answer, ()) = tokio::join!(client.message(), connection.answer(200, "r1", "", &body));
+        assert_eq!(answer.text(), body);
+        assert_eq!(gateway.node.outcomes(), [SERVED]);
+    });
+}
+
+#[test]
+fn silence_ends_at_the_time_of_the_route() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/short/", "r1", "", "x")).await;
+        let (mut connection, message) = server.take().await;
+        let deadline: u64 = message.header("x-dunespur-deadline-ms").unwrap().parse().unwrap();
+        assert!(deadline <= 50);
+        assert_eq!(client.message().await.status(), 504);
+        assert!(connection.is_closed().await);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Silent]);
+    });
+}
+
+#[test]
+fn a_client_that_leaves_frees_its_place_at_once() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+        let (mut connection, _) = server.take().await;
+        drop(client);
+        assert!(connection.is_closed().await);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Abandoned]);
+    });
+}
+
+#[test]
+fn a_client_that_leaves_while_a_long_answer_comes_frees_its_place() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&get("/read/", "r1")).await;
+        let (mut connection, _) = server.take().await;
+        connection.send(b"HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n").await;
+        connection.chunk(&"x".repeat(70_000)).await;
+        client.head().await;
+        drop(client);
+        assert!(connection.is_closed().await);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Abandoned]);
+    });
+}
+
+#[test]
+fn what_a_request_says_of_itself_is_asked_with() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let more = "Program: p1\r\nSession: s1\r\nX-Dunespur-Token-Count: 1460,80\r\nX-Dunespur-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n";
+        let _client = gateway.ask(&post("/resume/", "r1", more, "x")).await;
+        server.take().await;
+        let asks = gateway.node.asks();
+        let ask = &asks[0];
+        assert_eq!(ask.backend, "engine");
+        assert_eq!((ask.program.as_deref(), ask.session.as_deref()), (Some("p1"), Some("s1")));
+        assert_eq!(ask.prefix, [(0x5c1e07a2, 800), (0x91bd3f06, 410)]);
+        assert_eq!((ask.prompt_tokens, ask.most_tokens), (1460, 80));
+        assert!(ask.idempotent);
+        assert!(ask.time_left_ms <= 15_000);
+    });
+}
