Hold the control state: orders, servers, gateways, stores, budgets

An order that was taken is accepted again whatever came since; draining and leaving can't be undone by what is late; an absent store stays known. Seeded sequences with doubled and overtaken operations check replicas against each other and subscribers against a new one.

--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -1,6 +1,7 @@
 //! A whole configuration as the operator sent it.
 
 use crate::{patch, place::Place, read, Findings};
+use serde::{de::Error, Deserialize, Deserializer, Serialize, Serializer};
 use std::{str, sync::Arc};
 
 /// The number of the configuration before the first one.
@@ -17,7 +18,7 @@
 impl Document {
     /// The configuration before the first one: nothing in it.
     pub fn empty() -> Document {
-        Document { text: Arc::from("{}"), generation: NO_GENERATION }
+        Document { text: Arc::from(r#"{"generation":0}"#), generation: NO_GENERATION }
     }
 
     /// A whole configuration from the body of an order, if it is valid.
@@ -52,6 +53,21 @@
     }
 }
 
+/// A document is written as its text.
+impl Serialize for Document {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&self.text)
+    }
+}
+
+/// A document is checked again when it is read.
+impl<'de> Deserialize<'de> for Document {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Document, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Document::checked(&text).map_err(D::Error::custom)
+    }
+}
+
 fn readable(body: &[u8]) -> Result<&str, Findings> {
     str::from_utf8(body).map_err(|error| Findings::one(Place::Top, format!("can't be read: {error}")))
 }
--- /dev/null
+++ b/crates/control/src/change.rs
@@ -0,0 +1,59 @@
+//! What subscribers are told of the control state.
+
+use crate::ServerReport;
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, sync::Arc};
+
+/// One change of the control state. Each replaces what was told of the same thing before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Another configuration is current.
+    Configuration {
+        /// Its number.
+        generation: u64,
+        /// The whole of it.
+        json: Arc<str>,
+    },
+    /// A server is new, or something about it is.
+    Server(ServerReport),
+    /// A server is over, or nothing is heard of it.
+    ServerGone {
+        /// Its id.
+        id: String,
+    },
+    /// A store is new, or something about it is.
+    Store(StoreEntry),
+    /// A retired store was taken away.
+    StoreGone {
+        /// Its name.
+        name: String,
+    },
+    /// Another number of gateways is there.
+    Gateways {
+        /// How many.
+        count: u32,
+    },
+}
+
+/// A store as the core knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreEntry {
+    /// The machine's name.
+    pub name: String,
+    /// Where it stands.
+    pub zone: String,
+    /// Where other processes of the system reach it.
+    pub address: SocketAddr,
+    /// The life of its process.
+    pub incarnation: u64,
+    /// Names this life of its disk; another number means that the earlier contents are lost.
+    pub disk: u64,
+    /// All that it should hold is there.
+    pub whole: bool,
+    /// The core hears of it.
+    pub present: bool,
+    /// It is being emptied: nothing new is placed there.
+    pub retiring: bool,
+    /// It is empty, and stays so.
+    pub retired: bool,
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,97 @@
+//! The whole control state.
+
+use crate::{
+    configuration::Configuration, gateways::Gateways, servers::Servers, stores::Stores, Change, NodeKind,
+    NodeReport, Operation, Outcome, RetireState, ServerReport, StoreEntry,
+};
+use dunespur_budget::Counters;
+use dunespur_configuration::Document;
+use serde::{Deserialize, Serialize};
+
+/// All that the core agrees on. Two states to which the same operations were applied in the same order are
+/// equal, also in their snapshots.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    configuration: Configuration,
+    servers: Servers,
+    gateways: Gateways,
+    stores: Stores,
+    counters: Counters,
+}
+
+impl ControlState {
+    /// Applies a committed operation. What it changes for subscribers is added to `changes`.
+    pub fn apply(&mut self, operation: &Operation, changes: &mut Vec<Change>) -> Outcome {
+        match operation {
+            Operation::Configure(order) => return self.configuration.apply(order, changes),
+            Operation::Server(report) => self.servers.report(report, changes),
+            Operation::ServerLeft { id } => self.servers.left(id, changes),
+            Operation::ServerExpired { id, last_sequence } => {
+                self.servers.expired(id, *last_sequence, changes);
+            }
+            Operation::Node(report) => match report.kind {
+                NodeKind::Gateway => self.gateways.report(report, changes),
+                NodeKind::Store => self.stores.report(report, changes),
+            },
+            Operation::NodeGone { name, incarnation } => {
+                self.gateways.gone(name, *incarnation, changes);
+                self.stores.gone(name, *incarnation, changes);
+            }
+            Operation::RetireStart { node, tolerated_losses } => {
+                return Outcome::Retire(self.stores.retire(node, *tolerated_losses, changes));
+            }
+            Operation::RetireDone { node, incarnation } => {
+                self.stores.emptied(node, *incarnation, changes);
+            }
+            Operation::Budget(request) => {
+                return Outcome::Budget(self.counters.apply(request, self.gateways.count()));
+            }
+        }
+        Outcome::Done
+    }
+
+    /// All that a new subscriber needs.
+    pub fn image(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        changes.extend(self.configuration.image());
+        changes.push(self.gateways.image());
+        changes.extend(self.stores.image());
+        changes.extend(self.servers.image());
+        changes
+    }
+
+    /// The current configuration, if there is one.
+    pub fn configuration(&self) -> Option<&Document> {
+        self.configuration.current()
+    }
+
+    /// The servers that are there, by id.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerReport> {
+        self.servers.all()
+    }
+
+    /// A server that is there.
+    pub fn server(&self, id: &str) -> Option<&ServerReport> {
+        self.servers.get(id)
+    }
+
+    /// The gateways that are there, by name.
+    pub fn gateways(&self) -> impl Iterator<Item = &NodeReport> {
+        self.gateways.all()
+    }
+
+    /// The stores that are there, or may come back, by name.
+    pub fn stores(&self) -> impl Iterator<Item = StoreEntry> + '_ {
+        self.stores.all()
+    }
+
+    /// How far a store is on its way out, if it is.
+    pub fn retirement(&self, node: &str) -> Option<RetireState> {
+        self.stores.retirement(node)
+    }
+
+    /// The counters of all programs.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+}
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,106 @@
+//! What the tests of the control state share: operations with what doesn't matter filled in.
+#![allow(dead_code)]
+
+use dunespur_control::{
+    Change, ControlState, NodeKind, NodeReport, Operation, Order, OrderKind, Outcome, ServerReport,
+    ServerState,
+};
+use std::net::SocketAddr;
+
+/// An address of the port `port`.
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+/// A report of a server, ready, at the address of its own port.
+pub fn server(id: &str, port: u16, sequence: u64) -> ServerReport {
+    ServerReport {
+        id: id.to_owned(),
+        backend: "pool".to_owned(),
+        address: address(port),
+        zone: "north".to_owned(),
+        generation: "v1".to_owned(),
+        slots: 6,
+        state: ServerState::Ready,
+        sequence,
+    }
+}
+
+/// The same, draining.
+pub fn draining(id: &str, port: u16, sequence: u64) -> ServerReport {
+    ServerReport { state: ServerState::Draining, ..server(id, port, sequence) }
+}
+
+/// A report of a gateway.
+pub fn gateway(name: &str, incarnation: u64) -> NodeReport {
+    NodeReport {
+        name: name.to_owned(),
+        kind: NodeKind::Gateway,
+        zone: "north".to_owned(),
+        address: address(7_000),
+        incarnation,
+        disk: 0,
+        whole: false,
+    }
+}
+
+/// A report of a store on its first disk.
+pub fn store(name: &str, incarnation: u64) -> NodeReport {
+    NodeReport { kind: NodeKind::Store, disk: 1, whole: true, ..gateway(name, incarnation) }
+}
+
+/// A whole configuration without routes.
+pub fn replace(base: u64, generation: u64) -> Order {
+    replace_with(base, &format!(r#"{{"generation":{generation},"routes":[],"services":[]}}"#))
+}
+
+/// A whole configuration.
+pub fn replace_with(base: u64, body: &str) -> Order {
+    Order { kind: OrderKind::Replace, base, body: body.as_bytes().to_vec() }
+}
+
+/// Named items changed.
+pub fn patch(base: u64, body: &str) -> Order {
+    Order { kind: OrderKind::Patch, base, body: body.as_bytes().to_vec() }
+}
+
+/// A state under test, with all the changes that its subscribers were told.
+#[derive(Default)]
+pub struct Trial {
+    pub state: ControlState,
+    pub told: Vec<Change>,
+}
+
+impl Trial {
+    /// Applies an operation: what it came to.
+    pub fn apply(&mut self, operation: &Operation) -> Outcome {
+        self.state.apply(operation, &mut self.told)
+    }
+
+    /// The operator's order: what it came to.
+    pub fn order(&mut self, order: &Order) -> Outcome {
+        self.apply(&Operation::Configure(order.clone()))
+    }
+
+    /// A server's report: what subscribers are told.
+    pub fn server(&mut self, report: ServerReport) -> Vec<Change> {
+        self.changes(&Operation::Server(report))
+    }
+
+    /// A node's report: what subscribers are told.
+    pub fn node(&mut self, report: NodeReport) -> Vec<Change> {
+        self.changes(&Operation::Node(report))
+    }
+
+    /// An operation that just happens: what subscribers are told.
+    pub fn changes(&mut self, operation: &Operation) -> Vec<Change> {
+        let before = self.told.len();
+        assert_eq!(self.apply(operation), Outcome::Done);
+        self.told[before..].to_vec()
+    }
+
+    /// The ids of the servers that are there.
+    pub fn ids(&self) -> Vec<&str> {
+        self.state.servers().map(|server| server.id.as_str()).collect()
+    }
+}
--- /dev/null
+++ b/crates/control/tests/nodes.rs
@@ -0,0 +1,217 @@
+//! Gateways and stores: lives of their processes, absence, retirement.
+
+mod common;
+
+use common::{address, gateway, store, Trial};
+use dunespur_control::{Change, NodeReport, Operation, Outcome, RetireOutcome, RetireState, StoreEntry};
+
+fn gone(name: &str, incarnation: u64) -> Operation {
+    Operation::NodeGone { name: name.to_owned(), incarnation }
+}
+
+fn entry(trial: &Trial, name: &str) -> StoreEntry {
+    trial.state.stores().find(|store| store.name == name).expect("a known store")
+}
+
+fn retire(trial: &mut Trial, name: &str, tolerated_losses: u32) -> RetireOutcome {
+    let operation = Operation::RetireStart { node: name.to_owned(), tolerated_losses };
+    match trial.apply(&operation) {
+        Outcome::Retire(outcome) => outcome,
+        other => panic!("{other:?} is no answer to a retirement"),
+    }
+}
+
+fn emptied(name: &str, incarnation: u64) -> Operation {
+    Operation::RetireDone { node: name.to_owned(), incarnation }
+}
+
+fn with_stores(names: &[&str]) -> Trial {
+    let mut trial = Trial::default();
+    for name in names {
+        trial.node(store(name, 10));
+    }
+    trial
+}
+
+#[test]
+fn gateways_are_counted() {
+    let mut trial = Trial::default();
+    assert_eq!(trial.node(gateway("a", 1)), [Change::Gateways { count: 1 }]);
+    assert_eq!(trial.node(gateway("b", 1)), [Change::Gateways { count: 2 }]);
+    assert_eq!(trial.node(gateway("a", 2)), [], "another life of the same one");
+    assert_eq!(trial.changes(&gone("a", 1)), [], "that life was over before");
+    assert_eq!(trial.changes(&gone("a", 2)), [Change::Gateways { count: 1 }]);
+    assert_eq!(trial.changes(&gone("a", 2)), []);
+    assert_eq!(trial.node(gateway("a", 1)), [], "a late report of an older life");
+    assert_eq!(trial.node(gateway("a", 2)), [Change::Gateways { count: 2 }], "it was only silent");
+    let names: Vec<&str> = trial.state.gateways().map(|gateway| gateway.name.as_str()).collect();
+    assert_eq!(names, ["a", "b"]);
+}
+
+#[test]
+fn a_store_is_told_whenever_something_about_it_changes() {
+    let mut trial = Trial::default();
+    let unfinished = NodeReport { whole: false, ..store("a", 1) };
+    let expected = StoreEntry {
+        name: "a".to_owned(),
+        zone: "north".to_owned(),
+        address: address(7_000),
+        incarnation: 1,
+        disk: 1,
+        whole: false,
+        present: true,
+        retiring: false,
+        retired: false,
+    };
+    assert_eq!(trial.node(unfinished.clone()), [Change::Store(expected.clone())]);
+    assert_eq!(trial.node(unfinished), []);
+    let whole = StoreEntry { whole: true, ..expected };
+    assert_eq!(trial.node(store("a", 1)), [Change::Store(whole.clone())]);
+    let wiped = StoreEntry { incarnation: 2, disk: 2, ..whole };
+    assert_eq!(trial.node(NodeReport { disk: 2, ..store("a", 2) }), [Change::Store(wiped)]);
+}
+
+#[test]
+fn a_store_report_of_an_older_life_is_ignored() {
+    let mut trial = with_stores(&["a"]);
+    assert_eq!(trial.node(NodeReport { disk: 7, ..store("a", 9) }), []);
+    assert_eq!(entry(&trial, "a").disk, 1);
+}
+
+#[test]
+fn a_silent_store_is_absent_and_not_forgotten() {
+    let mut trial = with_stores(&["a"]);
+    assert_eq!(trial.changes(&gone("a", 9)), [], "that life was over before");
+    let absent = StoreEntry { present: false, ..entry(&trial, "a") };
+    assert_eq!(trial.changes(&gone("a", 10)), [Change::Store(absent)]);
+    assert_eq!(trial.changes(&gone("a", 10)), []);
+    assert!(!entry(&trial, "a").present);
+    trial.node(store("a", 10));
+    assert!(entry(&trial, "a").present);
+}
+
+#[test]
+fn an_unknown_store_can_not_retire() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    trial.node(gateway("front", 1));
+    assert_eq!(retire(&mut trial, "d", 1), RetireOutcome::UnknownNode);
+    assert_eq!(retire(&mut trial, "front", 1), RetireOutcome::UnknownNode);
+    assert_eq!(trial.state.retirement("d"), None);
+    assert_eq!(trial.state.retirement("a"), None);
+}
+
+#[test]
+fn more_stores_than_may_be_lost_have_to_remain() {
+    for (stores, tolerated_losses, expected) in [
+        (1, 0, RetireOutcome::TooFew),
+        (2, 0, RetireOutcome::Taken),
+        (2, 1, RetireOutcome::TooFew),
+        (3, 1, RetireOutcome::Taken),
+        (3, 2, RetireOutcome::TooFew),
+        (4, 2, RetireOutcome::Taken),
+        (4, u32::MAX, RetireOutcome::TooFew),
+    ] {
+        let mut trial = with_stores(&["a", "b", "c", "d"][..stores]);
+        assert_eq!(retire(&mut trial, "a", tolerated_losses), expected, "{stores} {tolerated_losses}");
+    }
+}
+
+#[test]
+fn stores_on_their_way_out_do_not_remain() {
+    let mut trial = with_stores(&["a", "b", "c", "d"]);
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
+    assert_eq!(retire(&mut trial, "b", 1), RetireOutcome::Taken);
+    assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::TooFew);
+    trial.changes(&emptied("a", 10));
+    trial.changes(&gone("a", 10));
+    assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::TooFew);
+    trial.node(store("e", 1));
+    assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::Taken);
+}
+
+#[test]
+fn a_retirement_runs_and_is_done() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    let before = trial.told.len();
+    let standing = entry(&trial, "a");
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
+    let retiring = StoreEntry { retiring: true, ..standing.clone() };
+    assert_eq!(trial.told[before..], [Change::Store(retiring)]);
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Running));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken, "said again");
+
+    let retired = StoreEntry { retired: true, ..standing };
+    assert_eq!(trial.changes(&emptied("a", 10)), [Change::Store(retired)]);
+    assert_eq!(trial.changes(&emptied("a", 10)), []);
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Done));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken, "said again when it is done");
+    assert_eq!(trial.told.len(), before + 2);
+}
+
+#[test]
+fn a_retirement_is_not_done_by_an_earlier_life_or_unasked() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    assert_eq!(trial.changes(&emptied("a", 10)), []);
+    assert_eq!(trial.changes(&emptied("nobody", 10)), []);
+    retire(&mut trial, "a", 1);
+    trial.node(store("a", 11));
+    assert_eq!(trial.changes(&emptied("a", 10)), []);
+    assert_eq!(trial.changes(&emptied("a", 12)), []);
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Running));
+    assert_eq!(trial.changes(&emptied("a", 11)).len(), 1);
+}
+
+#[test]
+fn a_retiring_store_goes_on_retiring_after_a_restart_or_a_lost_disk() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    retire(&mut trial, "a", 1);
+    trial.changes(&gone("a", 10));
+    assert!(entry(&trial, "a").retiring);
+    trial.node(NodeReport { disk: 2, ..store("a", 11) });
+    assert!(entry(&trial, "a").retiring && entry(&trial, "a").present);
+}
+
+#[test]
+fn a_retired_store_that_was_taken_away_is_gone_and_its_retirement_stays_done() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    retire(&mut trial, "a", 1);
+    trial.changes(&emptied("a", 10));
+    trial.node(store("a", 10));
+    assert!(entry(&trial, "a").retired, "what it says afterwards doesn't bring it back into use");
+    assert_eq!(trial.changes(&gone("a", 10)), [Change::StoreGone { name: "a".to_owned() }]);
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Done));
+    assert_eq!(trial.state.stores().map(|store| store.name).collect::<Vec<_>>(), ["b", "c"]);
+    trial.node(store("a", 11));
+    assert!(entry(&trial, "a").retired, "the same disk again");
+}
+
+#[test]
+fn another_machine_of_a_retired_stores_name_is_a_new_store() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    retire(&mut trial, "a", 1);
+    trial.changes(&emptied("a", 10));
+    trial.changes(&gone("a", 10));
+    trial.node(NodeReport { disk: 2, ..store("a", 11) });
+    let new = entry(&trial, "a");
+    assert!(new.present && !new.retired && !new.retiring);
+    assert_eq!(trial.state.retirement("a"), None);
+}
+
+#[test]
+fn absent_machines_are_bounded() {
+    let mut trial = Trial::default();
+    for number in 0..2_000 {
+        let name = format!("n{number}");
+        for report in [store(&name, number), gateway(&name, number)] {
+            trial.node(report);
+        }
+        trial.changes(&gone(&name, number));
+    }
+    assert_eq!(trial.state.stores().count(), 1_024);
+    assert_eq!(
+        trial.state.stores().filter(|store| store.incarnation < 976).count(),
+        0,
+        "the oldest went first"
+    );
+    assert_eq!(trial.state.gateways().count(), 0);
+}
--- /dev/null
+++ b/crates/control/tests/replicas.rs
@@ -0,0 +1,273 @@
+//! Replicas that apply the same operations are equal, and subscribers that are told the changes hold what a
+//! new one is told. Seeded sequences of operations in which some come twice and some are overtaken.
+
+mod common;
+
+use common::{draining, gateway, patch, replace, server, store};
+use dunespur_budget::{CounterChange, CounterRequest, LimiterId};
+use dunespur_control::{
+    Change, ControlState, NodeReport, Operation, Order, Outcome, ServerReport, ServerState, SnapshotError,
+};
+use fastrand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+const SEEDS: u64 = 60;
+const OPERATIONS: usize = 800;
+/// How many operations are under way at once.
+const WINDOW: usize = 6;
+
+/// Makes up operations on a few servers, nodes and programs, so that they meet.
+struct Author {
+    random: Rng,
+    sequence: u64,
+    /// What the operations that have arrived lead to, so that some orders build on the newest configuration.
+    state: ControlState,
+}
+
+impl Author {
+    fn operation(&mut self) -> Operation {
+        self.sequence += 1;
+        match self.random.u32(0..20) {
+            0..=2 => Operation::Configure(self.order()),
+            3..=8 => Operation::Server(self.server()),
+            9 => Operation::ServerLeft { id: self.name("s", 30) },
+            10 => Operation::ServerExpired { id: self.name("s", 30), last_sequence: self.recent() },
+            11..=14 => Operation::Node(self.node()),
+            15 => Operation::NodeGone { name: self.name("n", 6), incarnation: self.recent() },
+            16 => Operation::RetireStart { node: self.name("n", 6), tolerated_losses: self.random.u32(0..3) },
+            17 => Operation::RetireDone { node: self.name("n", 6), incarnation: self.recent() },
+            _ => Operation::Budget(self.budget()),
+        }
+    }
+
+    /// Mostly on the newest generation, else on one near it; some of them invalid.
+    fn order(&mut self) -> Order {
+        let newest = self.state.configuration().map_or(0, |document| document.generation());
+        let base =
+            if self.random.u32(0..3) > 0 { newest } else { newest.saturating_sub(self.random.u64(1..4)) };
+        let generation = newest + self.random.u64(0..4);
+        match self.random.bool() {
+            true => replace(base, generation),
+            false => {
+                let upsert = format!(r#"{{"keys":[{{"name":"k{}"}}]}}"#, self.random.u32(0..5));
+                patch(base, &format!(r#"{{"generation":{generation},"upsert":{upsert}}}"#))
+            }
+        }
+    }
+
+    fn server(&mut self) -> ServerReport {
+        let (id, port) = (self.name("s", 30), self.random.u16(1..12));
+        match self.random.u32(0..6) {
+            0 => draining(&id, port, self.sequence),
+            _ => server(&id, port, self.sequence),
+        }
+    }
+
+    fn node(&mut self) -> NodeReport {
+        let (name, incarnation) = (self.name("n", 6), self.recent());
+        match self.random.u32(0..3) {
+            0 => gateway(&name, incarnation),
+            _ => {
+                NodeReport { disk: incarnation / 200, whole: self.random.bool(), ..store(&name, incarnation) }
+            }
+        }
+    }
+
+    fn budget(&mut self) -> CounterRequest {
+        CounterRequest {
+            program: self.name("p", 4),
+            budget: 1_000,
+            limiter: LimiterId { node: self.name("n", 6), incarnation: 1 },
+            sequence: self.sequence,
+            used: self.random.u64(0..5),
+            change: CounterChange::Lease { needed: 10, wanted: 20, returned: self.random.u64(0..5) },
+            at_ms: self.sequence * 10,
+        }
+    }
+
+    fn name(&mut self, prefix: &str, names: u32) -> String {
+        format!("{prefix}{}", self.random.u32(0..names))
+    }
+
+    /// A number that is as high as the newest or a little lower.
+    fn recent(&mut self) -> u64 {
+        self.sequence.saturating_sub(self.random.u64(0..20))
+    }
+}
+
+/// Operations of a seed as they arrive, some doubled, some overtaken.
+fn operations(seed: u64) -> Vec<Operation> {
+    let mut author = Author { random: Rng::with_seed(seed), sequence: 0, state: ControlState::default() };
+    let mut under_way = Vec::new();
+    let mut arrived = Vec::new();
+    while arrived.len() < OPERATIONS {
+        while under_way.len() < WINDOW {
+            under_way.push(author.operation());
+        }
+        let next = author.random.usize(0..WINDOW);
+        let operation = match author.random.u32(0..4) {
+            0 => under_way[next].clone(),
+            _ => under_way.swap_remove(next),
+        };
+        author.state.apply(&operation, &mut Vec::new());
+        arrived.push(operation);
+    }
+    arrived
+}
+
+/// What a subscriber holds after it was told of changes.
+#[derive(Debug, Default, PartialEq)]
+struct Subscriber {
+    configuration: Option<String>,
+    servers: BTreeMap<String, Change>,
+    stores: BTreeMap<String, Change>,
+    gateways: u32,
+}
+
+impl Subscriber {
+    fn told(&mut self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Configuration { json, .. } => self.configuration = Some(json.to_string()),
+                Change::Server(report) => {
+                    // The number of the report alone is no news, so it differs from what a new subscriber is told.
+                    let known = Change::Server(ServerReport { sequence: 0, ..report.clone() });
+                    self.servers.insert(report.id.clone(), known);
+                }
+                Change::ServerGone { id } => {
+                    assert!(self.servers.remove(id).is_some(), "{id} was told of before");
+                }
+                Change::Store(entry) => {
+                    let before = self.stores.insert(entry.name.clone(), change.clone());
+                    assert_ne!(before.as_ref(), Some(change), "a change changes something");
+                }
+                Change::StoreGone { name } => {
+                    assert!(self.stores.remove(name).is_some(), "{name} was told of before");
+                }
+                Change::Gateways { count } => self.gateways = *count,
+            }
+        }
+    }
+
+    fn of(state: &ControlState) -> Subscriber {
+        let mut subscriber = Subscriber::default();
+        subscriber.told(&state.image());
+        subscriber
+    }
+}
+
+#[test]
+fn replicas_are_equal_byte_for_byte() {
+    for seed in 0..SEEDS {
+        let (mut one, mut other) = (ControlState::default(), ControlState::default());
+        let (mut told_one, mut told_other) = (Vec::new(), Vec::new());
+        for operation in operations(seed) {
+            let outcome = one.apply(&operation, &mut told_one);
+            // The other replica is stopped and started again from its snapshot between any two operations.
+            other = ControlState::restore(&other.snapshot()).expect("a snapshot is read");
+            assert_eq!(other.apply(&operation, &mut told_other), outcome, "seed {seed}");
+        }
+        assert_eq!(one, other, "seed {seed}");
+        assert_eq!(one.snapshot(), other.snapshot(), "seed {seed}");
+        assert_eq!(told_one, told_other, "seed {seed}");
+    }
+}
+
+#[test]
+fn the_changes_lead_to_what_a_new_subscriber_is_told() {
+    for seed in 0..SEEDS {
+        let mut state = ControlState::default();
+        let mut subscriber = Subscriber::default();
+        for operation in operations(seed) {
+            let mut changes = Vec::new();
+            state.apply(&operation, &mut changes);
+            subscriber.told(&changes);
+            assert_eq!(subscriber, Subscriber::of(&state), "seed {seed}, {operation:?}");
+        }
+    }
+}
+
+#[test]
+fn an_operation_applied_twice_is_applied_once() {
+    for seed in 0..SEEDS {
+        let mut state = ControlState::default();
+        for operation in operations(seed) {
+            let outcome = state.apply(&operation, &mut Vec::new());
+            let mut changes = Vec::new();
+            let again = state.apply(&operation, &mut changes);
+            assert_eq!(changes, [], "seed {seed}, {operation:?}");
+            assert_eq!(again, outcome, "seed {seed}, {operation:?}");
+        }
+    }
+}
+
+#[test]
+fn what_must_not_come_back_does_not_come_back() {
+    for seed in 0..SEEDS {
+        let mut state = ControlState::default();
+        let (mut left, mut drained) = (BTreeSet::new(), BTreeSet::new());
+        let (mut accepted, mut newest) = (BTreeMap::new(), 0);
+        for operation in operations(seed) {
+            let outcome = state.apply(&operation, &mut Vec::new());
+            match &operation {
+                Operation::ServerLeft { id } => drop(left.insert(id.clone())),
+                Operation::Server(report) if report.state == ServerState::Draining => {
+                    drained.insert(report.id.clone());
+                }
+                Operation::Configure(order) if outcome == Outcome::Accepted => {
+                    let other = accepted.insert(order.base, order.clone());
+                    assert!(other.is_none_or(|other| other == *order), "two orders on {}", order.base);
+                }
+                _ => {}
+            }
+            for server in state.servers() {
+                assert!(!left.contains(&server.id), "seed {seed}: {} left", server.id);
+                let ready = server.state == ServerState::Ready;
+                assert!(!ready || !drained.contains(&server.id), "seed {seed}: {} was draining", server.id);
+            }
+            let addresses: BTreeSet<_> = state.servers().map(|server| server.address).collect();
+            assert_eq!(addresses.len(), state.servers().count(), "seed {seed}: one server at each address");
+            let generation = state.configuration().map_or(0, |document| document.generation());
+            assert!(generation >= newest, "seed {seed}: a generation went back");
+            newest = generation;
+        }
+        assert!(accepted.len() > 20, "seed {seed}: orders are taken now and then");
+        for order in accepted.into_values() {
+            let again = state.apply(&Operation::Configure(order), &mut Vec::new());
+            assert_eq!(again, Outcome::Accepted, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn operations_and_changes_go_through_bytes() {
+    let mut state = ControlState::default();
+    for operation in operations(1) {
+        let bytes = postcard::to_stdvec(&operation).expect("an operation is written");
+        assert_eq!(postcard::from_bytes::<Operation>(&bytes).expect("an operation is read"), operation);
+        let outcome = state.apply(&operation, &mut Vec::new());
+        let bytes = postcard::to_stdvec(&outcome).expect("an outcome is written");
+        assert_eq!(postcard::from_bytes::<Outcome>(&bytes).expect("an outcome is read"), outcome);
+    }
+    let image = state.image();
+    let bytes = postcard::to_stdvec(&image).expect("changes are written");
+    assert_eq!(postcard::from_bytes::<Vec<Change>>(&bytes).expect("changes are read"), image);
+}
+
+#[test]
+fn what_is_no_snapshot_is_told_apart() {
+    let mut state = ControlState::default();
+    for operation in operations(2) {
+        state.apply(&operation, &mut Vec::new());
+    }
+    let snapshot = state.snapshot();
+    assert_eq!(ControlState::restore(&snapshot).as_ref(), Ok(&state));
+    assert!(matches!(ControlState::restore(&[]), Err(SnapshotError::Damaged(_))));
+    let other_format = [&[99], &snapshot[1..]].concat();
+    assert_eq!(ControlState::restore(&other_format), Err(SnapshotError::Format(99)));
+    let too_long = [&snapshot[..], &[0, 0]].concat();
+    assert_eq!(ControlState::restore(&too_long), Err(SnapshotError::TooLong { bytes: 2 }));
+    for end in (1..snapshot.len()).step_by(7) {
+        assert!(matches!(ControlState::restore(&snapshot[..end]), Err(SnapshotError::Damaged(_))), "{end}");
+    }
+}
--- /dev/null
+++ b/crates/control/tests/servers.rs
@@ -0,0 +1,197 @@
+//! Servers: reports overtake each other, addresses are handed on, and what ended doesn't come back.
+
+mod common;
+
+use common::{address, draining, server, Trial};
+use dunespur_control::{Change, Operation, ServerReport, ServerState};
+
+fn left(id: &str) -> Operation {
+    Operation::ServerLeft { id: id.to_owned() }
+}
+
+fn expired(id: &str, last_sequence: u64) -> Operation {
+    Operation::ServerExpired { id: id.to_owned(), last_sequence }
+}
+
+fn gone(id: &str) -> Change {
+    Change::ServerGone { id: id.to_owned() }
+}
+
+fn state_of(trial: &Trial, id: &str) -> Option<ServerState> {
+    trial.state.server(id).map(|server| server.state)
+}
+
+#[test]
+fn a_new_server_is_told_and_a_report_of_nothing_new_is_not() {
+    let mut trial = Trial::default();
+    assert_eq!(trial.server(server("a", 1, 1)), [Change::Server(server("a", 1, 1))]);
+    assert_eq!(trial.server(server("a", 1, 2)), []);
+    assert_eq!(trial.server(server("a", 1, 2)), []);
+    assert_eq!(trial.state.server("a").expect("a server").sequence, 2);
+}
+
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let mut trial = Trial::default();
+    let newer = ServerReport { slots: 9, ..server("a", 1, 5) };
+    trial.server(newer.clone());
+    assert_eq!(trial.server(server("a", 1, 4)), []);
+    assert_eq!(trial.server(server("a", 1, 5)), []);
+    assert_eq!(trial.state.server("a"), Some(&newer));
+    assert_eq!(trial.server(server("a", 1, 6)), [Change::Server(server("a", 1, 6))]);
+}
+
+#[test]
+fn draining_never_becomes_ready_again() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 1));
+    assert_eq!(trial.server(draining("a", 1, 2)), [Change::Server(draining("a", 1, 2))]);
+    assert_eq!(trial.server(server("a", 1, 3)), []);
+    assert_eq!(trial.server(server("a", 1, 1)), []);
+    assert_eq!(state_of(&trial, "a"), Some(ServerState::Draining));
+}
+
+#[test]
+fn draining_counts_even_if_it_was_overtaken() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 9));
+    assert_eq!(trial.server(draining("a", 1, 8)), [Change::Server(draining("a", 1, 9))]);
+    assert_eq!(state_of(&trial, "a"), Some(ServerState::Draining));
+}
+
+#[test]
+fn a_server_that_left_never_comes_back() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 1));
+    assert_eq!(trial.changes(&left("a")), [gone("a")]);
+    assert_eq!(trial.changes(&left("a")), []);
+    assert_eq!(trial.server(server("a", 1, 99)), []);
+    assert_eq!(trial.changes(&expired("a", 100)), []);
+    assert_eq!(trial.server(server("a", 1, 101)), []);
+    assert_eq!(trial.ids(), [""; 0]);
+}
+
+#[test]
+fn a_leave_that_overtakes_the_first_report_counts() {
+    let mut trial = Trial::default();
+    assert_eq!(trial.changes(&left("a")), []);
+    assert_eq!(trial.server(server("a", 1, 1)), []);
+    assert_eq!(trial.ids(), [""; 0]);
+}
+
+#[test]
+fn an_expired_server_comes_back_with_a_newer_report_only() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 5));
+    assert_eq!(trial.changes(&expired("a", 5)), [gone("a")]);
+    assert_eq!(trial.server(server("a", 1, 4)), []);
+    assert_eq!(trial.server(server("a", 1, 5)), []);
+    assert_eq!(trial.server(server("a", 1, 6)), [Change::Server(server("a", 1, 6))]);
+}
+
+#[test]
+fn an_expiry_means_nothing_once_a_newer_report_came() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 6));
+    assert_eq!(trial.changes(&expired("a", 5)), []);
+    assert_eq!(trial.ids(), ["a"]);
+    assert_eq!(trial.changes(&expired("nobody", 5)), []);
+    assert_eq!(trial.server(server("nobody", 2, 1)).len(), 1);
+}
+
+#[test]
+fn an_expiry_takes_along_reports_that_the_core_was_not_told_of() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 1));
+    trial.changes(&expired("a", 40));
+    assert_eq!(trial.server(server("a", 1, 40)), []);
+    assert_eq!(trial.server(server("a", 1, 41)).len(), 1);
+}
+
+#[test]
+fn an_expired_server_that_was_draining_comes_back_draining() {
+    let mut trial = Trial::default();
+    trial.server(draining("a", 1, 5));
+    trial.changes(&expired("a", 5));
+    assert_eq!(trial.server(server("a", 1, 6)), [Change::Server(draining("a", 1, 6))]);
+
+    trial.server(server("b", 2, 5));
+    trial.changes(&expired("b", 5));
+    assert_eq!(trial.server(draining("b", 2, 4)), []);
+    assert_eq!(trial.server(server("b", 2, 6)), [Change::Server(draining("b", 2, 6))]);
+}
+
+#[test]
+fn a_server_that_expired_may_still_leave() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 5));
+    trial.changes(&expired("a", 5));
+    trial.changes(&left("a"));
+    assert_eq!(trial.server(server("a", 1, 6)), []);
+}
+
+#[test]
+fn a_new_server_takes_the_address_of_an_older_one() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 5));
+    let newer = ServerReport { backend: "other".to_owned(), ..server("b", 1, 1) };
+    assert_eq!(trial.server(newer.clone()), [gone("a"), Change::Server(newer)]);
+    assert_eq!(trial.server(server("a", 1, 5)), [], "what the older one said before doesn't count");
+    assert_eq!(trial.ids(), ["b"]);
+}
+
+#[test]
+fn a_server_of_which_a_late_report_took_the_address_takes_it_back() {
+    let mut trial = Trial::default();
+    trial.server(server("new", 1, 3));
+    assert_eq!(
+        trial.server(server("old", 1, 80)).len(),
+        2,
+        "the first that is heard of the older one is late"
+    );
+    let back = server("new", 1, 4);
+    assert_eq!(trial.server(back.clone()), [gone("old"), Change::Server(back)]);
+    assert_eq!(trial.server(server("old", 1, 80)), []);
+    assert_eq!(trial.ids(), ["new"]);
+}
+
+#[test]
+fn a_server_that_moves_takes_the_address_there() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 1));
+    trial.server(server("b", 2, 1));
+    assert_eq!(trial.server(server("a", 2, 2)), [gone("b"), Change::Server(server("a", 2, 2))]);
+    assert_eq!(trial.server(server("c", 1, 1)), [Change::Server(server("c", 1, 1))]);
+    assert_eq!(trial.state.server("a").expect("a server").address, address(2));
+}
+
+#[test]
+fn a_departed_server_leaves_its_address_free() {
+    let mut trial = Trial::default();
+    trial.server(server("a", 1, 1));
+    trial.changes(&left("a"));
+    assert_eq!(trial.server(server("b", 1, 1)), [Change::Server(server("b", 1, 1))]);
+}
+
+#[test]
+fn thousands_of_departed_servers_are_remembered_and_not_more() {
+    let mut trial = Trial::default();
+    for number in 0..5_000 {
+        trial.changes(&left(&format!("s{number}")));
+    }
+    assert_eq!(trial.server(server("s4999", 1, 1)), []);
+    assert_eq!(trial.server(server("s2000", 1, 1)), []);
+    assert_eq!(trial.server(server("s0", 1, 1)).len(), 1, "the oldest is forgotten");
+}
+
+#[test]
+fn made_up_servers_are_bounded() {
+    let mut trial = Trial::default();
+    for number in 0..8_300_u32 {
+        let [_, _, high, low] = number.to_be_bytes();
+        let mut report = server(&format!("s{number}"), 1, 1);
+        report.address.set_ip([10, 1, high, low].into());
+        trial.server(report);
+    }
+    assert_eq!(trial.state.servers().count(), 8_192);
+}
