--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -45,7 +45,13 @@
 
 enum Source {
     Whole(Bytes),
-    Pumped { pump: Pump, outlet: Outlet, length: Option<u64> },
+    Pumped {
+        pump: Pump,
+        outlet: Outlet,
+        length: Option<u64>,
+    },
+    /// What was handed over is written first, then the answer ends broken.
+    Breaking(Broken),
     Over,
 }
 
@@ -81,11 +87,16 @@
         match std::mem::replace(&mut self.source, Source::Over) {
             Source::Over => Poll::Ready(None),
             Source::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Source::Breaking(broken) => Poll::Ready(Some(Err(broken))),
             Source::Pumped { mut pump, outlet, length } => {
                 let polled = pump.as_mut().poll(cx);
                 match polled {
                     Poll::Ready(Ok(())) => return Poll::Ready(None),
-                    Poll::Ready(Err(broken)) => return Poll::Ready(Some(Err(broken))),
+                    Poll::Ready(Err(broken)) => {
+                        self.source = Source::Breaking(broken);
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
                     Poll::Pending => {}
                 }
                 let piece = outlet.take();
@@ -107,7 +118,7 @@
             Source::Over => SizeHint::with_exact(0),
             Source::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Source::Pumped { length: Some(length), .. } => SizeHint::with_exact(*length),
-            Source::Pumped { length: None, .. } => SizeHint::default(),
+            Source::Pumped { length: None, .. } | Source::Breaking(_) => SizeHint::default(),
         }
     }
 }
@@ -117,16 +128,3 @@
         self.client.answer_over();
     }
 }
-
-/// Lets what was handed over be written before the answer ends broken.
-pub(crate) async fn flush() {
-    let mut yielded = false;
-    poll_fn(|cx| {
-        if std::mem::replace(&mut yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await
-}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -294,6 +294,7 @@
                     Begin::Cut { time_up } => time_up,
                 }
             } else {
+                reply.flight.first_event();
                 match plain::await_body(&mut sending, &mut reply).await {
                     Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
                     Awaited::Longer(begun) => {
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -1,6 +1,6 @@
 //! Answers that are no streams of events.
 
-use crate::answer::{flush, AnswerBody, Broken, Outlet};
+use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
 use crate::flight::Flight;
 use crate::hop;
@@ -125,11 +125,11 @@
                     piece = Bytes::new();
                     break;
                 }
-                next => return self.broken(next == Next::TimeUp).await,
+                next => return self.broken(next == Next::TimeUp),
             };
         }
         if self.left == Some(0) && self.body.next(&mut self.sending.limit).await != Next::End {
-            return self.broken(false).await;
+            return self.broken(false);
         }
         let Relay { sending, mut body, flight, status, outlet, .. } = self;
         flight.finish(outcome(status));
@@ -138,10 +138,8 @@
         Ok(())
     }
 
-    async fn broken(mut self, time_up: bool) -> Result<(), Broken> {
+    fn broken(mut self, time_up: bool) -> Result<(), Broken> {
         self.sending.note_cut(self.flight, time_up);
-        drop(self.body);
-        flush().await;
         Err(Broken)
     }
 }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -1,6 +1,6 @@
 //! Answers that are streams of events: passed on as they come, counted, kept, taken up elsewhere after a cut.
 
-use crate::answer::{flush, AnswerBody, Broken, Outlet};
+use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
 use crate::events::{Event, Splitter};
 use crate::flight::Flight;
@@ -142,13 +142,7 @@
                 Next::End | Next::Cut => false,
                 Next::TimeUp => true,
             };
-            source = match self.resume(&mut sending, source, time_up).await {
-                Ok(source) => source,
-                Err(broken) => {
-                    flush().await;
-                    return Err(broken);
-                }
-            };
+            source = self.resume(&mut sending, source, time_up).await?;
         }
         let tokens_out = u32::try_from(self.tokens.counted()).unwrap_or(u32::MAX);
         source.flight.finish(Outcome::Served { tokens_out });
--- /dev/null
+++ b/crates/proxy/tests/events.rs
@@ -0,0 +1,68 @@
+//! Events split at any place, and read.
+
+use bytes::{Bytes, BytesMut};
+use dunespur_proxy::{Event, Splitter};
+
+const STREAM: &str = "id: 1\ndata: a\n\nversions: 2\nid: 2\ndata:b\ndata: c\n\n: comment\n\nid: 3\r\ndata: d\r\n\r\nid: 10\ndata\n\n";
+
+fn read(whole: &[u8]) -> Vec<(Option<u64>, String)> {
+    let data = |event: Event| {
+        let mut output = BytesMut::new();
+        event.append_data(&mut output);
+        String::from_utf8(output.to_vec()).unwrap()
+    };
+    Event::all(whole).map(|event| (event.id(), data(event))).collect()
+}
+
+#[test]
+fn events_are_read() {
+    let expected = [(Some(1), "a\n"), (Some(2), "b\nc\n"), (Some(3), "d\n"), (Some(10), "\n")];
+    let expected: Vec<_> = expected.into_iter().map(|(id, data)| (id, data.to_owned())).collect();
+    assert_eq!(read(STREAM.as_bytes()), expected);
+}
+
+#[test]
+fn wherever_it_is_cut_the_same_events_come_once() {
+    let bytes = Bytes::from_static(STREAM.as_bytes());
+    let all = read(&bytes);
+    for first in 0..=bytes.len() {
+        for second in first..=bytes.len() {
+            let mut splitter = Splitter::default();
+            let mut came = Vec::new();
+            let mut passed = Vec::new();
+            for part in [bytes.slice(..first), bytes.slice(first..second), bytes.slice(second..)] {
+                let whole = splitter.push(part).unwrap();
+                came.extend(read(&whole));
+                passed.extend_from_slice(&whole);
+            }
+            assert_eq!(passed, bytes, "cut at {first} and {second}");
+            assert_eq!(came, all, "cut at {first} and {second}");
+            assert!(splitter.is_empty());
+        }
+    }
+}
+
+#[test]
+fn a_partial_event_is_held_back() {
+    let mut splitter = Splitter::default();
+    let whole = splitter.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\ndata: b\n")).unwrap();
+    assert_eq!(whole, "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.held(), "id: 2\ndata: b\n".len());
+    splitter.clear();
+    assert!(splitter.is_empty());
+}
+
+#[test]
+fn whole_events_are_not_copied() {
+    let bytes = Bytes::from_static(b"id: 1\ndata: a\n\n");
+    let whole = Splitter::default().push(bytes.clone()).unwrap();
+    assert_eq!(whole.as_ptr(), bytes.as_ptr());
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut splitter = Splitter::default();
+    let part = Bytes::from(vec![b'x'; 600 * 1024]);
+    assert!(splitter.push(part.clone()).is_ok());
+    assert!(splitter.push(part).is_err());
+}
--- /dev/null
+++ b/crates/proxy/tests/streams.rs
@@ -0,0 +1,392 @@
+//! Streams of events: passed on as they come, counted, kept, cut, taken up elsewhere.
+
+mod support;
+
+use dunespur_proxy::{History, KeptTurn, Reserve, TurnKey};
+use dunespur_routing::Outcome;
+use support::*;
+
+const TURN: &str = "Program: p1\r\nSession: s1\r\nBudget: 1000\r\nX-Dunespur-Token-Count: 1460,8\r\n";
+
+fn served(tokens_out: u32) -> Outcome {
+    Outcome::Served { tokens_out }
+}
+
+#[test]
+fn events_are_passed_on_as_they_come() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "X-Versions: 1\r\n").await;
+        connection.chunk(&event(1)).await;
+        let head = client.head().await;
+        assert_eq!(head.status(), 200);
+        assert_eq!(head.header("x-dunespur-response-stamp"), Some("s.r1"));
+        assert_eq!(head.header("x-versions"), Some("1"));
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        // The next is made only once the one before has arrived.
+        for id in 2..=3 {
+            connection.chunk(&event(id)).await;
+            assert_eq!(client.next_chunk().await.unwrap(), event(id).as_bytes());
+        }
+        connection.last_chunk().await;
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        gateway.node.hears(&Told::Release).await;
+        let reserve = Told::Reserve { program: "p1".to_owned(), budget: 1000, most: 8 };
+        assert_eq!(
+            gateway.node.told(),
+            [
+                reserve,
+                Told::Used(3),
+                Told::FirstEvent,
+                Told::Used(3),
+                Told::Used(2),
+                Told::Finished(served(8)),
+                Told::Release
+            ]
+        );
+    });
+}
+
+#[test]
+fn a_part_of_an_event_waits_for_the_rest() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        connection.chunk("id: 2\nda").await;
+        connection.chunk(&format!("ta: word2\n\n{}id: 4", event(3))).await;
+        assert_eq!(client.next_chunk().await.unwrap(), events(2..=3).as_bytes());
+        drop(connection);
+        assert_eq!(client.next_chunk().await, None, "neither a partial event nor a clean end");
+        gateway.node.hears(&Told::Finished(Outcome::Failed)).await;
+        assert_eq!(gateway.node.used(), 8);
+    });
+}
+
+#[test]
+fn a_stream_that_ends_within_an_event_is_no_whole_one() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&format!("{}id: 2\ndata: wo", event(1))).await;
+        connection.last_chunk().await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        assert_eq!(client.next_chunk().await, None);
+    });
+}
+
+#[test]
+fn a_piece_that_comes_twice_is_not_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&events(1..=2)).await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), events(1..=2).as_bytes());
+        connection.chunk(&event(2)).await;
+        assert_eq!(client.next_chunk().await, None);
+        assert!(connection.is_closed().await);
+    });
+}
+
+#[test]
+fn before_the_first_event_a_failure_can_still_be_told() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = first.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk("id: 1\nda").await;
+        drop(connection);
+        let answer = client.message().await;
+        assert_eq!(answer.status(), 502);
+        assert_eq!(answer.header("x-dunespur-response-stamp"), None);
+        assert!(second.is_untouched().await);
+        assert_eq!(gateway.node.used(), 0);
+    });
+}
+
+#[test]
+fn before_the_first_event_a_resumable_stream_starts_anew() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        let mut client = gateway.ask(&post("/resume2/", "r1", TURN, "x")).await;
+        let (mut connection, _) = first.take().await;
+        connection.stream_head("r1", "X-From: first\r\n").await;
+        drop(connection);
+        let (mut connection, message) = second.take().await;
+        assert_eq!(message.header("last-event-id"), None);
+        assert_eq!(message.text(), "x");
+        connection.stream_head("r1", "X-From: second\r\n").await;
+        connection.chunk(&events(1..=2)).await;
+        connection.last_chunk().await;
+        let answer = client.message().await;
+        assert_eq!(answer.header("x-from"), Some("second"));
+        assert_eq!(answer.text(), events(1..=2));
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed, served(6)]);
+    });
+}
+
+#[test]
+fn a_cut_stream_is_taken_up_at_another_server() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        let mut client = gateway.ask(&post("/resume2/", "r1", TURN, "x")).await;
+        let (mut connection, _) = first.take().await;
+        connection.stream_head("r1", "X-From: first\r\n").await;
+        connection.chunk(&format!("{}id: 3\nda", events(1..=2))).await;
+        let head = client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), events(1..=2).as_bytes());
+        connection.reset();
+        let (mut connection, message) = second.take().await;
+        assert_eq!(message.header("last-event-id"), Some("2"));
+        assert_eq!(message.id(), "r1");
+        connection.stream_head("r1", "X-From: second\r\n").await;
+        connection.chunk(&event(3)).await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(3).as_bytes());
+        connection.last_chunk().await;
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        assert_eq!(head.header("x-from"), Some("first"));
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed, served(8)]);
+        assert_eq!(gateway.node.used(), 8);
+    });
+}
+
+#[test]
+fn a_server_that_starts_over_does_not_go_on_with_a_stream() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        let mut client = gateway.ask(&post("/resume2/", "r1", TURN, "x")).await;
+        let (mut connection, _) = first.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&events(1..=2)).await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), events(1..=2).as_bytes());
+        drop(connection);
+        let (mut connection, _) = second.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&events(1..=3)).await;
+        assert_eq!(client.next_chunk().await, None);
+    });
+}
+
+#[test]
+fn a_client_that_takes_a_stream_up_gets_what_comes_behind() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/resume/", "r2", "Last-Event-Id: 4\r\n", "x")).await;
+        let (mut connection, message) = server.take().await;
+        assert_eq!(message.header("last-event-id"), Some("4"));
+        connection.stream_head("r2", "").await;
+        connection.chunk(&events(5..=6)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.message().await.text(), events(5..=6));
+    });
+}
+
+#[test]
+fn a_failure_instead_of_a_stream_is_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(500, "r1", "", "broken").await;
+        let answer = client.message().await;
+        assert_eq!((answer.status(), answer.text()), (500, "broken"));
+        assert_eq!(gateway.node.told().last(), Some(&Told::Release));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_a_stream_frees_everything() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/turn/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.until("\n\n").await;
+        drop(client);
+        assert!(connection.is_closed().await);
+        gateway.node.hears(&Told::Release).await;
+        assert_eq!(gateway.node.outcomes(), [Outcome::Abandoned]);
+        assert_eq!(gateway.front.counters().body_bytes, 0);
+        let kept = gateway.node.told().iter().any(|told| matches!(told, Told::Keep(_)));
+        assert!(!kept);
+    });
+}
+
+#[test]
+fn a_turn_without_budget_left_reaches_no_server() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.reserve.set(Reserve::Spent);
+        assert_eq!(gateway.ask(&post("/stream/", "r1", TURN, "x")).await.message().await.status(), 402);
+        gateway.node.reserve.set(Reserve::Wait { retry_after_ms: 80 });
+        let answer = gateway.ask(&post("/stream/", "r2", TURN, "x")).await.message().await;
+        assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.080")));
+        assert!(server.is_untouched().await);
+        assert!(!gateway.node.told().contains(&Told::Release));
+    });
+}
+
+#[test]
+fn a_turn_that_finds_no_server_gives_its_tokens_back() {
+    play(async {
+        let gateway = Gateway::start(&[]).await;
+        assert_eq!(gateway.ask(&post("/stream/", "r1", TURN, "x")).await.message().await.status(), 503);
+        assert_eq!(gateway.node.told().last(), Some(&Told::Release));
+    });
+}
+
+#[test]
+fn calls_of_tools_carry_no_budget() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client =
+            gateway.ask(&post("/write/", "r1", "Program: p1\r\nSession: s1\r\nBudget: 5\r\n", "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.status(), 200);
+        assert_eq!(gateway.node.told(), [Told::FirstEvent, Told::Finished(served(0))]);
+    });
+}
+
+#[test]
+fn a_kept_turn_ends_only_once_it_is_kept() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let more = format!("{TURN}Previous: r0\r\n");
+        *gateway.node.history.borrow_mut() = History::Found(vec![bytes("first "), bytes("answer\n")]);
+        gateway.node.keepings.forget_permits(1000);
+        let mut client = gateway.ask(&post("/turn/", "r1", &more, "second")).await;
+        let (mut connection, message) = server.take().await;
+        assert_eq!(message.text(), "first answer\nsecond");
+        assert_eq!(message.header("previous"), Some("r0"));
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        connection.chunk("versions: 2\nid: 2\ndata: a\ndata: b\n\n").await;
+        connection.last_chunk().await;
+        let kept = Told::Keep(KeptTurn {
+            id: "r1".to_owned(),
+            previous: Some("r0".to_owned()),
+            program: "p1".to_owned(),
+            input: bytes("second"),
+            output: bytes("word1\na\nb\n"),
+            retention_ms: 60_000,
+        });
+        gateway.node.hears(&kept).await;
+        client.until("data: b\n\n\r\n").await;
+        assert_eq!(client.unread(), b"", "all events, and not the end");
+        gateway.node.keepings.add_permits(1);
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        gateway.node.hears(&Told::Release).await;
+    });
+}
+
+#[test]
+fn a_turn_that_is_not_kept_does_not_end_whole() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.keeps.set(false);
+        let mut client = gateway.ask(&post("/turn/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.try_message().await.unwrap_err().body, event(1).as_bytes());
+    });
+}
+
+#[test]
+fn a_turn_with_a_stated_length_is_held_back_as_well() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.keeps.set(false);
+        let mut client = gateway.ask(&post("/turn/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "Content-Type: text/event-stream\r\n", &event(1)).await;
+        assert_eq!(client.try_message().await.unwrap_err().body, event(1).as_bytes());
+    });
+}
+
+#[test]
+fn a_turn_goes_on_only_from_one_that_is_known() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let more = format!("{TURN}Previous: r0\r\n");
+        *gateway.node.history.borrow_mut() = History::Unknown;
+        assert_eq!(gateway.ask(&post("/turn/", "r1", &more, "x")).await.message().await.status(), 404);
+        *gateway.node.history.borrow_mut() = History::Unsure { retry_after_ms: 300 };
+        let answer = gateway.ask(&post("/turn/", "r2", &more, "x")).await.message().await;
+        assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.300")));
+        assert!(server.is_untouched().await);
+    });
+}
+
+#[test]
+fn turns_are_not_kept_where_the_route_does_not_say_so() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let more = format!("{TURN}Previous: r0\r\n");
+        let mut client = gateway.ask(&post("/stream/", "r1", &more, "x")).await;
+        let (mut connection, message) = server.take().await;
+        assert_eq!((message.header("previous"), message.text()), (Some("r0"), "x"));
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.message().await.text(), event(1));
+        let told = gateway.node.told();
+        assert!(!told.iter().any(|told| matches!(told, Told::Keep(_) | Told::History { .. })));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_before_its_turn_is_admitted_sends_nothing() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.admissions.forget_permits(1000);
+        let reserve = Told::Reserve { program: "p1".to_owned(), budget: 1000, most: 8 };
+        let client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        gateway.node.hears(&reserve).await;
+        drop(client);
+        // The place of the connection is free once the request is dropped.
+        while gateway.front.counters().connections > 0 {
+            tokio::task::yield_now().await;
+        }
+        gateway.node.admissions.add_permits(1);
+        assert!(server.is_untouched().await);
+        assert_eq!(gateway.node.told(), [reserve]);
+        assert_eq!(gateway.node.reserve.get(), Reserve::Admitted(TurnKey(7)));
+    });
+}
