--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,6 @@
 //! platforms add some.
 
 use serde::Deserialize;
-use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -18,9 +17,6 @@
     /// The machine's address.
     pub ip: IpAddr,
     pub zone: String,
-    /// Region of each zone.
-    #[serde(default)]
-    pub zones: BTreeMap<String, String>,
     #[serde(default)]
     pub listen: Listen,
     /// First and last port for traffic between the processes.
