--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -91,9 +91,8 @@
     let turn = admit(front, &route, &asked, &mut limit).await?;
     let keeping = keeping(front, &route, &asked, input);
     let message = message(head, pieces, room);
-    let sending = Sending::new(front.clone(), route, asked, message, limit);
-    let work = Work { sending, turn, keeping, table };
-    work.run(client).await
+    let sending = Sending::new(front.clone(), table, route, asked, message, limit);
+    run(sending, turn, keeping, client).await
 }
 
 fn find_route(table: &Table, head: &Parts) -> Result<Rc<Route>, Refusal> {
@@ -272,42 +271,32 @@
     uri.path_and_query().map(|path| Uri::from(path.clone())).unwrap_or_default()
 }
 
-/// A request that may be sent.
-struct Work<N: Node> {
-    sending: Sending<N>,
+/// Sends a request, and turns the server's answer into the client's.
+async fn run<N: Node>(
+    mut sending: Sending<N>,
     turn: Option<Turn<N>>,
     keeping: Option<Keeping>,
-    table: Rc<Table>,
-}
-
-impl<N: Node> Work<N> {
-    async fn run(self, client: &Rc<Client>) -> Result<Response<AnswerBody>, Refusal> {
-        let Work { mut sending, turn, keeping, table } = self;
-        let mut streaming =
-            Streaming::new(token_count(&sending, &table), turn, keeping, last_id(&sending.asked));
-        drop(table);
-        loop {
-            let mut reply = sending.send().await?;
-            let time_up = if is_stream(sending.route.kind, &reply.head) {
-                match streaming.begin(&mut sending, &mut reply).await {
-                    Begin::Events(begun) => return Ok(streaming.respond(sending, reply, begun, client)),
-                    Begin::Cut { time_up } => time_up,
-                }
-            } else {
-                reply.flight.first_event();
-                match plain::await_body(&mut sending, &mut reply).await {
-                    Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
-                    Awaited::Longer(begun) => {
-                        return Ok(plain::relayed_response(sending, reply, begun, client));
-                    }
-                    Awaited::Cut => false,
-                    Awaited::TimeUp => true,
-                }
-            };
-            sending.note_cut(reply.flight, time_up);
-            drop(reply.body);
-            sending.may_go_on()?;
-        }
+    client: &Rc<Client>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let tokens = TokenCount::new(most_tokens(&sending.asked));
+    let mut streaming = Streaming::new(tokens, turn, keeping, last_id(&sending.asked));
+    let mut reply = sending.send().await?;
+    loop {
+        let time_up = if is_stream(sending.route.kind, &reply.head) {
+            match streaming.begin(&mut sending, &mut reply.source).await {
+                Begin::Events(begun) => return Ok(streaming.respond(sending, reply, begun, client)),
+                Begin::Cut { time_up } => time_up,
+            }
+        } else {
+            reply.source.flight.first_event();
+            match plain::await_body(&mut sending, &mut reply.source).await {
+                Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
+                Awaited::Longer(begun) => return Ok(plain::relayed_response(sending, reply, begun, client)),
+                Awaited::Cut => false,
+                Awaited::TimeUp => true,
+            }
+        };
+        reply = sending.send_again(reply.source, time_up).await?;
     }
 }
 
@@ -317,17 +306,12 @@
     body: Bytes,
     client: &Rc<Client>,
 ) -> Response<AnswerBody> {
-    let Reply { head, body: mut rest, flight } = reply;
-    flight.finish(plain::outcome(head.status));
-    rest.give_back(&sending.front);
+    let Reply { head, mut source } = reply;
+    source.flight.finish(plain::outcome(head.status));
+    source.body.give_back(&sending.front);
     plain::whole_response(head, body, client)
 }
 
-fn token_count<N: Node>(sending: &Sending<N>, table: &Table) -> TokenCount {
-    let engine = table.service(&sending.backend).and_then(|service| service.engine.as_ref());
-    TokenCount::new(engine.map_or(1, |engine| u64::from(engine.chunk_tokens)), most_tokens(&sending.asked))
-}
-
 /// The event that the client says it has.
 fn last_id(asked: &Asked) -> Option<u64> {
     text(&asked.last_event_id)?.trim().parse().ok()
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -2,10 +2,9 @@
 
 use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
-use crate::flight::Flight;
 use crate::hop;
 use crate::node::Node;
-use crate::sending::{Next, Reply, ReplyBody, Sending};
+use crate::sending::{Next, Reply, Sending, Source};
 use bytes::{Bytes, BytesMut};
 use dunespur_routing::Outcome;
 use http::header::CONTENT_LENGTH;
@@ -27,11 +26,11 @@
 }
 
 /// Waits for the body of an answer.
-pub(crate) async fn await_body<N: Node>(sending: &mut Sending<N>, reply: &mut Reply<N>) -> Awaited {
+pub(crate) async fn await_body<N: Node>(sending: &mut Sending<N>, source: &mut Source<N>) -> Awaited {
     let mut body = BytesMut::new();
     let mut first = Bytes::new();
     loop {
-        match reply.body.next(&mut sending.limit).await {
+        match source.body.next(&mut sending.limit).await {
             Next::Piece(bytes) if first.is_empty() && body.is_empty() => first = bytes,
             Next::Piece(bytes) => {
                 body.extend_from_slice(&std::mem::take(&mut first));
@@ -90,19 +89,18 @@
     begun: Bytes,
     client: &Rc<Client>,
 ) -> Response<AnswerBody> {
-    let Reply { head, body, flight } = reply;
+    let Reply { head, source } = reply;
     let status = head.status;
     let length = stated_length(&head.headers);
     let outlet = Outlet::default();
-    let relay = Relay { sending, body, flight, status, left: length, outlet: outlet.clone() };
+    let relay = Relay { sending, source, status, left: length, outlet: outlet.clone() };
     Response::from_parts(response_head(head), AnswerBody::pumped(relay.run(begun), outlet, length, client))
 }
 
 /// Passes the rest of an answer on.
 struct Relay<N: Node> {
     sending: Sending<N>,
-    body: ReplyBody,
-    flight: Flight<N>,
+    source: Source<N>,
     status: StatusCode,
     /// Bytes to come, where the length is known.
     left: Option<u64>,
@@ -119,7 +117,7 @@
                 break;
             }
             self.outlet.put(piece).await;
-            piece = match self.body.next(&mut self.sending.limit).await {
+            piece = match self.source.body.next(&mut self.sending.limit).await {
                 Next::Piece(bytes) => bytes,
                 Next::End => {
                     piece = Bytes::new();
@@ -128,18 +126,18 @@
                 next => return self.broken(next == Next::TimeUp),
             };
         }
-        if self.left == Some(0) && self.body.next(&mut self.sending.limit).await != Next::End {
+        if self.left == Some(0) && self.source.body.next(&mut self.sending.limit).await != Next::End {
             return self.broken(false);
         }
-        let Relay { sending, mut body, flight, status, outlet, .. } = self;
-        flight.finish(outcome(status));
-        body.give_back(&sending.front);
+        let Relay { sending, mut source, status, outlet, .. } = self;
+        source.flight.finish(outcome(status));
+        source.body.give_back(&sending.front);
         outlet.put(piece).await;
         Ok(())
     }
 
-    fn broken(mut self, time_up: bool) -> Result<(), Broken> {
-        self.sending.note_cut(self.flight, time_up);
+    fn broken(self, time_up: bool) -> Result<(), Broken> {
+        Sending::give_up_on(self.source, time_up);
         Err(Broken)
     }
 }
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -10,7 +10,7 @@
 use crate::servers::{Fault, KeepTerms, Link};
 use crate::verdict::{judge, Verdict};
 use bytes::Bytes;
-use dunespur_configuration::Route;
+use dunespur_configuration::{Route, Service, Table};
 use dunespur_routing::{Ask, Choice, Outcome, Server, ServerId, Ticket};
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -25,6 +25,8 @@
 /// Sends of one request, those that servers turned away included. Guards against a round without end when all
 /// of them turn it away.
 const MOST_SENDS: u32 = 8;
+/// Sends to a server that may have run the request before. Guards against a server that breaks every answer off.
+const MOST_RESENDS: u32 = 2;
 /// A server answers at the time it was handed; its answer is waited for a little beyond.
 const ANSWER_GRACE_MS: u64 = 100;
 /// When a client may come back whose request found no server.
@@ -89,21 +91,45 @@
 pub(crate) struct Sending<N: Node> {
     pub(crate) front: Rc<Front<N>>,
     pub(crate) route: Rc<Route>,
-    pub(crate) backend: String,
     pub(crate) asked: Asked,
     pub(crate) message: Message,
     pub(crate) limit: TimeLimit,
+    table: Rc<Table>,
+    backend: String,
     tried: SmallVec<[ServerId; 2]>,
+    /// Those that may have run it and are not known to have crashed since.
     ran: SmallVec<[ServerId; 2]>,
     sends: u32,
+    resends: u32,
     trace: Trace,
 }
 
 /// An answer whose head has come.
 pub(crate) struct Reply<N: Node> {
     pub(crate) head: Parts,
+    pub(crate) source: Source<N>,
+}
+
+/// Where the rest of an answer comes from.
+pub(crate) struct Source<N: Node> {
     pub(crate) body: ReplyBody,
     pub(crate) flight: Flight<N>,
+    ticket: Ticket,
+}
+
+/// An answer of the server that was asked, judged by its head.
+struct Answered {
+    link: Link,
+    head: Parts,
+    incoming: Incoming,
+    verdict: Verdict,
+}
+
+/// Which connections may carry a request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Over {
+    KeptOrNew,
+    New,
 }
 
 /// The rest of an answer.
@@ -166,6 +192,7 @@
 impl<N: Node> Sending<N> {
     pub(crate) fn new(
         front: Rc<Front<N>>,
+        table: Rc<Table>,
         route: Rc<Route>,
         asked: Asked,
         message: Message,
@@ -175,56 +202,106 @@
         Sending {
             front,
             route,
-            backend,
             asked,
             message,
             limit,
+            table,
+            backend,
             tried: SmallVec::new(),
             ran: SmallVec::new(),
             sends: 0,
+            resends: 0,
             trace: Trace::None,
         }
     }
 
+    /// The service whose server was chosen last.
+    pub(crate) fn service(&self) -> Option<&Rc<Service>> {
+        self.table.service(&self.backend)
+    }
+
     /// Sends the request until a server's answer has come that is to be passed on.
     pub(crate) async fn send(&mut self) -> Result<Reply<N>, Refusal> {
         loop {
             let ticket = self.next_server()?;
             let flight = Flight::new(&self.front.node, ticket.key);
-            match self.attempt(&ticket).await {
-                Ok((link, head, incoming)) => {
-                    let terms = KeepTerms::read(&head.headers);
-                    let body = ReplyBody { incoming, link: Some(link), terms };
-                    if let Some(reply) = self.take(&ticket, Reply { head, body, flight })? {
-                        return Ok(reply);
-                    }
-                }
+            if let Some(reply) = self.ask(ticket, flight, Over::KeptOrNew).await? {
+                return Ok(reply);
+            }
+        }
+    }
+
+    /// The answer broke off after its head: the request, changed meanwhile where it is to go on behind what has
+    /// come, is sent again if it may be.
+    pub(crate) async fn send_again(&mut self, cut: Source<N>, time_up: bool) -> Result<Reply<N>, Refusal> {
+        let Source { body, flight, ticket } = cut;
+        drop(body);
+        self.note_ran(&ticket.server, if time_up { Trace::Silent } else { Trace::MayHaveRun });
+        if !time_up && self.may_resend() {
+            if let Some(reply) = self.ask(ticket, flight, Over::New).await? {
+                return Ok(reply);
+            }
+        } else {
+            flight.finish(if time_up { Outcome::Silent } else { Outcome::Failed });
+            self.may_go_on()?;
+        }
+        self.send().await
+    }
+
+    /// The answer broke off and nothing can be done about it.
+    pub(crate) fn give_up_on(cut: Source<N>, time_up: bool) {
+        cut.flight.finish(if time_up { Outcome::Silent } else { Outcome::Failed });
+    }
+
+    /// Asks one server; None where the request goes to another one.
+    async fn ask(
+        &mut self,
+        ticket: Ticket,
+        flight: Flight<N>,
+        mut over: Over,
+    ) -> Result<Option<Reply<N>>, Refusal> {
+        loop {
+            match self.attempt(&ticket, over).await {
+                Ok(answered) => return self.take(answered, ticket, flight),
                 Err(fault) => {
-                    self.note_fault(&ticket.server, fault, flight);
-                    self.may_go_on()?;
+                    self.note_fault(&ticket.server, fault);
+                    if !(matches!(fault, Fault::Broken | Fault::Spoilt) && self.may_resend()) {
+                        flight.finish(outcome(fault));
+                        self.may_go_on()?;
+                        return Ok(None);
+                    }
+                    over = Over::New;
                 }
             }
         }
     }
 
-    /// Whether what has been sent may be sent to one more server, after a send that came to nothing.
-    pub(crate) fn may_go_on(&self) -> Result<(), Refusal> {
-        let ran_enough = self.ran.len() >= self.route.retries.max(1) as usize;
-        let ran = !self.ran.is_empty();
-        if ran && (ran_enough || !self.route.idempotent()) {
-            return Err(self.give_up());
+    /// Whether the request may be sent to one more server, after a send that came to nothing.
+    fn may_go_on(&self) -> Result<(), Refusal> {
+        let may_repeat = self.route.idempotent() && !self.ran_enough();
+        if self.ran.is_empty() && self.trace == Trace::None || may_repeat {
+            Ok(())
+        } else {
+            Err(self.give_up())
         }
-        Ok(())
     }
 
-    /// A send of a stream broke off after its head.
-    pub(crate) fn note_cut(&mut self, flight: Flight<N>, time_up: bool) {
-        flight.finish(if time_up { Outcome::Silent } else { Outcome::Failed });
-        self.trace = if time_up { Trace::Silent } else { Trace::MayHaveRun };
+    /// Whether the request is sent to the same server again: it may be sent to no further one, and can be
+    /// repeated. Should the server turn out to be gone, it no longer counts.
+    fn may_resend(&mut self) -> bool {
+        let wanted = self.route.idempotent() && self.ran_enough();
+        let may = wanted && self.resends < MOST_RESENDS && self.time_left_ms() > 0;
+        self.resends += u32::from(may);
+        may
+    }
+
+    /// Whether as many servers may have run it as the route allows.
+    fn ran_enough(&self) -> bool {
+        self.ran.len() >= self.route.retries.max(1) as usize
     }
 
     /// The answer where no server's can be had.
-    pub(crate) fn give_up(&self) -> Refusal {
+    fn give_up(&self) -> Refusal {
         match self.trace {
             Trace::None => Refusal::Later { retry_after_ms: NO_SERVER_RETRY_MS },
             Trace::MayHaveRun => Refusal::MayHaveRun,
@@ -237,24 +314,10 @@
     }
 
     fn next_server(&mut self) -> Result<Ticket, Refusal> {
-        let time_left_ms = self.time_left_ms();
-        if time_left_ms == 0 || self.sends >= MOST_SENDS {
+        if self.time_left_ms() == 0 || self.sends >= MOST_SENDS {
             return Err(self.give_up());
         }
-        let ask = Ask {
-            backend: &self.backend,
-            program: text(&self.asked.program),
-            session: text(&self.asked.session),
-            prefix: &self.asked.prefix,
-            prompt_tokens: self.asked.prompt_tokens,
-            most_tokens: self.asked.most_tokens,
-            idempotent: self.route.idempotent(),
-            priority: self.route.priority,
-            time_left_ms,
-            target_ms: self.route.target_ms,
-            tried: &self.tried,
-        };
-        match self.front.node.choose(&ask) {
+        match self.choose() {
             Choice::Send(ticket) => {
                 self.sends += 1;
                 if !self.tried.contains(&ticket.server.id) {
@@ -269,10 +332,46 @@
         }
     }
 
+    /// The choice among the servers of the service that was drawn; where it has none left, of another one that
+    /// the route allows.
+    fn choose(&mut self) -> Choice {
+        let choice = self.choose_of(&self.backend);
+        if !matches!(choice, Choice::NoServer) {
+            return choice;
+        }
+        let others =
+            self.route.backends.iter().filter(|other| other.weight > 0 && other.backend != self.backend);
+        let chosen = others.map(|other| (&other.backend, self.choose_of(&other.backend)));
+        match chosen.into_iter().find(|(_, choice)| !matches!(choice, Choice::NoServer)) {
+            Some((backend, choice)) => {
+                self.backend = backend.clone();
+                choice
+            }
+            None => Choice::NoServer,
+        }
+    }
+
+    fn choose_of(&self, backend: &str) -> Choice {
+        self.front.node.choose(&Ask {
+            backend,
+            program: text(&self.asked.program),
+            session: text(&self.asked.session),
+            prefix: &self.asked.prefix,
+            prompt_tokens: self.asked.prompt_tokens,
+            most_tokens: self.asked.most_tokens,
+            idempotent: self.route.idempotent(),
+            priority: self.route.priority,
+            time_left_ms: self.time_left_ms(),
+            target_ms: self.route.target_ms,
+            tried: &self.tried,
+        })
+    }
+
     /// Sends the request to one server and waits for the head of its answer.
-    async fn attempt(&mut self, ticket: &Ticket) -> Result<(Link, Parts, Incoming), Fault> {
+    async fn attempt(&mut self, ticket: &Ticket, over: Over) -> Result<Answered, Fault> {
         let idempotent = self.route.idempotent();
-        if let Some(link) = self.front.servers.kept(&ticket.server, idempotent, &self.front.clock) {
+        let kept = || self.front.servers.kept(&ticket.server, idempotent, &self.front.clock);
+        if let Some(link) = (over == Over::KeptOrNew).then(kept).flatten() {
             match self.exchange(link, ticket).await {
                 // The connection ended as it was used again: the server is as well reached over a new one.
                 Err(Fault::Unsent) => {}
@@ -286,19 +385,20 @@
         self.exchange(link, ticket).await
     }
 
-    async fn exchange(&mut self, mut link: Link, ticket: &Ticket) -> Result<(Link, Parts, Incoming), Fault> {
+    async fn exchange(&mut self, mut link: Link, ticket: &Ticket) -> Result<Answered, Fault> {
         let head = self.head(ticket);
         let exchange = link.exchange(head, self.message.pieces.clone());
-        let answered = self.limit.bound(exchange).await;
-        match answered {
-            Some(Ok(response)) => {
-                let (head, incoming) = response.into_parts();
-                Ok((link, head, incoming))
-            }
-            Some(Err(fault)) => Err(fault),
-            None if link.sent_whole() => Err(Fault::Silent),
-            None => Err(Fault::Unsent),
+        let (head, incoming) = match self.limit.bound(exchange).await {
+            Some(answered) => answered?.into_parts(),
+            None if link.sent_whole() => return Err(Fault::Silent),
+            None => return Err(Fault::Unsent),
+        };
+        let verdict = judge(&head, &self.message.method, &self.asked.id);
+        if matches!(verdict, Verdict::Spoilt | Verdict::EmptyPromise) {
+            log::debug!("server {}: {verdict:?} ({})", ticket.server.id, head.status);
+            return Err(Fault::Spoilt);
         }
+        Ok(Answered { link, head, incoming, verdict })
     }
 
     fn head(&self, ticket: &Ticket) -> Request<()> {
@@ -318,55 +418,77 @@
     }
 
     /// Decides about an answer; None where the request goes to another server.
-    fn take(&mut self, ticket: &Ticket, mut reply: Reply<N>) -> Result<Option<Reply<N>>, Refusal> {
-        let verdict = judge(&reply.head, &self.message.method, &self.asked.id);
+    fn take(
+        &mut self,
+        answered: Answered,
+        ticket: Ticket,
+        flight: Flight<N>,
+    ) -> Result<Option<Reply<N>>, Refusal> {
+        let Answered { link, head, incoming, verdict } = answered;
+        let terms = KeepTerms::read(&head.headers);
+        let mut body = ReplyBody { incoming, link: Some(link), terms };
         match verdict {
-            Verdict::Answer => {
-                self.note_ran(&ticket.server);
-                return Ok(Some(reply));
+            Verdict::Shed => {
+                flight.finish(Outcome::Shed);
+                body.give_back_if_over(&self.front);
             }
-            Verdict::Failure => {
-                self.note_ran(&ticket.server);
-                if self.may_go_on().is_err() {
-                    return Ok(Some(reply));
-                }
-                self.trace = Trace::MayHaveRun;
-                reply.flight.finish(Outcome::Failed);
-                reply.body.give_back_if_over(&self.front);
+            Verdict::Moved => {
+                flight.finish(Outcome::Moved);
+                self.note_gone(&ticket.server);
             }
-            Verdict::Shed => {
-                reply.flight.finish(Outcome::Shed);
-                reply.body.give_back_if_over(&self.front);
+            Verdict::Failure if self.note_failure(&ticket.server) => {
+                flight.finish(Outcome::Failed);
+                body.give_back_if_over(&self.front);
             }
-            Verdict::Moved => reply.flight.finish(Outcome::Moved),
-            Verdict::EmptyPromise | Verdict::Spoilt => {
-                log::debug!("server {}: {verdict:?} ({})", ticket.server.id, reply.head.status);
-                self.note_fault(&ticket.server, Fault::Spoilt, reply.flight);
+            _ => {
+                self.note_ran(&ticket.server, self.trace);
+                return Ok(Some(Reply { head, source: Source { body, flight, ticket } }));
             }
         }
         self.may_go_on()?;
         Ok(None)
     }
 
-    fn note_fault(&mut self, server: &Server, fault: Fault, flight: Flight<N>) {
-        let (outcome, trace) = match fault {
-            Fault::Unreachable => (Outcome::Unreachable, Trace::None),
-            // The server is not to blame.
-            Fault::NoConnectionLeft => (Outcome::Abandoned, Trace::None),
-            Fault::Unsent => (Outcome::Failed, Trace::None),
-            Fault::Broken | Fault::Spoilt => (Outcome::Failed, Trace::MayHaveRun),
-            Fault::Silent => (Outcome::Silent, Trace::Silent),
-        };
-        flight.finish(outcome);
-        if trace != Trace::None {
-            self.note_ran(server);
+    /// Notes a failure of the server's own; whether another server may be asked instead of passing it on.
+    fn note_failure(&mut self, server: &Server) -> bool {
+        let trace = self.trace;
+        self.note_ran(server, Trace::MayHaveRun);
+        let may_go_on = self.may_go_on().is_ok();
+        if !may_go_on {
             self.trace = trace;
         }
+        may_go_on
     }
 
-    fn note_ran(&mut self, server: &Server) {
+    fn note_fault(&mut self, server: &Server, fault: Fault) {
+        match fault {
+            Fault::Unreachable => self.note_gone(server),
+            Fault::NoConnectionLeft | Fault::Unsent => {}
+            Fault::Broken | Fault::Spoilt => self.note_ran(server, Trace::MayHaveRun),
+            Fault::Silent => self.note_ran(server, Trace::Silent),
+        }
+    }
+
+    fn note_ran(&mut self, server: &Server, trace: Trace) {
         if !self.ran.contains(&server.id) {
             self.ran.push(server.id.clone());
         }
+        self.trace = trace;
+    }
+
+    /// The server has crashed, if it ever ran the request: it no longer counts among those that were sent to.
+    fn note_gone(&mut self, server: &Server) {
+        self.ran.retain(|id| *id != server.id);
+    }
+}
+
+/// What a fault says of its server.
+fn outcome(fault: Fault) -> Outcome {
+    match fault {
+        Fault::Unreachable => Outcome::Unreachable,
+        // The server is not to blame.
+        Fault::NoConnectionLeft => Outcome::Abandoned,
+        Fault::Unsent | Fault::Broken | Fault::Spoilt => Outcome::Failed,
+        Fault::Silent => Outcome::Silent,
     }
 }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -3,12 +3,11 @@
 use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
 use crate::events::{Event, Splitter};
-use crate::flight::Flight;
 use crate::hop;
 use crate::memory::Room;
 use crate::node::{KeptTurn, Node};
 use crate::plain::response_head;
-use crate::sending::{Next, Reply, ReplyBody, Sending};
+use crate::sending::{Next, Reply, Sending, Source};
 use crate::turn::{TokenCount, Turn};
 use bytes::{Bytes, BytesMut};
 use dunespur_configuration::Kind;
@@ -57,12 +56,6 @@
     keeping: Option<Keeping>,
 }
 
-/// Where the events come from at present.
-struct Source<N: Node> {
-    body: ReplyBody,
-    flight: Flight<N>,
-}
-
 /// How a stream begins.
 pub(crate) enum Begin {
     /// With these events, or with its end where there are none.
@@ -83,18 +76,19 @@
     }
 
     /// Waits for the first event.
-    pub(crate) async fn begin(&mut self, sending: &mut Sending<N>, reply: &mut Reply<N>) -> Begin {
+    pub(crate) async fn begin(&mut self, sending: &mut Sending<N>, source: &mut Source<N>) -> Begin {
+        self.set_chunk(sending);
         self.splitter.clear();
         self.last_id = self.start_id;
         if let Some(keeping) = &mut self.keeping {
             keeping.output.clear();
         }
         loop {
-            match reply.body.next(&mut sending.limit).await {
+            match source.body.next(&mut sending.limit).await {
                 Next::Piece(bytes) => match self.take(bytes) {
                     Ok(whole) if whole.is_empty() => {}
                     Ok(whole) => {
-                        reply.flight.first_event();
+                        source.flight.first_event();
                         return Begin::Events(whole);
                     }
                     Err(Broken) => return Begin::Cut { time_up: false },
@@ -113,11 +107,11 @@
         begun: Bytes,
         client: &Rc<Client>,
     ) -> Response<AnswerBody> {
-        let Reply { mut head, body, flight } = reply;
+        let Reply { mut head, source } = reply;
         // The end of the answer is a sign of its own, held back until the turn is kept.
         head.headers.remove(CONTENT_LENGTH);
         let outlet = Outlet::default();
-        let pump = self.pump(sending, Source { body, flight }, begun, outlet.clone());
+        let pump = self.pump(sending, source, begun, outlet.clone());
         Response::from_parts(response_head(head), AnswerBody::pumped(pump, outlet, None, client))
     }
 
@@ -180,26 +174,33 @@
         Ok(())
     }
 
-    /// Takes the stream up at another server behind the last event that was passed on.
+    /// Takes the stream up again behind the last event that was passed on.
     async fn resume(
         &mut self,
         sending: &mut Sending<N>,
-        source: Source<N>,
+        cut: Source<N>,
         time_up: bool,
     ) -> Result<Source<N>, Broken> {
-        sending.note_cut(source.flight, time_up);
-        drop(source.body);
         self.splitter.clear();
-        let last_id = self.last_id.filter(|_| sending.route.resumable && !time_up).ok_or(Broken)?;
-        sending.may_go_on().map_err(|_| Broken)?;
+        let Some(last_id) = self.last_id.filter(|_| sending.route.resumable && !time_up) else {
+            Sending::give_up_on(cut, time_up);
+            return Err(Broken);
+        };
         sending.message.headers.insert(hop::LAST_EVENT_ID, hop::number(last_id));
-        let reply = sending.send().await.map_err(|_| Broken)?;
-        if is_stream(sending.route.kind, &reply.head) {
-            reply.flight.first_event();
-            Ok(Source { body: reply.body, flight: reply.flight })
-        } else {
-            Err(Broken)
+        let reply = sending.send_again(cut, time_up).await.map_err(|_| Broken)?;
+        if !is_stream(sending.route.kind, &reply.head) {
+            Sending::give_up_on(reply.source, false);
+            return Err(Broken);
         }
+        reply.source.flight.first_event();
+        self.set_chunk(sending);
+        Ok(reply.source)
+    }
+
+    /// Reads how many tokens an event of the present server holds.
+    fn set_chunk(&mut self, sending: &Sending<N>) {
+        let engine = sending.service().and_then(|service| service.engine.as_ref());
+        self.tokens.set_chunk(engine.map_or(1, |engine| u64::from(engine.chunk_tokens)));
     }
 
     /// Keeps the turn, so that the end of its answer may go out.
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -30,22 +30,25 @@
 pub(crate) struct TokenCount {
     chunk: u64,
     most: u64,
-    events: u64,
     counted: u64,
 }
 
 impl TokenCount {
-    /// Of events that hold `chunk` tokens each, in a turn that generates `most` at most.
-    pub(crate) fn new(chunk: u64, most: u64) -> TokenCount {
-        TokenCount { chunk: chunk.max(1), most, events: 0, counted: 0 }
+    /// Of a turn that generates `most` at most.
+    pub(crate) fn new(most: u64) -> TokenCount {
+        TokenCount { chunk: 1, most, counted: 0 }
+    }
+
+    /// From now on an event holds `chunk` tokens.
+    pub(crate) fn set_chunk(&mut self, chunk: u64) {
+        self.chunk = chunk.max(1);
     }
 
     /// The tokens of the next event. The one that reaches the most is counted up to it; events beyond, which no
     /// server should send, count in full.
     pub(crate) fn next_event(&mut self) -> u64 {
-        let before = self.events * self.chunk;
-        self.events += 1;
-        let tokens = if before < self.most { self.chunk.min(self.most - before) } else { self.chunk };
+        let left = self.most.saturating_sub(self.counted);
+        let tokens = if left > 0 { self.chunk.min(left) } else { self.chunk };
         self.counted += tokens;
         tokens
     }
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -366,3 +366,72 @@
         assert!(ask.time_left_ms <= 15_000);
     });
 }
+
+#[test]
+fn an_idempotent_request_is_sent_to_its_server_again_where_no_further_one_may_run_it() {
+    play(async {
+        let (server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&get("/read/", "r1")).await;
+        let (connection, _) = server.take().await;
+        connection.reset();
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "other", "", "spoilt").await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.text(), "ok");
+        assert!(other.is_untouched().await);
+        assert_eq!(gateway.node.outcomes(), [SERVED]);
+    });
+}
+
+#[test]
+fn a_server_that_breaks_every_answer_off_is_not_asked_for_ever() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&get("/read/", "r1")).await;
+        for _ in 0..3 {
+            let (connection, _) = server.take().await;
+            connection.reset();
+        }
+        assert_eq!(client.message().await.status(), 502);
+        assert!(server.is_untouched().await);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed]);
+    });
+}
+
+#[test]
+fn a_server_that_crashed_counts_no_longer_for_an_idempotent_request() {
+    play(async {
+        let (mut server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&get("/read/", "r1")).await;
+        let (connection, _) = server.take().await;
+        server.die();
+        connection.reset();
+        let (mut connection, _) = other.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.text(), "ok");
+        assert_eq!(gateway.node.outcomes(), [Outcome::Unreachable, SERVED]);
+    });
+}
+
+#[test]
+fn a_service_without_servers_is_stood_in_for_by_another_one_of_the_route() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let split = CONFIGURATION.replace(
+            r#""timeout_ms":20000,"target_ms":500,"priority":1,"backend":"plain""#,
+            r#""timeout_ms":20000,"target_ms":500,"priority":1,"backends":[{"backend":"engine","weight":100},{"backend":"plain","weight":1}]"#,
+        );
+        *gateway.node.table.borrow_mut() = Some(table(&split));
+        gateway.node.without_servers.borrow_mut().push("engine".to_owned());
+        let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.text(), "ok");
+        assert_eq!(gateway.node.asks().last().unwrap().backend, "plain");
+    });
+}
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -182,10 +182,105 @@
         client.head().await;
         assert_eq!(client.next_chunk().await.unwrap(), events(1..=2).as_bytes());
         drop(connection);
-        let (mut connection, _) = second.take().await;
+        for _ in 0..3 {
+            let (mut connection, message) = second.take().await;
+            assert_eq!(message.header("last-event-id"), Some("2"));
+            connection.stream_head("r1", "").await;
+            connection.chunk(&events(1..=3)).await;
+            assert!(connection.is_closed().await);
+        }
+        assert_eq!(client.next_chunk().await, None);
+        assert!(second.is_untouched().await);
+    });
+}
+
+#[test]
+fn a_cut_stream_is_taken_up_at_its_server_where_no_further_one_may_run_it() {
+    play(async {
+        let (server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&post("/resume/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        connection.reset();
+        let (mut connection, message) = server.take().await;
+        assert_eq!(message.header("last-event-id"), Some("1"));
+        assert_eq!(message.header("x-dunespur-expect-instance"), Some("i-1"));
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(2)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(2).as_bytes());
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        assert!(other.is_untouched().await);
+        assert_eq!(gateway.node.outcomes(), [served(6)]);
+    });
+}
+
+#[test]
+fn a_server_that_crashed_midway_no_longer_counts() {
+    play(async {
+        let (mut server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&post("/resume/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.head().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        server.die();
+        connection.reset();
+        let (mut connection, message) = other.take().await;
+        assert_eq!(message.header("last-event-id"), Some("1"));
         connection.stream_head("r1", "").await;
-        connection.chunk(&events(1..=3)).await;
+        connection.chunk(&event(2)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(2).as_bytes());
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        assert_eq!(gateway.node.outcomes(), [Outcome::Unreachable, served(6)]);
+    });
+}
+
+#[test]
+fn another_instance_at_the_address_says_that_the_server_crashed() {
+    play(async {
+        let (server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&post("/resume/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.head().await;
+        connection.reset();
+        let (mut connection, _) = server.take().await;
+        connection.answer(421, "r1", "", "").await;
+        let (mut connection, message) = other.take().await;
+        assert_eq!(message.header("last-event-id"), Some("1"));
+        connection.stream_head("r1", "").await;
+        connection.last_chunk().await;
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
+        assert_eq!(client.next_chunk().await.unwrap(), b"");
+        assert_eq!(gateway.node.outcomes(), [Outcome::Moved, served(3)]);
+    });
+}
+
+#[test]
+fn a_stream_that_can_not_be_resumed_ends_where_it_is_cut() {
+    play(async {
+        let (server, other) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&server, &other]).await;
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        client.head().await;
+        connection.reset();
+        assert_eq!(client.next_chunk().await.unwrap(), event(1).as_bytes());
         assert_eq!(client.next_chunk().await, None);
+        assert!(server.is_untouched().await && other.is_untouched().await);
+        assert_eq!(gateway.node.outcomes(), [Outcome::Failed]);
     });
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -57,6 +57,8 @@
     pub ready: Cell<bool>,
     /// Chosen in this order, the tried ones left out.
     pub servers: RefCell<Vec<Rc<Server>>>,
+    /// Services that have none of them.
+    pub without_servers: RefCell<Vec<String>>,
     pub refuse: Cell<Option<u64>>,
     pub engine_priority: Cell<Option<u8>>,
     pub reserve: Cell<Reserve>,
@@ -104,6 +106,7 @@
             table: RefCell::new(Some(table(CONFIGURATION))),
             ready: Cell::new(true),
             servers: RefCell::new(servers),
+            without_servers: RefCell::default(),
             refuse: Cell::new(None),
             engine_priority: Cell::new(None),
             reserve: Cell::new(Reserve::Admitted(TurnKey(7))),
@@ -181,6 +184,9 @@
         if let Some(retry_after_ms) = self.refuse.get() {
             return Choice::Refuse { retry_after_ms };
         }
+        if self.without_servers.borrow().iter().any(|service| service == ask.backend) {
+            return Choice::NoServer;
+        }
         let servers = self.servers.borrow();
         match servers.iter().find(|server| !ask.tried.contains(&server.id)) {
             Some(server) => {
