--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -26,6 +26,14 @@
         Document::checked(readable(body)?)
     }
 
+    /// A configuration that was taken before, from its text. It is not checked again: what an older version
+    /// of this program has taken stays in force.
+    pub fn taken(text: impl Into<Arc<str>>) -> Result<Document, Findings> {
+        let text = text.into();
+        let generation = read::taken(&text)?.generation;
+        Ok(Document { text, generation })
+    }
+
     /// This configuration with the named items of `body` changed, if what comes out is valid.
     pub fn patch(&self, body: &[u8]) -> Result<Document, Findings> {
         let text = patch::apply(&self.text, readable(body)?)?;
@@ -48,8 +56,8 @@
     }
 
     fn checked(text: &str) -> Result<Document, Findings> {
-        let model = read::model(text)?;
-        Ok(Document { text: Arc::from(text), generation: model.generation })
+        let generation = read::checked(text)?;
+        Ok(Document { text: Arc::from(text), generation })
     }
 }
 
@@ -60,11 +68,11 @@
     }
 }
 
-/// A document is checked again when it is read.
+/// A document that was written was taken before.
 impl<'de> Deserialize<'de> for Document {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Document, D::Error> {
         let text = String::deserialize(deserializer)?;
-        Document::checked(&text).map_err(D::Error::custom)
+        Document::taken(text).map_err(D::Error::custom)
     }
 }
 
--- a/crates/configuration/src/read.rs
+++ b/crates/configuration/src/read.rs
@@ -1,7 +1,6 @@
 //! Reads a configuration from JSON into its typed model.
 //!
-//! Reading goes on past what is wrong, with a stand-in for it, so that all findings come at once. A
-//! model with findings is not used.
+//! Reading goes on past what is wrong, with a stand-in for it, so that all findings come at once.
 
 use crate::{
     check,
@@ -37,23 +36,40 @@
 }
 
 impl Draft {
+    /// The model of what can be used.
     fn finish(self) -> Model {
         Model {
             generation: self.generation,
-            routes: self.routes.into_iter().flatten().collect(),
+            routes: self.routes.into_iter().flatten().filter(is_usable).collect(),
             services: self.services.into_iter().flatten().collect(),
             limits: self.limits,
         }
     }
 }
 
-/// Reads and checks the text of a configuration.
-pub(crate) fn model(text: &str) -> Result<Model, Findings> {
+fn is_usable(placed: &PlacedRoute) -> bool {
+    placed.route.timeout_ms > 0 && placed.route.backends.iter().any(|backend| backend.weight > 0)
+}
+
+/// Reads and checks the text of a configuration: its generation, if nothing is wrong.
+pub(crate) fn checked(text: &str) -> Result<u64, Findings> {
+    let (draft, mut findings) = draft(text)?;
+    check::draft(&draft, &mut findings);
+    findings.or_ok(draft.generation)
+}
+
+/// Reads the text of a configuration that was checked when it was taken. What an older version of this
+/// program took and this one wouldn't is left out instead of refused.
+pub(crate) fn taken(text: &str) -> Result<Model, Findings> {
+    let (draft, _) = draft(text)?;
+    Ok(draft.finish())
+}
+
+fn draft(text: &str) -> Result<(Draft, Findings), Findings> {
     let value = parse(text)?;
     let mut findings = Findings::default();
     let draft = configuration(&value, &mut findings);
-    check::draft(&draft, &mut findings);
-    findings.or_ok(draft.finish())
+    Ok((draft, findings))
 }
 
 fn parse(text: &str) -> Result<Value, Findings> {
--- a/crates/configuration/src/table.rs
+++ b/crates/configuration/src/table.rs
@@ -26,8 +26,8 @@
 impl Table {
     /// The table of a checked configuration.
     pub fn new(document: &Document) -> Table {
-        // A document is read and checked before it is one, and reads the same each time.
-        Table::of(read::model(document.json()).unwrap_or_default())
+        // A document was read before it became one, and reads the same each time.
+        Table::of(read::taken(document.json()).unwrap_or_default())
     }
 
     /// The table before any configuration: no routes, no services.
@@ -35,9 +35,9 @@
         Table::of(Model::default())
     }
 
-    /// The table of a configuration as text, read and checked once only.
-    pub fn read(json: &str) -> Result<Table, Findings> {
-        Ok(Table::of(read::model(json)?))
+    /// The table of the text of a configuration that was taken before, as [`Document::taken`], read once only.
+    pub fn taken(json: &str) -> Result<Table, Findings> {
+        Ok(Table::of(read::taken(json)?))
     }
 
     /// The number that the operator gave to the configuration.
--- a/crates/configuration/tests/table.rs
+++ b/crates/configuration/tests/table.rs
@@ -221,3 +221,25 @@
     assert_eq!(some.limits(), Limits { idle_timeout_ms: 4, ..Limits::default() });
     assert_eq!(table(r#"{"generation":1}"#).limits(), Limits::default());
 }
+
+#[test]
+fn what_was_taken_before_stays_in_force_whatever_is_checked_now() {
+    let json = r#"{"generation":7,"services":[{"name":"s","max_conns":"many"}],"routes":[
+        {"name":"r","host":"h","path_prefix":"/a/","kind":"read_only","timeout_ms":9,"backend":"gone","priority":"high"},
+        {"name":"r","host":"h","path_prefix":"/b/","kind":"read_only","timeout_ms":0,"backend":"s"},
+        {"name":"q","host":"h","path_prefix":"/c/","kind":"read_only","timeout_ms":9,"backends":[]}]}"#;
+    assert!(Document::replace(json.as_bytes()).is_err());
+    let document = Document::taken(json).expect("a configuration that can be read");
+    assert_eq!((document.generation(), document.to_json().as_str()), (7, json));
+    let one = Table::new(&document);
+    let other = Table::taken(json).expect("a configuration that can be read");
+    for table in [one, other] {
+        assert_eq!(table.generation(), 7);
+        assert_eq!(found(&table, "h", "/a/"), Some("r"));
+        assert_eq!(found(&table, "h", "/b/"), None, "a route that can't be used is left out");
+        assert_eq!(found(&table, "h", "/c/"), None, "a route that can't be used is left out");
+        assert!(table.service("s").is_some());
+    }
+    assert!(Document::taken("{").is_err());
+    assert!(Table::taken("{").is_err());
+}
