--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod plain;
 pub mod program;
 pub mod record;
+pub mod scene;
 pub mod server;
 pub mod system;
 pub mod wire;
