--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -324,27 +324,27 @@
     fn standing(&self, view: &View, index: usize, now: Millis) -> Standing {
         let id = &view.members[index].id;
         let silent = !self.is_heard_by_any(view, index, now);
-        let connected = (0..view.members.len()).map(|other| self.hears(view, index, other, now)).collect();
+        let connected =
+            (0..view.members.len()).map(|other| self.connected(view, index, other, now)).collect();
         Standing {
             connected,
             unfit: self.is_unfit(view, id, now),
             may_return: false,
             silent,
+            present: *id == self.me.id || self.peers.ping(id, view.number).is_some(),
             replaceable: silent && self.peers.silent_for(id, now) >= REPLACE_AFTER,
         }
     }
 
-    /// Whether `one` hears `other`, as far as is known here. Of a member that isn't heard nothing is known to be
-    /// right; of one that is heard and hasn't told in this view, nothing is known to be wrong.
-    fn hears_of(&self, view: &View, one: usize, other: usize, now: Millis) -> bool {
+    /// What `one` has told about its connection with `other`; nothing, if it isn't heard or hasn't told in this view.
+    fn told_connected(&self, view: &View, one: usize, other: usize, now: Millis) -> Option<bool> {
         let id = &view.members[one].id;
-        if !self.peers.is_heard(id, now) {
-            return false;
-        }
-        self.peers.ping(id, view.number).is_none_or(|ping| ping.hears & 1 << other != 0)
+        let ping = self.peers.ping(id, view.number).filter(|_| self.peers.is_heard(id, now));
+        ping.map(|ping| ping.connected & 1 << other != 0)
     }
 
-    fn hears(&self, view: &View, one: usize, other: usize, now: Millis) -> bool {
+    /// Whether two members are connected both ways, as far as is known: neither of them has told otherwise.
+    fn connected(&self, view: &View, one: usize, other: usize, now: Millis) -> bool {
         let (first, second) = (&view.members[one].id, &view.members[other].id);
         if one == other {
             true
@@ -353,20 +353,18 @@
         } else if *second == self.me.id {
             self.peers.is_connected(first, now)
         } else {
-            self.hears_of(view, one, other, now)
+            let denied = |from, to| self.told_connected(view, from, to, now) == Some(false);
+            !denied(one, other) && !denied(other, one)
         }
     }
 
+    /// Whether this member, or one that it hears, is in touch with the member at `index`.
     fn is_heard_by_any(&self, view: &View, index: usize, now: Millis) -> bool {
         let id = &view.members[index].id;
-        let me = |other: &usize| view.members[*other].id == self.me.id;
-        let told = |other: usize| {
-            let id = &view.members[other].id;
-            let ping = self.peers.ping(id, view.number).filter(|_| self.peers.is_heard(id, now));
-            ping.is_some_and(|ping| ping.hears & 1 << index != 0)
-        };
-        let mut others = (0..view.members.len()).filter(|other| *other != index && !me(other));
-        *id == self.me.id || self.peers.is_heard(id, now) || others.any(told)
+        let mut others = (0..view.members.len()).filter(|other| *other != index);
+        *id == self.me.id
+            || self.peers.is_heard(id, now)
+            || others.any(|other| self.told_connected(view, other, index, now) == Some(true))
     }
 
     fn is_unfit(&self, view: &View, id: &MemberId, now: Millis) -> bool {
@@ -395,7 +393,7 @@
         for index in (0..view.members.len()).filter(|index| !in_chain.contains(index)) {
             let connected = |other: &usize| {
                 let heard = !standings[*other].silent;
-                !heard || standings[index].connected[*other] && standings[*other].connected[index]
+                !heard || standings[index].connected[*other]
             };
             let well = !standings[index].unfit && !standings[index].silent && in_chain.iter().all(connected);
             standings[index].may_return = self.peers.may_return(&view.members[index].id, well, now);
--- a/crates/chain/src/member/membership.rs
+++ b/crates/chain/src/member/membership.rs
@@ -165,7 +165,7 @@
             view: self.number(),
             stamp: now,
             echo: self.peers.stamp(&to.id),
-            hears: self.heard_bits(now),
+            connected: self.connected_bits(now),
             synced: self.is_synced(),
             stalled: self.is_stalled(now),
             leaving: self.leaving,
@@ -174,11 +174,11 @@
         out.push(Output::Send { to: to.clone(), message: Message::Ping(ping) });
     }
 
-    /// Whom this member hears, a bit for each member of the view.
-    fn heard_bits(&self, now: Millis) -> u32 {
+    /// Whom this member is connected with both ways, a bit for each member of the view.
+    fn connected_bits(&self, now: Millis) -> u32 {
         let Some(view) = self.view() else { return 0 };
-        let heard = |id: &MemberId| *id == self.me.id || self.peers.is_heard(id, now);
-        let bits = view.members.iter().enumerate().filter(|(_, member)| heard(&member.id));
+        let connected = |id: &MemberId| *id == self.me.id || self.peers.is_connected(id, now);
+        let bits = view.members.iter().enumerate().filter(|(_, member)| connected(&member.id));
         bits.fold(0, |bits, (index, _)| bits | 1 << index)
     }
 
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -89,8 +89,8 @@
     pub stamp: Millis,
     /// The receiver's newest stamp that has reached the sender.
     pub echo: Option<Millis>,
-    /// Whom the sender hears: a bit for each of its view's members, in their order.
-    pub hears: u32,
+    /// Whom the sender hears and is heard by: a bit for each of its view's members, in their order.
+    pub connected: u32,
     /// Its log holds all that it must in its view.
     pub synced: bool,
     /// Its disk hasn't answered for long.
--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -2,7 +2,7 @@
 //! same comes to the same plan.
 
 use crate::identity::{majority_of, MemberId, Peer, View};
-use crate::timing::MOST_MEMBERS;
+use crate::timing::{FEWEST_MEMBERS, MOST_MEMBERS};
 
 /// What is seen of one member of the view.
 #[derive(Clone, Debug)]
@@ -13,8 +13,10 @@
     pub unfit: bool,
     /// It is out of the chain and has been well for long enough to be taken back.
     pub may_return: bool,
-    /// The member that plans doesn't hear it.
+    /// Nobody that the planning member hears, nor itself, hears it.
     pub silent: bool,
+    /// It has told in this view that it is there.
+    pub present: bool,
     /// It has been silent for so long that a newcomer may take its place.
     pub replaceable: bool,
 }
@@ -78,6 +80,9 @@
         }
         return (members, Some(newcomer.clone()));
     }
+    if let Some(index) = superfluous(situation) {
+        members.remove(index);
+    }
     (members, None)
 }
 
@@ -103,13 +108,22 @@
     if let Some(index) = situation.standings.iter().position(|standing| standing.replaceable) {
         return Place::Of(index);
     }
-    // A silent member will be back soon, or the newcomer takes its place: with it as one more, the loss of another
-    // would be one too many.
-    let someone_silent = situation.standings.iter().any(|standing| standing.silent);
-    if someone_silent || members.len() >= MOST_MEMBERS {
-        return Place::None;
+    // A member that isn't heard will be back soon, or the newcomer takes its place: with the newcomer as one more, the
+    // loss of another would be one too many.
+    let all_here = situation.standings.iter().all(|standing| standing.present && !standing.silent);
+    if all_here && members.len() < MOST_MEMBERS {
+        Place::New
+    } else {
+        Place::None
     }
-    Place::New
+}
+
+/// A member that has been gone for long and isn't needed: an even number of members bears no more losses than the odd
+/// one below it, and with one of them gone it bears less. Should the member come back, it is a newcomer.
+fn superfluous(situation: &Situation) -> Option<usize> {
+    let count = situation.view.members.len();
+    let may_shrink = count > FEWEST_MEMBERS && count.is_multiple_of(2);
+    may_shrink.then(|| situation.standings.iter().position(|standing| standing.replaceable)).flatten()
 }
 
 impl Situation<'_> {
@@ -118,7 +132,7 @@
     }
 
     fn connected(&self, one: usize, other: usize) -> bool {
-        one == other || self.standings[one].connected[other] && self.standings[other].connected[one]
+        one == other || self.standings[one].connected[other]
     }
 
     /// Takes members out until all that are left are connected with each other. Of those that lack a connection
--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -67,6 +67,8 @@
 /// Submissions and reads older than this are dropped.
 pub const GIVE_UP_AFTER: Millis = 5_000;
 
+/// Members that are gone are kept in the view if there are no more than this.
+pub const FEWEST_MEMBERS: usize = 3;
 /// No more members than this.
 pub const MOST_MEMBERS: usize = 7;
 /// No more newcomers remembered than this.
--- /dev/null
+++ b/crates/chain/tests/world/mod.rs
@@ -0,0 +1,737 @@
+//! A seeded world of core members: machines with disks, processes, connections, and what goes wrong with them.
+//!
+//! It checks as it goes: the committed sequence is the same everywhere, acknowledged payloads stay where they were
+//! acknowledged, no two views bear one number, and reads see what was committed before they began.
+#![allow(dead_code)]
+
+pub mod trouble;
+
+use dunespur_chain::{Guards, Input, Member, MemberId, Message, Millis, Output, Peer, Saved, View, Write};
+use fastrand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// The founder sets the first view at this time.
+const FOUND_AT: Millis = 400;
+/// Processes start at most this long after the world does.
+const LATEST_START: u64 = 300;
+
+/// What a broken promise of the protocol looks like.
+pub type Verdict = Result<(), String>;
+
+/// How a world is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub seed: u64,
+    pub machines: usize,
+    pub guards: Guards,
+    /// Wiped machines come back under their old identity: the guard against this is the identity itself.
+    pub wiped_keep_identity: bool,
+    /// Mean time between two writes, and between two reads.
+    pub write_every: Millis,
+    pub read_every: Millis,
+}
+
+impl Setup {
+    pub fn new(seed: u64, machines: usize) -> Setup {
+        let guards = Guards::default();
+        Setup { seed, machines, guards, wiped_keep_identity: false, write_every: 60, read_every: 150 }
+    }
+}
+
+/// A batch that the disk hasn't finished.
+struct Flight {
+    batch: u64,
+    writes: Vec<Write>,
+    /// Its time is over, but the disk stands still.
+    due: bool,
+}
+
+struct Process {
+    member: Member,
+    tick_at: Millis,
+    /// Commits given out, or installed with a snapshot.
+    applied: u64,
+    submitted: HashMap<u64, u64>,
+    reads: HashMap<u64, u64>,
+}
+
+pub struct Machine {
+    node: String,
+    address: SocketAddr,
+    disk: u64,
+    saved: Saved,
+    flight: Option<Flight>,
+    disk_stalled: bool,
+    frozen: bool,
+    /// What came while it was frozen.
+    backlog: VecDeque<Input>,
+    /// Counts starts, so that events of an earlier run are told apart.
+    run: u64,
+    process: Option<Process>,
+    /// Without power, connections to it hang; without a process, they are refused.
+    powered: bool,
+    /// It is gone for good.
+    pub removed: bool,
+    may_found: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Start { machine: usize, run: u64 },
+    Found,
+    Tick { machine: usize, run: u64, at: Millis },
+    Deliver { from: usize, to: usize },
+    Late { to: usize, input: Input },
+    Notice { to: usize, run: u64, input: Input },
+    DiskDone { machine: usize, run: u64, batch: u64 },
+    Write,
+    Read,
+    Trouble(trouble::Trouble),
+}
+
+struct Scheduled {
+    at: Millis,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// One direction of a connection: messages arrive in order.
+#[derive(Default)]
+struct Line {
+    queue: VecDeque<Carried>,
+    last_arrival: Millis,
+    cut: bool,
+}
+
+struct Carried {
+    sender: MemberId,
+    to: Option<MemberId>,
+    message: Message,
+    arrival: Millis,
+}
+
+pub struct World {
+    pub setup: Setup,
+    pub now: Millis,
+    pub rng: Rng,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    order: u64,
+    pub machines: Vec<Machine>,
+    lines: HashMap<(usize, usize), Line>,
+    /// Messages come again late now and then, as from an older connection.
+    pub doubling: bool,
+    /// Payloads by index; index 1 is at 0.
+    sequence: Vec<u64>,
+    /// Digests of the sequence's beginnings.
+    digests: Vec<u64>,
+    views: BTreeMap<u64, View>,
+    next_payload: u64,
+    next_ticket: u64,
+    /// Submitted at or after `fresh_since`.
+    fresh: std::collections::HashSet<u64>,
+    fresh_since: Millis,
+    /// When the first of the fresh payloads was committed.
+    pub fresh_committed_at: Option<Millis>,
+    pub acknowledged: u64,
+    pub reads_done: u64,
+    broken: Option<String>,
+    trace: bool,
+}
+
+fn digest(before: u64, payload: u64) -> u64 {
+    (before ^ payload).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(23)
+}
+
+impl World {
+    pub fn new(setup: Setup) -> World {
+        let mut world = World {
+            setup,
+            now: 0,
+            rng: Rng::with_seed(setup.seed),
+            events: BinaryHeap::new(),
+            order: 0,
+            machines: Vec::new(),
+            lines: HashMap::new(),
+            doubling: false,
+            sequence: Vec::new(),
+            digests: vec![0],
+            views: BTreeMap::new(),
+            next_payload: 1,
+            next_ticket: 1,
+            fresh: Default::default(),
+            fresh_since: Millis::MAX,
+            fresh_committed_at: None,
+            acknowledged: 0,
+            reads_done: 0,
+            broken: None,
+            trace: std::env::var_os("CHAIN_TRACE").is_some(),
+        };
+        for _ in 0..setup.machines {
+            let machine = world.add_machine(true);
+            let start = world.rng.u64(0..LATEST_START);
+            world.schedule(start, Event::Start { machine, run: 1 });
+        }
+        world.schedule(FOUND_AT, Event::Found);
+        world.schedule(FOUND_AT, Event::Write);
+        world.schedule(FOUND_AT, Event::Read);
+        world
+    }
+
+    // --- time ---
+
+    fn schedule(&mut self, at: Millis, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse(Scheduled { at: at.max(self.now), order: self.order, event }));
+    }
+
+    pub fn trouble_at(&mut self, at: Millis, trouble: trouble::Trouble) {
+        self.schedule(at, Event::Trouble(trouble));
+    }
+
+    /// Plays up to a time, or to the first broken promise.
+    pub fn play_to(&mut self, end: Millis) -> Verdict {
+        while self.events.peek().is_some_and(|Reverse(next)| next.at <= end) {
+            let Some(Reverse(next)) = self.events.pop() else { break };
+            self.now = next.at;
+            self.happen(next.event);
+            if let Some(broken) = self.broken.take() {
+                return Err(format!("seed {} at {} ms: {broken}", self.setup.seed, self.now));
+            }
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Start { machine, run } => self.start(machine, run),
+            Event::Found => self.found(),
+            Event::Tick { machine, run, at } => self.tick(machine, run, at),
+            Event::Deliver { from, to } => self.deliver(from, to),
+            Event::Late { to, input } => self.input(to, input),
+            Event::Notice { to, run, input } => {
+                if self.machines[to].run == run {
+                    self.input(to, input);
+                }
+            }
+            Event::DiskDone { machine, run, batch } => self.disk_done(machine, run, batch),
+            Event::Write => self.write(),
+            Event::Read => self.read(),
+            Event::Trouble(trouble) => self.happens(trouble),
+        }
+    }
+
+    fn note(&self, text: impl FnOnce() -> String) {
+        if self.trace {
+            eprintln!("{:>6} {}", self.now, text());
+        }
+    }
+
+    fn breaks(&mut self, text: String) {
+        self.broken.get_or_insert(text);
+    }
+
+    // --- machines ---
+
+    pub fn add_machine(&mut self, may_found: bool) -> usize {
+        let index = self.machines.len();
+        self.machines.push(Machine {
+            node: format!("m{index}"),
+            address: SocketAddr::from(([10, 0, 0, index as u8], 7380)),
+            disk: self.rng.u64(1..),
+            saved: Saved::default(),
+            flight: None,
+            disk_stalled: false,
+            frozen: false,
+            backlog: VecDeque::new(),
+            run: 1,
+            process: None,
+            powered: true,
+            removed: false,
+            may_found,
+        });
+        index
+    }
+
+    fn id(&self, machine: usize) -> MemberId {
+        MemberId { node: self.machines[machine].node.clone(), disk: self.machines[machine].disk }
+    }
+
+    fn peer(&self, machine: usize) -> Peer {
+        Peer { id: self.id(machine), address: self.machines[machine].address }
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|index| self.machines[*index].process.is_some()).collect()
+    }
+
+    pub fn start_at(&mut self, machine: usize, at: Millis) {
+        self.machines[machine].run += 1;
+        let run = self.machines[machine].run;
+        self.schedule(at, Event::Start { machine, run });
+    }
+
+    fn start(&mut self, index: usize, run: u64) {
+        let now = self.now;
+        let seed = self.rng.u64(..);
+        let contacts: Vec<SocketAddr> = self.machines.iter().map(|machine| machine.address).collect();
+        let id = self.id(index);
+        let machine = &mut self.machines[index];
+        if machine.run != run || machine.removed {
+            return;
+        }
+        machine.powered = true;
+        machine.frozen = false;
+        let saved = machine.saved.clone();
+        let member =
+            Member::with_guards(id, machine.address, machine.may_found, saved, seed, now, self.setup.guards);
+        let process = Process {
+            member,
+            tick_at: Millis::MAX,
+            applied: 0,
+            submitted: HashMap::new(),
+            reads: HashMap::new(),
+        };
+        machine.process = Some(process);
+        let first_start = machine.may_found && run == 1;
+        self.note(|| format!("m{index} starts"));
+        if first_start {
+            self.input(index, Input::Tick);
+        } else {
+            self.input(index, Input::Join { contacts });
+        }
+    }
+
+    /// The process ends; the machine keeps what is on its disk. A batch under way may have reached it.
+    pub fn end_process(&mut self, index: usize, with_power: bool) {
+        let keeps_batch = self.rng.bool();
+        let machine = &mut self.machines[index];
+        machine.run += 1;
+        machine.process = None;
+        machine.backlog.clear();
+        machine.frozen = false;
+        machine.powered = with_power;
+        if let Some(flight) = machine.flight.take().filter(|_| keeps_batch) {
+            flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        }
+        for other in 0..self.machines.len() {
+            self.reset_connection(index, other, with_power);
+        }
+    }
+
+    pub fn wipe(&mut self, index: usize) {
+        let disk = self.rng.u64(1..);
+        let keep = self.setup.wiped_keep_identity;
+        let machine = &mut self.machines[index];
+        machine.saved = Saved::default();
+        machine.may_found = false;
+        if !keep {
+            machine.disk = disk;
+        }
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.machines[index].frozen = true;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        if !std::mem::take(&mut self.machines[index].frozen) {
+            return;
+        }
+        let backlog = std::mem::take(&mut self.machines[index].backlog);
+        for input in backlog {
+            self.input(index, input);
+        }
+        self.input(index, Input::Tick);
+    }
+
+    pub fn stall_disk(&mut self, index: usize) {
+        self.machines[index].disk_stalled = true;
+    }
+
+    pub fn unstall_disk(&mut self, index: usize) {
+        self.machines[index].disk_stalled = false;
+        let run = self.machines[index].run;
+        if let Some(batch) = self.machines[index].flight.as_ref().filter(|flight| flight.due).map(|f| f.batch)
+        {
+            self.disk_done(index, run, batch);
+        }
+    }
+
+    fn disk_done(&mut self, index: usize, run: u64, batch: u64) {
+        let machine = &mut self.machines[index];
+        if machine.run != run {
+            return;
+        }
+        let stalled = machine.disk_stalled;
+        let Some(flight) = machine.flight.as_mut().filter(|flight| flight.batch == batch) else { return };
+        if stalled {
+            flight.due = true;
+            return;
+        }
+        let flight = machine.flight.take().expect("just seen");
+        flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        self.input(index, Input::Persisted { batch });
+    }
+
+    // --- connections ---
+
+    fn line(&mut self, from: usize, to: usize) -> &mut Line {
+        self.lines.entry((from, to)).or_default()
+    }
+
+    /// What is on its way is lost; both ends are told if they can be.
+    pub fn reset_connection(&mut self, one: usize, other: usize, told: bool) {
+        if one == other {
+            return;
+        }
+        let cut = self.line(one, other).cut || self.line(other, one).cut;
+        self.line(one, other).queue.clear();
+        self.line(other, one).queue.clear();
+        if told && !cut {
+            self.tell_disconnected(one, other);
+            self.tell_disconnected(other, one);
+        }
+    }
+
+    fn tell_disconnected(&mut self, to: usize, peer: usize) {
+        let run = self.machines[to].run;
+        let at = self.now + self.rng.u64(1..4);
+        let input = Input::Disconnected { peer: self.id(peer) };
+        self.schedule(at, Event::Notice { to, run, input });
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.line(from, to).cut = true;
+    }
+
+    /// What was held up arrives now, or is lost with the connection.
+    pub fn heal(&mut self, from: usize, to: usize) {
+        if !std::mem::take(&mut self.line(from, to).cut) {
+            return;
+        }
+        if self.rng.bool() {
+            return self.reset_connection(from, to, true);
+        }
+        let now = self.now;
+        let held = self.line(from, to).queue.len();
+        for carried in self.line(from, to).queue.iter_mut() {
+            carried.arrival = carried.arrival.max(now);
+        }
+        for _ in 0..held {
+            self.schedule(now, Event::Deliver { from, to });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, identity: Option<MemberId>, message: Message) {
+        let sender = self.id(from);
+        let delay = self.rng.u64(1..4);
+        let now = self.now;
+        if self.doubling && self.rng.u32(0..100) == 0 {
+            let at = now + self.rng.u64(10..2_000);
+            let input = Input::Received { from: sender.clone(), message: message.clone() };
+            self.schedule(at, Event::Late { to, input });
+        }
+        let line = self.line(from, to);
+        line.last_arrival = line.last_arrival.max(now + delay);
+        let arrival = line.last_arrival;
+        line.queue.push_back(Carried { sender, to: identity, message, arrival });
+        self.schedule(arrival, Event::Deliver { from, to });
+    }
+
+    fn deliver(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let line = self.line(from, to);
+        if line.cut || line.queue.front().is_none_or(|carried| carried.arrival > now) {
+            return;
+        }
+        let carried = line.queue.pop_front().expect("just seen");
+        if self.machines[to].process.is_none() {
+            if self.machines[to].powered && !self.machines[to].removed {
+                let peer = carried.to.unwrap_or_else(|| self.id(to));
+                let run = self.machines[from].run;
+                let input = Input::Disconnected { peer };
+                self.schedule(now + 1, Event::Notice { to: from, run, input });
+            }
+            return;
+        }
+        // A connection greets with identities: another member at the address is told apart.
+        if carried.to.is_some_and(|id| id != self.id(to)) {
+            return;
+        }
+        self.note(|| format!("m{from} -> m{to} {:?}", carried.message));
+        self.input(to, Input::Received { from: carried.sender, message: carried.message });
+    }
+
+    // --- members ---
+
+    fn tick(&mut self, index: usize, run: u64, at: Millis) {
+        let machine = &mut self.machines[index];
+        if machine.run != run {
+            return;
+        }
+        let Some(process) = machine.process.as_mut() else { return };
+        if process.tick_at == at {
+            process.tick_at = Millis::MAX;
+            if !machine.frozen {
+                self.input(index, Input::Tick);
+            }
+        }
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        if self.machines[index].frozen {
+            self.machines[index].backlog.push_back(input);
+            return;
+        }
+        let now = self.now;
+        let Some(process) = self.machines[index].process.as_mut() else { return };
+        let mut out = Vec::new();
+        process.member.step(input, now, &mut out);
+        let next = process.member.next_tick();
+        let due = next.max(now + 1);
+        if due < process.tick_at {
+            process.tick_at = due;
+            let run = self.machines[index].run;
+            self.schedule(due, Event::Tick { machine: index, run, at: due });
+        }
+        for output in out {
+            self.output(index, output);
+        }
+    }
+
+    fn output(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                if let Some(machine) = self.machine_at(to.address) {
+                    self.send(index, machine, Some(to.id), message);
+                }
+            }
+            Output::SendTo { address, message } => {
+                if let Some(machine) = self.machine_at(address) {
+                    self.send(index, machine, None, message);
+                }
+            }
+            Output::Persist { batch, writes } => self.persist(index, batch, writes),
+            Output::Commit { index: at, payload, ticket } => self.committed(index, at, &payload, ticket),
+            Output::ReadReady { ticket } => self.read_ready(index, ticket),
+            Output::Dropped { ticket } => self.dropped(index, ticket),
+            Output::WantSnapshot => self.give_snapshot(index),
+            Output::Install { index: at, bytes } => self.installed(index, at, &bytes),
+            Output::ViewChanged { view, .. } => self.view_changed(index, view),
+        }
+    }
+
+    fn machine_at(&self, address: SocketAddr) -> Option<usize> {
+        self.machines.iter().position(|machine| machine.address == address && !machine.removed)
+    }
+
+    fn persist(&mut self, index: usize, batch: u64, writes: Vec<Write>) {
+        let sync = self.rng.u64(1..4);
+        if self.machines[index].flight.is_some() {
+            self.breaks(format!("m{index} has two batches out"));
+        }
+        let run = self.machines[index].run;
+        self.machines[index].flight = Some(Flight { batch, writes, due: false });
+        self.schedule(self.now + sync, Event::DiskDone { machine: index, run, batch });
+    }
+
+    fn process(&mut self, index: usize) -> &mut Process {
+        self.machines[index].process.as_mut().expect("outputs come from a process")
+    }
+
+    fn committed(&mut self, index: usize, at: u64, payload: &[u8], ticket: Option<u64>) {
+        let payload = u64::from_le_bytes(payload[..8].try_into().expect("eight bytes"));
+        let process = self.process(index);
+        let in_order = process.applied + 1 == at;
+        process.applied = at;
+        let submitted = ticket.and_then(|ticket| process.submitted.remove(&ticket));
+        if !in_order {
+            self.breaks(format!("m{index} gives out the commit {at} out of order"));
+        }
+        if ticket.is_some() && submitted != Some(payload) {
+            self.breaks(format!("m{index} takes another's payload at {at} for its own"));
+        }
+        self.acknowledged += u64::from(submitted.is_some());
+        let place = at as usize - 1;
+        if place == self.sequence.len() {
+            self.sequence.push(payload);
+            self.digests.push(digest(self.digests[place], payload));
+            self.note(|| format!("m{index} commits {at}: {payload}"));
+        } else if self.sequence.get(place) != Some(&payload) {
+            let known = self.sequence.get(place).copied();
+            self.breaks(format!("m{index} commits {payload} at {at}, where {known:?} was committed before"));
+        }
+        if self.fresh.contains(&payload) {
+            self.fresh_committed_at.get_or_insert(self.now);
+        }
+    }
+
+    fn give_snapshot(&mut self, index: usize) {
+        let applied = self.process(index).applied;
+        let bytes = self.digests[applied as usize].to_le_bytes().to_vec();
+        let at = self.now + self.rng.u64(0..5);
+        let run = self.machines[index].run;
+        let input = Input::Snapshot { index: applied, bytes };
+        self.schedule(at, Event::Notice { to: index, run, input });
+    }
+
+    fn installed(&mut self, index: usize, at: u64, bytes: &[u8]) {
+        let process = self.process(index);
+        let goes_back = at < process.applied;
+        process.applied = at;
+        let right = self.digests.get(at as usize).map(|digest| digest.to_le_bytes().to_vec());
+        if goes_back || right.as_deref() != Some(bytes) {
+            self.breaks(format!("m{index} installs a wrong snapshot at {at}"));
+        }
+    }
+
+    fn view_changed(&mut self, index: usize, view: View) {
+        self.note(|| {
+            let names = |id: &MemberId| id.node.clone();
+            let members: Vec<String> = view.members.iter().map(|member| names(&member.id)).collect();
+            let chain: Vec<String> = view.chain.iter().map(names).collect();
+            format!("m{index} view {} members {members:?} chain {chain:?}", view.number)
+        });
+        let number = view.number;
+        let known = self.views.entry(number).or_insert_with(|| view.clone()).clone();
+        if known != view {
+            self.breaks(format!("two views {number}: {known:?} and at m{index} {view:?}"));
+        }
+    }
+
+    // --- the caller's requests ---
+
+    fn found(&mut self) {
+        let members: Vec<Peer> = (0..self.setup.machines).map(|index| self.peer(index)).collect();
+        let chain = members.iter().map(|member| member.id.clone()).collect();
+        self.input(0, Input::Found { view: View { number: 1, members, chain } });
+    }
+
+    fn write(&mut self) {
+        let next = self.now + 1 + self.rng.u64(0..2 * self.setup.write_every);
+        self.schedule(next, Event::Write);
+        let running = self.running();
+        if !running.is_empty() {
+            let index = running[self.rng.usize(..running.len())];
+            self.submit(index);
+        }
+    }
+
+    pub fn submit(&mut self, index: usize) {
+        let payload = self.next_payload;
+        let ticket = self.next_ticket;
+        self.next_payload += 1;
+        self.next_ticket += 1;
+        if self.now >= self.fresh_since {
+            self.fresh.insert(payload);
+        }
+        self.process(index).submitted.insert(ticket, payload);
+        self.input(index, Input::Submit { ticket, payload: payload.to_le_bytes().to_vec() });
+    }
+
+    fn read(&mut self) {
+        let next = self.now + 1 + self.rng.u64(0..2 * self.setup.read_every);
+        self.schedule(next, Event::Read);
+        let running = self.running();
+        if running.is_empty() {
+            return;
+        }
+        let index = running[self.rng.usize(..running.len())];
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let must_see = self.sequence.len() as u64;
+        self.process(index).reads.insert(ticket, must_see);
+        self.input(index, Input::Read { ticket });
+    }
+
+    fn read_ready(&mut self, index: usize, ticket: u64) {
+        let process = self.process(index);
+        let applied = process.applied;
+        let Some(must_see) = process.reads.remove(&ticket) else {
+            return self.breaks(format!("m{index} answers a read {ticket} that nobody waits for"));
+        };
+        self.reads_done += 1;
+        if applied < must_see {
+            self.breaks(format!("m{index} reads at {applied}, but {must_see} was committed before the read"));
+        }
+    }
+
+    fn dropped(&mut self, index: usize, ticket: u64) {
+        let process = self.process(index);
+        let known = process.submitted.remove(&ticket).is_some() | process.reads.remove(&ticket).is_some();
+        if !known {
+            self.breaks(format!("m{index} drops {ticket}, which it doesn't hold"));
+        }
+    }
+
+    // --- checks ---
+
+    /// Payloads from now on are watched for their commit.
+    pub fn watch_fresh(&mut self) {
+        self.fresh.clear();
+        self.fresh_since = self.now;
+        self.fresh_committed_at = None;
+    }
+
+    pub fn committed_count(&self) -> usize {
+        self.sequence.len()
+    }
+
+    pub fn newest_view(&self) -> Option<&View> {
+        self.views.values().next_back()
+    }
+
+    pub fn member(&self, index: usize) -> Option<&Member> {
+        self.machines[index].process.as_ref().map(|process| &process.member)
+    }
+
+    /// All running machines are in the chain of one view, know it, and have given out all commits but the newest.
+    pub fn check_whole(&self, most_behind: u64) -> Verdict {
+        let newest = self.newest_view().ok_or("no view")?;
+        for index in self.running() {
+            let member = self.member(index).ok_or("not running")?;
+            let view = member.view().ok_or_else(|| format!("m{index} knows no view"))?;
+            let applied = self.machines[index].process.as_ref().map_or(0, |process| process.applied);
+            if view != newest {
+                return Err(self.told(format!("m{index} is in view {}, not {}", view.number, newest.number)));
+            }
+            if !view.chain.contains(&self.id(index)) {
+                return Err(self.told(format!("m{index} is not in the chain of view {}", view.number)));
+            }
+            if !member.current(self.now) {
+                return Err(self.told(format!("m{index} is not current")));
+            }
+            if applied + most_behind < self.sequence.len() as u64 {
+                return Err(self.told(format!("m{index} has {applied} of {} commits", self.sequence.len())));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn told(&self, text: String) -> String {
+        format!("seed {} at {} ms: {text}", self.setup.seed, self.now)
+    }
+}
