--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -85,6 +85,8 @@
     Leaving { since_ms: u64 },
     /// It takes no more.
     Closing,
+    /// It has none left.
+    Closed,
 }
 
 /// The data plane of a gateway process.
@@ -127,7 +129,7 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut sweep = interval(SWEEP);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while self.phase.get() != Phase::Closing {
+        while !self.is_closing() {
             let has_place = self.make_room();
             tokio::select! {
                 biased;
@@ -151,6 +153,8 @@
                 () = self.changed.notified() => {}
             }
         }
+        self.phase.set(Phase::Closed);
+        self.changed.notify_waiters();
     }
 
     /// The process is to end: connections end with their next answer, and after the time for the entry to notice
@@ -162,12 +166,12 @@
         }
     }
 
-    /// Completes once the front has drained: it takes no more clients and has none left.
+    /// Completes once the front has drained: it takes no more clients, has none left, and `serve` has ended.
     pub async fn drained(&self) {
         loop {
             let mut changed = pin!(self.changed.notified());
             changed.as_mut().enable();
-            if self.phase.get() == Phase::Closing && self.clients.borrow().is_empty() {
+            if self.phase.get() == Phase::Closed {
                 return;
             }
             changed.await;
@@ -192,6 +196,10 @@
         self.phase.get() != Phase::Serving
     }
 
+    fn is_closing(&self) -> bool {
+        matches!(self.phase.get(), Phase::Closing | Phase::Closed)
+    }
+
     pub(crate) fn draw(&self) -> u64 {
         fastrand::u64(..)
     }
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -207,9 +207,9 @@
         let gateway = Gateway::start(&[&servers[0], &servers[1], &servers[2]]).await;
         let mut client = gateway.ask(&get("/read2/", "r1")).await;
         let (mut connection, _) = servers[0].take().await;
-        connection.answer(500, "r1", "", "").await;
+        connection.answer(500, "r1", "Connection: close\r\n", "").await;
         let (mut connection, _) = servers[1].take().await;
-        connection.answer(200, "r1", "", "ok").await;
+        connection.answer(200, "r1", "Connection: close\r\n", "ok").await;
         assert_eq!(client.message().await.text(), "ok");
 
         let mut client = gateway.ask(&get("/read2/", "r2")).await;
