--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -1,6 +1,6 @@
 //! The list of servers and the requests in flight.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use crate::admission::{refusal, stream_patience_ms, Outlook};
@@ -51,7 +51,7 @@
 pub struct Chooser {
     zone: Rc<str>,
     random: fastrand::Rng,
-    pools: HashMap<Rc<str>, Pool>,
+    pools: BTreeMap<Rc<str>, Pool>,
     flights: IdMap<Flight>,
     last_key: TicketKey,
     last_member: u64,
@@ -63,7 +63,7 @@
         Self {
             zone,
             random: fastrand::Rng::with_seed(seed),
-            pools: HashMap::new(),
+            pools: BTreeMap::new(),
             flights: IdMap::default(),
             last_key: 0,
             last_member: 0,
@@ -72,7 +72,7 @@
 
     /// Takes the whole list of servers. What is known of those that stay is kept.
     pub fn set_servers(&mut self, servers: Vec<Server>, now: Millis) {
-        let mut by_backend: HashMap<Rc<str>, Vec<Server>> = HashMap::new();
+        let mut by_backend: BTreeMap<Rc<str>, Vec<Server>> = BTreeMap::new();
         for server in servers {
             by_backend.entry(server.backend.clone()).or_default().push(server);
         }
@@ -132,8 +132,11 @@
             return;
         };
         release(member, &flight, result);
-        if let Some(sign) = sign_of(result) {
-            member.health.note(sign, now);
+        match (result, flight.engine) {
+            // A full engine is left by the estimate alone: to avoid it would scatter the programs that it holds,
+            // and reading their prompts anew elsewhere takes more than is gained.
+            (Outcome::Shed, Some(_)) => {}
+            (result, _) => note_outcome(member, result, now),
         }
     }
 
@@ -189,7 +192,7 @@
         let under_way = is_under_way(pool, ask.prefix);
         let traffic_share = pool.traffic_share.get();
         let member = &mut pool.members[choice.index];
-        let batch = member.load.in_flight(now);
+        let batch = member.load.usual_in_flight(now);
         let new_part = ask.prefix.last().map(|part| part.id).filter(|id| !member.cache.holds(*id));
         let engine = EngineFlight {
             fresh_tokens: choice.fresh_tokens,
@@ -272,6 +275,12 @@
     priority
 }
 
+fn note_outcome(member: &mut Member, result: Outcome, now: Millis) {
+    if let Some(sign) = sign_of(result) {
+        member.health.note(sign, now);
+    }
+}
+
 fn sign_of(result: Outcome) -> Option<Sign> {
     match result {
         Outcome::Served { .. } => Some(Sign::Success),
@@ -334,7 +343,7 @@
     if member.is_cold(now) {
         return;
     }
-    let batch = (engine.batch + member.load.in_flight(now)) / 2.0;
+    let batch = (engine.batch + member.load.usual_in_flight(now)) / 2.0;
     let batch = batch.min(f64::from(member.slots()));
     let relative = member.slowness(now) / mean_slowness;
     let expected_ms = pool.pace.pause_ms(batch);
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -11,14 +11,14 @@
 use crate::sharing::Subject;
 use crate::types::{Ask, Millis};
 
-/// Engines that a subject falls to, at least: one alone would be a bottleneck.
-const FEWEST_FOR_SUBJECT: usize = 2;
+/// Engines that a zone must have for homes to stay within it.
+const FEWEST_IN_ZONE: usize = 2;
 /// A subject falls to this many times its share of the engines.
-const SUBJECT_SPREAD: f64 = 2.0;
+const SUBJECT_SPREAD: f64 = 1.0;
 /// Share of a prompt that its home is presumed to hold from other gateways' sends.
-const PRESUMED_SHARE: f64 = 0.9;
+const PRESUMED_SHARE: f64 = 0.95;
 /// What the home counts for beyond that.
-const HOME_MS: f64 = 4.0;
+const HOME_MS: f64 = 8.0;
 /// What another zone counts for: the way, and bytes that are priced.
 const OTHER_ZONE_MS: f64 = 8.0;
 /// Orders engines that are as good as equal, each gateway alike.
@@ -110,7 +110,7 @@
 fn eligible(pool: &Pool, candidates: &[usize]) -> Vec<usize> {
     let local: Vec<usize> =
         candidates.iter().copied().filter(|index| pool.members[*index].is_local).collect();
-    if local.len() >= FEWEST_FOR_SUBJECT && 2 * local.len() * pool.zones() >= candidates.len() {
+    if local.len() >= FEWEST_IN_ZONE && 2 * local.len() * pool.zones() >= candidates.len() {
         return local;
     }
     candidates.to_vec()
@@ -158,11 +158,11 @@
 }
 
 fn engine_state(pool: &Pool, member: &Member, now: Millis) -> EngineState {
-    let others_memory = member.load.others_in_flight(now) * pool.pace.footprint();
+    let others_memory = member.load.others_usual_in_flight(now) * pool.pace.footprint();
     EngineState {
-        in_flight: member.load.in_flight(now),
+        in_flight: member.load.usual_in_flight(now),
         places: member.places(now),
-        waiting_tokens: member.load.waiting_tokens(now),
+        waiting_tokens: member.load.usual_waiting_tokens(now),
         memory_tokens: member.load.own_memory_tokens() as f64 + others_memory,
         memory_capacity: memory_capacity(member) as f64,
         slowness: member.slowness(now),
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -26,9 +26,9 @@
 /// How fast these means follow.
 const MEAN_GAIN: f64 = 0.05;
 /// Share of the time read for a request that each request beside it loses.
-const STALL_WEIGHT: f64 = 1.0;
+const STALL_WEIGHT: f64 = 1.5;
 /// What reading tokens anew counts beyond its time: work done twice is priced.
-const REREAD_WEIGHT: f64 = 2.0;
+const REREAD_WEIGHT: f64 = 4.0;
 /// Waiting for a place or for memory counts this many times in the choice: such a server may turn the request
 /// away or preempt another.
 const WAIT_WEIGHT: f64 = 1.0;
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -1,4 +1,8 @@
 //! What is in flight on one server, from this gateway and from others.
+//!
+//! Another gateway's last report says what it had in flight at one moment. Whether places are taken is judged by
+//! it; what a request would take is judged by what the gateway usually has there, as its requests of that moment
+//! are over when the next report comes.
 
 use crate::types::Millis;
 
@@ -6,22 +10,13 @@
 const REPORT_FRESH_MS: u64 = 600;
 /// From here on a report no longer counts: its gateway may be gone.
 const REPORT_GONE_MS: u64 = 3_000;
-/// How far a new report moves what a gateway is taken to have in flight: a report is one moment's chance, while
-/// it counts until the next.
+/// How far a new report moves what a gateway usually has in flight.
 const REPORT_GAIN: f64 = 0.4;
 /// Less than this in flight is none.
 const NEGLIGIBLE: f64 = 0.01;
 /// Gateways whose reports are kept for one server. Bounds memory.
 const MOST_REPORTERS: usize = 64;
 
-#[derive(Debug, Clone, Copy)]
-struct Reported {
-    from: u64,
-    in_flight: f64,
-    waiting_tokens: f64,
-    at: Millis,
-}
-
 /// Requests and tokens on one server.
 #[derive(Debug, Default)]
 pub(crate) struct Load {
@@ -31,6 +26,16 @@
     others: Vec<Reported>,
 }
 
+/// What another gateway has there.
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    from: u64,
+    at: Millis,
+    in_flight: u32,
+    usual_in_flight: f64,
+    usual_waiting_tokens: f64,
+}
+
 impl Load {
     /// A request was sent.
     pub(crate) fn sent(&mut self, fresh_tokens: u64, memory_tokens: u64) {
@@ -65,31 +70,40 @@
         self.memory_tokens
     }
 
-    /// Requests of the other gateways, as far as their reports still hold.
-    pub(crate) fn others_in_flight(&self, now: Millis) -> f64 {
-        self.others.iter().map(|report| report.weight(now) * report.in_flight).sum()
+    /// Requests of all gateways, by the last reports.
+    pub(crate) fn in_flight(&self, now: Millis) -> f64 {
+        f64::from(self.in_flight) + self.sum_of_others(now, |report| f64::from(report.in_flight))
     }
 
-    /// Requests of all gateways.
-    pub(crate) fn in_flight(&self, now: Millis) -> f64 {
-        f64::from(self.in_flight) + self.others_in_flight(now)
+    /// Requests that the other gateways usually have there.
+    pub(crate) fn others_usual_in_flight(&self, now: Millis) -> f64 {
+        self.sum_of_others(now, |report| report.usual_in_flight)
     }
 
-    /// Tokens to be read for all gateways.
-    pub(crate) fn waiting_tokens(&self, now: Millis) -> f64 {
-        let others: f64 = self.others.iter().map(|report| report.weight(now) * report.waiting_tokens).sum();
-        self.waiting_tokens as f64 + others
+    /// This gateway's requests and what the others usually have there.
+    pub(crate) fn usual_in_flight(&self, now: Millis) -> f64 {
+        f64::from(self.in_flight) + self.others_usual_in_flight(now)
     }
 
-    /// Takes a gateway's report; what it reported before still counts for a part.
+    /// Tokens to be read for this gateway, and what the others usually have to be read.
+    pub(crate) fn usual_waiting_tokens(&self, now: Millis) -> f64 {
+        self.waiting_tokens as f64 + self.sum_of_others(now, |report| report.usual_waiting_tokens)
+    }
+
+    /// Takes a gateway's report in place of its last one.
     pub(crate) fn report(&mut self, from: u64, in_flight: u32, waiting_tokens: u64, now: Millis) {
-        let (in_flight, waiting_tokens) = (f64::from(in_flight), waiting_tokens as f64);
         if let Some(known) = self.others.iter_mut().find(|report| report.from == from) {
-            known.blend(in_flight, waiting_tokens, now);
-        } else if in_flight > 0.0 || waiting_tokens > 0.0 {
-            self.add(Reported { from, in_flight, waiting_tokens, at: now });
+            known.renew(in_flight, waiting_tokens, now);
+        } else if in_flight > 0 || waiting_tokens > 0 {
+            self.add(Reported {
+                from,
+                at: now,
+                in_flight,
+                usual_in_flight: f64::from(in_flight),
+                usual_waiting_tokens: waiting_tokens as f64,
+            });
         }
-        self.others.retain(|report| report.in_flight > NEGLIGIBLE && report.weight(now) > 0.0);
+        self.others.retain(|report| report.usual_in_flight > NEGLIGIBLE && report.weight(now) > 0.0);
     }
 
     fn add(&mut self, report: Reported) {
@@ -97,13 +111,18 @@
             self.others.push(report);
         }
     }
+
+    fn sum_of_others(&self, now: Millis, figure: impl Fn(&Reported) -> f64) -> f64 {
+        self.others.iter().map(|report| report.weight(now) * figure(report)).sum()
+    }
 }
 
 impl Reported {
-    fn blend(&mut self, in_flight: f64, waiting_tokens: f64, now: Millis) {
-        self.in_flight += REPORT_GAIN * (in_flight - self.in_flight);
-        self.waiting_tokens += REPORT_GAIN * (waiting_tokens - self.waiting_tokens);
+    fn renew(&mut self, in_flight: u32, waiting_tokens: u64, now: Millis) {
         self.at = now;
+        self.in_flight = in_flight;
+        self.usual_in_flight += REPORT_GAIN * (f64::from(in_flight) - self.usual_in_flight);
+        self.usual_waiting_tokens += REPORT_GAIN * (waiting_tokens as f64 - self.usual_waiting_tokens);
     }
 
     fn weight(&self, now: Millis) -> f64 {
@@ -115,3 +134,6 @@
         left as f64 / (REPORT_GONE_MS - REPORT_FRESH_MS) as f64
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -11,7 +11,7 @@
 /// How many times slower a server is while it is cold.
 const COLD_SLOWNESS: f64 = 2.0;
 /// How fast the observed slowness follows.
-const SLOWNESS_GAIN: f64 = 0.1;
+const SLOWNESS_GAIN: f64 = 0.05;
 /// An observed slowness is taken as at most this, and at least its inverse.
 const MOST_SLOWNESS: f64 = 4.0;
 /// An observed slowness is forgotten over this time without a request: the server may be well again, and
--- a/crates/routing/src/plain.rs
+++ b/crates/routing/src/plain.rs
@@ -26,7 +26,7 @@
 
 /// What a request would take there, 1 for an idle server like the mean in the own zone.
 fn score(member: &Member, now: Millis) -> f64 {
-    let occupancy = (member.load.in_flight(now) + 1.0) / member.places(now);
+    let occupancy = (member.load.usual_in_flight(now) + 1.0) / member.places(now);
     let beyond = (occupancy - 1.0).max(0.0);
     let zone = if member.is_local { 1.0 } else { OTHER_ZONE_FACTOR };
     zone * member.slowness(now) * (1.0 + occupancy + QUEUE_WEIGHT * beyond)
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -99,7 +99,7 @@
     /// Notes how much of the traffic is this gateway's own.
     pub(crate) fn observe_traffic_share(&mut self, now: Millis) {
         let own: u32 = self.members.iter().map(|member| member.load.own_in_flight()).sum();
-        let others: f64 = self.members.iter().map(|member| member.load.others_in_flight(now)).sum();
+        let others: f64 = self.members.iter().map(|member| member.load.others_usual_in_flight(now)).sum();
         let own = f64::from(own) + 1.0;
         self.traffic_share.observe(own / (own + others));
     }
