--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,143 @@
+//! Ends that are asked for: SIGTERM, retirement, settings that can't be used.
+
+mod support;
+
+use dunespur_emulator::program::Line;
+use dunespur_emulator::scene::{usual_program, ScenePlan};
+use dunespur_emulator::system::{MachinePlan, Role, TemporaryFolder};
+use serde_json::Value;
+use std::process::Command;
+use std::time::Duration;
+use support::{
+    expect_no_violation, go_on, line_of, places, program, programs_for, stage, CATCH_UP, ORDER_LIMIT,
+    RECOVERY,
+};
+use tokio::time::Instant;
+
+/// The platform kills a process this long after SIGTERM.
+const GRACE: Duration = Duration::from_secs(8);
+
+#[tokio::test]
+async fn a_gateway_that_is_asked_to_leave_ends_its_streams_whole() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let leaving = places(&scene, Role::Gateway)[0];
+    for engine in &scene.engines {
+        engine.server.gate.hold();
+    }
+    let mut line = Line::new(&scene.client, &usual_program());
+    let ask = line.ask(&scene.client, &"hello".into());
+    let (client, front) = (scene.client.clone(), scene.system.front(leaving));
+    let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
+    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
+    tokio::select! {
+        () = first.gate.waiting(1) => {}
+        () = second.gate.waiting(1) => {}
+    }
+    for engine in &scene.engines {
+        engine.server.gate.let_go(5);
+    }
+    scene.record.until(|sightings| sightings.iter().any(|sighting| sighting.events.len() == 1)).await;
+    scene.system.machine(leaving).terminate().unwrap();
+    while scene.system.readiness(leaving).await == Some(200) {}
+    for engine in &scene.engines {
+        engine.server.gate.open();
+    }
+    let served = turn.await.unwrap();
+    assert!(served.succeeded(), "{served:?}");
+    let status = scene.system.machine(leaving).wait(GRACE).await.unwrap();
+    assert!(status.success(), "{status}");
+    line.set_previous(Some(served.request));
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn gateways_leave_and_return_in_turn_under_load() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version_line = line_of(&scene, 1).await;
+    for index in scene.system.places(|plan| plan.role != Role::Store) {
+        let front = scene.system.front(index);
+        let others: Vec<_> = scene.system.fronts().into_iter().filter(|other| *other != front).collect();
+        scene.system.machine(index).terminate().unwrap();
+        scene.client.set_fronts(others);
+        go_on(&scene, &mut version_line, &format!("while {index} leaves")).await;
+        let status = scene.system.machine(index).wait(GRACE).await.unwrap();
+        assert!(status.success(), "{status}");
+        scene.system.restart(index).unwrap();
+        scene.client.set_fronts(scene.system.fronts());
+        scene.settle().await.unwrap();
+        programs_for(&scene, CATCH_UP).await;
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_store_is_emptied_and_taken_away() {
+    let mut plan = ScenePlan::default();
+    plan.machines.push(MachinePlan::new(Role::Store, "zone-a"));
+    let mut scene = stage(plan).await;
+    let mut lines = Vec::new();
+    for _ in 0..8 {
+        lines.push(line_of(&scene, 2).await);
+    }
+    let retired = places(&scene, Role::Store)[0];
+    let name = scene.system.machines()[retired].name().to_owned();
+    let answer = scene.operator.retire(&name, 10, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    let until = Instant::now() + RECOVERY;
+    loop {
+        let answer = scene.operator.retirement(&name, ORDER_LIMIT).await.unwrap();
+        let state: Value = serde_json::from_slice(&answer.body).unwrap();
+        if state["state"] == "done" {
+            break;
+        }
+        assert_eq!(state["state"], "running");
+        assert!(Instant::now() < until, "the store is not emptied");
+        programs_for(&scene, Duration::from_millis(50)).await;
+    }
+    scene.system.machine(retired).kill();
+    for line in &mut lines {
+        go_on(&scene, line, "after the store is gone").await;
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_retirement_of_an_unknown_store_is_404_and_of_one_too_many_409() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let answer = scene.operator.retire("nobody", 10, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 404);
+    let mut taken = 0;
+    for store in places(&scene, Role::Store) {
+        let name = scene.system.machines()[store].name().to_owned();
+        let answer = scene.operator.retire(&name, 10, ORDER_LIMIT).await.unwrap();
+        assert!([200, 409].contains(&answer.status), "{}", answer.status);
+        taken += u32::from(answer.status == 200);
+    }
+    assert_eq!(taken, 1, "two copies need two stores");
+    programs_for(&scene, Duration::from_millis(200)).await;
+    expect_no_violation(&scene);
+}
+
+#[test]
+fn settings_that_cannot_be_used_are_told_in_one_line() {
+    let folder = TemporaryFolder::new("dunespur-settings").unwrap();
+    let path = folder.path().join("node.json");
+    for text in ["", "{", "{}", "[]", r#"{"node":"","ip":"127.0.0.1","zone":"z","port_range":[9,8]}"#] {
+        std::fs::write(&path, text).unwrap();
+        for role in ["gateway", "store"] {
+            let output = Command::new(program()).arg(role).env("DUNESPUR_CONFIG", &path).output().unwrap();
+            expect_one_line(&output, text);
+        }
+    }
+    let missing = folder.path().join("missing.json");
+    let output = Command::new(program()).arg("gateway").env("DUNESPUR_CONFIG", missing).output().unwrap();
+    expect_one_line(&output, "no file");
+    let output = Command::new(program()).arg("gateway").env_remove("DUNESPUR_CONFIG").output().unwrap();
+    expect_one_line(&output, "no variable");
+}
+
+fn expect_one_line(output: &std::process::Output, what: &str) {
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{what:?}: {told}");
+    assert_eq!(told.trim_end().lines().count(), 1, "{what:?}: {told}");
+}
--- /dev/null
+++ b/crates/node/tests/losses.rs
@@ -0,0 +1,187 @@
+//! Losses: kills, power-cycles and wiped disks take nothing that was acknowledged.
+
+mod support;
+
+use dunespur_emulator::client::{Ask, Kind};
+use dunespur_emulator::configuration::{patch, RoutePlan};
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST, TOOLS};
+use dunespur_emulator::system::{MachinePlan, Role};
+use serde_json::Value;
+use support::{
+    expect_no_violation, go_on_within, line_of, places, programs_for, stage, CATCH_UP, ORDER_LIMIT, RECOVERY,
+};
+use tokio::time::Instant;
+
+/// Adds one route on top of `base`.
+async fn add_route(scene: &mut Scene, base: u64) -> u64 {
+    let generation = base + 3;
+    let name = format!("route-{generation}");
+    let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
+    let mut plan = scene.configurations.last().cloned().unwrap();
+    plan.generation = generation;
+    plan.routes.push(route.clone());
+    scene.configurations.push(plan);
+    let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    generation
+}
+
+/// The newest version as any gateway reads it back.
+async fn generation(scene: &mut Scene) -> u64 {
+    let answer = scene.operator.get(RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200);
+    let configuration: Value = serde_json::from_slice(&answer.body).unwrap();
+    configuration["generation"].as_u64().unwrap()
+}
+
+/// Every running gateway serves this route.
+async fn serves_route(scene: &Scene, generation: u64) {
+    let ask = Ask::get(HOST, &format!("/route-{generation}/x"));
+    for index in scene.system.places(|plan| plan.role != Role::Store) {
+        if scene.system.machines()[index].is_running() {
+            scene.answers(scene.system.front(index), &ask).await.unwrap();
+        }
+    }
+}
+
+#[tokio::test]
+async fn orders_and_programs_go_on_without_any_one_core_member() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = 1;
+    for member in places(&scene, Role::Core) {
+        scene.system.machine(member).kill();
+        version = add_route(&mut scene, version).await;
+        serves_route(&scene, version).await;
+        scene.system.restart(member).unwrap();
+        scene.settle().await.unwrap();
+        serves_route(&scene, version).await;
+        programs_for(&scene, CATCH_UP).await;
+    }
+    assert_eq!(generation(&mut scene).await, version);
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_is_there_after_all_processes_were_killed() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = 1;
+    let mut line = line_of(&scene, 2).await;
+    for round in 0..3 {
+        version = add_route(&mut scene, version).await;
+        support::go_on(&scene, &mut line, &format!("before {round}")).await;
+        scene.system.kill_all();
+        for index in 0..scene.system.machines().len() {
+            scene.system.restart(index).unwrap();
+        }
+        assert_eq!(generation(&mut scene).await, version);
+        go_on_within(&scene, &mut line, &format!("after {round}"), RECOVERY).await;
+        scene.settle().await.unwrap();
+        serves_route(&scene, version).await;
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_wiped_core_member_comes_back_and_the_next_one_may_go() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = 1;
+    for member in places(&scene, Role::Core) {
+        version = add_route(&mut scene, version).await;
+        scene.system.wipe(member).unwrap();
+        programs_for(&scene, CATCH_UP).await;
+    }
+    assert_eq!(generation(&mut scene).await, version);
+    version = add_route(&mut scene, version).await;
+    scene.settle().await.unwrap();
+    serves_route(&scene, version).await;
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_core_member_is_replaced_by_an_empty_machine_at_another_address() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = add_route(&mut scene, 1).await;
+    let members = places(&scene, Role::Core);
+    for member in &members[..2] {
+        let zone = scene.system.machines()[*member].plan().zone.clone();
+        scene.system.machine(*member).kill();
+        scene.system.join(MachinePlan::new(Role::Core, &zone)).unwrap();
+        let (fronts, controls) = running(&scene);
+        scene.client.set_fronts(fronts);
+        scene.operator.set_controls(controls);
+        programs_for(&scene, CATCH_UP).await;
+        version = add_route(&mut scene, version).await;
+    }
+    scene.settle().await.unwrap();
+    serves_route(&scene, version).await;
+    scene.system.machine(members[2]).kill();
+    version = add_route(&mut scene, version).await;
+    assert_eq!(generation(&mut scene).await, version);
+    expect_no_violation(&scene);
+}
+
+/// Addresses of gateways that run: `front` and `control`.
+fn running(scene: &Scene) -> (Vec<std::net::SocketAddr>, Vec<std::net::SocketAddr>) {
+    let running: Vec<usize> = scene
+        .system
+        .places(|plan| plan.role != Role::Store)
+        .into_iter()
+        .filter(|index| scene.system.machines()[*index].is_running())
+        .collect();
+    let fronts = running.iter().map(|index| scene.system.front(*index)).collect();
+    let controls = running.iter().map(|index| scene.system.control(*index)).collect();
+    (fronts, controls)
+}
+
+#[tokio::test]
+async fn a_wiped_store_is_made_whole_and_the_next_one_may_go() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut lines = Vec::new();
+    for _ in 0..8 {
+        lines.push(line_of(&scene, 3).await);
+    }
+    for store in places(&scene, Role::Store) {
+        scene.system.wipe(store).unwrap();
+        programs_for(&scene, CATCH_UP).await;
+        for line in &mut lines {
+            support::go_on(&scene, line, &format!("after store {store}")).await;
+        }
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn turns_go_on_without_any_one_store() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut line = line_of(&scene, 2).await;
+    for store in places(&scene, Role::Store) {
+        scene.system.machine(store).kill();
+        go_on_within(&scene, &mut line, &format!("without {store}"), ORDER_LIMIT).await;
+        let mut new = line_of(&scene, 1).await;
+        scene.system.restart(store).unwrap();
+        programs_for(&scene, CATCH_UP).await;
+        go_on_within(&scene, &mut new, "with all", ORDER_LIMIT).await;
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_frozen_core_member_holds_nothing_up_for_long() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = 1;
+    for member in places(&scene, Role::Core) {
+        scene.system.machine(member).freeze().unwrap();
+        let front = scene.system.front(member);
+        let others: Vec<_> = scene.system.fronts().into_iter().filter(|other| *other != front).collect();
+        scene.client.set_fronts(others);
+        let frozen = Instant::now();
+        version = add_route(&mut scene, version).await;
+        assert!(frozen.elapsed() < RECOVERY);
+        scene.system.machine(member).thaw().unwrap();
+        scene.client.set_fronts(scene.system.fronts());
+        scene.settle().await.unwrap();
+        serves_route(&scene, version).await;
+        programs_for(&scene, CATCH_UP).await;
+    }
+    expect_no_violation(&scene);
+}
--- /dev/null
+++ b/crates/node/tests/orders.rs
@@ -0,0 +1,173 @@
+//! The operator's orders: taken, refused with reasons, taken again, in force at all gateways.
+
+mod support;
+
+use dunespur_emulator::client::{Ask, Kind};
+use dunespur_emulator::configuration::{patch, ConfigurationPlan, RoutePlan, Share};
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST, LOOKUP, MODELS, TOOLS};
+use dunespur_emulator::system::Role;
+use serde_json::{json, Value};
+use std::time::Duration;
+use support::{expect_no_violation, stage, Stage, ORDER_LIMIT};
+use tokio::time::Instant;
+
+/// An acknowledged version is in force everywhere within this time.
+const APPLY: Duration = Duration::from_millis(2_000);
+
+fn added() -> RoutePlan {
+    RoutePlan::new("added", HOST, "/added/", Kind::ReadOnly, TOOLS)
+}
+
+/// What the judge needs to know of a patched configuration.
+fn with_routes(scene: &Scene, generation: u64, routes: &[RoutePlan]) -> ConfigurationPlan {
+    let mut plan = scene.plan.configuration.clone();
+    plan.generation = generation;
+    plan.routes.extend_from_slice(routes);
+    plan
+}
+
+async fn take(scene: &mut Stage, base: u64, body: &Value) {
+    let answer = scene.operator.patch(base, body, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+}
+
+/// Every gateway answers with this status before the time for it is over.
+async fn everywhere(scene: &Scene, ask: &Ask, status: u16) {
+    let until = Instant::now() + APPLY;
+    for index in scene.system.places(|plan| plan.role != Role::Store) {
+        loop {
+            let served = scene.client.send_to(scene.system.front(index), ask).await;
+            if served.status() == Some(status) {
+                break;
+            }
+            assert!(Instant::now() < until, "gateway {index}: {served:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_patch_is_in_force_at_all_gateways_in_time() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let ask = Ask::get(HOST, "/added/x");
+    everywhere(&scene, &ask, 404).await;
+    let plan = with_routes(&scene, 4, &[added()]);
+    scene.configurations.push(plan);
+    take(&mut scene, 1, &patch(4, &[added()], &[])).await;
+    everywhere(&scene, &ask, 200).await;
+    take(&mut scene, 4, &patch(9, &[], &["added"])).await;
+    everywhere(&scene, &ask, 404).await;
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_route_moves_to_another_service() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut moved = RoutePlan::new("lookup", HOST, LOOKUP, Kind::ReadOnly, MODELS);
+    moved.retries = 2;
+    let plan = with_routes(&scene, 2, std::slice::from_ref(&moved));
+    scene.configurations.push(plan);
+    take(&mut scene, 1, &patch(2, &[moved.clone()], &[])).await;
+    everywhere(&scene, &Ask::get(HOST, &format!("{LOOKUP}x")), 200).await;
+    let until = Instant::now() + APPLY;
+    loop {
+        let served = scene.client.send(&Ask::get(HOST, &format!("{LOOKUP}x"))).await;
+        let runs = scene.record.sightings_of(served.request);
+        if served.succeeded() && runs.iter().all(|run| run.backend == MODELS) && Instant::now() > until {
+            break;
+        }
+        assert!(served.succeeded(), "{served:?}");
+        assert!(Instant::now() < until + APPLY, "the old service still runs the route's requests");
+    }
+    moved.backends =
+        vec![Share { backend: TOOLS.to_owned(), weight: 0 }, Share { backend: MODELS.to_owned(), weight: 3 }];
+    take(&mut scene, 2, &patch(3, &[moved], &[])).await;
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn the_same_order_again_is_acknowledged_again_by_any_gateway() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let body = patch(5, &[added()], &[]);
+    for _ in 0..2 * scene.system.controls().len() {
+        take(&mut scene, 1, &body).await;
+    }
+    let first = scene.plan.configuration.json();
+    let answer = scene.operator.replace(0, &first, ORDER_LIMIT).await.unwrap();
+    assert!([200, 412].contains(&answer.status), "{}", answer.status);
+}
+
+#[tokio::test]
+async fn an_order_on_another_version_is_412_and_changes_nothing() {
+    let mut scene = stage(ScenePlan::default()).await;
+    take(&mut scene, 1, &patch(5, &[added()], &[])).await;
+    for base in [0, 1, 4, 6] {
+        let other = RoutePlan::new("other", HOST, "/other/", Kind::ReadOnly, TOOLS);
+        let answer = scene.operator.patch(base, &patch(7, &[other], &[]), ORDER_LIMIT).await.unwrap();
+        assert_eq!(answer.status, 412, "base {base}");
+    }
+    assert_eq!(current(&mut scene).await["generation"], json!(5));
+    everywhere(&scene, &Ask::get(HOST, "/other/x"), 404).await;
+}
+
+#[tokio::test]
+async fn an_invalid_order_is_refused_with_every_finding_and_its_place() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut unknown_service = added();
+    unknown_service.backends[0].backend = "nobody".to_owned();
+    let mut no_time = RoutePlan::new("no-time", HOST, "/no-time/", Kind::ReadOnly, TOOLS);
+    no_time.timeout_ms = 0;
+    let body = patch(5, &[unknown_service, no_time], &[]);
+    let answer = scene.operator.patch(1, &body, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 400);
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    for wanted in ["nobody", "timeout_ms"] {
+        assert!(text.contains(wanted), "{wanted} is not told: {text}");
+    }
+    let cut =
+        scene.operator.send_raw("/api/config/patch", 1, "{\"generation\":5,", ORDER_LIMIT).await.unwrap();
+    assert_eq!(cut.status, 400);
+    let not_above = patch(1, &[added()], &[]);
+    let answer = scene.operator.patch(1, &not_above, ORDER_LIMIT).await.unwrap();
+    assert!([400, 412].contains(&answer.status), "{}", answer.status);
+    assert_eq!(current(&mut scene).await, scene.plan.configuration.json());
+}
+
+#[tokio::test]
+async fn what_is_read_back_is_what_was_sent_with_fields_that_nobody_knows() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut whole = scene.plan.configuration.json();
+    whole["generation"] = json!(3);
+    whole["notes"] = json!({ "by": "operator", "numbers": [1, 2.5, 1e30] });
+    whole["routes"][0]["colour"] = json!("blue");
+    let answer = scene.operator.replace(1, &whole, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 200);
+    for _ in scene.system.controls() {
+        assert_eq!(current(&mut scene).await, whole);
+    }
+}
+
+#[tokio::test]
+async fn of_two_orders_on_the_same_version_one_wins() {
+    let mut scene = stage(ScenePlan::default()).await;
+    for round in 0..5 {
+        let base = 1 + round * 10;
+        let mut orders = tokio::task::JoinSet::new();
+        for side in 0..2 {
+            let mut operator = scene.operator.clone();
+            let name = format!("side-{side}");
+            let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
+            let body = patch(base + 10, &[route], &[]);
+            orders.spawn(async move { operator.patch(base, &body, ORDER_LIMIT).await.unwrap().status });
+        }
+        let mut statuses = orders.join_all().await;
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 412], "round {round}");
+    }
+    assert_eq!(current(&mut scene).await["generation"], json!(51));
+}
+
+async fn current(scene: &mut Stage) -> Value {
+    let answer = scene.operator.get(ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 200);
+    serde_json::from_slice(&answer.body).unwrap()
+}
--- a/crates/node/tests/quiet.rs
+++ b/crates/node/tests/quiet.rs
@@ -1,31 +1,73 @@
-//! A quiet system: configuration, readiness, heartbeats, turns, tools, draining.
+//! A quiet system: programs are served, servers come and go.
 
 mod support;
 
 use dunespur_emulator::client::{Ask, Kind};
-use dunespur_emulator::program::{play, End, Tool};
-use dunespur_emulator::scene::{usual_program, Scene, ScenePlan, HOST, LOOKUP, RECORD};
-use support::{expect_no_violation, program};
+use dunespur_emulator::program::{play, End, Line, SubAgents, Tool};
+use dunespur_emulator::record::Fate;
+use dunespur_emulator::scene::{usual_program, ScenePlan, HOST, LOOKUP, RECORD, TURNS};
+use support::{expect_no_violation, lookup, stage, DRAIN};
+use tokio::time::Instant;
 
 #[tokio::test]
-async fn programs_with_kept_turns_and_tools_are_served() {
-    let scene = Scene::start(&program(), ScenePlan::default()).await.unwrap();
+async fn programs_with_kept_turns_tools_and_sub_agents_are_served() {
+    let scene = stage(ScenePlan::default()).await;
     let mut plan = usual_program();
     plan.tools = vec![
         Tool { target: format!("{LOOKUP}x"), kind: Kind::ReadOnly, deadline_ms: 1_200, retries: 1 },
         Tool { target: format!("{RECORD}y"), kind: Kind::Mutating, deadline_ms: 3_000, retries: 1 },
     ];
+    plan.sub_agents = Some(SubAgents { after_turn: 2, count: 2, turns: 2 });
     for _ in 0..5 {
         let played = play(&scene.client, &plan).await;
         assert_eq!(played.end, End::Finished, "{played:?}");
-        assert_eq!(played.turns.len(), 3);
+        assert_eq!(played.turns.len(), 7);
     }
     expect_no_violation(&scene);
 }
 
+#[tokio::test]
+async fn programs_that_send_all_themselves_are_served() {
+    let scene = stage(ScenePlan::default()).await;
+    let mut plan = usual_program();
+    plan.target = format!("{TURNS}chat");
+    plan.persisted = false;
+    for _ in 0..5 {
+        let played = play(&scene.client, &plan).await;
+        assert_eq!(played.end, End::Finished, "{played:?}");
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn several_turns_may_go_on_from_the_same_one() {
+    let scene = stage(ScenePlan::default()).await;
+    let mut trunk = Line::new(&scene.client, &usual_program());
+    assert!(trunk.turn(&scene.client, &"root".into()).await.succeeded());
+    for name in ["left", "middle", "right"] {
+        let mut branch = trunk.branch(&scene.client);
+        for number in 0..2 {
+            let served = branch.turn(&scene.client, &format!("{name} {number}").into()).await;
+            assert!(served.succeeded(), "{served:?}");
+        }
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_turn_that_goes_on_from_none_is_404_and_runs_nowhere() {
+    let scene = stage(ScenePlan::default()).await;
+    let mut line = Line::new(&scene.client, &usual_program());
+    line.set_previous(Some(scene.identities.request()));
+    let served = line.turn(&scene.client, &"hello".into()).await;
+    assert_eq!(served.status(), Some(404), "{served:?}");
+    assert!(scene.record.sightings_of(served.request).is_empty());
+    expect_no_violation(&scene);
+}
+
 #[tokio::test]
 async fn requests_without_a_route_are_404_and_run_nowhere() {
-    let scene = Scene::start(&program(), ScenePlan::default()).await.unwrap();
+    let scene = stage(ScenePlan::default()).await;
     for (host, target) in [(HOST, "/nowhere/x"), ("other.example", "/lookup/x"), (HOST, "/lookup")] {
         let served = scene.client.send(&Ask::get(host, target)).await;
         assert_eq!(served.status(), Some(404), "{host}{target}");
@@ -33,3 +75,73 @@
     }
     expect_no_violation(&scene);
 }
+
+#[tokio::test]
+async fn a_draining_server_gets_nothing_once_that_is_known() {
+    let mut scene = stage(ScenePlan::default()).await;
+    scene.plains[0].registration.drain().await;
+    scene.engines[0].registration.drain().await;
+    let acknowledged = Instant::now();
+    while acknowledged.elapsed() < DRAIN + DRAIN / 4 {
+        assert!(scene.client.send(&lookup()).await.succeeded());
+        let played = play(&scene.client, &usual_program()).await;
+        assert_eq!(played.end, End::Finished, "{played:?}");
+    }
+    expect_no_violation(&scene);
+    scene.plains[0].registration.leave().await;
+    scene.engines[0].registration.leave().await;
+    scene.plains.remove(0);
+    scene.engines.remove(0);
+    for _ in 0..20 {
+        let served = scene.client.send(&lookup()).await;
+        assert!(served.succeeded() && served.tries == 1, "{served:?}");
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn what_may_run_once_runs_once_though_its_answer_is_lost() {
+    use dunespur_emulator::server::Trouble;
+    let scene = stage(ScenePlan::default()).await;
+    let ask = Ask::post(HOST, &format!("{RECORD}x"), Kind::Mutating, "once");
+    for trouble in [
+        Trouble::AnswerLost,
+        Trouble::Garble,
+        Trouble::Cut { after: 10 },
+        Trouble::Unavailable,
+        Trouble::Fail,
+    ] {
+        for plain in &scene.plains {
+            plain.server.door.troubles.once(trouble);
+        }
+        for _ in 0..6 {
+            let served = scene.client.send(&ask).await;
+            let runs = scene.record.sightings_of(served.request);
+            let ran = runs.iter().filter(|sighting| sighting.fate == Fate::Run).count();
+            assert!(ran <= 1, "{trouble:?}: {served:?}");
+        }
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn what_may_be_repeated_is_served_though_a_server_spoils_its_answers() {
+    use dunespur_emulator::server::Trouble;
+    let scene = stage(ScenePlan::default()).await;
+    for trouble in [
+        Trouble::AnswerLost,
+        Trouble::Garble,
+        Trouble::Surplus,
+        Trouble::LateSurplus,
+        Trouble::Close,
+        Trouble::TurnAway { status: 503 },
+        Trouble::TurnAway { status: 429 },
+    ] {
+        for _ in 0..6 {
+            scene.plains[0].server.door.troubles.once(trouble);
+            let served = scene.client.send(&lookup()).await;
+            assert!(served.succeeded(), "{trouble:?}: {served:?}");
+        }
+    }
+    expect_no_violation(&scene);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,16 +1,110 @@
 //! What the tests of whole programs have in common.
+#![allow(dead_code)]
 
-use dunespur_emulator::scene::Scene;
+use dunespur_emulator::client::Ask;
+use dunespur_emulator::program::{play, End, Line};
+use dunespur_emulator::scene::{usual_program, Scene, ScenePlan, HOST, LOOKUP};
+use dunespur_emulator::system::Role;
+use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
+use std::time::Duration;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::time::Instant;
+
+/// An order of the operator is acknowledged within this time while the core is stable.
+pub const ORDER_LIMIT: Duration = Duration::from_secs(4);
+/// A machine counts as lost for this long after its return.
+pub const CATCH_UP: Duration = Duration::from_millis(4_200);
+/// After a loss the system serves again within this time.
+pub const RECOVERY: Duration = Duration::from_secs(12);
+/// What is drained gets no requests this long after it was acknowledged.
+pub const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// Scenes of one test program at the same time: each is some ten processes.
+static SCENES: Semaphore = Semaphore::const_new(2);
+
+/// A scene with its place among those that run at once.
+pub struct Stage {
+    scene: Scene,
+    _place: SemaphorePermit<'static>,
+}
+
+impl Deref for Stage {
+    type Target = Scene;
+
+    fn deref(&self) -> &Scene {
+        &self.scene
+    }
+}
+
+impl DerefMut for Stage {
+    fn deref_mut(&mut self) -> &mut Scene {
+        &mut self.scene
+    }
+}
 
 /// The program under test.
 pub fn program() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_dunespur"))
 }
 
+/// A scene that serves.
+pub async fn stage(plan: ScenePlan) -> Stage {
+    let place = SCENES.acquire().await.expect("never closed");
+    let scene = Scene::start(&program(), plan).await.unwrap_or_else(|error| panic!("{error:#}"));
+    Stage { scene, _place: place }
+}
+
+/// Places of machines of a role.
+pub fn places(scene: &Scene, role: Role) -> Vec<usize> {
+    scene.system.places(|plan| plan.role == role)
+}
+
 /// No rule is broken by what servers and clients of the scene saw.
 pub fn expect_no_violation(scene: &Scene) {
     let violations: Vec<String> = scene.violations().iter().map(ToString::to_string).collect();
     assert!(violations.is_empty(), "{}", violations.join("\n"));
     assert!(!scene.record.overflowed(), "the record has overflowed");
 }
+
+/// Plays programs one after the other until `time` has passed; all have to finish.
+pub async fn programs_for(scene: &Scene, time: Duration) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        let played = play(&scene.client, &usual_program()).await;
+        assert_eq!(played.end, End::Finished, "{played:?}");
+    }
+}
+
+/// A line of so many turns answered whole.
+pub async fn line_of(scene: &Scene, turns: u32) -> Line {
+    let mut line = Line::new(&scene.client, &usual_program());
+    for number in 0..turns {
+        go_on(scene, &mut line, &format!("turn {number}")).await;
+    }
+    line
+}
+
+/// The line's next turn, which has to be answered whole.
+pub async fn go_on(scene: &Scene, line: &mut Line, input: &str) {
+    let served = line.turn(&scene.client, &input.to_owned().into()).await;
+    assert!(served.succeeded(), "{input}: {served:?}");
+}
+
+/// The line's next turn, asked for until it is answered whole; a 404 is none.
+pub async fn go_on_within(scene: &Scene, line: &mut Line, input: &str, limit: Duration) {
+    let until = Instant::now() + limit;
+    loop {
+        let served = line.turn(&scene.client, &input.to_owned().into()).await;
+        if served.succeeded() {
+            return;
+        }
+        assert_ne!(served.status(), Some(404), "{input}: {served:?}");
+        assert!(Instant::now() < until, "{input}: {served:?}");
+    }
+}
+
+/// A lookup that has no influence on anything.
+pub fn lookup() -> Ask {
+    Ask::get(HOST, &format!("{LOOKUP}x"))
+}
