--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -21,6 +21,11 @@
 /// A request goes first by one if less than this many times what it is expected to take is left.
 const SHORT_OF_TIME: f64 = 2.0;
 
+/// A client that leaves earlier without a first event says nothing of the server.
+const OVERDUE_MS: u64 = 1_000;
+/// Nor does one that leaves before this many times the objective.
+const OVERDUE_TARGETS: u64 = 3;
+
 /// One send that is not finished.
 #[derive(Debug)]
 struct Flight {
@@ -131,12 +136,12 @@
         let Some(member) = pool.member_mut(flight.member) else {
             return;
         };
-        release(member, &flight, result);
+        release(member, &flight, result, now);
         match (result, flight.engine) {
             // A full engine is left by the estimate alone: to avoid it would scatter the programs that it holds,
             // and reading their prompts anew elsewhere takes more than is gained.
             (Outcome::Shed, Some(_)) => {}
-            (result, _) => note_outcome(member, result, now),
+            _ => note_outcome(member, &flight, result, now),
         }
     }
 
@@ -204,7 +209,7 @@
             chunk_tokens: member.server.engine.map_or(1, |engine| engine.chunk_tokens),
             new_part,
         };
-        member.load.sent(choice.fresh_tokens, footprint);
+        member.load.sent(choice.fresh_tokens, footprint, now);
         member.cache.sent(ask.prefix, (memory_capacity(member) as f64 * traffic_share) as u64);
         let priority = engine_priority(ask, under_way, choice.estimate.first_token_ms);
         self.send(ask, choice.index, Some(engine), Some(priority), now)
@@ -215,7 +220,7 @@
         let Some(pool) = self.pools.get_mut(ask.backend) else {
             return Choice::NoServer;
         };
-        let Some(index) = plain::choose(pool, candidates, start, now) else {
+        let Some(index) = plain::choose(pool, candidates, start, ask.target_ms, now) else {
             return Choice::NoServer;
         };
         let outlook = Outlook {
@@ -226,7 +231,7 @@
         if let Some(retry_after_ms) = refusal(ask, &outlook) {
             return Choice::Refuse { retry_after_ms };
         }
-        pool.members[index].load.sent(0, 0);
+        pool.members[index].load.sent(0, 0, now);
         self.send(ask, index, None, None, now)
     }
 
@@ -275,13 +280,13 @@
     priority
 }
 
-fn note_outcome(member: &mut Member, result: Outcome, now: Millis) {
-    if let Some(sign) = sign_of(result) {
+fn note_outcome(member: &mut Member, flight: &Flight, result: Outcome, now: Millis) {
+    if let Some(sign) = sign_of(flight, result, now) {
         member.health.note(sign, now);
     }
 }
 
-fn sign_of(result: Outcome) -> Option<Sign> {
+fn sign_of(flight: &Flight, result: Outcome, now: Millis) -> Option<Sign> {
     match result {
         Outcome::Served { .. } => Some(Sign::Success),
         Outcome::Failed => Some(Sign::Failure),
@@ -289,19 +294,32 @@
         Outcome::Shed => Some(Sign::Full),
         Outcome::Moved => Some(Sign::Moved),
         Outcome::Unreachable => Some(Sign::Unreachable),
+        Outcome::Abandoned if flight.is_overdue(now) => Some(Sign::Failure),
         Outcome::Abandoned => None,
     }
 }
 
+impl Flight {
+    /// Whether the first event is so late that the client left for it: against servers that hang, as clients give
+    /// up before any time limit of the gateway's.
+    fn is_overdue(&self, now: Millis) -> bool {
+        let overdue_ms = OVERDUE_MS.max(OVERDUE_TARGETS * self.target_ms);
+        self.first_at.is_none() && now.saturating_sub(self.sent_at) >= overdue_ms
+    }
+}
+
 /// Gives back what a request counted for.
-fn release(member: &mut Member, flight: &Flight, result: Outcome) {
+fn release(member: &mut Member, flight: &Flight, result: Outcome, now: Millis) {
+    let fresh_tokens = flight.engine.map_or(0, |engine| engine.fresh_tokens);
+    match (flight.first_at, result.is_sign_of_life()) {
+        (Some(_), _) => {}
+        (None, true) => member.load.answered(fresh_tokens, now),
+        (None, false) => member.load.given_up(fresh_tokens),
+    }
     let Some(engine) = flight.engine else {
         member.load.ended(0);
         return;
     };
-    if flight.first_at.is_none() {
-        member.load.read(engine.fresh_tokens);
-    }
     member.load.ended(engine.footprint);
     let never_ran = matches!(result, Outcome::Shed | Outcome::Moved | Outcome::Unreachable);
     if let (true, Some(part)) = (never_ran, engine.new_part) {
@@ -316,7 +334,7 @@
     let Some(member) = pool.member_mut(flight.member) else {
         return;
     };
-    member.load.read(engine.fresh_tokens);
+    member.load.answered(engine.fresh_tokens, now);
     if engine.waited_for_place || member.is_cold(now) {
         return;
     }
@@ -354,6 +372,9 @@
 }
 
 fn plain_head(pool: &mut Pool, flight: &Flight, now: Millis) {
+    if let Some(member) = pool.member_mut(flight.member) {
+        member.load.answered(0, now);
+    }
     let took_ms = now.saturating_sub(flight.sent_at) as f64;
     let share = took_ms / flight.target_ms.max(1) as f64;
     let expected = pool.target_share.get();
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -166,6 +166,7 @@
         memory_tokens: member.load.own_memory_tokens() as f64 + others_memory,
         memory_capacity: memory_capacity(member) as f64,
         slowness: member.slowness(now),
+        quiet_ms: member.load.quiet_ms(now) as f64,
     }
 }
 
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -29,9 +29,9 @@
 const STALL_WEIGHT: f64 = 1.5;
 /// What reading tokens anew counts beyond its time: work done twice is priced.
 const REREAD_WEIGHT: f64 = 4.0;
-/// Waiting for a place or for memory counts this many times in the choice: such a server may turn the request
-/// away or preempt another.
-const WAIT_WEIGHT: f64 = 1.0;
+/// An engine that has been quiet for more than this many times the time to a first token may hang: it is
+/// expected to stay quiet as long again.
+const QUIET_GRACE: f64 = 2.0;
 
 /// What the engines of one service have been seen to do.
 #[derive(Debug)]
@@ -58,6 +58,8 @@
     pub(crate) memory_capacity: f64,
     /// How slow it is, 1 for the mean.
     pub(crate) slowness: f64,
+    /// For how long it has answered none of the requests that wait there.
+    pub(crate) quiet_ms: f64,
 }
 
 /// What a request wants of an engine.
@@ -154,7 +156,7 @@
         let first_token_ms = wait_ms + read_ms;
         let cost_ms = first_token_ms
             + answer_ms
-            + (WAIT_WEIGHT - 1.0) * wait_ms
+            + (engine.quiet_ms - QUIET_GRACE * first_token_ms).max(0.0)
             + engine.slowness * self.burden_ms(engine, need);
         Estimate { first_token_ms, cost_ms }
     }
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -23,6 +23,10 @@
     in_flight: u32,
     waiting_tokens: u64,
     memory_tokens: u64,
+    /// This gateway's requests without a first event.
+    unanswered: u32,
+    /// When the server last answered a request, or got the first of those that wait.
+    quiet_since: Millis,
     others: Vec<Reported>,
 }
 
@@ -38,14 +42,25 @@
 
 impl Load {
     /// A request was sent.
-    pub(crate) fn sent(&mut self, fresh_tokens: u64, memory_tokens: u64) {
+    pub(crate) fn sent(&mut self, fresh_tokens: u64, memory_tokens: u64, now: Millis) {
+        if self.unanswered == 0 {
+            self.quiet_since = now;
+        }
+        self.unanswered += 1;
         self.in_flight += 1;
         self.waiting_tokens += fresh_tokens;
         self.memory_tokens += memory_tokens;
     }
 
-    /// Its prompt is read.
-    pub(crate) fn read(&mut self, fresh_tokens: u64) {
+    /// The server's first sign for a request came: its first event, an error, or that it was turned away.
+    pub(crate) fn answered(&mut self, fresh_tokens: u64, now: Millis) {
+        self.quiet_since = now;
+        self.given_up(fresh_tokens);
+    }
+
+    /// A request is waited for no longer, though the server gave no sign.
+    pub(crate) fn given_up(&mut self, fresh_tokens: u64) {
+        self.unanswered = self.unanswered.saturating_sub(1);
         self.waiting_tokens = self.waiting_tokens.saturating_sub(fresh_tokens);
     }
 
@@ -70,6 +85,14 @@
         self.memory_tokens
     }
 
+    /// For how long the server has answered none of this gateway's requests, while there are any to answer.
+    pub(crate) fn quiet_ms(&self, now: Millis) -> u64 {
+        if self.unanswered == 0 {
+            return 0;
+        }
+        now.saturating_sub(self.quiet_since)
+    }
+
     /// Requests of all gateways, by the last reports.
     pub(crate) fn in_flight(&self, now: Millis) -> f64 {
         f64::from(self.in_flight) + self.sum_of_others(now, |report| f64::from(report.in_flight))
--- a/crates/routing/src/load/tests.rs
+++ b/crates/routing/src/load/tests.rs
@@ -45,9 +45,9 @@
 #[test]
 fn own_requests_count_until_they_end() {
     let mut load = Load::default();
-    load.sent(500, 900);
-    load.sent(300, 700);
-    load.read(500);
+    load.sent(500, 900, 0);
+    load.sent(300, 700, 0);
+    load.answered(500, 10);
     assert_eq!(load.own_waiting_tokens(), 300);
     load.ended(900);
     assert_eq!((load.own_in_flight(), load.own_memory_tokens()), (1, 700));
@@ -55,3 +55,16 @@
     load.ended(700);
     assert_eq!((load.own_in_flight(), load.own_memory_tokens()), (0, 0));
 }
+
+#[test]
+fn a_server_is_quiet_while_it_answers_none_of_several_requests() {
+    let mut load = Load::default();
+    assert_eq!(load.quiet_ms(50), 0);
+    load.sent(0, 0, 100);
+    load.sent(0, 0, 150);
+    assert_eq!(load.quiet_ms(180), 80);
+    load.answered(0, 200);
+    assert_eq!(load.quiet_ms(260), 60);
+    load.answered(0, 300);
+    assert_eq!(load.quiet_ms(900), 0);
+}
--- a/crates/routing/src/types.rs
+++ b/crates/routing/src/types.rs
@@ -129,6 +129,16 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Whether the server did anything at all.
+    pub(crate) fn is_sign_of_life(self) -> bool {
+        match self {
+            Outcome::Served { .. } | Outcome::Failed | Outcome::Shed | Outcome::Moved => true,
+            Outcome::Silent | Outcome::Unreachable | Outcome::Abandoned => false,
+        }
+    }
+}
+
 /// What one gateway has in flight on one server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadReport {
--- a/crates/routing/tests/fleet/engine.rs
+++ b/crates/routing/tests/fleet/engine.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct Job {
     pub number: usize,
+    pub key: u64,
     pub prefix: Vec<Part>,
     pub prompt_tokens: u64,
     pub answer_tokens: u32,
@@ -36,8 +37,10 @@
 /// What happened to a job in a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Event {
-    First(usize),
-    Finished(usize),
+    /// Number and key of the job whose first event came.
+    First(usize, u64),
+    /// Number and key of the job that is done.
+    Finished(usize, u64),
 }
 
 #[derive(Debug)]
@@ -113,10 +116,10 @@
             let is_first = request.answered >= chunk.min(request.job.answer_tokens);
             if is_first && !request.first_told {
                 request.first_told = true;
-                events.push(Event::First(request.job.number));
+                events.push(Event::First(request.job.number, request.job.key));
             }
             if request.answered >= request.job.answer_tokens {
-                events.push(Event::Finished(request.job.number));
+                events.push(Event::Finished(request.job.number, request.job.key));
             }
         }
         let batch = self.running.len() as f64;
--- a/crates/routing/tests/fleet/mod.rs
+++ b/crates/routing/tests/fleet/mod.rs
@@ -18,6 +18,8 @@
 const GATEWAY_DELAY_MS: f64 = 1.0;
 const TARGET_MS: u64 = 200;
 const MOST_TRIES: usize = 3;
+/// A gateway waits so long for a first event.
+const SILENCE_MS: f64 = 2_000.0;
 
 /// How the prompt of a line's later turn is put together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     pub model: EngineModel,
     /// Slowness of single engines.
     pub slow: Vec<(usize, f64)>,
+    /// An engine that stands still, and when.
+    pub frozen: Option<(usize, std::ops::Range<f64>)>,
     pub programs_per_s: f64,
     pub length_ms: f64,
     pub turns: usize,
@@ -67,6 +71,7 @@
     pub failed: usize,
     pub shed: usize,
     pub refused: usize,
+    pub silent: usize,
     pub preempted: u64,
     pub first_ms: Vec<f64>,
     pub turn_ms: Vec<f64>,
@@ -83,6 +88,7 @@
         self.failed += day.failed;
         self.shed += day.shed;
         self.refused += day.refused;
+        self.silent += day.silent;
         self.preempted += day.preempted;
         self.first_ms.extend(day.first_ms);
         self.turn_ms.extend(day.turn_ms);
@@ -122,12 +128,13 @@
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(
             out,
-            "turns {} failed {} shed {} refused {} preempted {}; first token mean {:.1} p95 {:.1} p99 {:.1} ms; \
+            "turns {} failed {} shed {} refused {} silent {} preempted {}; first token mean {:.1} p95 {:.1} p99 {:.1} ms; \
              turn {:.1} ms; late {:.2} %; read again {} k of {} k; other zone {:.0} %, moved {:.0} %",
             self.turns,
             self.failed,
             self.shed,
             self.refused,
+            self.silent,
             self.preempted,
             self.mean_first_ms(),
             self.first_ms_at(0.95),
@@ -174,7 +181,8 @@
     Ask(usize),
     Arrive { turn: usize, engine: usize, priority: u8 },
     Step(usize),
-    Told { gateway: usize, turn: usize, event: Event },
+    Told { turn: usize, key: u64, event: Event },
+    Silence { turn: usize, key: u64 },
     Report(usize),
     Reported { from: usize, reports: Rc<Vec<LoadReport>> },
 }
@@ -273,7 +281,8 @@
             Happening::Ask(turn) => self.ask(turn, now),
             Happening::Arrive { turn, engine, priority } => self.arrive(turn, engine, priority, now),
             Happening::Step(engine) => self.step(engine, now),
-            Happening::Told { gateway, turn, event } => self.told(gateway, turn, event, now),
+            Happening::Told { turn, key, event } => self.told(turn, key, event, now),
+            Happening::Silence { turn, key } => self.silence(turn, key, now),
             Happening::Report(gateway) => self.report(gateway, now),
             Happening::Reported { from, reports } => self.reported(from, &reports, now),
         }
@@ -368,7 +377,9 @@
                 turn.key = sent.key;
                 turn.tried.push(sent.server);
                 let priority = sent.priority;
+                let key = sent.key;
                 self.put(now + GATEWAY_DELAY_MS, Happening::Arrive { turn: number, engine, priority });
+                self.put(now + SILENCE_MS, Happening::Silence { turn: number, key });
             }
             Answer::ComeBack(after_ms) => {
                 turn.tried.clear();
@@ -385,7 +396,9 @@
         };
         let answer_tokens = turn.line.random.u32(low..=low * 3);
         let prompt_tokens = turn.line.prefix.iter().map(|part| u64::from(part.tokens)).sum();
-        let job = Job { number, prefix: turn.line.prefix.clone(), prompt_tokens, answer_tokens, priority };
+        let key = turn.key;
+        let prefix = turn.line.prefix.clone();
+        let job = Job { number, key, prefix, prompt_tokens, answer_tokens, priority };
         if !self.engines[engine].offer(job) {
             self.outturn.shed += 1;
             let (gateway, key) = (turn.gateway, turn.key);
@@ -418,6 +431,13 @@
     }
 
     fn step(&mut self, engine: usize, now: f64) {
+        if let Some((frozen, when)) = &self.day.frozen {
+            if *frozen == engine && when.contains(&now) {
+                let end = when.end;
+                self.put(end, Happening::Step(engine));
+                return;
+            }
+        }
         if self.engines[engine].is_idle() {
             self.stepping[engine] = false;
             return;
@@ -425,31 +445,45 @@
         let mut events = Vec::new();
         let took = self.engines[engine].step(&mut events);
         for event in events {
-            let (Event::First(number) | Event::Finished(number)) = event;
-            let gateway = self.turns[&number].gateway;
-            self.put(now + took + GATEWAY_DELAY_MS, Happening::Told { gateway, turn: number, event });
+            let (Event::First(turn, key) | Event::Finished(turn, key)) = event;
+            self.put(now + took + GATEWAY_DELAY_MS, Happening::Told { turn, key, event });
         }
         self.put(now + took, Happening::Step(engine));
     }
 
-    fn told(&mut self, gateway: usize, number: usize, event: Event, now: f64) {
+    /// What an engine says of a send; a send that was given up counts for nothing.
+    fn told(&mut self, number: usize, key: u64, event: Event, now: f64) {
+        let Some(turn) = self.turns.get_mut(&number).filter(|turn| turn.key == key) else {
+            return;
+        };
         match event {
-            Event::First(_) => {
-                let turn = self.turns.get_mut(&number).expect("a turn lasts until it is finished");
+            Event::First(..) => {
                 turn.first_at = Some(now);
                 self.outturn.first_ms.push(now - turn.asked_at);
-                self.routers[gateway].first_event(turn.key, now as Millis);
+                self.routers[turn.gateway].first_event(key, now as Millis);
             }
-            Event::Finished(_) => {
-                let turn = self.turns.remove(&number).expect("a turn finishes once");
+            Event::Finished(..) => {
+                let turn = self.turns.remove(&number).expect("it was found above");
                 let served = Outcome::Served { tokens_out: self.day.answer_tokens };
-                self.routers[gateway].finished(turn.key, served, now as Millis);
+                self.routers[turn.gateway].finished(key, served, now as Millis);
                 self.outturn.turn_ms.push(now - turn.asked_at);
                 self.go_on(turn.line, now);
             }
         }
     }
 
+    /// The gateway gives a send up that has had no first event.
+    fn silence(&mut self, number: usize, key: u64, now: f64) {
+        let waits = |turn: &&mut Turn| turn.key == key && turn.first_at.is_none();
+        let Some(turn) = self.turns.get_mut(&number).filter(waits) else {
+            return;
+        };
+        turn.key = 0;
+        self.outturn.silent += 1;
+        self.routers[turn.gateway].finished(key, Outcome::Silent, now as Millis);
+        self.put(now, Happening::Ask(number));
+    }
+
     fn go_on(&mut self, mut line: Line, now: f64) {
         if line.turns_left == 0 {
             return;
--- a/crates/routing/tests/simulation.rs
+++ b/crates/routing/tests/simulation.rs
@@ -29,6 +29,7 @@
             slowness: 1.0,
         },
         slow: vec![],
+        frozen: None,
         programs_per_s: 18.0,
         length_ms: 20_000.0,
         turns: 5,
@@ -176,3 +177,12 @@
     assert!(ours.mean_first_ms() <= 0.8 * random.mean_first_ms(), "ours: {ours}\nrandom: {random}");
     assert!(read_again(ours) <= 0.8 * read_again(random), "ours: {ours}\nrandom: {random}");
 }
+
+#[test]
+fn an_engine_that_stands_still_is_left_early() {
+    let days = Comparison::over(|seed| Day { frozen: Some((3, 6_000.0..14_000.0)), ..roaming_day(seed) });
+    days.assert_at_most(0.7, "silent", |outturn| outturn.silent as f64);
+    days.assert_at_most(0.7, "slowest first tokens", |outturn| outturn.first_ms_at(0.99));
+    days.assert_at_most(1.0, "late", Outturn::late_share);
+    assert_eq!(days.ours.failed, 0, "{}", days.ours);
+}
