--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -28,8 +28,12 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EngineChoice {
     pub(crate) index: usize,
+    /// Prompt tokens that it must read.
     pub(crate) fresh_tokens: u64,
+    /// Those and what waits there before them.
     pub(crate) tokens_ahead: f64,
+    /// Memory that the request takes.
+    pub(crate) footprint: u64,
     pub(crate) estimate: Estimate,
 }
 
@@ -94,6 +98,12 @@
         self.subject.is_none_or(|subject| weight(member.name_hash, subject.id) >= self.subject_threshold)
     }
 
+    /// Memory that the request takes: its subject's parts are there for all its programs together.
+    fn footprint(&self, ask: &Ask) -> f64 {
+        let shared = self.subject.map_or(0.0, |subject| subject.tokens as f64);
+        (f64::from(ask.prompt_tokens) - shared).max(0.0) + f64::from(ask.most_tokens)
+    }
+
     /// Tokens of the prompt that the engine is presumed to hold though this gateway did not send them there.
     fn presumed(&self, member: &Member, index: usize, prompt_tokens: f64) -> f64 {
         if self.home == Some(index) {
@@ -139,7 +149,7 @@
     let need = Need {
         fresh_tokens,
         answer_tokens: pool.pace.answer_tokens(ask.most_tokens),
-        footprint: prompt_tokens + f64::from(ask.most_tokens),
+        footprint: homes.footprint(ask),
     };
     let mut estimate = pool.pace.estimate(&engine, &need);
     estimate.cost_ms += TIE_MS * (1.0 - fraction(weight(member.name_hash, homes.program)));
@@ -153,6 +163,7 @@
         index,
         fresh_tokens: fresh_tokens as u64,
         tokens_ahead: engine.waiting_tokens + fresh_tokens,
+        footprint: need.footprint as u64,
         estimate,
     }
 }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -18,6 +18,10 @@
 const SILENT_MS: u64 = 1_000;
 /// The first time that a full server is avoided.
 const FULL_MS: u64 = 60;
+/// Requests in a row that an engine may turn away before it is avoided. A full engine is left by the estimate: to
+/// avoid it at once would scatter the programs that it holds, and reading their prompts anew elsewhere takes more
+/// than is gained. This is against an engine that takes nothing at all.
+const ENGINE_FULL_IN_A_ROW: u32 = 8;
 /// Doublings of a time at most.
 const MOST_DOUBLINGS: u32 = 3;
 /// A returning server's share of its places at first.
@@ -61,14 +65,26 @@
     standing: Standing,
     failures_in_a_row: u32,
     full_in_a_row: u32,
+    full_tolerated: u32,
     times_avoided: u32,
     recent: f64,
     recent_failed: f64,
 }
 
 impl Health {
-    pub(crate) fn new() -> Self {
+    /// A plain server.
+    pub(crate) fn of_server() -> Self {
+        Self::new(0)
+    }
+
+    /// A model engine.
+    pub(crate) fn of_engine() -> Self {
+        Self::new(ENGINE_FULL_IN_A_ROW)
+    }
+
+    fn new(full_tolerated: u32) -> Self {
         Self {
+            full_tolerated,
             standing: Standing::Good,
             failures_in_a_row: 0,
             full_in_a_row: 0,
@@ -177,8 +193,12 @@
         if matches!(self.standing, Standing::Avoided { .. }) {
             return;
         }
-        let for_ms = FULL_MS << self.full_in_a_row.min(MOST_DOUBLINGS);
         self.full_in_a_row += 1;
+        if self.full_in_a_row <= self.full_tolerated {
+            return;
+        }
+        let doublings = self.full_in_a_row - self.full_tolerated - 1;
+        let for_ms = FULL_MS << doublings.min(MOST_DOUBLINGS);
         self.enter(Standing::Avoided { until: now + for_ms, for_ms });
     }
 
--- a/crates/routing/src/health/tests.rs
+++ b/crates/routing/src/health/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn a_few_failures_in_a_row_make_a_server_avoided_and_it_returns_step_by_step() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     health.note(Sign::Failure, 0);
     health.note(Sign::Failure, 1);
     assert!(!health.is_avoided(1));
@@ -18,7 +18,7 @@
 
 #[test]
 fn the_time_grows_with_each_relapse_and_is_bounded() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     let mut now = 0;
     let mut before = 0;
     for round in 0..8 {
@@ -34,7 +34,7 @@
 
 #[test]
 fn requests_that_fail_together_are_one_fault() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     health.note(Sign::Silence, 0);
     let until = health.avoided_for(0);
     for _ in 0..20 {
@@ -45,13 +45,13 @@
 
 #[test]
 fn a_share_of_failures_between_successes_counts_too() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     for now in 0..10 {
         let sign = if now % 2 == 0 { Sign::Success } else { Sign::Failure };
         health.note(sign, now);
     }
     assert!(health.is_avoided(10));
-    let mut rarely = Health::new();
+    let mut rarely = Health::of_server();
     for now in 0..100 {
         let sign = if now % 5 == 0 { Sign::Failure } else { Sign::Success };
         rarely.note(sign, now);
@@ -61,7 +61,7 @@
 
 #[test]
 fn a_full_server_is_avoided_briefly_and_longer_if_it_stays_full() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     health.note(Sign::Full, 0);
     let first = health.avoided_for(0);
     health.note(Sign::Full, first);
@@ -74,9 +74,23 @@
 
 #[test]
 fn a_server_whose_address_is_anothers_never_returns() {
-    let mut health = Health::new();
+    let mut health = Health::of_server();
     health.note(Sign::Moved, 0);
     health.note(Sign::Success, 1);
     assert!(health.is_gone());
     assert!(health.share(1_000_000) == 0.0);
 }
+
+#[test]
+fn an_engine_is_avoided_only_if_it_takes_nothing_at_all() {
+    let mut health = Health::of_engine();
+    for now in 0..100 {
+        let sign = if now % 8 == 7 { Sign::Success } else { Sign::Full };
+        health.note(sign, now);
+        assert!(!health.is_avoided(now));
+    }
+    for now in 100..109 {
+        health.note(Sign::Full, now);
+    }
+    assert!(health.is_avoided(109));
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,9 +5,11 @@
 //!
 //! - [`types`]: what goes in and out;
 //! - `chooser`: the list of servers and the requests in flight;
+//! - `flight`: one send, from its server's choice to its end;
 //! - `engines` and `plain`: the choice among model engines and among other servers;
 //! - `admission`: when a request is turned away;
-//! - `estimate`, `line_fit`: what an engine would take, learnt from observed times;
+//! - `priority`: the rank of a request at an engine;
+//! - `estimate`, `learning`, `line_fit`: what an engine would take, learnt from observed times;
 //! - `prefix_cache`, `sharing`, `rendezvous`: which engine holds the beginning of a prompt;
 //! - `health`, `load`, `member`: what is known of one server.
 
@@ -15,13 +17,16 @@
 mod chooser;
 mod engines;
 mod estimate;
+mod flight;
 mod health;
+mod learning;
 mod line_fit;
 mod load;
 mod member;
 mod plain;
 mod pool;
 mod prefix_cache;
+mod priority;
 mod rendezvous;
 mod sharing;
 pub mod types;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -39,7 +39,7 @@
             number,
             name_hash: name_hash(&server.id),
             is_local: *server.zone == *zone,
-            health: Health::new(),
+            health: if server.engine.is_some() { Health::of_engine() } else { Health::of_server() },
             load: Load::default(),
             cache: PrefixCache::new(),
             slowness: Slowness { value: 1.0, at: now },
@@ -87,7 +87,12 @@
     /// How slow it is, 1 for the mean.
     pub(crate) fn slowness(&self, now: Millis) -> f64 {
         let cold = if self.is_cold(now) { COLD_SLOWNESS } else { 1.0 };
-        cold * self.slowness.get(now)
+        cold * self.learnt_slowness(now)
+    }
+
+    /// How slow it has been while it was warm, 1 for the mean.
+    pub(crate) fn learnt_slowness(&self, now: Millis) -> f64 {
+        self.slowness.get(now)
     }
 
     /// A request took `ratio` times what is expected of a server like the mean.
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -74,7 +74,7 @@
 
     /// The mean slowness, against which one member's is judged.
     pub(crate) fn mean_slowness(&self, now: Millis) -> f64 {
-        let sum: f64 = self.members.iter().map(|member| member.slowness(now)).sum();
+        let sum: f64 = self.members.iter().map(|member| member.learnt_slowness(now)).sum();
         sum / self.members.len().max(1) as f64
     }
 
