--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -1,6 +1,7 @@
 //! Events of a stream (`text/event-stream`): split at their ends, read, never changed.
 
 use bytes::{Bytes, BytesMut};
+use smallvec::SmallVec;
 
 /// The most bytes of one event. Guards against a server that never ends one.
 const MOST_EVENT_BYTES: usize = 1024 * 1024;
@@ -70,22 +71,24 @@
 }
 
 /// One whole event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event<'a> {
-    /// Its lines, without the empty one behind them.
-    text: &'a [u8],
+    /// Its id, where it is a number.
+    pub id: Option<u64>,
+    /// Its lines of data.
+    pub data: SmallVec<[&'a [u8]; 1]>,
 }
 
 impl<'a> Event<'a> {
-    /// The events in what a [`Splitter`] gave.
+    /// The events in what a [`Splitter`] gave. What has no data is a comment, and no event.
     pub fn all(whole: &'a [u8]) -> impl Iterator<Item = Event<'a>> {
-        let mut rest = whole;
+        let mut lines = Lines(whole);
         std::iter::from_fn(move || {
-            while !rest.is_empty() {
-                let (text, behind) = rest.split_at(end_of_first_event(rest));
-                rest = behind;
-                let event = Event { text };
-                if event.has_data() {
+            let mut event = Event { id: None, data: SmallVec::new() };
+            while let Some(line) = lines.next() {
+                if !line.is_empty() {
+                    event.read(line);
+                } else if !event.data.is_empty() {
                     return Some(event);
                 }
             }
@@ -93,36 +96,36 @@
         })
     }
 
-    /// Its id, where it is a number.
-    pub fn id(&self) -> Option<u64> {
-        let id = self.fields().filter(|(name, _)| *name == b"id").last()?.1;
-        std::str::from_utf8(id).ok()?.trim().parse().ok()
-    }
-
     /// Appends its data, followed by a line feed.
     pub fn append_data(&self, output: &mut BytesMut) {
-        for (_, value) in self.fields().filter(|(name, _)| *name == b"data") {
-            output.extend_from_slice(value);
+        for line in &self.data {
+            output.extend_from_slice(line);
             output.extend_from_slice(b"\n");
         }
     }
 
-    /// Without any it is a comment, and no event.
-    fn has_data(&self) -> bool {
-        self.fields().any(|(name, _)| name == b"data")
-    }
-
-    fn fields(&self) -> impl Iterator<Item = (&'a [u8], &'a [u8])> {
-        let lines = self.text.split(|byte| *byte == b'\n');
-        lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line)).map(field)
+    fn read(&mut self, line: &'a [u8]) {
+        let (name, value) = field(line);
+        match name {
+            b"data" => self.data.push(value),
+            b"id" => self.id = number(value),
+            _ => {}
+        }
     }
 }
 
-/// Where the first event of `bytes` ends; at their end if there is no empty line.
-fn end_of_first_event(bytes: &[u8]) -> usize {
-    let feeds = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
-    let mut ends = feeds.filter(|(feed, _)| is_empty_line_end(&bytes[..*feed]));
-    ends.next().map_or(bytes.len(), |(feed, _)| feed + 1)
+/// Lines without their ends; a last one without an end is none.
+struct Lines<'a>(&'a [u8]);
+
+impl<'a> Iterator for Lines<'a> {
+    type Item = &'a [u8];
+
+    fn next(&mut self) -> Option<&'a [u8]> {
+        let feed = self.0.iter().position(|byte| *byte == b'\n')?;
+        let line = &self.0[..feed];
+        self.0 = &self.0[feed + 1..];
+        Some(line.strip_suffix(b"\r").unwrap_or(line))
+    }
 }
 
 /// Name and value of a line; one space behind the colon belongs to neither.
@@ -135,3 +138,7 @@
         None => (line, &[]),
     }
 }
+
+fn number(text: &[u8]) -> Option<u64> {
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -5,11 +5,12 @@
 use crate::client::{Client, Stage};
 use crate::front::Front;
 use crate::hop;
+use crate::limit::TimeLimit;
 use crate::memory::{Full, Room};
 use crate::node::{History, KeptTurn, Node, Reserve, TurnAsk};
 use crate::plain::{self, Awaited};
 use crate::refusal::Refusal;
-use crate::sending::{Message, Reply, Sending, TimeLimit};
+use crate::sending::{Message, Reply, Sending};
 use crate::stream::{is_stream, Begin, Keeping, Streaming};
 use crate::turn::{TokenCount, Turn};
 use bytes::{Bytes, BytesMut};
@@ -84,7 +85,7 @@
     let asked = Asked::read(&head.headers)?;
     let held_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     *until_ms = arrived_ms.saturating_add(held_ms);
-    let mut limit = TimeLimit::new(front, *until_ms);
+    let mut limit = TimeLimit::new(&front.clock, &front.departures, *until_ms);
     let mut room = front.memory.room();
     let input = collect(body, table.limits().max_body_bytes, &mut limit, &mut room).await?;
     let pieces = prompt(front, &route, &asked, &input, &mut limit, &mut room).await?;
@@ -289,6 +290,7 @@
             }
         } else {
             reply.source.flight.first_event();
+            sending.limit.wait_out();
             match plain::await_body(&mut sending, &mut reply.source).await {
                 Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
                 Awaited::Longer(begun) => return Ok(plain::relayed_response(sending, reply, begun, client)),
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, Order, Stage, Wire};
 use crate::clock::Clock;
 use crate::exchange;
+use crate::limit::Departures;
 use crate::memory::Memory;
 use crate::node::Node;
 use crate::refusal::Refusal;
@@ -28,7 +29,7 @@
 /// The line before a head comes on top of the bytes that its headers may have.
 const REQUEST_LINE: usize = 4 * 1024;
 /// Headers of a request.
-const MOST_HEADERS: usize = 256;
+const MOST_HEADERS: usize = 160;
 
 /// What the data plane may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +96,7 @@
     pub(crate) clock: Rc<Clock>,
     pub(crate) servers: Servers,
     pub(crate) memory: Rc<Memory>,
+    pub(crate) departures: Rc<Departures>,
     settings: FrontSettings,
     phase: Cell<Phase>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -114,6 +116,7 @@
             clock: Rc::new(Clock::new()),
             servers: Servers::new(settings.max_server_connections),
             memory: Memory::new(settings.memory_bytes),
+            departures: Rc::new(Departures::new()),
             settings,
             phase: Cell::new(Phase::Serving),
             clients: RefCell::default(),
@@ -206,6 +209,7 @@
 
     pub(crate) fn count_request(&self) {
         self.requests.set(self.requests.get() + 1);
+        self.departures.count_request();
     }
 
     pub(crate) fn count_refusal(&self, refusal: Refusal) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,6 +13,7 @@
 mod flight;
 mod front;
 mod hop;
+mod limit;
 mod link;
 mod memory;
 mod node;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 
 /// Headers of an answer.
-const MOST_HEADERS: usize = 256;
+const MOST_HEADERS: usize = 160;
 
 /// Why no answer came over a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -30,7 +30,7 @@
     let mut body = BytesMut::new();
     let mut first = Bytes::new();
     loop {
-        match source.body.next(&mut sending.limit).await {
+        match sending.next(&mut source.body).await {
             Next::Piece(bytes) if first.is_empty() && body.is_empty() => first = bytes,
             Next::Piece(bytes) => {
                 body.extend_from_slice(&std::mem::take(&mut first));
@@ -117,7 +117,7 @@
                 break;
             }
             self.outlet.put(piece).await;
-            piece = match self.source.body.next(&mut self.sending.limit).await {
+            piece = match self.sending.next(&mut self.source.body).await {
                 Next::Piece(bytes) => bytes,
                 Next::End => {
                     piece = Bytes::new();
@@ -126,7 +126,7 @@
                 next => return self.broken(next == Next::TimeUp),
             };
         }
-        if self.left == Some(0) && self.source.body.next(&mut self.sending.limit).await != Next::End {
+        if self.left == Some(0) && self.sending.next(&mut self.source.body).await != Next::End {
             return self.broken(false);
         }
         let Relay { sending, mut source, status, outlet, .. } = self;
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -4,6 +4,7 @@
 use crate::flight::Flight;
 use crate::front::Front;
 use crate::hop;
+use crate::limit::TimeLimit;
 use crate::link::{Fault, Link};
 use crate::memory::Room;
 use crate::node::Node;
@@ -18,55 +19,20 @@
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use std::future::{poll_fn, Future};
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::time::Sleep;
 
 /// Sends of one request, those that servers turned away included. Guards against a round without end when all
 /// of them turn it away.
 const MOST_SENDS: u32 = 8;
 /// Sends to a server that may have run the request before. Guards against a server that breaks every answer off.
 const MOST_RESENDS: u32 = 2;
-/// A server answers at the time it was handed; its answer is waited for a little beyond.
-const ANSWER_GRACE_MS: u64 = 100;
+/// What can be repeated leaves a server that has been silent for so many times the aim of its route.
+const PATIENCE_AIMS: u64 = 4;
 /// When a client may come back whose request found no server.
 const NO_SERVER_RETRY_MS: u64 = 200;
 
-/// The time of a request.
-pub(crate) struct TimeLimit {
-    /// On the front's clock.
-    until_ms: u64,
-    timer: Pin<Box<Sleep>>,
-}
-
-impl TimeLimit {
-    pub(crate) fn new<N: Node>(front: &Front<N>, until_ms: u64) -> TimeLimit {
-        let end = front.clock.instant(until_ms + ANSWER_GRACE_MS);
-        TimeLimit { until_ms, timer: Box::pin(tokio::time::sleep_until(end)) }
-    }
-
-    pub(crate) fn until_ms(&self) -> u64 {
-        self.until_ms
-    }
-
-    pub(crate) fn poll(&mut self, cx: &mut Context) -> Poll<()> {
-        self.timer.as_mut().poll(cx)
-    }
-
-    /// What `work` gives, or None once the time is over.
-    pub(crate) async fn bound<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
-        let mut work = pin!(work);
-        poll_fn(|cx| {
-            if let Poll::Ready(value) = work.as_mut().poll(cx) {
-                return Poll::Ready(Some(value));
-            }
-            self.poll(cx).map(|()| None)
-        })
-        .await
-    }
-}
-
 /// What is sent, whichever server gets it.
 pub(crate) struct Message {
     pub(crate) method: Method,
@@ -100,11 +66,19 @@
     tried: SmallVec<[ServerId; 2]>,
     /// Those that may have run it and are not known to have crashed since.
     ran: SmallVec<[ServerId; 2]>,
+    /// The server that the request goes to from one that is silent.
+    ahead: Option<Chosen<N>>,
     sends: u32,
     resends: u32,
     trace: Trace,
 }
 
+/// A server that the request counts as in flight at.
+struct Chosen<N: Node> {
+    ticket: Ticket,
+    flight: Flight<N>,
+}
+
 /// An answer whose head has come.
 pub(crate) struct Reply<N: Node> {
     pub(crate) head: Parts,
@@ -151,16 +125,6 @@
 }
 
 impl ReplyBody {
-    pub(crate) async fn next(&mut self, limit: &mut TimeLimit) -> Next {
-        poll_fn(|cx| {
-            if let Poll::Ready(next) = self.poll_next(cx) {
-                return Poll::Ready(next);
-            }
-            limit.poll(cx).map(|()| Next::TimeUp)
-        })
-        .await
-    }
-
     fn poll_next(&mut self, cx: &mut Context) -> Poll<Next> {
         let Some(link) = &mut self.link else { return Poll::Ready(Next::End) };
         link.poll_body(&mut self.incoming, cx).map(|next| match next {
@@ -210,6 +174,7 @@
             backend,
             tried: SmallVec::new(),
             ran: SmallVec::new(),
+            ahead: None,
             sends: 0,
             resends: 0,
             trace: Trace::None,
@@ -224,14 +189,30 @@
     /// Sends the request until a server's answer has come that is to be passed on.
     pub(crate) async fn send(&mut self) -> Result<Reply<N>, Refusal> {
         loop {
-            let ticket = self.next_server()?;
-            let flight = Flight::new(&self.front.node, ticket.key);
+            let Chosen { ticket, flight } = self.next_server()?;
             if let Some(reply) = self.ask(ticket, flight, Over::KeptOrNew).await? {
                 return Ok(reply);
             }
         }
     }
 
+    /// What comes next of an answer's body.
+    pub(crate) async fn next(&mut self, body: &mut ReplyBody) -> Next {
+        self.wait(poll_fn(|cx| body.poll_next(cx))).await.unwrap_or(Next::TimeUp)
+    }
+
+    /// What `work` gives; None once the time is over, or once the request leaves a silent server for another one.
+    async fn wait<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
+        let mut work = pin!(work);
+        loop {
+            let done = self.limit.bound(work.as_mut()).await;
+            if done.is_some() || self.limit.left_ms() == 0 || self.choose_ahead() {
+                return done;
+            }
+            self.limit.wait_out();
+        }
+    }
+
     /// The answer broke off after its head: the request, changed meanwhile where it is to go on behind what has
     /// come, is sent again if it may be.
     pub(crate) async fn send_again(&mut self, cut: Source<N>, time_up: bool) -> Result<Reply<N>, Refusal> {
@@ -287,11 +268,21 @@
         }
     }
 
+    /// Whether the request may still go to another server after one more that was silent.
+    fn may_leave(&self) -> bool {
+        self.route.idempotent() && self.ran.len() + 1 < self.route.retries as usize
+    }
+
+    /// A server is at work on the stream: pauses up to a multiple of their aim are waited out.
+    pub(crate) fn heard_event(&mut self) {
+        self.limit.heard(PATIENCE_AIMS * self.route.gap_aim_ms.unwrap_or(self.route.target_ms));
+    }
+
     /// Whether the request is sent to the same server again: it may be sent to no further one, and can be
     /// repeated. Should the server turn out to be gone, it no longer counts.
     fn may_resend(&mut self) -> bool {
         let wanted = self.route.idempotent() && self.ran_enough();
-        let may = wanted && self.resends < MOST_RESENDS && self.time_left_ms() > 0;
+        let may = wanted && self.resends < MOST_RESENDS && self.limit.left_ms() > 0;
         self.resends += u32::from(may);
         may
     }
@@ -310,21 +301,17 @@
         }
     }
 
-    fn time_left_ms(&self) -> u64 {
-        self.limit.until_ms().saturating_sub(self.front.clock.now_ms())
-    }
-
-    fn next_server(&mut self) -> Result<Ticket, Refusal> {
-        if self.time_left_ms() == 0 || self.sends >= MOST_SENDS {
+    fn next_server(&mut self) -> Result<Chosen<N>, Refusal> {
+        if self.limit.left_ms() == 0 || self.sends >= MOST_SENDS {
             return Err(self.give_up());
         }
+        if let Some(ahead) = self.ahead.take() {
+            return Ok(self.note_sent(ahead.ticket, ahead.flight));
+        }
         match self.choose() {
             Choice::Send(ticket) => {
-                self.sends += 1;
-                if !self.tried.contains(&ticket.server.id) {
-                    self.tried.push(ticket.server.id.clone());
-                }
-                Ok(ticket)
+                let flight = Flight::new(&self.front.node, ticket.key);
+                Ok(self.note_sent(ticket, flight))
             }
             Choice::Refuse { retry_after_ms } if self.trace == Trace::None => {
                 Err(Refusal::Later { retry_after_ms })
@@ -333,6 +320,29 @@
         }
     }
 
+    fn note_sent(&mut self, ticket: Ticket, flight: Flight<N>) -> Chosen<N> {
+        self.sends += 1;
+        if !self.tried.contains(&ticket.server.id) {
+            self.tried.push(ticket.server.id.clone());
+        }
+        Chosen { ticket, flight }
+    }
+
+    /// Chooses a server to go to from one that is silent; false where there is none, so that the silent one is
+    /// waited for.
+    fn choose_ahead(&mut self) -> bool {
+        let backend = self.backend.clone();
+        if let Choice::Send(ticket) = self.choose() {
+            let flight = Flight::new(&self.front.node, ticket.key);
+            if !self.tried.contains(&ticket.server.id) {
+                self.ahead = Some(Chosen { ticket, flight });
+                return true;
+            }
+        }
+        self.backend = backend;
+        false
+    }
+
     /// The choice among the servers of the service that was drawn; where it has none left, of another one that
     /// the route allows.
     fn choose(&mut self) -> Choice {
@@ -362,7 +372,7 @@
             most_tokens: self.asked.most_tokens,
             idempotent: self.route.idempotent(),
             priority: self.route.priority,
-            time_left_ms: self.time_left_ms(),
+            time_left_ms: self.limit.left_ms(),
             target_ms: self.route.target_ms,
             tried: &self.tried,
         })
@@ -370,6 +380,7 @@
 
     /// Sends the request to one server and waits for the head of its answer.
     async fn attempt(&mut self, ticket: &Ticket, over: Over) -> Result<Answered, Fault> {
+        self.limit.wait_out();
         let idempotent = self.route.idempotent();
         let kept = || self.front.servers.kept(&ticket.server, idempotent, &self.front.clock);
         if let Some(link) = (over == Over::KeptOrNew).then(kept).flatten() {
@@ -388,8 +399,11 @@
 
     async fn exchange(&mut self, mut link: Link, ticket: &Ticket) -> Result<Answered, Fault> {
         let head = self.head(ticket);
+        if self.may_leave() {
+            self.limit.expect_within(PATIENCE_AIMS * self.route.target_ms);
+        }
         let exchange = link.exchange(head, self.message.pieces.clone());
-        let (head, incoming) = match self.limit.bound(exchange).await {
+        let (head, incoming) = match self.wait(exchange).await {
             Some(answered) => answered?.into_parts(),
             None if link.sent_whole() => return Err(Fault::Silent),
             None => return Err(Fault::Unsent),
@@ -407,7 +421,7 @@
         *head.method_mut() = self.message.method.clone();
         *head.uri_mut() = self.message.uri.clone();
         let mut headers = self.message.headers.clone();
-        headers.insert(hop::DEADLINE, hop::number(self.time_left_ms().max(1)));
+        headers.insert(hop::DEADLINE, hop::number(self.limit.left_ms().max(1)));
         if let Ok(id) = HeaderValue::from_str(&ticket.server.id) {
             headers.insert(hop::EXPECT_INSTANCE, id);
         }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -84,10 +84,11 @@
             keeping.output.clear();
         }
         loop {
-            match source.body.next(&mut sending.limit).await {
+            match sending.next(&mut source.body).await {
                 Next::Piece(bytes) => match self.take(bytes) {
                     Ok(whole) if whole.is_empty() => {}
                     Ok(whole) => {
+                        sending.heard_event();
                         source.flight.first_event();
                         return Begin::Events(whole);
                     }
@@ -124,9 +125,10 @@
     ) -> Result<(), Broken> {
         outlet.put(begun).await;
         loop {
-            let time_up = match source.body.next(&mut sending.limit).await {
+            let time_up = match sending.next(&mut source.body).await {
                 Next::Piece(bytes) => match self.take(bytes) {
                     Ok(whole) => {
+                        sending.heard_event();
                         outlet.put(whole).await;
                         continue;
                     }
@@ -166,7 +168,7 @@
 
     /// Guards against pieces that come twice, or out of another run.
     fn check_id(&mut self, event: &Event) -> Result<(), Broken> {
-        let Some(id) = event.id() else { return Ok(()) };
+        let Some(id) = event.id else { return Ok(()) };
         if self.last_id.is_some_and(|last| id <= last) {
             return Err(Broken);
         }
@@ -182,7 +184,7 @@
         time_up: bool,
     ) -> Result<Source<N>, Broken> {
         self.splitter.clear();
-        let Some(last_id) = self.last_id.filter(|_| sending.route.resumable && !time_up) else {
+        let Some(last_id) = self.last_id.filter(|_| sending.route.resumable) else {
             Sending::give_up_on(cut, time_up);
             return Err(Broken);
         };
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -485,3 +485,79 @@
         assert_eq!(gateway.node.reserve.get(), Reserve::Admitted(TurnKey(7)));
     });
 }
+
+/// Routes of much patience before the first event, and of little after it.
+fn impatient(node: &TestNode) {
+    let impatient = CONFIGURATION
+        .replace(r#""target_ms":200"#, r#""target_ms":20000"#)
+        .replace(r#""gap_aim_ms":300"#, r#""gap_aim_ms":5"#);
+    *node.table.borrow_mut() = Some(table(&impatient));
+}
+
+#[test]
+fn a_stream_leaves_a_server_that_falls_silent() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        impatient(&gateway.node);
+        let mut client = gateway.ask(&post("/resume2/", "r1", TURN, "x")).await;
+        let (mut silent, _) = first.take().await;
+        silent.stream_head("r1", "").await;
+        silent.chunk(&event(1)).await;
+        let (mut connection, message) = second.take().await;
+        assert_eq!(message.header("last-event-id"), Some("1"));
+        assert!(silent.is_closed().await);
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(2)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.message().await.text(), events(1..=2));
+        assert_eq!(gateway.node.outcomes(), [Outcome::Silent, served(6)]);
+    });
+}
+
+#[test]
+fn a_silent_server_is_waited_for_where_there_is_no_other() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        impatient(&gateway.node);
+        let mut client = gateway.ask(&post("/resume2/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        // Asked for a server when the request came, and again when the first was silent.
+        while gateway.node.asks().len() < 2 {
+            tokio::task::yield_now().await;
+        }
+        connection.chunk(&event(2)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.message().await.text(), events(1..=2));
+        assert_eq!(gateway.node.outcomes(), [served(6)]);
+    });
+}
+
+#[test]
+fn what_can_not_be_repeated_waits_for_a_silent_server() {
+    play(async {
+        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let gateway = Gateway::start(&[&first, &second]).await;
+        impatient(&gateway.node);
+        let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
+        let (mut connection, _) = first.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        // Another one, which can be repeated, loses its patience meanwhile.
+        let mut other = gateway.ask(&post("/resume2/", "r2", TURN, "x")).await;
+        let (mut silent, _) = first.take().await;
+        silent.stream_head("r2", "").await;
+        silent.chunk(&event(1)).await;
+        let (mut taken, message) = second.take().await;
+        assert_eq!(message.id(), "r2");
+        taken.stream_head("r2", "").await;
+        taken.last_chunk().await;
+        assert_eq!(other.message().await.text(), event(1));
+        connection.chunk(&event(2)).await;
+        connection.last_chunk().await;
+        assert_eq!(client.message().await.text(), events(1..=2));
+    });
+}
