Follow only members that get the commits: one put out of the chain showed old versions

Ruled out: late application (the index never moved), a lost watch (answers kept coming). Now a member answers watches and takes operations only while it has its place in the chain.

--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -267,6 +267,12 @@
         others.count() + 1 >= view.majority()
     }
 
+    /// Whether commits come in here as they are made: this member is [`current`](Member::current), and has its place
+    /// in the chain. One that was put out hears the others, but no commits.
+    pub fn follows(&self, now: Millis) -> bool {
+        self.current(now) && !matches!(self.stage, Stage::Outside | Stage::Unsynced)
+    }
+
     /// The index up to which commits were given out here.
     pub fn committed(&self) -> u64 {
         self.committed
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -150,7 +150,7 @@
         let (sender, answer) = oneshot::channel();
         let ticket = {
             let mut inner = self.inner.borrow_mut();
-            if inner.executing.len() >= MOST_WAITING || !inner.member.current(self.clock.now()) {
+            if inner.executing.len() >= MOST_WAITING || !inner.member.follows(self.clock.now()) {
                 return None;
             }
             inner.executing.retain(|_, waiting| !waiting.is_closed());
@@ -195,7 +195,11 @@
 
     /// Answers a watch: at once if there are changes, else when there are some or after [`WATCH_LIMIT`].
     pub async fn watch(&self, request: WatchRequest) -> Reply {
-        self.inner.borrow_mut().leases.heard(&request.heard, self.clock.now());
+        let now = self.clock.now();
+        self.inner.borrow_mut().leases.heard(&request.heard, now);
+        if !self.inner.borrow().member.follows(now) {
+            return Reply::Unavailable;
+        }
         let changed = self.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
@@ -213,7 +217,7 @@
 
     fn watched(&self, request: &WatchRequest) -> Reply {
         let inner = self.inner.borrow();
-        if !inner.member.current(self.clock.now()) {
+        if !inner.member.follows(self.clock.now()) {
             return Reply::Unavailable;
         }
         let view = inner.member.view().filter(|view| view.number > request.view).cloned();
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -37,14 +37,14 @@
     #[bpaf(command)]
     Gateway {
         /// Log level on standard error: off, error, warn, info, debug or trace
-        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Warn))]
+        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Info))]
         log: LevelFilter,
     },
     /// Keeps turns of programs on a disk
     #[bpaf(command)]
     Store {
         /// Log level on standard error: off, error, warn, info, debug or trace
-        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Warn))]
+        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Info))]
         log: LevelFilter,
     },
 }
