--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -102,6 +102,11 @@
         self.refused_unread.set(true);
     }
 
+    /// Whether it ends with its present answer.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.refused_unread.get() || self.order.get() != Order::Stay
+    }
+
     /// The whole answer has been handed over.
     pub(crate) fn answer_over(&self) {
         if let Stage::Answering { until_ms } = self.stage.get() {
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -85,7 +85,7 @@
         let mut lines = Lines(whole);
         std::iter::from_fn(move || {
             let mut event = Event { id: None, data: SmallVec::new() };
-            while let Some(line) = lines.next() {
+            for line in lines.by_ref() {
                 if !line.is_empty() {
                     event.read(line);
                 } else if !event.data.is_empty() {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -2,11 +2,12 @@
 
 use crate::answer::AnswerBody;
 use crate::asked::{text, Asked};
+use crate::body::{collect, discard};
 use crate::client::{Client, Stage};
 use crate::front::Front;
 use crate::hop;
 use crate::limit::TimeLimit;
-use crate::memory::{Full, Room};
+use crate::memory::Room;
 use crate::node::{History, KeptTurn, Node, Reserve, TurnAsk};
 use crate::plain::{self, Awaited};
 use crate::refusal::Refusal;
@@ -18,11 +19,8 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Uri, Version};
-use http_body::Body;
 use hyper::body::Incoming;
 use smallvec::SmallVec;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::rc::Rc;
 
 /// An answer may still be written for so long after the time of its request; then nobody reads it.
@@ -31,8 +29,6 @@
 const REFUSAL_TIME_MS: u64 = 2000;
 /// When a client may come back before the first configuration has come.
 const NO_TABLE_RETRY_MS: u64 = 500;
-/// When a client may come back for whose body there is no memory.
-const NO_MEMORY_RETRY_MS: u64 = 300;
 /// When a client may come back whose turn waited for its admission until its time was over.
 const NOT_ADMITTED_RETRY_MS: u64 = 300;
 
@@ -50,7 +46,7 @@
         Ok(response) => response,
         Err(refusal) => refuse(&front, &client, refusal),
     };
-    if front.is_leaving() {
+    if front.is_leaving() || client.is_ending() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     let until_ms = until_ms.max(front.clock.now_ms()) + OVERTIME_MS;
@@ -61,12 +57,11 @@
 fn refuse<N: Node>(front: &Front<N>, client: &Rc<Client>, refusal: Refusal) -> Response<AnswerBody> {
     log::debug!("refused: {refusal:?}");
     front.count_refusal(refusal);
-    let head = refusal.head();
-    if hop::says_close(head.headers()) {
+    if refusal.leaves_unread() {
         client.refuse_unread();
     }
     let reason = Bytes::from_static(refusal.reason().as_bytes());
-    head.map(|()| AnswerBody::whole(reason, client))
+    refusal.head().map(|()| AnswerBody::whole(reason, client))
 }
 
 async fn serve<N: Node>(
@@ -77,12 +72,15 @@
     until_ms: &mut u64,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (head, body) = request.into_parts();
-    if head.version != Version::HTTP_11 {
-        return Err(Refusal::OldVersion);
-    }
-    let table = front.node.table().ok_or(Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS })?;
-    let route = find_route(&table, &head)?;
-    let asked = Asked::read(&head.headers)?;
+    let Routed { table, route, asked } = match Routed::find(front, &head) {
+        Ok(routed) => routed,
+        Err(refusal) => {
+            if !discard(body).await {
+                client.refuse_unread();
+            }
+            return Err(refusal);
+        }
+    };
     let held_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     *until_ms = arrived_ms.saturating_add(held_ms);
     let mut limit = TimeLimit::new(&front.clock, &front.departures, *until_ms);
@@ -96,86 +94,30 @@
     run(sending, turn, keeping, client).await
 }
 
-fn find_route(table: &Table, head: &Parts) -> Result<Rc<Route>, Refusal> {
-    let named = || head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = head.uri.authority().map(|authority| authority.as_str()).or_else(named);
-    let host = host.ok_or(Refusal::Malformed)?;
-    table.find(host, head.uri.path()).cloned().ok_or(Refusal::NoRoute)
+/// A proper request with its route.
+struct Routed {
+    table: Rc<Table>,
+    route: Rc<Route>,
+    asked: Asked,
 }
 
-/// The body of a client's request, whole.
-async fn collect(
-    mut body: Incoming,
-    most: usize,
-    limit: &mut TimeLimit,
-    room: &mut Room,
-) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let stated = body.size_hint().lower();
-    if stated > most as u64 {
-        return Err(Refusal::TooLarge);
-    }
-    take_room(room, stated as usize)?;
-    let mut pieces = Pieces::new(stated as usize);
-    loop {
-        let next = limit.bound(poll_fn(|cx| Pin::new(&mut body).poll_frame(cx))).await;
-        let frame = match next {
-            None => return Err(Refusal::Slow),
-            Some(None) => return Ok(pieces.join()),
-            Some(Some(Err(_))) => return Err(Refusal::Malformed),
-            Some(Some(Ok(frame))) => frame,
-        };
-        let Ok(bytes) = frame.into_data() else { continue };
-        if pieces.len + bytes.len() > most {
-            return Err(Refusal::TooLarge);
+impl Routed {
+    fn find<N: Node>(front: &Front<N>, head: &Parts) -> Result<Routed, Refusal> {
+        if head.version != Version::HTTP_11 {
+            return Err(Refusal::OldVersion);
         }
-        let beyond = (pieces.len + bytes.len()).saturating_sub(pieces.reserved);
-        take_room(room, beyond)?;
-        pieces.reserved += beyond;
-        pieces.add(bytes);
+        let table = front.node.table().ok_or(Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS })?;
+        let route = find_route(&table, head)?;
+        let asked = Asked::read(&head.headers)?;
+        Ok(Routed { table, route, asked })
     }
 }
 
-/// A body as it comes; copied only if it comes in several pieces.
-struct Pieces {
-    first: Bytes,
-    more: BytesMut,
-    len: usize,
-    reserved: usize,
-}
-
-impl Pieces {
-    fn new(reserved: usize) -> Pieces {
-        Pieces { first: Bytes::new(), more: BytesMut::new(), len: 0, reserved }
-    }
-
-    fn add(&mut self, bytes: Bytes) {
-        let is_first = self.len == 0;
-        self.len += bytes.len();
-        if is_first {
-            self.first = bytes;
-            return;
-        }
-        if self.more.is_empty() {
-            self.more.reserve(self.reserved.max(self.len));
-            self.more.extend_from_slice(&std::mem::take(&mut self.first));
-        }
-        self.more.extend_from_slice(&bytes);
-    }
-
-    fn join(self) -> Bytes {
-        if self.more.is_empty() {
-            self.first
-        } else {
-            self.more.freeze()
-        }
-    }
-}
-
-fn take_room(room: &mut Room, bytes: usize) -> Result<(), Refusal> {
-    room.grow(bytes).map_err(|Full| Refusal::Later { retry_after_ms: NO_MEMORY_RETRY_MS })
+fn find_route(table: &Table, head: &Parts) -> Result<Rc<Route>, Refusal> {
+    let named = || head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.authority().map(|authority| authority.as_str()).or_else(named);
+    let host = host.ok_or(Refusal::Malformed)?;
+    table.find(host, head.uri.path()).cloned().ok_or(Refusal::NoRoute)
 }
 
 /// The body for the server: what the turn goes on from, then its input.
@@ -198,7 +140,7 @@
         let history = limit.bound(front.node.history(program, previous)).await;
         match history {
             Some(History::Found(found)) => {
-                take_room(room, found.iter().map(Bytes::len).sum())?;
+                room.take(found.iter().map(Bytes::len).sum())?;
                 pieces.extend(found);
             }
             Some(History::Unknown) => return Err(Refusal::UnknownTurn),
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -285,8 +285,13 @@
 
 impl<N: Node> Drop for Place<N> {
     fn drop(&mut self) {
-        self.front.clients.borrow_mut().remove(&self.number);
-        self.front.changed.notify_waiters();
+        let front = &self.front;
+        front.clients.borrow_mut().remove(&self.number);
+        let others = front.clients.borrow().len();
+        // Nobody else waits for a client to go.
+        if others + 1 >= front.settings.max_connections || front.is_closing() {
+            front.changed.notify_waiters();
+        }
     }
 }
 
@@ -304,27 +309,50 @@
         let (front, client) = (front.clone(), client.clone());
         async move { Ok::<_, Infallible>(exchange::answer(front, client, request).await) }
     });
-    let ended = {
+    let end = {
         let mut connection = pin!(builder.serve_connection(wire, service));
         loop {
             tokio::select! {
                 biased;
-                ended = &mut connection => break ended.is_err_and(|error| error.is_parse()).then_some(Order::Leave),
+                ended = &mut connection => break End::of(ended),
                 () = client.told() => match client.order() {
                     Order::Stay => {}
                     // A message that lies there is answered first; its answer ends the connection.
                     Order::Leave if client.has_unread() => {}
                     Order::Leave => connection.as_mut().graceful_shutdown(),
-                    order => break Some(order),
+                    Order::TooSlow => break End::TooSlow,
+                    Order::Cut => break End::AtOnce,
                 },
             }
         }
         // What is in hand ends with hyper's side, before anything else happens here.
     };
-    match ended {
-        Some(Order::TooSlow) => client.answer_slow().await,
-        Some(Order::Leave) => client.refuse_unread(),
-        _ => {}
+    match end {
+        End::AtOnce => return,
+        End::TooSlow => client.answer_slow().await,
+        End::Malformed => client.refuse_unread(),
+        End::InOrder => {}
     }
     client.end().await;
 }
+
+/// Why a client's connection ends.
+enum End {
+    /// Either side wanted it.
+    InOrder,
+    /// What came is no request, and was refused as such.
+    Malformed,
+    /// A head did not come whole in time.
+    TooSlow,
+    /// Its client does not take its answer.
+    AtOnce,
+}
+
+impl End {
+    fn of(ended: Result<(), hyper::Error>) -> End {
+        match ended {
+            Err(error) if error.is_parse() => End::Malformed,
+            Ok(()) | Err(_) => End::InOrder,
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod asked;
+mod body;
 mod client;
 mod clock;
 mod events;
--- a/crates/proxy/src/limit.rs
+++ b/crates/proxy/src/limit.rs
@@ -77,6 +77,10 @@
         }
     }
 
+    pub(crate) fn until_ms(&self) -> u64 {
+        self.until_ms
+    }
+
     pub(crate) fn left_ms(&self) -> u64 {
         self.until_ms.saturating_sub(self.clock.now_ms())
     }
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -1,8 +1,12 @@
 //! The memory that bodies under way may take together.
 
+use crate::refusal::Refusal;
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// When a client may come back for whose body there is no memory.
+const NO_MEMORY_RETRY_MS: u64 = 300;
+
 /// Bytes for the bodies of all requests. Guards against clients that each send a large one at once, or half of
 /// one: together they would take more than the process may have.
 pub(crate) struct Memory {
@@ -10,10 +14,6 @@
     taken: Cell<usize>,
 }
 
-/// There is no room left.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct Full;
-
 impl Memory {
     pub(crate) fn new(most: usize) -> Rc<Memory> {
         Rc::new(Memory { most, taken: Cell::new(0) })
@@ -36,10 +36,10 @@
 }
 
 impl Room {
-    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Full> {
-        let taken = self.memory.taken.get() + bytes;
+    pub(crate) fn take(&mut self, bytes: usize) -> Result<(), Refusal> {
+        let taken = self.memory.taken.get().saturating_add(bytes);
         if taken > self.memory.most {
-            return Err(Full);
+            return Err(Refusal::Later { retry_after_ms: NO_MEMORY_RETRY_MS });
         }
         self.memory.taken.set(taken);
         self.bytes += bytes;
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -1,6 +1,6 @@
 //! The answers of the data plane's own.
 
-use http::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use http::{Response, StatusCode};
 
 /// Why a request gets no server's answer.
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Whether the client's body was left unread, so that the connection can't go on.
-    fn ends_connection(self) -> bool {
+    /// Whether the client's message was left unread in part, so that the connection can't go on.
+    pub(crate) fn leaves_unread(self) -> bool {
         matches!(self, Refusal::Malformed | Refusal::TooLarge | Refusal::Slow | Refusal::OldVersion)
     }
 
@@ -79,9 +79,6 @@
         if let Refusal::Later { retry_after_ms } = self {
             headers.insert(RETRY_AFTER, seconds(retry_after_ms));
         }
-        if self.ends_connection() {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        }
         head
     }
 }
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -310,7 +310,7 @@
         }
         match self.choose() {
             Choice::Send(ticket) => {
-                let flight = Flight::new(&self.front.node, ticket.key);
+                let flight = self.flight(&ticket);
                 Ok(self.note_sent(ticket, flight))
             }
             Choice::Refuse { retry_after_ms } if self.trace == Trace::None => {
@@ -320,6 +320,10 @@
         }
     }
 
+    fn flight(&self, ticket: &Ticket) -> Flight<N> {
+        Flight::new(&self.front.node, &self.front.clock, ticket.key, self.limit.until_ms())
+    }
+
     fn note_sent(&mut self, ticket: Ticket, flight: Flight<N>) -> Chosen<N> {
         self.sends += 1;
         if !self.tried.contains(&ticket.server.id) {
@@ -333,11 +337,12 @@
     fn choose_ahead(&mut self) -> bool {
         let backend = self.backend.clone();
         if let Choice::Send(ticket) = self.choose() {
-            let flight = Flight::new(&self.front.node, ticket.key);
+            let flight = self.flight(&ticket);
             if !self.tried.contains(&ticket.server.id) {
                 self.ahead = Some(Chosen { ticket, flight });
                 return true;
             }
+            flight.finish(Outcome::Abandoned);
         }
         self.backend = backend;
         false
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -16,7 +16,7 @@
 use tokio::time::{timeout, Duration};
 
 /// A connection that has not come up by then does not: its server is unreachable.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
+const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Bytes that the other side has not acknowledged for so long end the connection. Guards against a machine
 /// without power or behind a cut, which says nothing.
 const USER_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -26,7 +26,7 @@
 const EADDRNOTAVAIL: i32 = 99;
 const ENOBUFS: i32 = 105;
 /// Idle connections kept to one server.
-const MOST_IDLE_OF_SERVER: usize = 16;
+const MOST_IDLE_OF_SERVER: usize = 8;
 
 /// All connections to servers.
 pub(crate) struct Servers {
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -21,11 +21,16 @@
 /// broken: whole, it would promise that a later turn may go on from it.
 const MOST_OUTPUT: usize = 4 * 1024 * 1024;
 
+/// What a stream of events says it is, unless it says nothing.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Whether an answer is a stream of events.
 pub(crate) fn is_stream(kind: Kind, head: &Parts) -> bool {
-    let content_type =
-        head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
-    kind == Kind::Streaming && head.status == StatusCode::OK && content_type.starts_with("text/event-stream")
+    let of_events = head.headers.get(CONTENT_TYPE).is_none_or(|content_type| {
+        let named = content_type.as_bytes().get(..EVENT_STREAM.len());
+        named.is_some_and(|named| named.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    kind == Kind::Streaming && head.status == StatusCode::OK && of_events
 }
 
 /// A turn that is kept once its answer is whole.
@@ -41,7 +46,7 @@
         if self.output.len() + bytes > MOST_OUTPUT {
             return Err(Broken);
         }
-        self.room.grow(bytes).map_err(|_| Broken)
+        self.room.take(bytes).map_err(|_| Broken)
     }
 }
 
--- a/crates/proxy/tests/connections.rs
+++ b/crates/proxy/tests/connections.rs
@@ -491,3 +491,21 @@
         assert_eq!(Rc::strong_count(&front), 1);
     });
 }
+
+#[test]
+fn a_request_that_is_refused_with_its_body_under_way_ends_nothing() {
+    play(async {
+        let gateway = Gateway::start(&[]).await;
+        let mut client = gateway.client().await;
+        for _ in 0..2 {
+            client.send(b"POST /nowhere/ HTTP/1.1\r\nHost: h.example\r\nX-Dunespur-Request-Id: r1\r\nContent-Length: 20000\r\n\r\n").await;
+            client.send(&[b'x'; 20_000]).await;
+            let answer = client.message().await;
+            assert_eq!((answer.status(), answer.header("connection")), (404, None));
+        }
+        client.send(b"POST /nowhere/ HTTP/1.1\r\nHost: h.example\r\nX-Dunespur-Request-Id: r1\r\nContent-Length: 20000\r\n\r\nhalf").await;
+        let answer = client.message().await;
+        assert_eq!((answer.status(), answer.header("connection")), (404, Some("close")));
+        assert!(client.is_closed().await);
+    });
+}
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -435,3 +435,71 @@
         assert_eq!(gateway.node.asks().last().unwrap().backend, "plain");
     });
 }
+
+#[test]
+fn a_client_that_leaves_at_the_end_of_its_time_leaves_for_the_servers_silence() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let client = gateway.ask(&post("/short/", "r1", "", "x")).await;
+        server.take().await;
+        drop(client);
+        gateway.node.hears(&Told::Finished(Outcome::Silent)).await;
+    });
+}
+
+#[test]
+fn answers_without_a_body_are_passed_on() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let head = "X-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\nConnection: close\r\n";
+        for (method, answer, length) in [
+            ("HEAD", format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 500\r\n\r\n"), Some("500")),
+            ("HEAD", format!("HTTP/1.1 200 OK\r\n{head}\r\n"), None),
+            ("GET", format!("HTTP/1.1 204 No Content\r\n{head}\r\n"), None),
+            ("DELETE", format!("HTTP/1.1 304 Not Modified\r\n{head}\r\n"), None),
+            ("GET", format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 0\r\n\r\n"), Some("0")),
+        ] {
+            let mut client = gateway.ask(&get("/write/", "r1").replace("GET", method)).await;
+            let (mut connection, message) = server.take().await;
+            assert!(message.first_line.starts_with(method));
+            connection.send(answer.as_bytes()).await;
+            let passed_on = client.head().await;
+            assert_eq!(passed_on.first_line.split(' ').nth(1), answer.split(' ').nth(1), "{method} {answer}");
+            assert_eq!(passed_on.header("content-length"), length, "{method} {answer}");
+            assert_eq!(client.unread(), b"");
+        }
+    });
+}
+
+#[test]
+fn a_target_with_its_host_is_one_of_that_host() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let request = get("/write/a?b=c", "r1").replace("GET ", "GET http://h.example:80");
+        let _client = gateway.ask(&request).await;
+        assert_eq!(server.take().await.1.first_line, "GET /write/a?b=c HTTP/1.1");
+        let answer = gateway.ask(&get("*", "r1").replace("GET", "OPTIONS")).await.message().await;
+        assert_eq!(answer.status(), 404);
+    });
+}
+
+#[test]
+fn paths_and_queries_stay_as_they_came() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        for target in [
+            "/write//x/../y",
+            "/write/%2e%2E/%00",
+            "/write/?a=b?c&d=%zz",
+            "/write/a;b=c:d@e!$'()*+,",
+            "/write/?",
+        ] {
+            let _client = gateway.ask(&get(target, "r1")).await;
+            assert_eq!(server.take().await.1.first_line, format!("GET {target} HTTP/1.1"));
+        }
+    });
+}
