--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -7,7 +7,7 @@
 use crate::journal::Consequence;
 use crate::log::Position;
 use crate::message::{Message, Promise};
-use crate::plan::{plan, Plan, Situation, Standing};
+use crate::plan::{plan, Applicant, Plan, Situation, Standing};
 use crate::timing::{
     Millis, ATTEMPT_LASTS, BACKOFF, BACKOFF_JITTER, LAGGING_AFTER, PROMISES_AWAITED, PROMISE_PATIENCE,
     PROPOSE_JITTER, RANK_DELAY, REPLACE_AFTER,
@@ -317,8 +317,8 @@
             (0..view.members.len()).map(|index| self.standing(&view, index, now)).collect();
         self.note_returns(&view, &mut standings, now);
         let heard = self.newcomers.iter().filter(|newcomer| newcomer.is_heard(now));
-        let newcomers: Vec<Peer> = heard.map(|newcomer| newcomer.peer.clone()).collect();
-        plan(&Situation { view: &view, standings: &standings, newcomers: &newcomers })
+        let applicants: Vec<Applicant> = heard.map(|newcomer| newcomer.applicant(now)).collect();
+        plan(&Situation { view: &view, standings: &standings, applicants: &applicants })
     }
 
     fn standing(&self, view: &View, index: usize, now: Millis) -> Standing {
@@ -330,6 +330,7 @@
             connected,
             unfit: self.is_unfit(view, id, now),
             may_return: false,
+            accusers: self.accusers(view, index, now),
             silent,
             present: *id == self.me.id || self.peers.ping(id, view.number).is_some(),
             replaceable: silent && self.peers.silent_for(id, now) >= REPLACE_AFTER,
@@ -358,6 +359,19 @@
         }
     }
 
+    /// How many say that they have lost the member at `index`.
+    fn accusers(&self, view: &View, index: usize, now: Millis) -> usize {
+        let accuses = |other: &usize| {
+            let id = &view.members[*other].id;
+            if *id == self.me.id {
+                !self.peers.is_heard(&view.members[index].id, now)
+            } else {
+                self.told_connected(view, *other, index, now) == Some(false)
+            }
+        };
+        (0..view.members.len()).filter(|other| *other != index).filter(accuses).count()
+    }
+
     /// Whether this member, or one that it hears, is in touch with the member at `index`.
     fn is_heard_by_any(&self, view: &View, index: usize, now: Millis) -> bool {
         let id = &view.members[index].id;
@@ -379,7 +393,7 @@
         let synced = |id: &&MemberId| {
             let ping = self.peers.ping(id, view.number);
             if **id == self.me.id {
-                self.is_synced()
+                self.has_come_up()
             } else {
                 ping.is_none_or(|ping| ping.synced)
             }
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -70,13 +70,18 @@
         self.stage == Stage::Synced
     }
 
+    /// Whether the log holds all that it must in the present view. This stays so when a promise seals the view.
+    pub(super) fn has_come_up(&self) -> bool {
+        self.synced_view == self.number()
+    }
+
     pub(super) fn stage_at_start(&self) -> Stage {
         let Some(view) = self.view() else { return Stage::Outside };
         if !view.in_chain(&self.me.id) {
             Stage::Outside
         } else if self.is_sealed() {
             Stage::Sealed
-        } else if self.synced_view == view.number {
+        } else if self.has_come_up() {
             Stage::Synced
         } else {
             Stage::Unsynced
--- a/crates/chain/src/member/membership.rs
+++ b/crates/chain/src/member/membership.rs
@@ -5,8 +5,10 @@
 use crate::disk::Write;
 use crate::identity::{MemberId, Peer, View};
 use crate::message::{Message, Ping};
+use crate::plan::Applicant;
 use crate::timing::{
-    Millis, CATCH_UP_GAP, JOIN_EVERY, MOST_NEWCOMERS, NEWCOMER_LASTS, PING_EVERY, STALLED_AFTER,
+    Millis, CATCH_UP_GAP, JOIN_EVERY, MOST_NEWCOMERS, NEWCOMER_LASTS, NEWCOMER_WAITS, PING_EVERY,
+    STALLED_AFTER,
 };
 use std::net::SocketAddr;
 
@@ -14,10 +16,15 @@
 #[derive(Clone, Debug)]
 pub(super) struct Newcomer {
     pub(super) peer: Peer,
+    first_heard_at: Millis,
     heard_at: Millis,
 }
 
 impl Newcomer {
+    pub(super) fn applicant(&self, now: Millis) -> Applicant {
+        Applicant { peer: self.peer.clone(), patient: now >= self.first_heard_at + NEWCOMER_WAITS }
+    }
+
     pub(super) fn is_heard(&self, now: Millis) -> bool {
         now < self.heard_at + NEWCOMER_LASTS
     }
@@ -86,11 +93,13 @@
         if decided.view.has_member(&newcomer.id) || !decided.view.has_member(&self.me.id) {
             return;
         }
-        self.newcomers.retain(|other| other.peer.id != newcomer.id && other.is_heard(now));
-        if self.newcomers.len() < MOST_NEWCOMERS {
-            self.newcomers.push(Newcomer { peer: newcomer, heard_at: now });
+        self.newcomers.retain(|other| other.is_heard(now));
+        if let Some(known) = self.newcomers.iter_mut().find(|other| other.peer == newcomer) {
+            known.heard_at = now;
+        } else if self.newcomers.len() < MOST_NEWCOMERS {
+            self.newcomers.push(Newcomer { peer: newcomer, first_heard_at: now, heard_at: now });
+            self.newcomers.sort_by(|one, other| one.peer.id.cmp(&other.peer.id));
         }
-        self.newcomers.sort_by(|one, other| one.peer.id.cmp(&other.peer.id));
         self.consider_next_view(now, out);
     }
 
@@ -166,7 +175,7 @@
             stamp: now,
             echo: self.peers.stamp(&to.id),
             connected: self.connected_bits(now),
-            synced: self.is_synced(),
+            synced: self.has_come_up(),
             stalled: self.is_stalled(now),
             leaving: self.leaving,
             answer,
@@ -184,7 +193,7 @@
 
     pub(super) fn ping_all(&mut self, answer: bool, now: Millis, out: &mut Vec<Output>) {
         self.next_ping = now + PING_EVERY;
-        let Some(view) = self.view() else { return };
+        let Some(view) = self.view().filter(|view| view.has_member(&self.me.id)) else { return };
         let others: Vec<Peer> =
             view.members.iter().filter(|member| member.id != self.me.id).cloned().collect();
         for other in &others {
@@ -238,7 +247,8 @@
     }
 
     pub(super) fn next_membership_tick(&self) -> Option<Millis> {
-        let ping = self.decided.as_ref().map(|_| self.next_ping);
+        let is_member = self.view().is_some_and(|view| view.has_member(&self.me.id));
+        let ping = is_member.then_some(self.next_ping);
         let join = self.joining.as_ref().map(|joining| joining.next);
         [ping, join].into_iter().flatten().min()
     }
--- a/crates/chain/src/peers.rs
+++ b/crates/chain/src/peers.rs
@@ -75,8 +75,12 @@
     }
 
     /// Keeps what is known of the view's members, forgets others, and notes who left the chain.
+    /// One that isn't a member exchanges no pings, so it knows nothing.
     pub fn install(&mut self, before: Option<&View>, view: &View, me: &MemberId, now: Millis) {
-        self.states.retain(|state| view.has_member(&state.id));
+        self.states.retain(|state| view.has_member(&state.id) && view.has_member(me));
+        if !view.has_member(me) {
+            return;
+        }
         for member in view.members.iter().filter(|member| member.id != *me) {
             if self.state(&member.id).is_none() {
                 self.states.push(PeerState::new(member.id.clone(), now));
--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -13,6 +13,8 @@
     pub unfit: bool,
     /// It is out of the chain and has been well for long enough to be taken back.
     pub may_return: bool,
+    /// How many members say that they have lost it, the planning one included.
+    pub accusers: usize,
     /// Nobody that the planning member hears, nor itself, hears it.
     pub silent: bool,
     /// It has told in this view that it is there.
@@ -21,12 +23,20 @@
     pub replaceable: bool,
 }
 
+/// A member that asks to be added.
+#[derive(Clone, Debug)]
+pub struct Applicant {
+    pub peer: Peer,
+    /// It has asked for so long that a member which it is to replace would be silent by now.
+    pub patient: bool,
+}
+
 /// What a plan is made from.
 pub struct Situation<'a> {
     pub view: &'a View,
     /// By the members' order.
     pub standings: &'a [Standing],
-    pub newcomers: &'a [Peer],
+    pub applicants: &'a [Applicant],
 }
 
 /// The members and the chain that there should be.
@@ -72,13 +82,14 @@
 /// The members that there should be, and which of them is new. One newcomer at a time.
 fn plan_members(situation: &Situation) -> (Vec<Peer>, Option<Peer>) {
     let mut members = situation.view.members.clone();
-    for newcomer in situation.newcomers {
-        match place_for(situation, newcomer) {
+    for applicant in situation.applicants {
+        let newcomer = applicant.peer.clone();
+        match place_for(situation, applicant) {
             Place::None => continue,
             Place::Of(index) => members[index] = newcomer.clone(),
             Place::New => members.push(newcomer.clone()),
         }
-        return (members, Some(newcomer.clone()));
+        return (members, Some(newcomer));
     }
     if let Some(index) = superfluous(situation) {
         members.remove(index);
@@ -95,7 +106,8 @@
     New,
 }
 
-fn place_for(situation: &Situation, newcomer: &Peer) -> Place {
+fn place_for(situation: &Situation, applicant: &Applicant) -> Place {
+    let newcomer = &applicant.peer;
     let members = &situation.view.members;
     if situation.view.has_member(&newcomer.id) {
         return Place::None;
@@ -111,7 +123,7 @@
     // A member that isn't heard will be back soon, or the newcomer takes its place: with the newcomer as one more, the
     // loss of another would be one too many.
     let all_here = situation.standings.iter().all(|standing| standing.present && !standing.silent);
-    if all_here && members.len() < MOST_MEMBERS {
+    if all_here && applicant.patient && members.len() < MOST_MEMBERS {
         Place::New
     } else {
         Place::None
@@ -136,18 +148,22 @@
     }
 
     /// Takes members out until all that are left are connected with each other. Of those that lack a connection
-    /// within the chain, the one goes that lacks the most to all members; of equals the one further down.
+    /// within the chain, the one goes that lacks the most to all members; of equals the one that more say they have
+    /// lost, and then the one further down.
     fn without_disconnected(&self, mut indices: Vec<usize>) -> Vec<usize> {
         let lacking =
             |one: usize| (0..self.standings.len()).filter(|other| !self.connected(one, *other)).count();
         loop {
             let cut_off = |one: usize| indices.iter().any(|other| !self.connected(one, *other));
             let cut_off: Vec<usize> = (0..indices.len()).filter(|place| cut_off(indices[*place])).collect();
-            let Some(worst) = cut_off.into_iter().max_by_key(|place| (lacking(indices[*place]), *place))
-            else {
-                return indices;
+            let badness = |place: &usize| {
+                let index = indices[*place];
+                (lacking(index), self.standings[index].accusers, *place)
+            };
+            match cut_off.into_iter().max_by_key(badness) {
+                Some(worst) => indices.remove(worst),
+                None => return indices,
             };
-            indices.remove(worst);
         }
     }
 
--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -9,8 +9,9 @@
 pub const SUSPECT_AFTER: Millis = 900;
 /// A member whose connection was refused or reset is suspected if it isn't heard from within this time.
 pub const SUSPECT_AFTER_DISCONNECT: Millis = 120;
-/// An echo older than this shows that the other no longer hears us: suspicion, a round of pings and the way.
-pub const ECHO_LASTS: Millis = SUSPECT_AFTER + PING_EVERY;
+/// An echo older than this shows that the other no longer hears us. A stamp is up to two rounds of pings older than the
+/// message that brought its echo: who falls silent is suspected for that first.
+pub const ECHO_LASTS: Millis = SUSPECT_AFTER + 2 * PING_EVERY + 100;
 /// A member is current while a majority has answered what it sent within this time.
 pub const CURRENT_WITHIN: Millis = 800;
 /// A gap this long between steps means that we stood still ourselves.
@@ -57,6 +58,8 @@
 pub const JOIN_EVERY: Millis = 300;
 /// A newcomer that hasn't asked for this long is forgotten.
 pub const NEWCOMER_LASTS: Millis = 1_000;
+/// A newcomer that is to be one more has to ask for this long: the member that it replaces may be about to be missed.
+pub const NEWCOMER_WAITS: Millis = SUSPECT_AFTER + JOIN_EVERY;
 /// No more than one answer to a message of a later view within this.
 pub const CATCH_UP_GAP: Millis = 50;
 
--- a/crates/chain/tests/world/mod.rs
+++ b/crates/chain/tests/world/mod.rs
@@ -160,8 +160,12 @@
     pub losing: bool,
     pub snapshots_given: u64,
     pub snapshots_installed: u64,
+    /// Inputs that members have taken.
+    pub steps: u64,
     /// Payloads by index; index 1 is at 0.
     sequence: Vec<u64>,
+    /// When each index was committed first.
+    commit_times: Vec<Millis>,
     /// Digests of the sequence's beginnings.
     digests: Vec<u64>,
     views: BTreeMap<u64, View>,
@@ -196,7 +200,9 @@
             losing: false,
             snapshots_given: 0,
             snapshots_installed: 0,
+            steps: 0,
             sequence: Vec::new(),
+            commit_times: Vec::new(),
             digests: vec![0],
             views: BTreeMap::new(),
             next_payload: 1,
@@ -525,6 +531,11 @@
         }
     }
 
+    /// The caller of a member gives it something.
+    pub fn take(&mut self, index: usize, input: Input) {
+        self.input(index, input);
+    }
+
     fn input(&mut self, index: usize, input: Input) {
         if self.machines[index].frozen {
             self.machines[index].backlog.push_back(input);
@@ -532,6 +543,7 @@
         }
         let now = self.now;
         let Some(process) = self.machines[index].process.as_mut() else { return };
+        self.steps += 1;
         let mut out = Vec::new();
         process.member.step(input, now, &mut out);
         let next = process.member.next_tick();
@@ -602,6 +614,7 @@
         let place = at as usize - 1;
         if place == self.sequence.len() {
             self.sequence.push(payload);
+            self.commit_times.push(self.now);
             self.digests.push(digest(self.digests[place], payload));
             self.note(|| format!("m{index} commits {at}: {payload}"));
         } else if self.sequence.get(place) != Some(&payload) {
@@ -728,6 +741,18 @@
         self.sequence.len()
     }
 
+    /// The longest time without a commit since then, and until now.
+    pub fn longest_pause(&self, since: Millis) -> Millis {
+        let times = self.commit_times.iter().copied().filter(|at| *at > since).chain([self.now]);
+        let mut last = since;
+        let pause = |at: Millis| at - std::mem::replace(&mut last, at);
+        times.map(pause).max().unwrap_or_default()
+    }
+
+    pub fn is_in_chain(&self, index: usize) -> bool {
+        self.newest_view().is_some_and(|view| view.chain.contains(&self.id(index)))
+    }
+
     pub fn newest_view(&self) -> Option<&View> {
         self.views.values().next_back()
     }
