--- a/crates/configuration/tests/table.rs
+++ b/crates/configuration/tests/table.rs
@@ -123,6 +123,7 @@
     assert_eq!((route.target_ms, route.gap_aim_ms, route.retries, route.priority), (9, None, 1, 5));
     assert_eq!((route.persisted, route.sticky, route.resumable), (false, false, false));
     assert_eq!(route.retention_ms, 60_000);
+    assert!(route.allows("s") && !route.allows("t"));
     assert_eq!(route.backends, [WeightedBackend { backend: "s".to_owned(), weight: 1 }]);
 }
 
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Stands for the whole content of an order. Operators don't craft collisions against themselves.
+/// Stands for the kind and body of an order. Operators don't craft collisions against themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Fingerprint(u128);
 
@@ -59,7 +59,6 @@
             OrderKind::Replace => 0,
             OrderKind::Patch => 1,
         }]);
-        hash.update(&order.base.to_le_bytes());
         hash.update(&order.body);
         Fingerprint(hash.digest128())
     }
--- a/crates/control/src/servers.rs
+++ b/crates/control/src/servers.rs
@@ -86,7 +86,7 @@
     fn enter(&mut self, next: ServerReport, changes: &mut Vec<Change>) {
         let known = self.present.get(&next.id);
         if known.is_none_or(|known| known.address != next.address) {
-            self.displace(next.address, &next.id, changes);
+            self.displace(next.address, changes);
         }
         let known = self.present.get(&next.id);
         if known.is_none_or(|known| differs(known, &next)) {
@@ -106,9 +106,9 @@
 
     /// Another server has come up at an address: the one that was there is over. Should its report have been
     /// the older one after all, its next one takes the address back.
-    fn displace(&mut self, address: SocketAddr, by: &str, changes: &mut Vec<Change>) {
-        let displaced = |server: &&ServerReport| server.address == address && server.id != by;
-        let Some(older) = self.present.values().find(displaced) else { return };
+    fn displace(&mut self, address: SocketAddr, changes: &mut Vec<Change>) {
+        let older = self.present.values().find(|server| server.address == address);
+        let Some(older) = older else { return };
         let departure = Departure::Away { sequence: older.sequence, state: older.state };
         let id = older.id.clone();
         self.depart(&id, departure, changes);
--- a/crates/control/tests/nodes.rs
+++ b/crates/control/tests/nodes.rs
@@ -215,3 +215,21 @@
     );
     assert_eq!(trial.state.gateways().count(), 0);
 }
+
+#[test]
+fn stores_that_were_taken_away_are_forgotten_before_those_that_may_come_back() {
+    let mut trial = with_stores(&["b", "c"]);
+    for number in 0..1_030 {
+        let name = format!("n{number}");
+        // The first few are only silent, although they are the oldest; all others are taken away as planned.
+        trial.node(store(&name, 11 + number));
+        if number >= 8 {
+            assert_eq!(retire(&mut trial, &name, 1), RetireOutcome::Taken);
+            trial.changes(&emptied(&name, 11 + number));
+        }
+        trial.changes(&gone(&name, 11 + number));
+    }
+    assert_eq!(trial.state.stores().count(), 2 + 8);
+    assert_eq!(trial.state.retirement("n8"), None);
+    assert_eq!(trial.state.retirement("n14"), Some(RetireState::Done));
+}
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -7,6 +7,7 @@
 
 /// More orders than are remembered.
 const MANY_ORDERS: u64 = 9_000;
+const REMEMBERED: u64 = 8_192;
 
 fn current(trial: &Trial) -> Option<u64> {
     trial.state.configuration().map(|document| document.generation())
@@ -122,8 +123,10 @@
     for base in 0..MANY_ORDERS {
         assert_eq!(trial.order(&replace(base, base + 1)), Outcome::Accepted);
     }
+    let oldest = MANY_ORDERS - REMEMBERED;
     assert_eq!(trial.order(&replace(0, 1)), Outcome::Forgotten);
-    assert_eq!(trial.order(&replace(MANY_ORDERS - 4_000, MANY_ORDERS - 3_999)), Outcome::Accepted);
+    assert_eq!(trial.order(&replace(oldest - 1, oldest)), Outcome::Forgotten);
+    assert_eq!(trial.order(&replace(oldest, oldest + 1)), Outcome::Accepted);
     assert_eq!(
         trial.order(&replace_with(MANY_ORDERS - 1, r#"{"generation":100000}"#)),
         Outcome::Current { generation: MANY_ORDERS }
