--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -392,7 +392,7 @@
             match self.exchange(link, ticket).await {
                 // The connection ended as it was used again: the server is as well reached over a new one.
                 Err(Fault::Unsent) => {}
-                Err(Fault::Broken) if idempotent => {}
+                Err(Fault::Broken) if idempotent => self.note_ran(&ticket.server, Trace::MayHaveRun),
                 result => return result,
             }
         }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -125,6 +125,11 @@
         self.asks.borrow().clone()
     }
 
+    /// How many sends it has allowed.
+    pub fn sends(&self) -> usize {
+        self.last_key.get() as usize
+    }
+
     pub fn told(&self) -> Vec<Told> {
         self.log.borrow().clone()
     }
@@ -366,8 +371,9 @@
         Peer { stream, buffer: Vec::new() }
     }
 
+    /// Sends this, unless the other side has gone.
     pub async fn send(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).await.unwrap();
+        let _ = self.stream.write_all(bytes).await;
     }
 
     /// An answer with a length to the request with this id.
@@ -440,25 +446,39 @@
     /// The next message, or what of its body came before the connection ended.
     pub async fn try_message(&mut self) -> Result<Message, CutShort> {
         let mut message = self.head().await;
-        if message.header("transfer-encoding") == Some("chunked") {
+        message.body = self.body_of(&message).await.map_err(|body| CutShort { body })?;
+        Ok(message)
+    }
+
+    /// The next message; None where the connection ends before it is whole.
+    pub async fn next_message(&mut self) -> Option<Message> {
+        while find(&self.buffer, b"\r\n\r\n").is_none() {
+            if !self.more().await {
+                return None;
+            }
+        }
+        self.try_message().await.ok()
+    }
+
+    /// The body of the message with this head, or what of it came before the connection ended.
+    pub async fn body_of(&mut self, head: &Message) -> Result<Vec<u8>, Vec<u8>> {
+        let mut body = Vec::new();
+        if head.header("transfer-encoding") == Some("chunked") {
             loop {
-                let Some(chunk) = self.next_chunk().await else {
-                    return Err(CutShort { body: message.body });
-                };
-                if chunk.is_empty() {
-                    return Ok(message);
+                match self.next_chunk().await {
+                    None => return Err(body),
+                    Some(chunk) if chunk.is_empty() => return Ok(body),
+                    Some(chunk) => body.extend(chunk),
                 }
-                message.body.extend(chunk);
             }
         }
-        let length = message.header("content-length").map_or(0, |length| length.parse().unwrap());
+        let length = head.header("content-length").map_or(0, |length| length.parse().unwrap());
         while self.buffer.len() < length {
             if !self.more().await {
-                return Err(CutShort { body: std::mem::take(&mut self.buffer) });
+                return Err(std::mem::take(&mut self.buffer));
             }
         }
-        message.body = self.buffer.drain(..length).collect();
-        Ok(message)
+        Ok(self.buffer.drain(..length).collect())
     }
 
     /// The next chunk, an empty one at the end; None where the connection ends before it.
