--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -7,8 +7,8 @@
 //! Strict only where a configuration is invalid or can't be used. A field that isn't known here is
 //! kept and given back; it never makes a configuration invalid.
 //!
-//! Read by hand over `serde_json` instead of by `schematic`, which stops at the first value of a wrong type in
-//! an object, doesn't miss needed fields of objects inside a list, and doesn't keep what it doesn't know.
+//! Read by hand over `serde_json` instead of by `schematic`, which stops at the first value of a wrong type
+//! and doesn't keep what it doesn't know.
 
 mod check;
 mod document;
