--- a/crates/emulator/src/client/attempt.rs
+++ b/crates/emulator/src/client/attempt.rs
@@ -47,6 +47,7 @@
     }
 
     async fn exchange(&self) -> TryOutcome {
+        let started = Instant::now();
         let Ok(Ok(stream)) = timeout(CONNECT_LIMIT, TcpStream::connect(self.front)).await else {
             return TryOutcome::NotSent;
         };
@@ -57,7 +58,7 @@
         if write.write_all(&request_bytes(&head, &self.ask.body)).await.is_err() {
             return TryOutcome::NotSent;
         }
-        let outcome = Receiving::new(self, read).receive().await;
+        let outcome = Receiving::new(self, read, started).receive().await;
         drop(write);
         outcome
     }
@@ -82,11 +83,11 @@
 }
 
 impl<'a> Receiving<'a> {
-    fn new(attempt: &'a Attempt<'a>, read: OwnedReadHalf) -> Self {
+    fn new(attempt: &'a Attempt<'a>, read: OwnedReadHalf, started: Instant) -> Self {
         Receiving {
             attempt,
             reader: MessageReader::new(read),
-            started: Instant::now(),
+            started,
             digester: Digester::default(),
             kept: BytesMut::new(),
             events: EventReader::default(),
@@ -165,7 +166,7 @@
         match self.last_event {
             None => {
                 let since = now.duration_since(self.started);
-                self.answered.first_event_ms = Some(since.as_millis() as u64);
+                self.answered.first_event_us = Some(since.as_micros() as u64);
             }
             Some(last) => {
                 let pause = now.duration_since(last).as_millis() as u64;
@@ -211,7 +212,7 @@
             events: Vec::new(),
             garbled_events: 0,
             left_over: 0,
-            first_event_ms: None,
+            first_event_us: None,
             longest_pause_ms: 0,
             surplus: 0,
         }
--- a/crates/emulator/src/client/retry.rs
+++ b/crates/emulator/src/client/retry.rs
@@ -4,7 +4,7 @@
 use super::request::Ask;
 use crate::clock::Clock;
 use crate::identity::{IdentitySource, RequestId};
-use crate::record::{Answered, Record, Try, TryOutcome};
+use crate::record::{Answered, Moments, Record, Try, TryOutcome};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -112,9 +112,9 @@
                 patience,
             };
             let begun = Instant::now();
-            let sent_ms = self.shared.clock.now_ms();
+            let sent_us = self.shared.clock.now_us();
             let outcome = attempt.carry_out().await;
-            self.note(&attempt, wanted, sent_ms, outcome.clone());
+            self.note(&attempt, wanted, sent_us, outcome.clone());
             tries += 1;
             let pause = pause_before_retry(ask, &outcome, until, &self.shared.identities);
             let ended = tries > ask.retries || Instant::now() >= until;
@@ -131,13 +131,14 @@
         fronts[place as usize % fronts.len()]
     }
 
-    fn note(&self, attempt: &Attempt<'_>, wanted: u64, sent_ms: u64, outcome: TryOutcome) {
+    fn note(&self, attempt: &Attempt<'_>, wanted: u64, sent_us: u64, outcome: TryOutcome) {
+        let moments = moments(sent_us, self.shared.clock.now_us(), &outcome);
         self.shared.record.tried(Try {
             number: 0,
             request: attempt.request,
             wanted,
             front: attempt.front,
-            sent_ms,
+            sent_ms: sent_us / 1_000,
             ended_ms: self.shared.clock.now_ms(),
             host: attempt.ask.host.clone(),
             method: attempt.ask.method.to_owned(),
@@ -146,10 +147,19 @@
             repeatable: attempt.ask.kind.repeatable(),
             program: attempt.ask.program_try(),
             outcome,
+            moments,
         });
     }
 }
 
+fn moments(sent_us: u64, ended_us: u64, outcome: &TryOutcome) -> Moments {
+    let first_us = match outcome {
+        TryOutcome::Answered(answered) => Some(answered.first_event_us.map_or(ended_us, |us| sent_us + us)),
+        _ => None,
+    };
+    Moments { begun_us: sent_us, first_us, ended_us: Some(ended_us) }
+}
+
 fn served(
     attempt: &Attempt<'_>,
     outcome: TryOutcome,
@@ -160,10 +170,10 @@
     let took_ms = started.elapsed().as_millis() as u64;
     let before_ms = begun.duration_since(started).as_millis() as u64;
     let first_event = match &outcome {
-        TryOutcome::Answered(answered) | TryOutcome::BrokenOff(answered) => answered.first_event_ms,
+        TryOutcome::Answered(answered) | TryOutcome::BrokenOff(answered) => answered.first_event_us,
         _ => None,
     };
-    let first_ms = first_event.map_or(took_ms, |first| before_ms + first);
+    let first_ms = first_event.map_or(took_ms, |first| before_ms + first / 1_000);
     Served { request: attempt.request, outcome, tries, first_ms, took_ms }
 }
 
--- a/crates/emulator/src/engine/batch.rs
+++ b/crates/emulator/src/engine/batch.rs
@@ -66,6 +66,7 @@
     running: Vec<Request>,
     tickets: u64,
     tokens_read: u64,
+    tokens_asked: u64,
     preempted: u64,
 }
 
@@ -80,6 +81,7 @@
             running: Vec::new(),
             tickets: 0,
             tokens_read: 0,
+            tokens_asked: 0,
             preempted: 0,
         }
     }
@@ -146,6 +148,11 @@
         self.tokens_read
     }
 
+    /// Tokens of the prompts let in so far, also those that were kept.
+    pub fn tokens_asked(&self) -> u64 {
+        self.tokens_asked
+    }
+
     /// Requests that had to give way so far.
     pub fn preempted(&self) -> u64 {
         self.preempted
@@ -168,6 +175,7 @@
             match self.memory.take(&request.prompt.parts) {
                 Some(found) => {
                     request.to_read = found.to_read + request.generated;
+                    self.tokens_asked += found.kept + found.to_read;
                     request.since_let_in = 0;
                     self.running.push(request);
                 }
--- a/crates/emulator/src/engine/mod.rs
+++ b/crates/emulator/src/engine/mod.rs
@@ -87,6 +87,11 @@
         self.work.tokens_read()
     }
 
+    /// Tokens of all prompts that were let in, kept ones counted as well.
+    pub fn tokens_asked(&self) -> u64 {
+        self.work.tokens_asked()
+    }
+
     /// Requests that run, and those that wait.
     pub fn load(&self) -> Load {
         self.work.load()
--- a/crates/emulator/src/engine/work.rs
+++ b/crates/emulator/src/engine/work.rs
@@ -47,6 +47,10 @@
         self.lock().batch.tokens_read()
     }
 
+    pub fn tokens_asked(&self) -> u64 {
+        self.lock().batch.tokens_asked()
+    }
+
     pub fn load(&self) -> Load {
         let state = self.lock();
         Load {
--- /dev/null
+++ b/crates/emulator/src/experiment/findings.rs
@@ -0,0 +1,228 @@
+//! What an experiment has shown, as a table and as JSON.
+
+use super::file::Experiment;
+use super::measure::{ProcessUse, Spans};
+use super::traffic::{Ended, Outcome};
+use dunespur_emulator::record::{Fate, Sighting, Try, TryOutcome};
+use dunespur_emulator::scene::Scene;
+use dunespur_emulator::RequestId;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+
+/// Violations that the table lists.
+const LISTED_VIOLATIONS: usize = 20;
+
+/// All that was measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct Findings {
+    pub seconds: f64,
+    pub classes: Vec<ClassFinding>,
+    /// From a request's arrival at its server to the first event there.
+    pub server_first_ms: Quantiles,
+    /// What the way through the system adds to that for the client.
+    pub added_ms: Quantiles,
+    pub prompt_tokens: PromptTokens,
+    pub answers: BTreeMap<String, usize>,
+    pub server_connections: u64,
+    pub probes: u64,
+    pub processes: Vec<ProcessUse>,
+    pub violations: Vec<String>,
+}
+
+/// One class of programs or requests.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassFinding {
+    pub name: String,
+    pub in_time: usize,
+    pub late: usize,
+    pub refused: usize,
+    pub failed: usize,
+    pub skipped: usize,
+    /// Time to the first event, or to the answer.
+    pub first_ms: Quantiles,
+    pub took_ms: Quantiles,
+}
+
+/// Of a list of times.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Quantiles {
+    pub p50: f64,
+    pub p95: f64,
+    pub p99: f64,
+}
+
+/// Prompts, in tokens.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct PromptTokens {
+    /// In all prompts that ran.
+    pub asked: u64,
+    /// By servers that did not have them.
+    pub read: u64,
+}
+
+impl Findings {
+    pub fn new(scene: &Scene, experiment: &Experiment, outcomes: Vec<Outcome>, spans: &Spans) -> Findings {
+        let sightings = scene.record.sightings();
+        let tries = scene.record.tries();
+        let programs = experiment.programs.iter().map(|class| class.name.clone());
+        let requests = experiment.requests.iter().map(|class| class.name.clone());
+        let names = programs.chain(requests).enumerate();
+        let mut violations: Vec<String> = scene.violations().iter().map(ToString::to_string).collect();
+        if scene.record.overflowed() {
+            violations.push("the record has overflowed".to_owned());
+        }
+        Findings {
+            seconds: spans.loaded_s(),
+            classes: names.map(|(class, name)| class_finding(name, class, &outcomes)).collect(),
+            server_first_ms: server_first(&sightings),
+            added_ms: added(&sightings, &tries),
+            prompt_tokens: prompt_tokens(scene),
+            answers: answers(&tries),
+            server_connections: scene.servers().map(|door| door.accepted()).sum(),
+            probes: scene.servers().map(|door| door.probes()).sum(),
+            processes: spans.processes(scene),
+            violations,
+        }
+    }
+
+    pub fn json(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        self.write_table(&mut text).expect("writing to a string");
+        text
+    }
+
+    fn write_table(&self, text: &mut String) -> std::fmt::Result {
+        writeln!(
+            text,
+            "{:<22}{:>8}{:>7}{:>9}{:>8}{:>9}   first ms p50/p95/p99   whole ms p50/p95/p99",
+            "class", "in time", "late", "refused", "failed", "skipped"
+        )?;
+        for class in &self.classes {
+            writeln!(
+                text,
+                "{:<22}{:>8}{:>7}{:>9}{:>8}{:>9}   {:<22} {}",
+                class.name,
+                class.in_time,
+                class.late,
+                class.refused,
+                class.failed,
+                class.skipped,
+                class.first_ms.text(),
+                class.took_ms.text()
+            )?;
+        }
+        writeln!(text, "first event at the server, ms p50/p95/p99: {}", self.server_first_ms.text())?;
+        writeln!(text, "added ms to the first event p50/p95/p99: {}", self.added_ms.text())?;
+        let tokens = self.prompt_tokens;
+        writeln!(text, "prompt tokens: {} asked, {} read", tokens.asked, tokens.read)?;
+        writeln!(text, "connections to servers: {}, probes: {}", self.server_connections, self.probes)?;
+        writeln!(text, "tries by answer: {:?}", self.answers)?;
+        writeln!(
+            text,
+            "{:<26}{:>9}{:>7}{:>10}{:>12}{:>14}{:>12}",
+            "process", "role", "starts", "start ms", "idle mcore", "loaded mcore", "peak MB"
+        )?;
+        for process in &self.processes {
+            writeln!(
+                text,
+                "{:<26}{:>9}{:>7}{:>10}{:>12}{:>14}{:>12.1}",
+                process.name,
+                process.role,
+                process.starts,
+                process.start_ms,
+                process.idle_millicores,
+                process.loaded_millicores,
+                process.peak_memory_kb as f64 / 1024.0
+            )?;
+        }
+        writeln!(text, "broken rules: {}", self.violations.len())?;
+        for violation in self.violations.iter().take(LISTED_VIOLATIONS) {
+            writeln!(text, "  {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Quantiles {
+    fn of(mut times: Vec<f64>) -> Quantiles {
+        times.sort_by(f64::total_cmp);
+        let at = |part: f64| {
+            let place = (times.len() as f64 * part).ceil() as usize;
+            times.get(place.saturating_sub(1)).copied().unwrap_or_default()
+        };
+        Quantiles { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
+    }
+
+    fn text(&self) -> String {
+        format!("{:.1}/{:.1}/{:.1}", self.p50, self.p95, self.p99)
+    }
+}
+
+fn class_finding(name: String, class: usize, outcomes: &[Outcome]) -> ClassFinding {
+    let own: Vec<&Outcome> = outcomes.iter().filter(|outcome| outcome.class == class).collect();
+    let count = |ended| own.iter().filter(|outcome| outcome.ended == ended).count();
+    let served = own.iter().filter(|outcome| matches!(outcome.ended, Ended::InTime | Ended::Late));
+    ClassFinding {
+        name,
+        in_time: count(Ended::InTime),
+        late: count(Ended::Late),
+        refused: count(Ended::Refused),
+        failed: count(Ended::Failed),
+        skipped: count(Ended::Skipped),
+        first_ms: Quantiles::of(
+            own.iter().flat_map(|outcome| &outcome.first_ms).map(|ms| *ms as f64).collect(),
+        ),
+        took_ms: Quantiles::of(served.map(|outcome| outcome.took_ms as f64).collect()),
+    }
+}
+
+/// Of the requests that ran.
+fn server_first(sightings: &[Sighting]) -> Quantiles {
+    let ran = sightings.iter().filter(|sighting| sighting.fate == Fate::Run);
+    Quantiles::of(ran.filter_map(|sighting| Some(sighting.moments.to_first_us()? as f64 / 1_000.0)).collect())
+}
+
+/// What the way through the system added to the time that the server took to its first event.
+fn added(sightings: &[Sighting], tries: &[Try]) -> Quantiles {
+    let mut at_server: HashMap<RequestId, u64> = HashMap::new();
+    for sighting in sightings.iter().filter(|sighting| sighting.fate == Fate::Run) {
+        if let (Some(request), Some(us)) = (sighting.request, sighting.moments.to_first_us()) {
+            at_server.insert(request, us);
+        }
+    }
+    let added = tries.iter().filter_map(|attempt| {
+        let server_us = at_server.get(&attempt.request)?;
+        let client_us = attempt.moments.to_first_us()?;
+        Some(client_us.saturating_sub(*server_us) as f64 / 1_000.0)
+    });
+    Quantiles::of(added.collect())
+}
+
+fn prompt_tokens(scene: &Scene) -> PromptTokens {
+    let engines = scene.engines.iter().map(|engine| &engine.server);
+    engines.fold(PromptTokens::default(), |sum, engine| PromptTokens {
+        asked: sum.asked + engine.tokens_asked(),
+        read: sum.read + engine.tokens_read(),
+    })
+}
+
+fn answers(tries: &[Try]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for attempt in tries {
+        let name = match &attempt.outcome {
+            TryOutcome::Answered(answered) => answered.status.to_string(),
+            TryOutcome::BrokenOff(_) => "broken off".to_owned(),
+            TryOutcome::Closed => "closed".to_owned(),
+            TryOutcome::NotSent => "not sent".to_owned(),
+            TryOutcome::GivenUp => "given up".to_owned(),
+            TryOutcome::Garbled(_) => "garbled".to_owned(),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/crates/emulator/src/experiment/stage.rs
@@ -0,0 +1,84 @@
+//! The scene of an experiment.
+
+use super::file::Experiment;
+use dunespur_emulator::configuration::ConfigurationPlan;
+use dunespur_emulator::engine::{EngineSettings, Speeds};
+use dunespur_emulator::plain::PlainSettings;
+use dunespur_emulator::scene::{usual_configuration, ScenePlan, MODELS};
+use dunespur_emulator::server::DoorSettings;
+use dunespur_emulator::system::{MachinePlan, Role};
+use std::time::Duration;
+
+/// Machines, servers and configuration as the file wants them.
+pub fn plan(experiment: &Experiment) -> ScenePlan {
+    let services = &experiment.services;
+    let models = &services.models;
+    let tools = &services.tools;
+    let speeds = Speeds {
+        step_us: models.step_us,
+        per_running_us: models.per_running_us,
+        read_per_ms: models.read_per_ms,
+        piece_tokens: models.piece_tokens,
+    };
+    let engine = EngineSettings {
+        speeds,
+        queue: models.queue,
+        memory_tokens: models.memory_tokens,
+        chunk_tokens: models.chunk_tokens,
+        time_scale: 1.0,
+        door: door(models.max_connections),
+        ..EngineSettings::default()
+    };
+    let plain = PlainSettings {
+        queue: tools.queue,
+        work_time: Duration::from_millis(tools.work_ms),
+        body_bytes: tools.body_bytes,
+        door: door(tools.max_connections),
+    };
+    ScenePlan {
+        machines: machines(experiment),
+        tolerated_losses: experiment.machines.tolerated_losses,
+        heartbeat_ms: experiment.machines.heartbeat_ms,
+        engines: models.servers,
+        engine_slots: models.slots,
+        engine,
+        plains: tools.servers,
+        plain_slots: tools.slots,
+        plain,
+        configuration: configuration(experiment),
+        seed: experiment.seed,
+        keep_bodies: false,
+    }
+}
+
+fn door(max_connections: u32) -> DoorSettings {
+    DoorSettings { max_connections: max_connections as usize, ..DoorSettings::default() }
+}
+
+fn machines(experiment: &Experiment) -> Vec<MachinePlan> {
+    let machines = &experiment.machines;
+    let roles =
+        [(Role::Core, machines.core), (Role::Gateway, machines.gateways), (Role::Store, machines.stores)];
+    let mut plans = Vec::new();
+    for (role, count) in roles {
+        let zones = machines.zones.iter().cycle().take(count);
+        plans.extend(zones.map(|zone| MachinePlan::new(role, zone)));
+    }
+    plans
+}
+
+fn configuration(experiment: &Experiment) -> ConfigurationPlan {
+    let mut configuration = usual_configuration();
+    let services = &experiment.services;
+    for service in &mut configuration.services {
+        let models = service.name == MODELS;
+        service.max_conns =
+            if models { services.models.max_connections } else { services.tools.max_connections };
+        if let Some(engine) = &mut service.engine {
+            engine.slots = services.models.slots;
+            engine.kv_capacity = services.models.memory_tokens;
+            engine.chunk_tokens = services.models.chunk_tokens;
+        }
+    }
+    configuration
+}
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -11,6 +11,26 @@
 /// Entries kept of each kind.
 const MOST_ENTRIES: usize = 400_000;
 
+/// When a request came or was sent, and its answer's first event and end, in microseconds of the shared clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Moments {
+    pub begun_us: u64,
+    /// Of the first event, or of the whole answer where there are no events.
+    pub first_us: Option<u64>,
+    pub ended_us: Option<u64>,
+}
+
+impl Moments {
+    pub fn begun(begun_us: u64) -> Moments {
+        Moments { begun_us, ..Moments::default() }
+    }
+
+    /// From the beginning to the first event.
+    pub fn to_first_us(&self) -> Option<u64> {
+        Some(self.first_us?.saturating_sub(self.begun_us))
+    }
+}
+
 /// A request as a server saw it.
 #[derive(Clone, Debug)]
 pub struct Sighting {
@@ -41,6 +61,7 @@
     pub whole: bool,
     /// Whether the server spoilt the answer itself.
     pub spoilt: bool,
+    pub moments: Moments,
 }
 
 /// What became of a request at a server.
@@ -75,6 +96,7 @@
     pub repeatable: bool,
     pub program: Option<ProgramTry>,
     pub outcome: TryOutcome,
+    pub moments: Moments,
 }
 
 /// What a try of a program's turn says about it.
@@ -122,7 +144,8 @@
     pub garbled_events: usize,
     /// Bytes behind the last whole event.
     pub left_over: usize,
-    pub first_event_ms: Option<u64>,
+    /// From the try's start, in microseconds.
+    pub first_event_us: Option<u64>,
     /// The longest pause between two events.
     pub longest_pause_ms: u64,
     /// Bytes that came behind the whole answer.
--- a/crates/emulator/src/scene.rs
+++ b/crates/emulator/src/scene.rs
@@ -11,7 +11,7 @@
 use crate::plain::{PlainServer, PlainSettings};
 use crate::program::{ProgramPlan, SharedPart};
 use crate::record::Record;
-use crate::server::{Identity, Surroundings};
+use crate::server::{Door, Identity, Surroundings};
 use crate::system::{MachinePlan, Role, System, SystemPlan};
 use anyhow::Context;
 use std::net::SocketAddr;
@@ -52,6 +52,8 @@
     pub plain: PlainSettings,
     pub configuration: ConfigurationPlan,
     pub seed: u64,
+    /// Whether the record keeps the bodies that servers got.
+    pub keep_bodies: bool,
 }
 
 impl Default for ScenePlan {
@@ -74,6 +76,7 @@
             plain: PlainSettings::default(),
             configuration: usual_configuration(),
             seed: 1,
+            keep_bodies: true,
         }
     }
 }
@@ -133,6 +136,15 @@
     pub registration: Registration,
 }
 
+impl Engine {
+    /// Ends once it has neither running nor waiting requests.
+    pub async fn drained(&self) {
+        while self.server.load().running + self.server.load().queued > 0 {
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
 /// A plain server with its registration.
 #[derive(Debug)]
 pub struct Plain {
@@ -161,7 +173,7 @@
     /// Starts the processes and the servers without any order of the operator.
     pub async fn begin(program: &Path, plan: ScenePlan) -> anyhow::Result<Scene> {
         let clock = Clock::start();
-        let record = Record::with_bodies();
+        let record = if plan.keep_bodies { Record::with_bodies() } else { Record::default() };
         let identities = IdentitySource::new(plan.seed);
         let system = System::start(SystemPlan {
             program: program.to_owned(),
@@ -275,6 +287,12 @@
         Ok(self.plains.len() - 1)
     }
 
+    /// The doors of all servers that run.
+    pub fn servers(&self) -> impl Iterator<Item = &Door> {
+        let engines = self.engines.iter().map(|engine| engine.server.door.as_ref());
+        engines.chain(self.plains.iter().map(|plain| plain.server.door.as_ref()))
+    }
+
     /// All rules that the record breaks.
     pub fn violations(&self) -> Vec<Violation> {
         let configurations: Vec<&ConfigurationPlan> = self.configurations.iter().collect();
--- a/crates/emulator/src/server/connection.rs
+++ b/crates/emulator/src/server/connection.rs
@@ -3,7 +3,7 @@
 use super::{Arrived, Door, Reply, Work};
 use crate::digest::Digest;
 use crate::identity::RequestId;
-use crate::record::{Fate, Sighting};
+use crate::record::{Fate, Moments, Sighting};
 use crate::wire::{name, response_head, Headers, MessageReader, RequestHead};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -164,6 +164,7 @@
             events: Vec::new(),
             whole: false,
             spoilt: false,
+            moments: Moments::begun(surroundings.clock.now_us()),
         };
         surroundings.record.saw(sighting, body)
     }
--- a/crates/emulator/src/server/reply.rs
+++ b/crates/emulator/src/server/reply.rs
@@ -131,9 +131,11 @@
             return false;
         }
         let (digest, event) = (self.sent.finish(), event.clone());
+        let now = self.door.surroundings.clock.now_us();
         self.note(|sighting| {
             sighting.sent = Some(digest);
             sighting.events.push(event);
+            sighting.moments.first_us.get_or_insert(now);
         });
         self.state == State::Streaming
     }
@@ -249,7 +251,12 @@
     fn whole_if_written(&mut self, before: State) {
         if self.state == before {
             self.state = State::Whole;
-            self.note(|sighting| sighting.whole = true);
+            let now = self.door.surroundings.clock.now_us();
+            self.note(|sighting| {
+                sighting.whole = true;
+                sighting.moments.first_us.get_or_insert(now);
+                sighting.moments.ended_us = Some(now);
+            });
         }
     }
 
--- a/crates/emulator/src/system/machine.rs
+++ b/crates/emulator/src/system/machine.rs
@@ -24,6 +24,30 @@
 pub struct Usage {
     pub processor_ms: u64,
     pub peak_memory_kb: u64,
+    /// Times that a thread went to sleep and was woken.
+    pub wake_ups: u64,
+}
+
+impl Usage {
+    /// Of two processes one after the other.
+    #[must_use]
+    pub fn and(self, later: Usage) -> Usage {
+        Usage {
+            processor_ms: self.processor_ms + later.processor_ms,
+            peak_memory_kb: self.peak_memory_kb.max(later.peak_memory_kb),
+            wake_ups: self.wake_ups + later.wake_ups,
+        }
+    }
+
+    /// What was used since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: Usage) -> Usage {
+        Usage {
+            processor_ms: self.processor_ms.saturating_sub(earlier.processor_ms),
+            peak_memory_kb: self.peak_memory_kb,
+            wake_ups: self.wake_ups.saturating_sub(earlier.wake_ups),
+        }
+    }
 }
 
 /// A machine whose process runs or not. The process ends with it.
@@ -36,6 +60,10 @@
     program: PathBuf,
     child: Option<Child>,
     starts: u32,
+    /// Whether the present process has been sent SIGKILL.
+    kill_sent: bool,
+    /// Of processes that have been killed.
+    used_before: Usage,
 }
 
 impl Machine {
@@ -47,7 +75,17 @@
         program: PathBuf,
     ) -> anyhow::Result<Machine> {
         let name = plan.name(number);
-        let machine = Machine { plan, name, ip, folder, program, child: None, starts: 0 };
+        let machine = Machine {
+            plan,
+            name,
+            ip,
+            folder,
+            program,
+            child: None,
+            starts: 0,
+            kill_sent: false,
+            used_before: Usage::default(),
+        };
         std::fs::create_dir_all(machine.data_folder()).context("a data folder")?;
         Ok(machine)
     }
@@ -124,17 +162,15 @@
         }
     }
 
-    /// What the process has used so far.
-    pub fn usage(&self) -> Option<Usage> {
-        let id = self.child.as_ref()?.id();
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
-        let ticks = |field: usize| fields.get(field).and_then(|text| text.parse::<u64>().ok());
-        let processor_ms = (ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?) * TICK_MS;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let peak_memory_kb = peak.trim().trim_end_matches(" kB").trim().parse().ok()?;
-        Some(Usage { processor_ms, peak_memory_kb })
+    /// What the machine's processes have used so far; of those that ended by themselves it is not known.
+    pub fn usage(&self) -> Usage {
+        let present = self.child.as_ref().filter(|_| !self.kill_sent).and_then(|child| usage_of(child.id()));
+        self.used_before.and(present.unwrap_or_default())
+    }
+
+    /// How often a process was started here.
+    pub fn starts(&self) -> u32 {
+        self.starts
     }
 
     /// The last lines that the process wrote.
@@ -164,11 +200,14 @@
             .spawn()
             .with_context(|| format!("{}", self.program.display()))?;
         self.child = Some(child);
+        self.kill_sent = false;
         self.starts += 1;
         Ok(())
     }
 
     pub(super) fn send_kill(&mut self) {
+        self.used_before = self.usage();
+        self.kill_sent = true;
         if let Some(child) = &mut self.child {
             let _ = child.kill();
         }
@@ -196,3 +235,18 @@
         self.kill();
     }
 }
+
+fn usage_of(process: u32) -> Option<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let ticks = |field: usize| fields.get(field).and_then(|text| text.parse::<u64>().ok());
+    let processor_ms = (ticks(USER_TIME_FIELD)? + ticks(SYSTEM_TIME_FIELD)?) * TICK_MS;
+    let line = |name: &str| {
+        let value = status.lines().find_map(|line| line.strip_prefix(name))?;
+        value.trim().trim_end_matches(" kB").trim().parse::<u64>().ok()
+    };
+    let peak_memory_kb = line("VmHWM:")?;
+    let wake_ups = line("voluntary_ctxt_switches:")?;
+    Some(Usage { processor_ms, peak_memory_kb, wake_ups })
+}
--- a/crates/emulator/tests/judge.rs
+++ b/crates/emulator/tests/judge.rs
@@ -5,7 +5,7 @@
 use dunespur_emulator::configuration::RoutePlan;
 use dunespur_emulator::judge::{judge, Rule, Terms};
 use dunespur_emulator::record::{
-    Acknowledged, Answered, Fate, ProgramTry, Record, Sighting, Try, TryOutcome,
+    Acknowledged, Answered, Fate, Moments, ProgramTry, Record, Sighting, Try, TryOutcome,
 };
 use dunespur_emulator::wire::Event;
 use dunespur_emulator::{Digest, RequestId};
@@ -59,6 +59,7 @@
         events: Vec::new(),
         whole: true,
         spoilt: false,
+        moments: Moments::default(),
     }
 }
 
@@ -75,7 +76,7 @@
         events: Vec::new(),
         garbled_events: 0,
         left_over: 0,
-        first_event_ms: None,
+        first_event_us: None,
         longest_pause_ms: 0,
         surplus: 0,
     }
@@ -96,6 +97,7 @@
         repeatable: target.starts_with("/lookup/"),
         program: None,
         outcome: TryOutcome::Answered(answered(id, 200, b"answer")),
+        moments: Moments::default(),
     };
     Exchange { sightings: vec![sighting(id, target, backend, b"asked")], attempt }
 }
