--- a/crates/budget/tests/common/world.rs
+++ b/crates/budget/tests/common/world.rs
@@ -138,7 +138,6 @@
             } else {
                 self.all_due();
             }
-            self.check();
         }
         assert!(self.turns.is_empty(), "every turn came to an end: {:?}", self.turns);
         assert!(self.books.iter().all(|book| book.programs() == 0), "idle programs are forgotten");
@@ -226,14 +225,7 @@
 
     fn judge(&mut self, limiter: usize, outcome: TurnOutcome) {
         let key = outcome.turn;
-        if let Some(turn) = self.turns.get_mut(&key) {
-            match outcome.admission {
-                Admission::Ask(_) | Admission::Waiting => {
-                    turn.waiting_since = turn.waiting_since.or(Some(self.now))
-                }
-                Admission::Admitted | Admission::Refused(_) => turn.waiting_since = None,
-            }
-        }
+        self.note_wait(key, &outcome.admission);
         match outcome.admission {
             Admission::Admitted => {
                 self.tally.admitted += 1;
@@ -245,6 +237,18 @@
         }
     }
 
+    fn note_wait(&mut self, key: u64, admission: &Admission) {
+        let Some(turn) = self.turns.get_mut(&key) else { return };
+        let since = turn.waiting_since;
+        match admission {
+            Admission::Ask(_) | Admission::Waiting => turn.waiting_since = since.or(Some(self.now)),
+            Admission::Admitted | Admission::Refused(_) => {
+                turn.waiting_since = None;
+                self.check_wait(key, since);
+            }
+        }
+    }
+
     fn refused(&mut self, limiter: usize, key: u64, refusal: Refusal) {
         let Some(turn) = self.turns.get_mut(&key) else { panic!("a turn that ended is refused") };
         let pause = match refusal {
@@ -295,8 +299,10 @@
         }
         turn.to_go -= 1;
         turn.breaks_after = turn.breaks_after.map(|left| left - 1);
-        let place = (turn.program.clone(), id(limiter, turn.incarnation));
+        let program = turn.program.clone();
+        let place = (program.clone(), id(limiter, turn.incarnation));
         self.ledgers.entry(place).or_default().used += 1;
+        self.check_program(&program);
         self.books[limiter].used(key, 1);
         let pause = self.rng.u64(1..20);
         self.put(self.now + pause, Event::Token(key));
@@ -342,12 +348,14 @@
         if (middle..middle + self.plan.outage_ms).contains(&self.now) {
             return;
         }
-        let before = self.counters.clone();
+        let again = self.applied.contains(&(request.limiter.clone(), request.sequence));
+        let before = again.then(|| self.counters.clone());
         let reply = self.counters.apply(&request, self.plan.limiters as u32);
-        if self.applied.insert((request.limiter.clone(), request.sequence)) {
-            self.write_down(&request, &reply);
-        } else {
+        if let Some(before) = before {
             assert_eq!(before, self.counters, "a request that comes again changes nothing");
+        } else {
+            self.applied.insert((request.limiter.clone(), request.sequence));
+            self.write_down(&request, &reply);
         }
         self.carry(Event::ToLimiter(request, reply));
     }
@@ -362,6 +370,7 @@
         if let CounterReply::Granted { units, .. } = reply {
             ledger.granted += units;
         }
+        self.check_program(&request.program);
     }
 
     fn at_limiter(&mut self, request: &CounterRequest, reply: Option<&CounterReply>) {
@@ -391,22 +400,23 @@
             .map(|((_, limiter), ledger)| (limiter, ledger))
     }
 
-    fn check(&self) {
-        for program in self.programs() {
-            let out: u64 = self.of(&program).map(|(_, ledger)| ledger.out()).sum();
-            assert!(out <= self.plan.budget, "{program}: {out} granted at {}", self.now);
-            let received = self.received(&program);
-            assert!(received <= self.plan.budget, "{program}: {received} received at {}", self.now);
-        }
-        for (place, ledger) in &self.ledgers {
-            assert!(ledger.used <= ledger.out(), "{place:?} uses what it holds: {ledger:?}");
-        }
-        for (key, turn) in &self.turns {
-            let waits = turn.waiting_since.map_or(0, |since| self.now - since);
-            assert!(waits <= 1_000 + SLACK_MS, "turn {key} waits for {waits} ms: {turn:?}");
+    /// To be called after each change of what was granted or received.
+    fn check_program(&self, program: &str) {
+        let out: u64 = self.of(program).map(|(_, ledger)| ledger.out()).sum();
+        assert!(out <= self.plan.budget, "{program}: {out} granted at {}", self.now);
+        let received = self.received(program);
+        assert!(received <= self.plan.budget, "{program}: {received} received at {}", self.now);
+        for (limiter, ledger) in self.of(program) {
+            assert!(ledger.used <= ledger.out(), "{limiter:?} uses what it holds: {ledger:?}");
         }
     }
 
+    /// To be called when a turn gets its verdict.
+    fn check_wait(&self, key: u64, since: Option<u64>) {
+        let waited = since.map_or(0, |since| self.now - since);
+        assert!(waited <= 1_000 + SLACK_MS, "turn {key} waited for {waited} ms");
+    }
+
     /// A turn is refused as spent only if it would not fit even with all that living limiters have not used.
     fn check_spent(&self, program: &str) {
         let out: u64 = self.of(program).map(|(_, ledger)| ledger.out()).sum();
