--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -90,7 +90,7 @@
     let turn = admit(front, &route, &asked, &mut limit).await?;
     let keeping = keeping(front, &route, &asked, input);
     let message = message(head, pieces, room);
-    let sending = Sending::new(front.clone(), table, route, asked, message, limit);
+    let sending = Box::new(Sending::new(front.clone(), table, route, asked, message, limit));
     run(sending, turn, keeping, client).await
 }
 
@@ -216,7 +216,7 @@
 
 /// Sends a request, and turns the server's answer into the client's.
 async fn run<N: Node>(
-    mut sending: Sending<N>,
+    mut sending: Box<Sending<N>>,
     turn: Option<Turn<N>>,
     keeping: Option<Keeping>,
     client: &Rc<Client>,
@@ -230,6 +230,9 @@
                 Begin::Events(begun) => return Ok(streaming.respond(sending, reply, begun, client)),
                 Begin::Cut { time_up } => time_up,
             }
+        } else if streaming.is_kept() && reply.head.status.is_success() {
+            // Passed on, it would promise that a later turn may go on from it.
+            false
         } else {
             reply.source.flight.first_event();
             sending.limit.wait_out();
@@ -240,7 +243,8 @@
                 Awaited::TimeUp => true,
             }
         };
-        reply = sending.send_again(reply.source, time_up).await?;
+        // Boxed, as it is rare and would make room for itself in every request.
+        reply = Box::pin(sending.send_again(reply.source, time_up)).await?;
     }
 }
 
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -28,6 +28,8 @@
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// The line before a head comes on top of the bytes that its headers may have.
 const REQUEST_LINE: usize = 4 * 1024;
+/// What is read ahead of a client's message, and written ahead of what the client takes.
+const BUFFER: usize = 64 * 1024;
 /// Headers of a request.
 const MOST_HEADERS: usize = 160;
 
@@ -297,17 +299,19 @@
 
 /// A client's connection until its end.
 async fn connection<N: Node>(front: Rc<Front<N>>, client: Rc<Client>, _place: Place<N>) {
-    let limits = front.limits();
+    let most_head_bytes = front.limits().max_header_bytes + REQUEST_LINE;
     let mut builder = http1::Builder::new();
     builder
         .auto_date_header(false)
         .header_read_timeout(None)
         .max_headers(MOST_HEADERS)
-        .max_header_size(limits.max_header_bytes + REQUEST_LINE);
+        .max_header_size(most_head_bytes)
+        .max_buf_size(most_head_bytes.max(BUFFER));
     let wire = Wire { client: client.clone(), clock: front.clock.clone() };
     let service = service_fn(|request| {
         let (front, client) = (front.clone(), client.clone());
-        async move { Ok::<_, Infallible>(exchange::answer(front, client, request).await) }
+        // Boxed, so that a connection at rest takes no room for a request.
+        Box::pin(async move { Ok::<_, Infallible>(exchange::answer(front, client, request).await) })
     });
     let end = {
         let mut connection = pin!(builder.serve_connection(wire, service));
@@ -329,11 +333,12 @@
     };
     match end {
         End::AtOnce => return,
-        End::TooSlow => client.answer_slow().await,
+        End::TooSlow => Box::pin(client.answer_slow()).await,
         End::Malformed => client.refuse_unread(),
         End::InOrder => {}
     }
-    client.end().await;
+    // Boxed, so that a connection takes no room for its end before that.
+    Box::pin(client.end()).await;
 }
 
 /// Why a client's connection ends.
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -20,6 +20,8 @@
 use std::task::{Context, Poll, Waker};
 use tokio::net::TcpStream;
 
+/// What is read ahead of an answer, its head above all, and written ahead of what the server takes.
+const BUFFER: usize = 64 * 1024;
 /// Headers of an answer.
 const MOST_HEADERS: usize = 160;
 
@@ -172,7 +174,7 @@
             whole: Cell::new(false),
         });
         let mut builder = http1::Builder::new();
-        builder.max_headers(MOST_HEADERS);
+        builder.max_headers(MOST_HEADERS).max_buf_size(BUFFER);
         let handshake = builder.handshake(Wire(line.clone())).await;
         let (sender, connection) = handshake.map_err(|_| Fault::Unreachable)?;
         Ok(Link { server, line, sender, connection: Some(Box::new(connection)), _place: place })
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -84,7 +84,7 @@
 
 /// The answer to the client where the rest of the server's is passed on while it comes.
 pub(crate) fn relayed_response<N: Node>(
-    sending: Sending<N>,
+    sending: Box<Sending<N>>,
     reply: Reply<N>,
     begun: Bytes,
     client: &Rc<Client>,
@@ -99,7 +99,7 @@
 
 /// Passes the rest of an answer on.
 struct Relay<N: Node> {
-    sending: Sending<N>,
+    sending: Box<Sending<N>>,
     source: Source<N>,
     status: StatusCode,
     /// Bytes to come, where the length is known.
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -397,7 +397,7 @@
             }
         }
         let front = self.front.clone();
-        let connected = self.limit.bound(front.servers.connect(&ticket.server)).await;
+        let connected = self.limit.bound(front.servers.connect(&ticket.server, self.route.target_ms)).await;
         let link = connected.unwrap_or(Err(Fault::Unsent))?;
         self.exchange(link, ticket).await
     }
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -15,8 +15,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{timeout, Duration};
 
-/// A connection that has not come up by then does not: its server is unreachable.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// A connection that has not come up in the half of the request's aim does not: its server is unreachable, and
+/// nothing was sent. Within these bounds.
+const LEAST_CONNECT_MS: u64 = 100;
+const MOST_CONNECT_MS: u64 = 400;
 /// Bytes that the other side has not acknowledged for so long end the connection. Guards against a machine
 /// without power or behind a cut, which says nothing.
 const USER_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -26,7 +28,9 @@
 const EADDRNOTAVAIL: i32 = 99;
 const ENOBUFS: i32 = 105;
 /// Idle connections kept to one server.
-const MOST_IDLE_OF_SERVER: usize = 8;
+const MOST_IDLE_OF_SERVER: usize = 24;
+/// Idle connections kept to all servers. Each takes some tens of kilobytes.
+const MOST_IDLE: usize = 160;
 
 /// All connections to servers.
 pub(crate) struct Servers {
@@ -87,14 +91,15 @@
         }
     }
 
-    /// A new connection.
-    pub(crate) async fn connect(&self, server: &Server) -> Result<Link, Fault> {
+    /// A new connection, for a request with this aim.
+    pub(crate) async fn connect(&self, server: &Server, target_ms: u64) -> Result<Link, Fault> {
         if self.open.get() >= self.most && !self.close_oldest() {
             return Err(Fault::NoConnectionLeft);
         }
         let place = Place::new(&self.open);
         self.opened.set(self.opened.get() + 1);
-        match timeout(CONNECT_TIME, dial(server.address)).await {
+        let connect_ms = (target_ms / 2).clamp(LEAST_CONNECT_MS, MOST_CONNECT_MS);
+        match timeout(Duration::from_millis(connect_ms), dial(server.address)).await {
             Ok(Ok(stream)) => Link::new(server.id.clone(), stream, place).await,
             Ok(Err(error)) => {
                 log::debug!("server {} at {}: {error}", server.id, server.address);
@@ -109,6 +114,9 @@
         if terms.closes || !link.sent_whole() || !link.is_ready() {
             return;
         }
+        if self.idle_count() >= MOST_IDLE {
+            self.close_oldest();
+        }
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(link.server().clone()).or_default();
         if links.len() >= MOST_IDLE_OF_SERVER {
@@ -125,6 +133,10 @@
         });
     }
 
+    fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let resting = idle.values_mut().filter(|links| !links.is_empty());
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -80,6 +80,11 @@
         Streaming { splitter: Splitter::default(), start_id, last_id: start_id, tokens, turn, keeping }
     }
 
+    /// Whether the turn is kept once its answer is whole.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.keeping.is_some()
+    }
+
     /// Waits for the first event.
     pub(crate) async fn begin(&mut self, sending: &mut Sending<N>, source: &mut Source<N>) -> Begin {
         self.set_chunk(sending);
@@ -108,7 +113,7 @@
     /// The answer to the client: the head of the first server, then the events of all.
     pub(crate) fn respond(
         self,
-        sending: Sending<N>,
+        sending: Box<Sending<N>>,
         reply: Reply<N>,
         begun: Bytes,
         client: &Rc<Client>,
@@ -123,7 +128,7 @@
 
     async fn pump(
         mut self,
-        mut sending: Sending<N>,
+        mut sending: Box<Sending<N>>,
         mut source: Source<N>,
         begun: Bytes,
         outlet: Outlet,
@@ -143,7 +148,8 @@
                 Next::End | Next::Cut => false,
                 Next::TimeUp => true,
             };
-            source = self.resume(&mut sending, source, time_up).await?;
+            // Boxed, as it is rare and would make room for itself in every stream.
+            source = Box::pin(self.resume(&mut sending, source, time_up)).await?;
         }
         let tokens_out = u32::try_from(self.tokens.counted()).unwrap_or(u32::MAX);
         source.flight.finish(Outcome::Served { tokens_out });
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dunespur_proxy::{History, KeptTurn, Reserve, TurnKey};
+use dunespur_proxy::{FrontSettings, History, KeptTurn, Reserve, TurnKey};
 use dunespur_routing::Outcome;
 use support::*;
 
@@ -561,3 +561,42 @@
         assert_eq!(client.message().await.text(), events(1..=2));
     });
 }
+
+#[test]
+fn a_kept_turn_has_a_stream_for_an_answer() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let mut client = gateway.ask(&post("/turn/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "Content-Type: application/json\r\n", "{}").await;
+        assert_eq!(client.message().await.status(), 502);
+    });
+}
+
+#[test]
+fn a_kept_turn_is_not_taken_up_in_its_middle() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        let more = format!("{TURN}Last-Event-Id: 3\r\n");
+        assert_eq!(gateway.ask(&post("/turn/", "r1", &more, "x")).await.message().await.status(), 503);
+        assert!(server.is_untouched().await);
+    });
+}
+
+#[test]
+fn an_output_too_long_to_be_kept_ends_broken() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let settings = FrontSettings { memory_bytes: 1000, ..FrontSettings::default() };
+        let gateway = Gateway::with(&[&server], settings).await;
+        let mut client = gateway.ask(&post("/turn/", "r1", TURN, "x")).await;
+        let (mut connection, _) = server.take().await;
+        connection.stream_head("r1", "").await;
+        connection.chunk(&event(1)).await;
+        connection.chunk(&format!("id: 2\ndata: {}\n\n", "x".repeat(2000))).await;
+        assert_eq!(client.try_message().await.unwrap_err().body, event(1).as_bytes());
+        assert!(connection.is_closed().await);
+    });
+}
