--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -40,6 +40,9 @@
     pub max_connections: usize,
     /// Connections to servers at once, idle ones included.
     pub max_server_connections: usize,
+    /// How long a new connection to a server is watched before a request goes over it, in milliseconds: a server
+    /// with too many resets it within its way there and back.
+    pub settle_ms: u64,
     /// Bytes that the bodies of all requests under way may take.
     pub memory_bytes: usize,
     /// How long new connections are still taken after [`Front::drain`], in milliseconds: what the entry needs to
@@ -52,6 +55,7 @@
         FrontSettings {
             max_connections: 1500,
             max_server_connections: 1000,
+            settle_ms: 3,
             memory_bytes: 32 * 1024 * 1024,
             leave_ms: 3500,
         }
@@ -116,7 +120,7 @@
         Rc::new(Front {
             node,
             clock: Rc::new(Clock::new()),
-            servers: Servers::new(settings.max_server_connections),
+            servers: Servers::new(settings.max_server_connections, Duration::from_millis(settings.settle_ms)),
             memory: Memory::new(settings.memory_bytes),
             departures: Rc::new(Departures::new()),
             settings,
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Duration};
 
 /// What is read ahead of an answer, its head above all, and written ahead of what the server takes.
 const BUFFER: usize = 64 * 1024;
@@ -32,6 +33,8 @@
     Unreachable,
     /// All connections that this process may have are in use.
     NoConnectionLeft,
+    /// The server ended it as soon as it had come up: it has too many.
+    TurnedAway,
     /// It ended before the request was written whole, so the request has not run.
     Unsent,
     /// It ended after that.
@@ -180,6 +183,19 @@
         Ok(Link { server, line, sender, connection: Some(Box::new(connection)), _place: place })
     }
 
+    /// Whether it stays open for a moment after it has come up.
+    pub(crate) async fn settles(&mut self, moment: Duration) -> bool {
+        let mut moment = pin!(sleep(moment));
+        poll_fn(|cx| {
+            drive(&mut self.connection, cx);
+            if self.connection.is_none() {
+                return Poll::Ready(false);
+            }
+            moment.as_mut().poll(cx).map(|()| true)
+        })
+        .await
+    }
+
     pub(crate) fn server(&self) -> &ServerId {
         &self.server
     }
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -483,7 +483,7 @@
     fn note_fault(&mut self, server: &Server, fault: Fault) {
         match fault {
             Fault::Unreachable => self.note_gone(server),
-            Fault::NoConnectionLeft | Fault::Unsent => {}
+            Fault::NoConnectionLeft | Fault::TurnedAway | Fault::Unsent => {}
             Fault::Broken | Fault::Spoilt => self.note_ran(server, Trace::MayHaveRun),
             Fault::Silent => self.note_ran(server, Trace::Silent),
         }
@@ -508,6 +508,7 @@
         Fault::Unreachable => Outcome::Unreachable,
         // The server is not to blame.
         Fault::NoConnectionLeft => Outcome::Abandoned,
+        Fault::TurnedAway => Outcome::Shed,
         Fault::Unsent | Fault::Broken | Fault::Spoilt => Outcome::Failed,
         Fault::Silent => Outcome::Silent,
     }
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{Error, Result as Io};
+use std::io::{Error, ErrorKind, Result as Io};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::{TcpSocket, TcpStream};
@@ -35,6 +35,7 @@
 /// All connections to servers.
 pub(crate) struct Servers {
     most: usize,
+    settle: Duration,
     open: Rc<Cell<usize>>,
     opened: Cell<u64>,
     /// Of each server those that rest, the one used last at the end.
@@ -60,8 +61,9 @@
 }
 
 impl Servers {
-    pub(crate) fn new(most: usize) -> Servers {
-        Servers { most, open: Rc::default(), opened: Cell::new(0), idle: RefCell::default() }
+    /// At most so many, each watched for a moment before it carries a request.
+    pub(crate) fn new(most: usize, settle: Duration) -> Servers {
+        Servers { most, settle, open: Rc::default(), opened: Cell::new(0), idle: RefCell::default() }
     }
 
     pub(crate) fn open(&self) -> usize {
@@ -100,7 +102,7 @@
         self.opened.set(self.opened.get() + 1);
         let connect_ms = (target_ms / 2).clamp(LEAST_CONNECT_MS, MOST_CONNECT_MS);
         match timeout(Duration::from_millis(connect_ms), dial(server.address)).await {
-            Ok(Ok(stream)) => Link::new(server.id.clone(), stream, place).await,
+            Ok(Ok(stream)) => self.settled(Link::new(server.id.clone(), stream, place).await?).await,
             Ok(Err(error)) => {
                 log::debug!("server {} at {}: {error}", server.id, server.address);
                 Err(fault(&error))
@@ -109,6 +111,16 @@
         }
     }
 
+    /// Guards against a server that has too many connections and resets a new one: a request written to it by then
+    /// might have run, for all that could be told.
+    async fn settled(&self, mut link: Link) -> Result<Link, Fault> {
+        if link.settles(self.settle).await {
+            Ok(link)
+        } else {
+            Err(Fault::TurnedAway)
+        }
+    }
+
     /// Keeps a connection after a whole answer, unless something speaks against it.
     pub(crate) fn keep(&self, mut link: Link, terms: &KeepTerms, clock: &Clock) {
         if terms.closes || !link.sent_whole() || !link.is_ready() {
@@ -170,10 +182,12 @@
     socket.connect(address).await
 }
 
-/// Whether it is the server that can't be reached, or this machine that has nothing left to reach it with.
+/// Whether the server can't be reached or wants no more connections, or this machine has nothing left to reach it
+/// with.
 fn fault(error: &Error) -> Fault {
-    match error.raw_os_error() {
-        Some(ENFILE | EMFILE | ENOBUFS | EADDRNOTAVAIL) => Fault::NoConnectionLeft,
+    match (error.raw_os_error(), error.kind()) {
+        (Some(ENFILE | EMFILE | ENOBUFS | EADDRNOTAVAIL), _) => Fault::NoConnectionLeft,
+        (_, ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => Fault::TurnedAway,
         _ => Fault::Unreachable,
     }
 }
--- a/crates/proxy/tests/connections.rs
+++ b/crates/proxy/tests/connections.rs
@@ -509,3 +509,18 @@
         assert!(client.is_closed().await);
     });
 }
+
+#[test]
+fn a_server_that_resets_a_new_connection_has_not_run_what_was_to_come_over_it() {
+    play(async {
+        let (full, server) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let settings = FrontSettings { settle_ms: 300, ..FrontSettings::default() };
+        let gateway = Gateway::with(&[&full, &server], settings).await;
+        let mut client = gateway.ask(&post("/write/", "r1", "", "x")).await;
+        full.accept().await.reset();
+        let (mut connection, _) = server.take().await;
+        connection.answer(200, "r1", "", "ok").await;
+        assert_eq!(client.message().await.text(), "ok");
+        assert_eq!(gateway.node.outcomes(), [Outcome::Shed, Outcome::Served { tokens_out: 0 }]);
+    });
+}
