--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -38,6 +38,18 @@
     Finishing { until_ms: u64 },
 }
 
+impl Stage {
+    /// What is to be done about it, by the time that has passed.
+    pub(crate) fn due(self, now_ms: u64, header_timeout_ms: u64, idle_timeout_ms: u64) -> Order {
+        match self {
+            Stage::Resting { since_ms } if now_ms >= since_ms + idle_timeout_ms => Order::Leave,
+            Stage::Coming { since_ms } if now_ms >= since_ms + header_timeout_ms => Order::TooSlow,
+            Stage::Answering { until_ms } | Stage::Finishing { until_ms } if now_ms >= until_ms => Order::Cut,
+            _ => Order::Stay,
+        }
+    }
+}
+
 /// What its task is told to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Order {
@@ -114,16 +126,6 @@
         }
     }
 
-    /// What is to be done about it, by the time that has passed.
-    pub(crate) fn due(&self, now_ms: u64, header_timeout_ms: u64, idle_timeout_ms: u64) -> Order {
-        match self.stage.get() {
-            Stage::Resting { since_ms } if now_ms >= since_ms + idle_timeout_ms => Order::Leave,
-            Stage::Coming { since_ms } if now_ms >= since_ms + header_timeout_ms => Order::TooSlow,
-            Stage::Answering { until_ms } | Stage::Finishing { until_ms } if now_ms >= until_ms => Order::Cut,
-            _ => Order::Stay,
-        }
-    }
-
     /// Whether bytes of a next message lie there that were not read yet.
     pub(crate) fn has_unread(&self) -> bool {
         let stream = self.stream.borrow();
@@ -228,3 +230,6 @@
         self.poll(|stream| stream.poll_shutdown(cx))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -26,6 +26,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Once the listener is to close, it stays open for so long after the last connection that came over it.
 const LAST_LOOK: Duration = Duration::from_millis(5);
+/// And no longer than this.
+const MOST_LAST_LOOK: Duration = Duration::from_millis(200);
 /// The line before a head comes on top of the bytes that its headers may have.
 const REQUEST_LINE: usize = 4 * 1024;
 /// What is read ahead of a client's message, and written ahead of what the client takes.
@@ -248,9 +250,13 @@
 
     /// Takes what the machine has accepted, and no more.
     async fn last_look(self: &Rc<Self>, listener: &TcpListener) {
-        while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-            self.take(stream);
-        }
+        let accept_all = async {
+            while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
+                self.take(stream);
+            }
+        };
+        // Guards against clients that come without an end.
+        let _ = timeout(MOST_LAST_LOOK, accept_all).await;
     }
 
     fn take(self: &Rc<Self>, stream: TcpStream) {
@@ -275,7 +281,7 @@
         self.servers.sweep(now_ms);
         let limits = self.limits();
         for client in self.clients.borrow().values() {
-            let order = client.due(now_ms, limits.header_timeout_ms, limits.idle_timeout_ms);
+            let order = client.stage().due(now_ms, limits.header_timeout_ms, limits.idle_timeout_ms);
             if order != Order::Stay {
                 client.tell(order);
             }
--- a/crates/proxy/src/limit.rs
+++ b/crates/proxy/src/limit.rs
@@ -151,3 +151,6 @@
         self.timer.as_mut().reset(at);
     }
 }
+
+#[cfg(test)]
+mod tests;
