--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -53,6 +53,9 @@
     pub stores: bool,
 }
 
+/// What is done after a change of the state.
+type ChangeAction = Box<dyn Fn(Touched)>;
+
 /// Follows the control state.
 pub struct Directory {
     clock: Clock,
@@ -71,7 +74,7 @@
     lease: RefCell<Option<NodeLease>>,
     /// Told when the view or a part of the state has changed.
     changed: Notify,
-    on_change: RefCell<Option<Box<dyn Fn(Touched)>>>,
+    on_change: RefCell<Option<ChangeAction>>,
 }
 
 impl Directory {
@@ -92,7 +95,7 @@
     }
 
     /// Calls `action` after every change of the state.
-    pub fn when_changed(&self, action: Box<dyn Fn(Touched)>) {
+    pub fn when_changed(&self, action: ChangeAction) {
         *self.on_change.borrow_mut() = Some(action);
     }
 
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -9,7 +9,7 @@
 use crate::joining::keep_joined;
 use crate::plane::Plane;
 use crate::service::GatewayService;
-use crate::settings::Settings;
+use crate::settings::{Role, Settings};
 use crate::signals;
 use anyhow::Context;
 use dunespur_budget::LimiterId;
@@ -50,7 +50,7 @@
         spawn_local(keep_joined(coordinator.clone(), directory.clone(), settings.clone()));
     }
     spawn_local(directory.clone().follow());
-    spawn_local(signals::follow_settings(path, directory));
+    spawn_local(signals::follow_settings(path, Role::Gateway, directory));
     log::info!("{} serves", settings.node);
 
     signals::asked_to_leave().await?;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,14 +1,154 @@
-//! Log lines on standard error: time, level, text. The level comes from the command line.
+//! Log lines on standard error: time, machine, role, level, text; or the same as JSON, an object a line.
+//!
+//! A line is written by one system call: lines of several processes that share a file do not mix, and processor
+//! time is priced.
 
+use crate::clock::wall_clock_ms;
+use crate::settings::Role;
+use crate::utc::Utc;
+use log::{Log, Metadata, Record};
+use serde::Serialize;
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+use std::fmt;
+use std::io::{self, Write};
+use std::str::FromStr;
+
+/// A line's buffer is given back if it has grown beyond this.
+const KEEP_CAPACITY: usize = 16 * 1024;
+
+/// How a line looks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<LogFormat, Self::Err> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err("a log format is text or json"),
+        }
+    }
+}
+
+impl fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            LogFormat::Text => "text",
+            LogFormat::Json => "json",
+        })
+    }
+}
+
+/// Whose lines they are.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    pub node: String,
+    pub role: Role,
+}
 
 /// Starts logging.
-pub fn start(level: LevelFilter) {
+pub fn start(level: LevelFilter, format: LogFormat, origin: Origin) {
+    match format {
+        LogFormat::Text => start_text(level, &origin),
+        LogFormat::Json => start_json(level, origin),
+    }
+}
+
+fn start_text(level: LevelFilter, origin: &Origin) {
     let config = ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .build();
-    let _ = WriteLogger::init(level, config, std::io::stderr());
+    let prefix = format!("{} {}", origin.node, origin.role.name());
+    let _ = WriteLogger::init(level, config, TextLines { prefix, begun: Vec::new() });
+}
+
+fn start_json(level: LevelFilter, origin: Origin) {
+    if log::set_boxed_logger(Box::new(JsonLines { level, origin })).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+/// Puts time, machine and role before each line, which comes in pieces.
+struct TextLines {
+    prefix: String,
+    begun: Vec<u8>,
+}
+
+impl TextLines {
+    fn end_line(&mut self) -> io::Result<()> {
+        let written = io::stderr().write_all(&self.begun);
+        self.begun.clear();
+        self.begun.shrink_to(KEEP_CAPACITY);
+        written
+    }
+}
+
+impl Write for TextLines {
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        for part in piece.split_inclusive(|byte| *byte == b'\n') {
+            if self.begun.is_empty() {
+                write!(self.begun, "{} {} ", Utc(wall_clock_ms()), self.prefix)?;
+            }
+            self.begun.extend_from_slice(part);
+            if part.ends_with(b"\n") {
+                self.end_line()?;
+            }
+        }
+        Ok(piece.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes each record as one JSON object.
+struct JsonLines {
+    level: LevelFilter,
+    origin: Origin,
+}
+
+/// One line. `explain` reads it back.
+#[derive(Serialize)]
+struct JsonLine<'a> {
+    time: String,
+    node: &'a str,
+    role: &'a str,
+    level: &'a str,
+    text: String,
+}
+
+impl Log for JsonLines {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let line = JsonLine {
+            time: Utc(wall_clock_ms()).to_string(),
+            node: &self.origin.node,
+            role: self.origin.role.name(),
+            level: record.level().as_str(),
+            text: record.args().to_string(),
+        };
+        let Ok(mut bytes) = serde_json::to_vec(&line) else { return };
+        bytes.push(b'\n');
+        // There is nobody to tell that a log line can't be written.
+        let _ = io::stderr().write_all(&bytes);
+    }
+
+    fn flush(&self) {}
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,8 +1,10 @@
-//! `dunespur`: the processes of the serving tier, each a role.
+//! `dunespur`: the processes of the serving tier, each a role, and the tools of those who run it.
 
 mod api;
 mod budgets;
+mod check;
 mod clock;
+mod command;
 mod core;
 mod directory;
 mod founding;
@@ -17,10 +19,11 @@
 mod settings;
 mod signals;
 mod store;
+mod utc;
 
-use bpaf::Bpaf;
-use settings::{Settings, SETTINGS_VARIABLE};
-use simplelog::LevelFilter;
+use command::{Command, Logging};
+use logging::Origin;
+use settings::{Role, Settings, SETTINGS_VARIABLE};
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -29,51 +32,37 @@
 /// Settings that can't be used.
 const UNUSABLE_SETTINGS: u8 = 2;
 
-/// A serving tier for agent programs.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
-enum Command {
-    /// Takes the requests of clients, and is a member of the core where it has a disk
-    #[bpaf(command)]
-    Gateway {
-        /// Log level on standard error: off, error, warn, info, debug or trace
-        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Info))]
-        log: LevelFilter,
-    },
-    /// Keeps turns of programs on a disk
-    #[bpaf(command)]
-    Store {
-        /// Log level on standard error: off, error, warn, info, debug or trace
-        #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::Info))]
-        log: LevelFilter,
-    },
-}
-
 fn main() -> ExitCode {
-    match command().run() {
-        Command::Gateway { log } => with_settings(log, gateway::run),
-        Command::Store { log } => with_settings(log, store::run),
+    let command = match command::asked() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match command {
+        Command::Gateway(logging) => play(Role::Gateway, &logging, gateway::run),
+        Command::Store(logging) => play(Role::Store, &logging, store::run),
+        Command::Check(check) => check::run(&check),
     }
 }
 
-/// Runs a role with the settings that the environment names.
-fn with_settings<F: Future<Output = anyhow::Result<()>>>(
-    level: LevelFilter,
-    role: impl FnOnce(Settings, PathBuf) -> F,
+/// Plays a role with the settings that the environment names.
+fn play<F: Future<Output = anyhow::Result<()>>>(
+    role: Role,
+    logging: &Logging,
+    run: impl FnOnce(Settings, PathBuf) -> F,
 ) -> ExitCode {
-    logging::start(level);
     let Some(path) = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from) else {
         eprintln!("{SETTINGS_VARIABLE}: is not set");
         return ExitCode::from(UNUSABLE_SETTINGS);
     };
-    let settings = match Settings::read(&path) {
+    let settings = match Settings::read(&path, role) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(UNUSABLE_SETTINGS);
         }
     };
-    match block_on(role(settings, path)) {
+    logging::start(logging.level, logging.format, Origin { node: settings.node.clone(), role });
+    match block_on(run(settings, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,48 +1,76 @@
 //! The settings file of a process (JSON), named by [`SETTINGS_VARIABLE`]. Unknown fields are ignored: newer
-//! platforms add some.
+//! platforms add some. All that can't be used is told at once, each finding with its place.
 
-use serde::Deserialize;
+mod fields;
+mod read;
+
+use dunespur_configuration::Findings;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::str::FromStr;
 
 /// The environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "DUNESPUR_CONFIG";
 
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Carries the traffic; a member of the core where it has a disk that counts.
+    Gateway,
+    /// Keeps turns.
+    Store,
+}
+
+impl Role {
+    /// Its name, which is the subcommand that plays it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Gateway => "gateway",
+            Role::Store => "store",
+        }
+    }
+}
+
+impl FromStr for Role {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Role, Self::Err> {
+        match text {
+            "gateway" => Ok(Role::Gateway),
+            "store" => Ok(Role::Store),
+            _ => Err("a role is gateway or store"),
+        }
+    }
+}
+
 /// Settings of one process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     /// The machine's name.
     pub node: String,
     /// The machine's address.
     pub ip: IpAddr,
+    /// Where it stands; empty in a system of one place.
     pub zone: String,
-    #[serde(default)]
     pub listen: Listen,
     /// First and last port for traffic between the processes.
     pub port_range: (u16, u16),
     /// Addresses of `control` of some machines, as the operator's list had them when the file was written.
-    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// True at the first start of the whole system.
-    #[serde(default)]
     pub bootstrap: bool,
     /// Whether the loss of this machine counts against `fault_tolerance`.
-    #[serde(default)]
     pub counts_for_quorum: bool,
-    #[serde(default)]
     pub limits: ProcessLimits,
-    #[serde(default)]
     pub data_dir: Option<PathBuf>,
     /// Pause between heartbeats of a server, in milliseconds.
-    #[serde(default = "default_heartbeat")]
     pub heartbeat_ms: u64,
-    #[serde(default)]
     pub fault_tolerance: FaultTolerance,
 }
 
 /// Addresses that the process listens on for others than itself.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
 pub struct Listen {
     /// Clients.
     pub front: Option<SocketAddr>,
@@ -53,76 +81,56 @@
 }
 
 /// What the machine grants the process.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug)]
 pub struct ProcessLimits {
     pub memory_mb: u64,
     pub max_fds: u64,
     pub disk_mb: Option<u64>,
 }
 
-impl Default for ProcessLimits {
-    fn default() -> Self {
-        ProcessLimits { memory_mb: 256, max_fds: 1024, disk_mb: None }
-    }
-}
-
 /// What may be lost at once.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug, Default)]
 pub struct FaultTolerance {
     pub machines: u32,
 }
 
-fn default_heartbeat() -> u64 {
-    1000
-}
-
-/// Why settings can't be used: all findings, each with its place.
+/// Why settings can't be used.
 #[derive(Debug)]
-pub struct SettingsError {
-    pub path: PathBuf,
-    pub findings: Vec<String>,
+pub enum SettingsError {
+    /// The file can't be read.
+    Unreadable { path: PathBuf, error: std::io::Error },
+    /// What stands in it can't be used.
+    Unusable { path: PathBuf, findings: Findings },
 }
 
 impl fmt::Display for SettingsError {
+    /// One line, however many findings there are.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path.display(), self.findings.join("; "))
+        match self {
+            SettingsError::Unreadable { path, error } => write!(f, "{}: {error}", path.display()),
+            SettingsError::Unusable { path, findings } => {
+                let lines: Vec<String> = findings.0.iter().map(ToString::to_string).collect();
+                write!(f, "{}: {}", path.display(), lines.join("; "))
+            }
+        }
     }
 }
 
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Reads and checks the file.
-    pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-        let fail = |findings| SettingsError { path: path.to_owned(), findings };
-        let bytes = std::fs::read(path).map_err(|e| fail(vec![e.to_string()]))?;
-        Settings::parse(&bytes).map_err(fail)
+    /// Reads and checks the file of a process with this role.
+    pub fn read(path: &Path, role: Role) -> Result<Settings, SettingsError> {
+        let bytes = std::fs::read(path)
+            .map_err(|error| SettingsError::Unreadable { path: path.to_owned(), error })?;
+        Settings::parse(&bytes, Some(role))
+            .map_err(|findings| SettingsError::Unusable { path: path.to_owned(), findings })
     }
 
-    /// Reads settings out of their bytes; says all that can't be used.
-    pub fn parse(bytes: &[u8]) -> Result<Settings, Vec<String>> {
-        let settings: Settings = serde_json::from_slice(bytes).map_err(|e| vec![e.to_string()])?;
-        let findings = settings.findings();
-        if findings.is_empty() {
-            return Ok(settings);
-        }
-        Err(findings)
-    }
-
-    fn findings(&self) -> Vec<String> {
-        let mut findings = Vec::new();
-        if self.node.is_empty() {
-            findings.push("node: is empty".to_owned());
-        }
-        if self.port_range.0 > self.port_range.1 {
-            findings.push("port_range: the first port is above the last".to_owned());
-        }
-        if self.heartbeat_ms == 0 {
-            findings.push("heartbeat_ms: is 0".to_owned());
-        }
-        findings
+    /// Reads settings out of their bytes; says all that can't be used. What one role alone needs is asked for
+    /// only where the role is known.
+    pub fn parse(bytes: &[u8], role: Option<Role>) -> Result<Settings, Findings> {
+        read::settings(bytes, role)
     }
 
     /// Where this process listens for the others of the system.
--- /dev/null
+++ b/crates/node/src/settings/read.rs
@@ -0,0 +1,146 @@
+//! Reads settings from JSON. Reading goes on past what can't be used, so that all findings come at once.
+
+use super::fields::Fields;
+use super::{FaultTolerance, Listen, ProcessLimits, Role, Settings};
+use dunespur_configuration::Findings;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Memory of a process that the platform states nothing of.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Descriptors of such a process.
+const DEFAULT_DESCRIPTORS: u64 = 1024;
+/// Pause between heartbeats of a server where none is stated.
+const DEFAULT_HEARTBEAT_MS: u64 = 1000;
+
+/// What addresses have to be.
+const ADDRESS: &str = "an IP address with a port";
+
+/// Reads and checks the bytes of a settings file.
+pub fn settings(bytes: &[u8], role: Option<Role>) -> Result<Settings, Findings> {
+    let value: Value =
+        serde_json::from_slice(bytes).map_err(|error| Findings::one("settings", error.to_string()))?;
+    let mut findings = Findings::default();
+    let fields = Fields::top(&value, &mut findings);
+    let settings = read(&fields, &mut findings);
+    check_role(&fields, role, &mut findings);
+    if let Some(settings) = &settings {
+        check_addresses(settings, &mut findings);
+    }
+    match settings {
+        Some(settings) if findings.is_empty() => Ok(settings),
+        _ => Err(findings),
+    }
+}
+
+/// The settings with what can't be used left out; none where a needed field can't be used.
+fn read(fields: &Fields, findings: &mut Findings) -> Option<Settings> {
+    for name in ["node", "ip", "port_range"] {
+        fields.need(name, "is missing", findings);
+    }
+    let node = fields.text("node", findings);
+    let ip = fields.parsed("ip", "an IP address", findings);
+    let zone = fields.text("zone", findings).unwrap_or_default();
+    let port_range = port_range(fields, findings);
+    let listen = listen(&fields.object("listen", findings), findings);
+    let seeds = fields.parsed_list("seeds", ADDRESS, findings);
+    let bootstrap = fields.flag("bootstrap", findings);
+    let counts_for_quorum = fields.flag("counts_for_quorum", findings);
+    let limits = limits(&fields.object("limits", findings), findings);
+    let data_dir = fields.text("data_dir", findings).map(PathBuf::from);
+    let heartbeat_ms = heartbeat(fields, findings);
+    let fault_tolerance = fault_tolerance(&fields.object("fault_tolerance", findings), findings);
+    Some(Settings {
+        node: node?.to_owned(),
+        ip: ip?,
+        zone: zone.to_owned(),
+        listen,
+        port_range: port_range?,
+        seeds,
+        bootstrap,
+        counts_for_quorum,
+        limits,
+        data_dir,
+        heartbeat_ms,
+        fault_tolerance,
+    })
+}
+
+fn port_range(fields: &Fields, findings: &mut Findings) -> Option<(u16, u16)> {
+    let ports = fields.list("port_range", findings);
+    if ports.is_empty() {
+        return None;
+    }
+    let place = fields.place("port_range");
+    let [first, last] = ports else {
+        findings.add(place, format!("has {} items instead of the first and the last port", ports.len()));
+        return None;
+    };
+    let first = port(first, &place, 0, findings);
+    let last = port(last, &place, 1, findings);
+    let (first, last) = (first?, last?);
+    if first > last {
+        findings.add(place, format!("the first port, {first}, is above the last, {last}"));
+    }
+    Some((first, last))
+}
+
+fn port(value: &Value, place: &str, index: usize, findings: &mut Findings) -> Option<u16> {
+    let port = value.as_u64().and_then(|port| u16::try_from(port).ok()).filter(|port| *port > 0);
+    if port.is_none() {
+        findings.add(format!("{place}[{index}]"), format!("is {value}, not a port from 1 to 65535"));
+    }
+    port
+}
+
+fn listen(fields: &Fields, findings: &mut Findings) -> Listen {
+    Listen {
+        front: fields.parsed("front", ADDRESS, findings),
+        ready: fields.parsed("ready", ADDRESS, findings),
+        control: fields.parsed("control", ADDRESS, findings),
+    }
+}
+
+fn limits(fields: &Fields, findings: &mut Findings) -> ProcessLimits {
+    ProcessLimits {
+        memory_mb: fields.whole("memory_mb", findings).unwrap_or(DEFAULT_MEMORY_MB),
+        max_fds: fields.whole("max_fds", findings).unwrap_or(DEFAULT_DESCRIPTORS),
+        disk_mb: fields.whole("disk_mb", findings),
+    }
+}
+
+fn heartbeat(fields: &Fields, findings: &mut Findings) -> u64 {
+    let heartbeat_ms = fields.whole("heartbeat_ms", findings).unwrap_or(DEFAULT_HEARTBEAT_MS);
+    if heartbeat_ms == 0 {
+        findings.add(fields.place("heartbeat_ms"), "is 0");
+    }
+    heartbeat_ms
+}
+
+fn fault_tolerance(fields: &Fields, findings: &mut Findings) -> FaultTolerance {
+    let machines = fields.whole("machines", findings).unwrap_or(0);
+    FaultTolerance { machines: u32::try_from(machines).unwrap_or(u32::MAX) }
+}
+
+/// What one role alone needs.
+fn check_role(fields: &Fields, role: Option<Role>, findings: &mut Findings) {
+    if role == Some(Role::Store) {
+        fields.need("data_dir", "is missing, and a store needs a disk", findings);
+    }
+}
+
+/// Guards against two listeners at one address: the second one would fail only at the start.
+fn check_addresses(settings: &Settings, findings: &mut Findings) {
+    let listen = &settings.listen;
+    let named =
+        [("listen.front", listen.front), ("listen.ready", listen.ready), ("listen.control", listen.control)];
+    let mut taken: Vec<(&str, SocketAddr)> = vec![("port_range[0]", settings.internal_address())];
+    for (place, address) in named {
+        let Some(address) = address else { continue };
+        if let Some((other, _)) = taken.iter().find(|(_, other)| *other == address) {
+            findings.add(place, format!("is {address}, the address of {other} too"));
+        }
+        taken.push((place, address));
+    }
+}
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -1,7 +1,7 @@
 //! Signals of the platform: SIGTERM asks to leave, SIGHUP says that the settings file has changed.
 
 use crate::directory::Directory;
-use crate::settings::Settings;
+use crate::settings::{Role, Settings};
 use anyhow::Context;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -25,7 +25,7 @@
 
 /// Reads the settings anew on SIGHUP, and from time to time while no core member answers. Only the seeds are taken:
 /// addresses and the disk of a process don't change while it lives.
-pub async fn follow_settings(path: PathBuf, directory: Rc<Directory>) {
+pub async fn follow_settings(path: PathBuf, role: Role, directory: Rc<Directory>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
     loop {
         let asked = tokio::select! {
@@ -35,7 +35,7 @@
         if !asked && directory.in_touch() {
             continue;
         }
-        match Settings::read(&path) {
+        match Settings::read(&path, role) {
             Ok(settings) => directory.set_seeds(settings.seed_addresses()),
             Err(error) => log::error!("the settings are not taken: {error}"),
         }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,7 +5,7 @@
 use crate::gateway::listen;
 use crate::keeping::{address_of, ask_store};
 use crate::messages::{decode, encode, NodeLease, Reply, Request};
-use crate::settings::Settings;
+use crate::settings::{Role, Settings};
 use crate::signals;
 use anyhow::Context;
 use bytes::Bytes;
@@ -77,7 +77,7 @@
     spawn_local(keep_ticking(process.clone()));
     spawn_local(keep_reported(process.clone()));
     spawn_local(directory.clone().follow());
-    spawn_local(signals::follow_settings(path, directory));
+    spawn_local(signals::follow_settings(path, Role::Store, directory));
     log::info!("{} serves", settings.node);
     signals::asked_to_leave().await?;
     log::info!("{} leaves", settings.node);
