--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -37,7 +37,7 @@
         engine.server.gate.let_go(5);
     }
     scene.record.until(|sightings| sightings.iter().any(|sighting| sighting.events.len() == 1)).await;
-    scene.system.machine(leaving).terminate().unwrap();
+    scene.terminate(leaving).unwrap();
     while scene.system.readiness(leaving).await == Some(200) {}
     for engine in &scene.engines {
         engine.server.gate.open();
@@ -55,10 +55,7 @@
     let mut scene = stage(ScenePlan::default()).await;
     let mut version_line = line_of(&scene, 1).await;
     for index in scene.system.places(|plan| plan.role != Role::Store) {
-        let front = scene.system.front(index);
-        let others: Vec<_> = scene.system.fronts().into_iter().filter(|other| *other != front).collect();
-        scene.system.machine(index).terminate().unwrap();
-        scene.client.set_fronts(others);
+        scene.terminate(index).unwrap();
         go_on(&scene, &mut version_line, &format!("while {index} leaves")).await;
         let status = scene.system.machine(index).wait(GRACE).await.unwrap();
         assert!(status.success(), "{status}");
--- a/crates/node/tests/losses.rs
+++ b/crates/node/tests/losses.rs
@@ -17,9 +17,7 @@
     let generation = base + 3;
     let name = format!("route-{generation}");
     let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
-    let mut plan = scene.configurations.last().cloned().unwrap();
-    plan.generation = generation;
-    plan.routes.push(route.clone());
+    let plan = scene.configurations.last().unwrap().patched(generation, std::slice::from_ref(&route), &[]);
     scene.configurations.push(plan);
     let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
     assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use dunespur_emulator::client::{Ask, Kind};
-use dunespur_emulator::configuration::{patch, ConfigurationPlan, RoutePlan, Share};
+use dunespur_emulator::configuration::{patch, RoutePlan, Share};
 use dunespur_emulator::scene::{Scene, ScenePlan, HOST, LOOKUP, MODELS, TOOLS};
 use dunespur_emulator::system::Role;
 use serde_json::{json, Value};
@@ -18,12 +18,11 @@
     RoutePlan::new("added", HOST, "/added/", Kind::ReadOnly, TOOLS)
 }
 
-/// What the judge needs to know of a patched configuration.
-fn with_routes(scene: &Scene, generation: u64, routes: &[RoutePlan]) -> ConfigurationPlan {
-    let mut plan = scene.plan.configuration.clone();
-    plan.generation = generation;
-    plan.routes.extend_from_slice(routes);
-    plan
+/// Has a patch taken on top of version `base`, and the judge know of it.
+async fn change(scene: &mut Stage, base: u64, generation: u64, upsert: &[RoutePlan], remove: &[&str]) {
+    let version = scene.configurations.last().unwrap().patched(generation, upsert, remove);
+    scene.configurations.push(version);
+    take(scene, base, &patch(generation, upsert, remove)).await;
 }
 
 async fn take(scene: &mut Stage, base: u64, body: &Value) {
@@ -50,11 +49,9 @@
     let mut scene = stage(ScenePlan::default()).await;
     let ask = Ask::get(HOST, "/added/x");
     everywhere(&scene, &ask, 404).await;
-    let plan = with_routes(&scene, 4, &[added()]);
-    scene.configurations.push(plan);
-    take(&mut scene, 1, &patch(4, &[added()], &[])).await;
+    change(&mut scene, 1, 4, &[added()], &[]).await;
     everywhere(&scene, &ask, 200).await;
-    take(&mut scene, 4, &patch(9, &[], &["added"])).await;
+    change(&mut scene, 4, 9, &[], &["added"]).await;
     everywhere(&scene, &ask, 404).await;
     expect_no_violation(&scene);
 }
@@ -64,9 +61,7 @@
     let mut scene = stage(ScenePlan::default()).await;
     let mut moved = RoutePlan::new("lookup", HOST, LOOKUP, Kind::ReadOnly, MODELS);
     moved.retries = 2;
-    let plan = with_routes(&scene, 2, std::slice::from_ref(&moved));
-    scene.configurations.push(plan);
-    take(&mut scene, 1, &patch(2, &[moved.clone()], &[])).await;
+    change(&mut scene, 1, 2, std::slice::from_ref(&moved), &[]).await;
     everywhere(&scene, &Ask::get(HOST, &format!("{LOOKUP}x")), 200).await;
     let until = Instant::now() + APPLY;
     loop {
@@ -80,7 +75,12 @@
     }
     moved.backends =
         vec![Share { backend: TOOLS.to_owned(), weight: 0 }, Share { backend: MODELS.to_owned(), weight: 3 }];
-    take(&mut scene, 2, &patch(3, &[moved], &[])).await;
+    change(&mut scene, 2, 3, &[moved], &[]).await;
+    let after = Instant::now();
+    while after.elapsed() < APPLY + APPLY / 4 {
+        let served = scene.client.send(&Ask::get(HOST, &format!("{LOOKUP}x"))).await;
+        assert!(served.succeeded(), "{served:?}");
+    }
     expect_no_violation(&scene);
 }
 
--- /dev/null
+++ b/crates/node/tests/servers.rs
@@ -0,0 +1,127 @@
+//! Servers that come, go and lie: what the system believes of them, and what becomes of requests.
+
+mod support;
+
+use dunespur_emulator::client::{Ask, Kind};
+use dunespur_emulator::configuration::ServicePlan;
+use dunespur_emulator::record::Fate;
+use dunespur_emulator::scene::{ScenePlan, HOST, LOOKUP, RECORD};
+use support::{expect_no_violation, lookup, programs_for, stage, DRAIN, RECOVERY};
+use tokio::time::Instant;
+
+fn record() -> Ask {
+    Ask::post(HOST, &format!("{RECORD}x"), Kind::Mutating, "once")
+}
+
+#[tokio::test]
+async fn a_server_that_crashed_holds_nothing_up_and_is_forgotten() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let crashed = scene.plains.remove(0);
+    crashed.registration.fall_silent();
+    drop(crashed);
+    let until = Instant::now() + RECOVERY;
+    let mut clean = 0;
+    while clean < 40 {
+        let served = scene.client.send(&lookup()).await;
+        assert!(served.succeeded(), "{served:?}");
+        clean = if served.tries == 1 { clean + 1 } else { 0 };
+        assert!(Instant::now() < until, "the server is tried again and again");
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_draining_server_stays_so_whatever_comes_late() {
+    let scene = stage(ScenePlan::default()).await;
+    let draining = &scene.plains[0];
+    draining.registration.drain().await;
+    let acknowledged = Instant::now();
+    for control in scene.system.controls() {
+        draining.registration.stray(control, 1, false).await;
+        draining.registration.stray(control, 1_000, false).await;
+    }
+    while acknowledged.elapsed() < DRAIN + DRAIN / 4 {
+        assert!(scene.client.send(&lookup()).await.succeeded());
+    }
+    expect_no_violation(&scene);
+    let before = scene.record.sightings_at(&draining.server.door.identity.instance).len();
+    for _ in 0..50 {
+        assert!(scene.client.send(&lookup()).await.succeeded());
+    }
+    assert_eq!(scene.record.sightings_at(&draining.server.door.identity.instance).len(), before);
+}
+
+#[tokio::test]
+async fn an_address_used_again_by_another_service_runs_nothing_of_the_first() {
+    let mut plan = ScenePlan::default();
+    let other = ServicePlan { name: "other".to_owned(), max_conns: 120, engine: None };
+    plan.configuration.services.push(other);
+    let mut scene = stage(plan).await;
+    let crashed = scene.plains.remove(0);
+    let address = crashed.server.door.identity.address;
+    crashed.registration.fall_silent();
+    drop(crashed);
+    tokio::task::yield_now().await;
+    let other = scene.add_plain_at(address, "other").await.unwrap();
+    let instance = scene.plains[other].server.door.identity.instance.clone();
+    let until = Instant::now() + DRAIN;
+    while Instant::now() < until {
+        assert!(scene.client.send(&lookup()).await.succeeded());
+        assert!(scene.client.send(&record()).await.succeeded());
+    }
+    let sightings = scene.record.sightings_at(&instance);
+    let ran = sightings.iter().filter(|sighting| sighting.fate == Fate::Run).count();
+    assert_eq!(ran, 0, "a server of another service ran requests");
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn requests_wait_or_are_refused_in_time_where_all_places_are_taken() {
+    let scene = stage(ScenePlan::default()).await;
+    for plain in &scene.plains {
+        plain.server.gate.hold();
+    }
+    let places: usize = scene.plains.len() * (scene.plan.plain_slots as usize);
+    let mut held = tokio::task::JoinSet::new();
+    for _ in 0..4 * places {
+        let client = scene.client.clone();
+        let ask = Ask { deadline_ms: 2_000, ..record() };
+        held.spawn(async move { client.send(&ask).await });
+    }
+    for plain in &scene.plains {
+        plain.server.gate.waiting(scene.plan.plain_slots as usize).await;
+    }
+    for plain in &scene.plains {
+        plain.server.gate.open();
+    }
+    let served = held.join_all().await;
+    assert!(served.iter().filter(|served| served.succeeded()).count() >= places);
+    let clear = |status: Option<u16>| matches!(status, Some(200 | 429 | 503));
+    assert!(served.iter().all(|served| clear(served.status())), "{served:?}");
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn servers_replaced_one_after_the_other_lose_nothing() {
+    let mut scene = stage(ScenePlan::default()).await;
+    for round in 0..4 {
+        let new = scene.add_plain().await.unwrap();
+        scene.plains[new].registration.known().await;
+        let new = scene.add_engine().await.unwrap();
+        scene.engines[new].registration.known().await;
+        scene.plains[0].registration.drain().await;
+        scene.engines[0].registration.drain().await;
+        programs_for(&scene, DRAIN / 4).await;
+        for _ in 0..20 {
+            let served = scene.client.send(&record()).await;
+            assert!(served.succeeded(), "round {round}: {served:?}");
+        }
+        scene.plains[0].registration.leave().await;
+        scene.engines[0].registration.leave().await;
+        scene.plains.remove(0);
+        scene.engines.remove(0);
+    }
+    let last = Ask::get(HOST, &format!("{LOOKUP}last"));
+    assert!(scene.client.send(&last).await.succeeded());
+    expect_no_violation(&scene);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -55,6 +55,13 @@
     Stage { scene, _place: place }
 }
 
+/// A scene whose processes have been started, without any order of the operator.
+pub async fn begin(plan: ScenePlan) -> Stage {
+    let place = SCENES.acquire().await.expect("never closed");
+    let scene = Scene::begin(&program(), plan).await.unwrap_or_else(|error| panic!("{error:#}"));
+    Stage { scene, _place: place }
+}
+
 /// Places of machines of a role.
 pub fn places(scene: &Scene, role: Role) -> Vec<usize> {
     scene.system.places(|plan| plan.role == role)
