Send what is not urgent together, outwait short silences, give back when a limiter ends

A turn's own wait (1 s) and the silence after which turns are refused at once (3 s) are two settings now; with one, retries were refused within a short change of the core. close() gives back at a planned end.

--- a/crates/budget/src/counter/mod.rs
+++ b/crates/budget/src/counter/mod.rs
@@ -3,6 +3,7 @@
 mod program;
 mod senders;
 
+use crate::messages::MAX_PROGRAM_NAME;
 use crate::{CounterChange, CounterReply, CounterRequest, Millis};
 use program::{Ask, Program};
 use senders::Senders;
@@ -112,7 +113,7 @@
 /// The program's record, made if it is needed and there is room.
 fn program_for<'a>(programs: &'a mut Programs, request: &CounterRequest) -> Option<&'a mut Program> {
     let name = request.program.as_str();
-    let full = programs.len() >= MAX_PROGRAMS;
+    let full = programs.len() >= MAX_PROGRAMS || name.len() > MAX_PROGRAM_NAME;
     if !programs.contains_key(name) && (full || only_gives_back(request)) {
         return None;
     }
--- a/crates/budget/src/lease/admission.rs
+++ b/crates/budget/src/lease/admission.rs
@@ -27,9 +27,9 @@
         /// After this long it is worth trying again.
         retry_after_ms: u64,
     },
-    /// The counter has not answered within the bound.
+    /// The counter has not answered in time.
     Silent,
-    /// More programs or turns are under way here than are kept.
+    /// More programs or turns are under way here than are kept, or the program's name is too long to keep.
     Crowded,
 }
 
--- a/crates/budget/src/lease/mod.rs
+++ b/crates/budget/src/lease/mod.rs
@@ -11,6 +11,7 @@
 pub use admission::{Admission, Refusal, TurnOutcome};
 pub use settings::LeaseSettings;
 
+use crate::messages::MAX_PROGRAM_NAME;
 use crate::{CounterChange, CounterReply, CounterRequest, LimiterId, Millis};
 use program::{ProgramLease, Step};
 use schedule::Schedule;
@@ -149,6 +150,17 @@
         self.outcomes.drain(..).collect()
     }
 
+    /// The limiter is about to end: units go back as soon as no turn of their program runs here.
+    pub fn close(&mut self, now: Millis) -> Vec<CounterRequest> {
+        self.settings.idle_return_ms = 0;
+        self.settings.batch_ms = 1;
+        let programs: Vec<Arc<str>> = self.programs.keys().cloned().collect();
+        for program in programs {
+            self.reschedule(&program);
+        }
+        self.due(now)
+    }
+
     /// How many programs are known here.
     pub fn programs(&self) -> usize {
         self.programs.len()
@@ -195,7 +207,7 @@
             self.programs.get_mut(program)?.turns += 1;
             return Some(name);
         }
-        if self.programs.len() >= self.settings.max_programs {
+        if self.programs.len() >= self.settings.max_programs || program.len() > MAX_PROGRAM_NAME {
             return None;
         }
         let name: Arc<str> = program.into();
--- a/crates/budget/src/lease/program.rs
+++ b/crates/budget/src/lease/program.rs
@@ -163,19 +163,21 @@
     /// through several answers.
     pub(crate) fn waited_out(&self, turn: u64, now: Millis, settings: &LeaseSettings) -> bool {
         let waiter = self.waiting.iter().find(|waiter| waiter.turn == turn);
-        let began = waiter.map(|waiter| waiter.since).into_iter().chain(self.asked_since()).min();
-        began.is_some_and(|began| now >= began + settings.silent_after_ms)
+        let since = waiter.map_or(now, |waiter| waiter.since);
+        now >= self.wait_ends(since, settings)
     }
 
-    fn asked_since(&self) -> Option<Millis> {
-        self.exchange.asked().map(|asked| asked.since)
+    /// Until when a turn that waits since then may wait.
+    fn wait_ends(&self, since: Millis, settings: &LeaseSettings) -> Millis {
+        let own_end = since + settings.turn_wait_ms;
+        let silent_at = self.exchange.asked().map(|asked| asked.since + settings.silent_after_ms);
+        silent_at.map_or(own_end, |silent_at| silent_at.min(own_end))
     }
 
     /// When the turn that has waited longest is refused.
     fn refuse_waiting(&self, settings: &LeaseSettings) -> Option<Planned> {
         let first = self.waiting.front()?;
-        let began = self.asked_since().map_or(first.since, |asked| asked.min(first.since));
-        Some(Planned { at: began + settings.silent_after_ms, step: Step::RefuseWaiting })
+        Some(Planned { at: self.wait_ends(first.since, settings), step: Step::RefuseWaiting })
     }
 
     /// The next step, if nothing else happens before.
@@ -185,7 +187,9 @@
                 let resend = Planned { at: asked.resend_at, step: Step::Resend };
                 earliest([self.refuse_waiting(settings), Some(resend)])
             }
-            None if self.turns > 0 => earliest([self.give_back_while_running(), Some(self.report(settings))]),
+            None if self.turns > 0 => {
+                earliest([self.give_back_while_running(settings), Some(self.report(settings))])
+            }
             None => Some(self.planned_at_rest(settings)),
         }
     }
@@ -193,28 +197,31 @@
     /// Between turns: what is held goes back after a while, at once near the limit.
     fn planned_at_rest(&self, settings: &LeaseSettings) -> Planned {
         if self.free == 0 && self.unreported == 0 {
-            return Planned { at: self.last_end + settings.forget_ms, step: Step::Forget };
+            return Planned { at: settings.batched(self.last_end + settings.forget_ms), step: Step::Forget };
+        }
+        if self.tight {
+            return Planned { at: self.last_end, step: Step::GiveBack };
         }
-        let pause = if self.tight { 0 } else { settings.idle_return_ms };
-        let mut at = self.last_end + pause;
+        let mut at = self.last_end + settings.idle_return_ms;
         if self.free > 0 {
             at = at.min(self.lapses_at);
         }
-        Planned { at, step: Step::GiveBack }
+        Planned { at: settings.batched(at), step: Step::GiveBack }
     }
 
     /// While turns run: what is free goes back when the lease lapses, at once near the limit if a turn freed it.
-    fn give_back_while_running(&self) -> Option<Planned> {
+    fn give_back_while_running(&self, settings: &LeaseSettings) -> Option<Planned> {
         if self.free == 0 {
             return None;
         }
+        let lapse = settings.batched(self.lapses_at);
         let freed_at = self.freed_at.filter(|_| self.tight);
-        let at = freed_at.map_or(self.lapses_at, |at| at.min(self.lapses_at));
+        let at = freed_at.map_or(lapse, |freed_at| freed_at.min(lapse));
         Some(Planned { at, step: Step::GiveBack })
     }
 
     fn report(&self, settings: &LeaseSettings) -> Planned {
-        Planned { at: self.reported_at + settings.report_ms, step: Step::Report }
+        Planned { at: settings.batched(self.reported_at + settings.report_ms), step: Step::Report }
     }
 }
 
--- a/crates/budget/src/messages.rs
+++ b/crates/budget/src/messages.rs
@@ -3,12 +3,17 @@
 use crate::Millis;
 use serde::{Deserialize, Serialize};
 
+/// Longest name of a program, in bytes: names are kept, so longer ones are put off, against a few names that
+/// fill the memory.
+pub(crate) const MAX_PROGRAM_NAME: usize = 256;
+
 /// One life of a limiter's process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LimiterId {
     /// The machine's name.
     pub node: String,
-    /// Differs between any two lives of the process on that machine and should rise from one to the next.
+    /// Differs between any two lives of the process on that machine, and rises from one to the next: units of a
+    /// life that seems older than another count as spent.
     pub incarnation: u64,
 }
 
--- a/crates/budget/tests/design.rs
+++ b/crates/budget/tests/design.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{admit, asked, granted, lease, limiter, request, settle, verdict, Ticker, BUDGET, PROGRAM};
-use dunespur_budget::{Admission, CounterReply, Counters, LeaseBook, Refusal};
+use dunespur_budget::{Admission, CounterReply, Counters, LeaseBook, LeaseSettings, Refusal};
 
 /// Admission spends a locally held lease and reserves each turn's most out.
 #[test]
@@ -102,7 +102,8 @@
 #[test]
 fn while_the_counter_is_silent_no_turn_goes_beyond_the_units_held() {
     let mut counters = Counters::default();
-    let mut book = LeaseBook::new(limiter("a", 1));
+    let settings = LeaseSettings { silent_after_ms: 1_000, ..LeaseSettings::default() };
+    let mut book = LeaseBook::with_settings(limiter("a", 1), settings);
     assert_eq!(admit(&mut book, &mut counters, 100, 1, 0), Admission::Admitted);
     book.used(1, 30);
     book.finish(1, 100);
--- a/crates/budget/tests/verdicts.rs
+++ b/crates/budget/tests/verdicts.rs
@@ -211,3 +211,25 @@
     assert_eq!(refused.iter().map(|outcome| outcome.turn).collect::<Vec<_>>(), [3, 4, 5]);
     assert!(refused.iter().all(|outcome| outcome.admission == Admission::Refused(Refusal::Silent)));
 }
+
+#[test]
+fn each_try_may_outwait_a_short_silence_and_none_waits_through_a_long_one() {
+    let mut book = LeaseBook::new(limiter("a", 1));
+    let sent = asked(book.admit(PROGRAM, BUDGET, 100, 1, 0));
+    let mut refused = Vec::new();
+    let mut due = |book: &mut LeaseBook, now| {
+        book.due(now);
+        refused.extend(book.outcomes().into_iter().map(|outcome| (outcome.turn, now)));
+    };
+    due(&mut book, 1_000);
+    assert_eq!(book.admit(PROGRAM, BUDGET, 100, 2, 1_100), Admission::Waiting);
+    due(&mut book, 2_100);
+    assert_eq!(book.admit(PROGRAM, BUDGET, 100, 3, 2_200), Admission::Waiting);
+    due(&mut book, 3_000);
+    assert_eq!(book.admit(PROGRAM, BUDGET, 100, 4, 3_001), Admission::Refused(Refusal::Silent));
+    assert_eq!(refused, [(1, 1_000), (2, 2_100), (3, 3_000)]);
+
+    let granted = CounterReply::Granted { units: 100, left: 900 };
+    book.replied(&sent, Some(&granted), 3_100);
+    assert_eq!(book.admit(PROGRAM, BUDGET, 100, 5, 3_101), Admission::Admitted);
+}
