--- a/crates/node/src/budgets.rs
+++ b/crates/node/src/budgets.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::status::BudgetStatus;
 use dunespur_budget::{Admission, CounterRequest, LeaseBook, LimiterId, Refusal, TurnOutcome};
 use dunespur_control::{Operation, Outcome};
 use dunespur_proxy::{Reserve, TurnAsk, TurnKey};
@@ -83,6 +84,16 @@
         }
     }
 
+    /// How many programs and turns there are.
+    pub fn status(&self) -> BudgetStatus {
+        BudgetStatus { programs: self.book.borrow().programs(), waiting: self.waiting.borrow().len() }
+    }
+
+    /// Tokens of a program that are held here.
+    pub fn held(&self, program: &str) -> u64 {
+        self.book.borrow().held(program)
+    }
+
     /// Tokens of a turn that are about to be handed to its client.
     pub fn used(&self, turn: TurnKey, tokens: u64) {
         self.book.borrow_mut().used(turn.0, tokens);
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -3,8 +3,10 @@
 use crate::check::{Check, Kind};
 use crate::logging::LogFormat;
 use crate::settings::Role;
+use crate::status::AskStatus;
 use bpaf::Bpaf;
 use simplelog::LevelFilter;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -50,6 +52,13 @@
     /// findings, 2 if it can't be read.
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
+    /// Asks a process how it is
+    ///
+    ///
+    /// View and chain of the core, currency, services with their servers, stores, leases, counters, memory and
+    /// processor time. Ends with 1 if there is no answer.
+    #[bpaf(command)]
+    Status(#[bpaf(external(ask_status))] AskStatus),
 }
 
 /// What a process logs on standard error
@@ -63,6 +72,18 @@
     pub format: LogFormat,
 }
 
+fn ask_status() -> impl bpaf::Parser<AskStatus> {
+    use bpaf::{construct, long, positional, Parser};
+    let json = long("json").help("Print JSON instead of tables").switch();
+    let program = long("program")
+        .help("Tell the budget of this agent program as well")
+        .argument::<String>("PROGRAM")
+        .optional();
+    let address = positional::<SocketAddr>("ADDRESS")
+        .help("Where the process listens for the others: its address and the first port of its port_range");
+    construct!(AskStatus { json, program, address })
+}
+
 fn check() -> impl bpaf::Parser<Check> {
     use bpaf::{construct, long, positional, Parser};
     let settings = long("settings").help("Check it as settings of a process").req_flag(Kind::Settings);
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -5,6 +5,7 @@
 use super::expiry::Leases;
 use crate::clock::Clock;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
+use crate::status::CoreStatus;
 use anyhow::Context;
 use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, View};
 use dunespur_control::{ControlState, Operation, Outcome};
@@ -41,6 +42,15 @@
     pub heartbeat_ms: u64,
 }
 
+/// What a counter says of one program.
+#[derive(Clone, Copy, Debug)]
+pub struct CountedBudget {
+    /// Tokens that were reported as used.
+    pub used: u64,
+    /// Tokens that limiters hold.
+    pub held: u64,
+}
+
 /// A core member with its disk and links.
 pub struct Coordinator {
     id: MemberId,
@@ -116,6 +126,28 @@
         self.inner.borrow().member.view().cloned()
     }
 
+    /// How this member gets on, with so many leases at most.
+    pub fn status(&self, most_leases: usize) -> CoreStatus {
+        let now = self.clock.now();
+        let inner = self.inner.borrow();
+        CoreStatus {
+            current: inner.member.current(now),
+            follows: inner.member.follows(now),
+            committed: inner.member.committed(),
+            waiting: inner.executing.len(),
+            programs: inner.state.counters().programs(),
+            disk: inner.disk.status(),
+            leases: inner.leases.status(most_leases, now),
+        }
+    }
+
+    /// A program's budget by the counter of this member.
+    pub fn budget_of(&self, program: &str) -> CountedBudget {
+        let inner = self.inner.borrow();
+        let counters = inner.state.counters();
+        CountedBudget { used: counters.used(program), held: counters.held(program) }
+    }
+
     /// Takes part in the first view of the system.
     pub fn found(&self, view: View) {
         self.step(Input::Found { view });
--- a/crates/node/src/core/disk.rs
+++ b/crates/node/src/core/disk.rs
@@ -1,8 +1,11 @@
 //! The thread that writes a core member's disk: syncs block, and a slow disk must not hold up the data plane.
 
+use crate::status::DiskStatus;
 use dunespur_chain::Write;
 use dunespur_storage::core::CoreDisk;
-use std::sync::mpsc;
+use std::cell::Cell;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{mpsc, Arc};
 use std::thread;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -21,6 +24,15 @@
 /// Hands batches to the disk's thread.
 pub struct DiskWriter {
     batches: mpsc::Sender<Batch>,
+    queued: Cell<u64>,
+    progress: Arc<Progress>,
+}
+
+/// What the thread has come to.
+#[derive(Default)]
+struct Progress {
+    done: AtomicU64,
+    failed: AtomicU64,
 }
 
 impl DiskWriter {
@@ -28,25 +40,40 @@
     /// the chain has under way.
     pub fn start(disk: CoreDisk, persisted: UnboundedSender<u64>) -> std::io::Result<DiskWriter> {
         let (batches, queue) = mpsc::channel::<Batch>();
+        let progress = Arc::new(Progress::default());
+        let counted = progress.clone();
         thread::Builder::new().name("core-disk".to_owned()).stack_size(STACK_SIZE).spawn(move || {
             while let Ok(batch) = queue.recv() {
-                write(&disk, &batch);
+                write(&disk, &batch, &counted.failed);
+                counted.done.fetch_add(1, Ordering::Relaxed);
                 if persisted.send(batch.number).is_err() {
                     return;
                 }
             }
         })?;
-        Ok(DiskWriter { batches })
+        Ok(DiskWriter { batches, queued: Cell::new(0), progress })
     }
 
     /// Queues a batch.
     pub fn write(&self, batch: Batch) {
+        self.queued.set(self.queued.get() + 1);
         let _ = self.batches.send(batch);
     }
+
+    /// How the disk gets on.
+    pub fn status(&self) -> DiskStatus {
+        let done = self.progress.done.load(Ordering::Relaxed);
+        DiskStatus {
+            waiting: self.queued.get().saturating_sub(done),
+            done,
+            failed: self.progress.failed.load(Ordering::Relaxed),
+        }
+    }
 }
 
-fn write(disk: &CoreDisk, batch: &Batch) {
+fn write(disk: &CoreDisk, batch: &Batch, failed: &AtomicU64) {
     while let Err(error) = disk.write(&batch.writes) {
+        failed.fetch_add(1, Ordering::Relaxed);
         log::error!("the core's disk does not take batch {}: {error:#}", batch.number);
         thread::sleep(RETRY_PAUSE);
     }
--- a/crates/node/src/core/expiry.rs
+++ b/crates/node/src/core/expiry.rs
@@ -1,6 +1,7 @@
 //! Leases of servers and nodes as core members hear of them; which have lapsed.
 
 use crate::messages::{Heard, NodeLease};
+use crate::status::LeaseStatus;
 use std::collections::{BTreeSet, HashMap};
 
 /// Servers whose heartbeats are missing for so many pauses between heartbeats have lapsed.
@@ -88,6 +89,22 @@
         self.nodes = kept;
     }
 
+    /// All leases, those of nodes first, so many at most.
+    pub fn status(&self, most: usize, now: u64) -> Vec<LeaseStatus> {
+        let nodes = self.nodes.iter().map(|(node, at)| (&node.name, *at, NODE_LEASE_MS));
+        let servers = self.servers.iter().map(|(id, at)| (id, *at, self.server_lease_ms));
+        let leases = nodes.chain(servers).take(most);
+        let mut leases: Vec<LeaseStatus> = leases
+            .map(|(holder, at, lease_ms)| LeaseStatus {
+                holder: holder.clone(),
+                silent_ms: now.saturating_sub(at),
+                lease_ms,
+            })
+            .collect();
+        leases.sort_by(|one, other| (one.lease_ms, &one.holder).cmp(&(other.lease_ms, &other.holder)));
+        leases
+    }
+
     /// Servers whose leases have lapsed.
     pub fn lapsed_servers(&self, now: u64) -> Vec<String> {
         lapsed(&self.servers, self.server_lease_ms, now)
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use crate::messages::{decode, encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
+use crate::status::LinkStatus;
 use bytes::Bytes;
 use dunespur_chain::View;
 use dunespur_configuration::{Document, Table};
@@ -72,6 +73,8 @@
     heard: RefCell<BTreeSet<String>>,
     /// This process's own lease, if it holds one.
     lease: RefCell<Option<NodeLease>>,
+    /// What became of calls so far.
+    link: Cell<LinkStatus>,
     /// Told when the view or a part of the state has changed.
     changed: Notify,
     on_change: RefCell<Option<ChangeAction>>,
@@ -89,6 +92,7 @@
             answered_at: Cell::new(0),
             heard: RefCell::default(),
             lease: RefCell::default(),
+            link: Cell::default(),
             changed: Notify::new(),
             on_change: RefCell::default(),
         })
@@ -120,6 +124,22 @@
         self.answered_at.get() > 0 && silence < IN_TOUCH_MS
     }
 
+    /// Time since the last answer of a core member; none until the first.
+    pub fn silent_ms(&self) -> Option<u64> {
+        let answered_at = Some(self.answered_at.get()).filter(|at| *at > 0)?;
+        Some(self.clock.now().saturating_sub(answered_at))
+    }
+
+    /// The core member that answered last.
+    pub fn attached(&self) -> Option<SocketAddr> {
+        self.attached.get()
+    }
+
+    /// What became of calls so far.
+    pub fn link_counters(&self) -> LinkStatus {
+        self.link.get()
+    }
+
     /// What is known now.
     pub fn known(&self) -> std::cell::Ref<'_, Known> {
         self.known.borrow()
@@ -200,6 +220,7 @@
 
     /// The watch failed: what was heard is told with the next one.
     fn keep_heard(&self, servers: BTreeSet<String>) -> bool {
+        self.count(|link| link.watches_lost += 1);
         self.heard.borrow_mut().extend(servers);
         false
     }
@@ -306,8 +327,19 @@
         payload: Bytes,
         limit: Duration,
     ) -> Result<Reply, CallError> {
-        let answer = self.client(address).call(payload, limit).await?;
-        decode(&answer).ok_or(CallError::Closed)
+        self.count(|link| link.calls += 1);
+        let answered = self.client(address).call(payload, limit).await;
+        let reply = answered.and_then(|answer| decode(&answer).ok_or(CallError::Closed));
+        if reply.is_err() {
+            self.count(|link| link.failed += 1);
+        }
+        reply
+    }
+
+    fn count(&self, change: impl FnOnce(&mut LinkStatus)) {
+        let mut link = self.link.get();
+        change(&mut link);
+        self.link.set(link);
     }
 
     fn client(&self, address: SocketAddr) -> Rc<Client> {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::service::GatewayService;
 use crate::settings::{Role, Settings};
 use crate::signals;
+use crate::status::GatewayStatus;
 use anyhow::Context;
 use dunespur_budget::LimiterId;
 use dunespur_proxy::{serve_ready, Front, FrontSettings};
@@ -35,14 +36,22 @@
     let coordinator = start_core(&settings, clock)?;
     let limiter = LimiterId { node: settings.node.clone(), incarnation: wall_clock_ms() };
     let budgets = Budgets::start(limiter, directory.clone(), clock);
-    let plane = Plane::new(directory.clone(), &settings.zone, budgets, settings.copies(), clock);
+    let plane = Plane::new(directory.clone(), &settings.zone, budgets.clone(), settings.copies(), clock);
+    let front = Front::new(plane.clone(), front_settings(&settings));
 
-    start_internal(&settings, clock, &directory, coordinator.clone()).await?;
+    let status = GatewayStatus {
+        settings: settings.clone(),
+        directory: directory.clone(),
+        coordinator: coordinator.clone(),
+        plane: plane.clone(),
+        budgets,
+        front: front.clone(),
+    };
+    start_internal(&settings, clock, status).await?;
     start_control(&settings, &directory).await?;
     if let Some(ready) = settings.listen.ready {
         spawn_local(serve_ready(plane.clone(), listen(ready).await?));
     }
-    let front = Front::new(plane.clone(), front_settings(&settings));
     if let Some(address) = settings.listen.front {
         spawn_local(front.clone().serve(listen(address).await?));
     }
@@ -77,16 +86,13 @@
     Coordinator::start(identity, data, clock).map(Some)
 }
 
-async fn start_internal(
-    settings: &Settings,
-    clock: Clock,
-    directory: &Rc<Directory>,
-    coordinator: Option<Rc<Coordinator>>,
-) -> anyhow::Result<()> {
+async fn start_internal(settings: &Settings, clock: Clock, status: GatewayStatus) -> anyhow::Result<()> {
     let address = settings.internal_address();
     let founds = settings.bootstrap && settings.seed_addresses().first() == Some(&address);
     let founding = founds.then(|| RefCell::new(Founding::new(clock.now())));
-    let service = GatewayService { clock, directory: directory.clone(), coordinator, founding };
+    let directory = status.directory.clone();
+    let coordinator = status.coordinator.clone();
+    let service = GatewayService { clock, directory, coordinator, founding, status };
     spawn_local(dunespur_link::serve(listen(address).await?, Rc::new(service)));
     Ok(())
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,6 +18,7 @@
 mod service;
 mod settings;
 mod signals;
+mod status;
 mod store;
 mod utc;
 
@@ -41,6 +42,7 @@
         Command::Gateway(logging) => play(Role::Gateway, &logging, gateway::run),
         Command::Store(logging) => play(Role::Store, &logging, store::run),
         Command::Check(check) => check::run(&check),
+        Command::Status(asked) => ended(block_on(status::run(asked))),
     }
 }
 
@@ -62,7 +64,12 @@
         }
     };
     logging::start(logging.level, logging.format, Origin { node: settings.node.clone(), role });
-    match block_on(run(settings, path)) {
+    ended(block_on(run(settings, path)))
+}
+
+/// How the program ends; an error is told on standard error.
+fn ended(result: anyhow::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -28,6 +28,8 @@
     Heard(Heard),
     /// To a store.
     Store(StoreRequest),
+    /// How are you, and how is the budget of this program?
+    Status { program: Option<String> },
 }
 
 /// Asks for changes, and renews leases on the way.
@@ -67,6 +69,8 @@
     Retirement(Option<RetireState>),
     Watched(Watched),
     Store(StoreReply),
+    /// A [`Status`](crate::status::Status) as JSON.
+    Status(String),
 }
 
 /// What a candidate for the first view is told.
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -7,7 +7,7 @@
 use dunespur_configuration::Table;
 use dunespur_control::{ServerReport, ServerState};
 use dunespur_proxy::{History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
-use dunespur_routing::{Ask, Choice, Chooser, EngineShape, Outcome, Server};
+use dunespur_routing::{Ask, Choice, Chooser, EngineShape, LoadReport, Outcome, Server};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -51,6 +51,11 @@
         self.leaving.set(true);
     }
 
+    /// What this gateway has in flight at servers; those without any are left out.
+    pub fn loads(&self) -> Vec<LoadReport> {
+        self.chooser.borrow().load_reports()
+    }
+
     fn changed(&self, touched: Touched) {
         if !touched.servers && !touched.configuration {
             return;
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -5,6 +5,7 @@
 use crate::directory::Directory;
 use crate::founding::Founding;
 use crate::messages::{decode, encode, Reply, Request};
+use crate::status::GatewayStatus;
 use bytes::Bytes;
 use dunespur_chain::{Peer, View};
 use dunespur_link::Service;
@@ -18,6 +19,7 @@
     pub coordinator: Option<Rc<Coordinator>>,
     /// Only at the process that founds the system.
     pub founding: Option<RefCell<Founding>>,
+    pub status: GatewayStatus,
 }
 
 impl Service for GatewayService {
@@ -32,6 +34,7 @@
         match request {
             Request::Hello => Reply::View(self.view()),
             Request::Candidate { peer } => self.candidate(peer),
+            Request::Status { program } => Reply::Status(self.status.status(program.as_deref()).to_json()),
             request => match &self.coordinator {
                 Some(coordinator) => core_answer(coordinator, request).await,
                 None => Reply::Unavailable,
@@ -67,6 +70,8 @@
             coordinator.told(&heard);
             Reply::View(None)
         }
-        Request::Hello | Request::Candidate { .. } | Request::Store(_) => Reply::Unavailable,
+        Request::Hello | Request::Candidate { .. } | Request::Store(_) | Request::Status { .. } => {
+            Reply::Unavailable
+        }
     }
 }
--- /dev/null
+++ b/crates/node/src/status/ask.rs
@@ -0,0 +1,44 @@
+//! `dunespur status`: asks a process for its status and prints it.
+
+use super::report::Status;
+use super::table;
+use crate::messages::{decode, encode, Reply, Request};
+use anyhow::{bail, Context};
+use dunespur_link::Client;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A process that has not answered by then is reported as silent.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+
+/// What is to be asked, and how it is to be shown.
+#[derive(Clone, Debug)]
+pub struct AskStatus {
+    /// Prints JSON instead of tables.
+    pub json: bool,
+    /// A program whose budget is to be told as well.
+    pub program: Option<String>,
+    /// Where the process listens for the others of the system.
+    pub address: SocketAddr,
+}
+
+/// Asks, and prints the answer on standard output.
+pub async fn run(asked: AskStatus) -> anyhow::Result<()> {
+    let text = answer(&asked).await.with_context(|| asked.address.to_string())?;
+    if asked.json {
+        println!("{text}");
+        return Ok(());
+    }
+    let status: Status = serde_json::from_str(&text).context("an answer that is no status")?;
+    print!("{}", table::of(&status));
+    Ok(())
+}
+
+async fn answer(asked: &AskStatus) -> anyhow::Result<String> {
+    let request = encode(&Request::Status { program: asked.program.clone() });
+    let answer = Client::new(asked.address).call(request, ANSWER_LIMIT).await?;
+    match decode(&answer) {
+        Some(Reply::Status(json)) => Ok(json),
+        _ => bail!("it does not tell its status: an older version, or no process of this system"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/status/gather.rs
@@ -0,0 +1,148 @@
+//! Collects the status of a process from its parts.
+
+use super::own;
+use super::report::{
+    ControlStatus, FrontStatus, MemberStatus, ProgramStatus, ServerStatus, ServiceStatus, Status,
+    StoreStatus, ViewStatus,
+};
+use crate::budgets::Budgets;
+use crate::core::Coordinator;
+use crate::directory::Directory;
+use crate::plane::Plane;
+use crate::settings::{Role, Settings};
+use dunespur_chain::View;
+use dunespur_control::{ServerReport, ServerState};
+use dunespur_proxy::{Counters, Front, Node};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// Items of each list; guards against an answer that takes more memory than the rest of the process.
+const MOST_LISTED: usize = 4_096;
+
+/// What processes of all roles say.
+pub fn basics(settings: &Settings, role: Role, directory: &Directory) -> Status {
+    Status {
+        node: settings.node.clone(),
+        role: role.name().to_owned(),
+        version: env!("CARGO_PKG_VERSION").to_owned(),
+        zone: settings.zone.clone(),
+        up_ms: directory.clock().now(),
+        process: own::process(),
+        link: directory.link_counters(),
+        control: control(directory),
+        view: directory.view().as_ref().map(view),
+        stores: stores(directory),
+        ..Status::default()
+    }
+}
+
+/// The parts of a gateway that its status tells of.
+pub struct GatewayStatus {
+    pub settings: Settings,
+    pub directory: Rc<Directory>,
+    pub coordinator: Option<Rc<Coordinator>>,
+    pub plane: Rc<Plane>,
+    pub budgets: Rc<Budgets>,
+    pub front: Rc<Front<Plane>>,
+}
+
+impl GatewayStatus {
+    /// The status; of one program as well, if it is asked for.
+    pub fn status(&self, program: Option<&str>) -> Status {
+        let mut status = basics(&self.settings, Role::Gateway, &self.directory);
+        if let Some(own) = self.coordinator.as_ref().and_then(|coordinator| coordinator.view()) {
+            status.view = Some(view(&own));
+        }
+        status.core = self.coordinator.as_ref().map(|coordinator| coordinator.status(MOST_LISTED));
+        status.services = self.services();
+        status.front = Some(front(self.front.counters(), self.plane.ready()));
+        status.budgets = Some(self.budgets.status());
+        status.program = program.map(|name| self.program(name));
+        status
+    }
+
+    fn services(&self) -> Vec<ServiceStatus> {
+        let loads: HashMap<String, u32> =
+            self.plane.loads().into_iter().map(|load| (load.server.to_string(), load.in_flight)).collect();
+        let known = self.directory.known();
+        let mut services: BTreeMap<&str, Vec<ServerStatus>> = BTreeMap::new();
+        for report in known.servers.values().take(MOST_LISTED) {
+            let in_flight = loads.get(&report.id).copied().unwrap_or(0);
+            services.entry(&report.backend).or_default().push(server(report, in_flight));
+        }
+        let services = services.into_iter();
+        services.map(|(name, servers)| ServiceStatus { name: name.to_owned(), servers }).collect()
+    }
+
+    fn program(&self, name: &str) -> ProgramStatus {
+        let counted = self.coordinator.as_ref().map(|coordinator| coordinator.budget_of(name));
+        ProgramStatus {
+            name: name.to_owned(),
+            held_here: Some(self.budgets.held(name)),
+            used: counted.map(|budget| budget.used),
+            held: counted.map(|budget| budget.held),
+        }
+    }
+}
+
+fn control(directory: &Directory) -> ControlStatus {
+    let known = directory.known();
+    ControlStatus {
+        index: known.index,
+        generation: known.table.as_ref().map(|table| table.generation()),
+        in_touch: directory.in_touch(),
+        silent_ms: directory.silent_ms(),
+        follows: directory.attached(),
+    }
+}
+
+fn view(view: &View) -> ViewStatus {
+    let place = |node| view.chain.iter().position(|id| *id == node);
+    let members = view.members.iter().map(|peer| MemberStatus {
+        node: peer.id.node.clone(),
+        address: peer.address,
+        place: place(peer.id.clone()),
+    });
+    ViewStatus { number: view.number, members: members.collect() }
+}
+
+fn stores(directory: &Directory) -> Vec<StoreStatus> {
+    let known = directory.known();
+    let stores = known.stores.values().take(MOST_LISTED);
+    stores
+        .map(|store| StoreStatus {
+            name: store.name.clone(),
+            address: store.address,
+            zone: store.zone.clone(),
+            present: store.present,
+            whole: store.whole,
+            retiring: store.retiring,
+            retired: store.retired,
+        })
+        .collect()
+}
+
+fn server(report: &ServerReport, in_flight: u32) -> ServerStatus {
+    ServerStatus {
+        id: report.id.clone(),
+        address: report.address,
+        zone: report.zone.clone(),
+        slots: report.slots,
+        draining: report.state == ServerState::Draining,
+        in_flight,
+    }
+}
+
+fn front(counters: Counters, ready: bool) -> FrontStatus {
+    FrontStatus {
+        ready,
+        connections: counters.connections,
+        accepted: counters.accepted,
+        requests: counters.requests,
+        refused: counters.refused,
+        failed: counters.failed,
+        server_connections: counters.server_connections,
+        server_connections_opened: counters.server_connections_opened,
+        body_bytes: counters.body_bytes,
+    }
+}
--- /dev/null
+++ b/crates/node/src/status/report.rs
@@ -0,0 +1,221 @@
+//! The form of a status. Fields that a process does not tell have their defaults; unknown ones are ignored.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// All that a process says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    pub node: String,
+    pub role: String,
+    /// Of its program.
+    pub version: String,
+    pub zone: String,
+    /// Time since its start.
+    pub up_ms: u64,
+    pub process: ProcessStatus,
+    pub link: LinkStatus,
+    pub control: ControlStatus,
+    /// The newest view that it knows of.
+    pub view: Option<ViewStatus>,
+    /// Of a core member.
+    pub core: Option<CoreStatus>,
+    pub services: Vec<ServiceStatus>,
+    pub stores: Vec<StoreStatus>,
+    /// Of a gateway.
+    pub front: Option<FrontStatus>,
+    /// Of a gateway.
+    pub budgets: Option<BudgetStatus>,
+    /// Of a store.
+    pub turns: Option<TurnsStatus>,
+    /// Of the program that was asked for.
+    pub program: Option<ProgramStatus>,
+}
+
+impl Status {
+    pub fn to_json(&self) -> String {
+        // Only a map with keys that are no texts, or a writer that fails, makes this fail; neither is there.
+        serde_json::to_string_pretty(self).expect("a status can be written")
+    }
+}
+
+/// What the process takes of its machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ProcessStatus {
+    pub memory_kb: u64,
+    pub peak_memory_kb: u64,
+    pub processor_ms: u64,
+    pub descriptors: u64,
+}
+
+/// Calls to other processes of the system.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LinkStatus {
+    pub calls: u64,
+    /// Calls without an answer.
+    pub failed: u64,
+    /// Times that it went to another core member, or asked the same one again, for want of an answer.
+    pub watches_lost: u64,
+}
+
+/// What it knows of the control state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ControlStatus {
+    /// Index of the control state; none until the first answer.
+    pub index: Option<u64>,
+    /// Generation of the configuration in force here.
+    pub generation: Option<u64>,
+    /// Whether a core member has answered lately.
+    pub in_touch: bool,
+    /// Time since the last answer of a core member; none until the first.
+    pub silent_ms: Option<u64>,
+    /// The core member that answered last.
+    pub follows: Option<SocketAddr>,
+}
+
+/// Who is in the core, and in which order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ViewStatus {
+    pub number: u64,
+    pub members: Vec<MemberStatus>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    pub node: String,
+    pub address: SocketAddr,
+    /// Its place in the chain, the head's is 0; none for a voter that is out of the chain.
+    pub place: Option<usize>,
+}
+
+/// What a core member says of its part.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CoreStatus {
+    /// It has heard a majority of the view lately.
+    pub current: bool,
+    /// Commits come in here as they are made.
+    pub follows: bool,
+    /// Index up to which operations are committed here.
+    pub committed: u64,
+    /// Operations that wait here for their commit.
+    pub waiting: usize,
+    /// Programs with a counter.
+    pub programs: usize,
+    pub disk: DiskStatus,
+    pub leases: Vec<LeaseStatus>,
+}
+
+/// How a disk gets on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct DiskStatus {
+    /// Pieces of work that are handed to it and not done.
+    pub waiting: u64,
+    pub done: u64,
+    /// Times that it did not take one.
+    pub failed: u64,
+}
+
+/// A lease as a core member hears of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseStatus {
+    /// A server's id or a machine's name.
+    pub holder: String,
+    /// Since it was last renewed.
+    pub silent_ms: u64,
+    /// Without renewal it lapses after this time.
+    pub lease_ms: u64,
+}
+
+/// A service with the servers that are known here.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceStatus {
+    pub name: String,
+    pub servers: Vec<ServerStatus>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerStatus {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub slots: u32,
+    pub draining: bool,
+    /// Requests of this gateway that it is at work on.
+    pub in_flight: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreStatus {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub present: bool,
+    /// All that it should hold is there.
+    pub whole: bool,
+    pub retiring: bool,
+    pub retired: bool,
+}
+
+/// The data plane's counters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FrontStatus {
+    pub ready: bool,
+    pub connections: usize,
+    pub accepted: u64,
+    pub requests: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub server_connections: usize,
+    pub server_connections_opened: u64,
+    pub body_bytes: usize,
+}
+
+/// Leases on budgets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct BudgetStatus {
+    /// Programs with a lease here.
+    pub programs: usize,
+    /// Turns that wait for a verdict.
+    pub waiting: usize,
+}
+
+/// The turns on a store's disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TurnsStatus {
+    pub turns: usize,
+    pub bytes: u64,
+    pub capacity_bytes: u64,
+    /// All that it should hold is there.
+    pub whole: bool,
+    /// All that it held is kept elsewhere.
+    pub emptied: bool,
+    /// Some turns go on from others that are not here yet.
+    pub incomplete: bool,
+    /// Requests that wait for their answer.
+    pub waiting: usize,
+    pub disk: DiskStatus,
+}
+
+/// One program's budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ProgramStatus {
+    pub name: String,
+    /// Tokens held by this gateway.
+    pub held_here: Option<u64>,
+    /// Tokens that were reported as used, by this core member's counter.
+    pub used: Option<u64>,
+    /// Tokens that limiters hold, by this core member's counter.
+    pub held: Option<u64>,
+}
--- /dev/null
+++ b/crates/node/src/status/table.rs
@@ -0,0 +1,245 @@
+//! A status as tables for people.
+
+use super::report::{
+    ControlStatus, CoreStatus, DiskStatus, FrontStatus, ProcessStatus, ProgramStatus, ServiceStatus, Status,
+    StoreStatus, TurnsStatus, ViewStatus,
+};
+use std::fmt::Write;
+
+/// Spaces between two columns.
+const GAP: usize = 2;
+const KB_PER_MB: f64 = 1024.0;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+const MS_PER_SECOND: f64 = 1000.0;
+
+/// The whole text.
+pub fn of(status: &Status) -> String {
+    let mut text = String::new();
+    push(&mut text, head(status));
+    push(&mut text, process(status.process));
+    push(&mut text, control(&status.control));
+    let link = status.link;
+    push(
+        &mut text,
+        format!(
+            "link: {} calls, {} without an answer, {} watches lost",
+            link.calls, link.failed, link.watches_lost
+        ),
+    );
+    if let Some(known) = &status.view {
+        push(&mut text, view(known));
+    }
+    if let Some(member) = &status.core {
+        push(&mut text, core(member));
+    }
+    if let Some(counters) = status.front {
+        push(&mut text, front(counters));
+    }
+    if let Some(budgets) = status.budgets {
+        push(&mut text, format!("budgets: {} programs, {} turns wait", budgets.programs, budgets.waiting));
+    }
+    if let Some(asked) = &status.program {
+        push(&mut text, program(asked));
+    }
+    if let Some(held) = status.turns {
+        push(&mut text, turns(held));
+    }
+    push_table(&mut text, services(&status.services));
+    push_table(&mut text, stores(&status.stores));
+    if let Some(member) = &status.core {
+        push_table(&mut text, leases(member));
+    }
+    text
+}
+
+fn push(text: &mut String, line: String) {
+    text.push_str(&line);
+    text.push('\n');
+}
+
+fn head(status: &Status) -> String {
+    let Status { node, role, version, zone, .. } = status;
+    let place = if zone.is_empty() { String::new() } else { format!(" in {zone}") };
+    format!("{node}: {role} {version}{place}, up {}", seconds(status.up_ms))
+}
+
+fn process(process: ProcessStatus) -> String {
+    format!(
+        "process: memory {:.1} MB, {:.1} at most; processor {}; {} descriptors",
+        process.memory_kb as f64 / KB_PER_MB,
+        process.peak_memory_kb as f64 / KB_PER_MB,
+        seconds(process.processor_ms),
+        process.descriptors,
+    )
+}
+
+fn control(control: &ControlStatus) -> String {
+    let index = control.index.map_or("nothing yet".to_owned(), |index| format!("index {index}"));
+    let generation =
+        control.generation.map_or("no configuration".to_owned(), |number| format!("configuration {number}"));
+    let heard = match (control.follows, control.silent_ms) {
+        (Some(member), Some(silent)) => format!("{member} answered {} ago", seconds(silent)),
+        _ => "no core member has answered".to_owned(),
+    };
+    let touch = if control.in_touch { "in touch" } else { "OUT OF TOUCH" };
+    format!("control state: {index}, {generation}; {touch}, {heard}")
+}
+
+fn view(view: &ViewStatus) -> String {
+    let mut chain: Vec<_> = view.members.iter().filter(|member| member.place.is_some()).collect();
+    chain.sort_by_key(|member| member.place);
+    let chain: Vec<&str> = chain.iter().map(|member| member.node.as_str()).collect();
+    let mut text = format!("view {}: chain {}", view.number, chain.join(" > "));
+    let out = view.members.iter().filter(|member| member.place.is_none());
+    let out: Vec<&str> = out.map(|member| member.node.as_str()).collect();
+    if !out.is_empty() {
+        let _ = write!(text, "; OUT OF THE CHAIN {}", out.join(", "));
+    }
+    text
+}
+
+fn core(core: &CoreStatus) -> String {
+    let stands = match (core.current, core.follows) {
+        (_, true) => "follows",
+        (true, false) => "HEARS A MAJORITY, GETS NO COMMITS",
+        (false, false) => "HEARS NO MAJORITY",
+    };
+    format!(
+        "core member: {stands}, committed {}, {} operations wait, {} programs counted; {}",
+        core.committed,
+        core.waiting,
+        core.programs,
+        disk(core.disk),
+    )
+}
+
+fn disk(disk: DiskStatus) -> String {
+    format!("disk: {} done, {} wait, {} failed", disk.done, disk.waiting, disk.failed)
+}
+
+fn front(front: FrontStatus) -> String {
+    format!(
+        "front: {}; clients {} open, {} accepted; requests {}, refused {}, failed {}; connections to servers {} \
+         open, {} opened; bodies {:.1} MB",
+        if front.ready { "ready" } else { "NOT READY" },
+        front.connections,
+        front.accepted,
+        front.requests,
+        front.refused,
+        front.failed,
+        front.server_connections,
+        front.server_connections_opened,
+        front.body_bytes as f64 / BYTES_PER_MB,
+    )
+}
+
+fn program(program: &ProgramStatus) -> String {
+    let number = |value: Option<u64>| value.map_or("unknown here".to_owned(), |value| value.to_string());
+    format!(
+        "program {}: held here {}, used {}, held by all limiters {}",
+        program.name,
+        number(program.held_here),
+        number(program.used),
+        number(program.held),
+    )
+}
+
+fn turns(turns: TurnsStatus) -> String {
+    let mut state = vec![if turns.whole { "whole" } else { "NOT WHOLE" }];
+    if turns.emptied {
+        state.push("emptied");
+    }
+    if turns.incomplete {
+        state.push("some chains incomplete");
+    }
+    format!(
+        "turns: {} of {:.1} MB, room for {:.1} MB; {}; {} requests wait; {}",
+        turns.turns,
+        turns.bytes as f64 / BYTES_PER_MB,
+        turns.capacity_bytes as f64 / BYTES_PER_MB,
+        state.join(", "),
+        turns.waiting,
+        disk(turns.disk),
+    )
+}
+
+type Row = Vec<String>;
+
+fn services(services: &[ServiceStatus]) -> Vec<Row> {
+    let mut rows = vec![row(["SERVICE", "SERVER", "ADDRESS", "ZONE", "SLOTS", "STATE", "IN FLIGHT HERE"])];
+    for service in services {
+        for server in &service.servers {
+            let state = if server.draining { "draining" } else { "ready" };
+            rows.push(vec![
+                service.name.clone(),
+                server.id.clone(),
+                server.address.to_string(),
+                server.zone.clone(),
+                server.slots.to_string(),
+                state.to_owned(),
+                server.in_flight.to_string(),
+            ]);
+        }
+    }
+    rows
+}
+
+fn stores(stores: &[StoreStatus]) -> Vec<Row> {
+    let mut rows = vec![row(["STORE", "ADDRESS", "ZONE", "STATE"])];
+    for store in stores {
+        rows.push(vec![
+            store.name.clone(),
+            store.address.to_string(),
+            store.zone.clone(),
+            store_state(store),
+        ]);
+    }
+    rows
+}
+
+fn store_state(store: &StoreStatus) -> String {
+    let mut state = vec![if store.present { "present" } else { "ABSENT" }];
+    if !store.whole {
+        state.push("not whole");
+    }
+    if store.retired {
+        state.push("retired");
+    } else if store.retiring {
+        state.push("retiring");
+    }
+    state.join(", ")
+}
+
+fn leases(core: &CoreStatus) -> Vec<Row> {
+    let mut rows = vec![row(["LEASE", "SILENT", "LAPSES AFTER"])];
+    for lease in &core.leases {
+        rows.push(vec![lease.holder.clone(), seconds(lease.silent_ms), seconds(lease.lease_ms)]);
+    }
+    rows
+}
+
+fn row<const N: usize>(cells: [&str; N]) -> Row {
+    cells.iter().map(|cell| (*cell).to_owned()).collect()
+}
+
+/// Adds a table, if it has more than its head; columns are as wide as their widest cell.
+fn push_table(text: &mut String, rows: Vec<Row>) {
+    if rows.len() < 2 {
+        return;
+    }
+    let columns = rows[0].len();
+    let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    text.push('\n');
+    for row in &rows {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(&widths) {
+            let _ = write!(line, "{cell:<width$}{:GAP$}", "");
+        }
+        push(text, line.trim_end().to_owned());
+    }
+}
+
+fn seconds(ms: u64) -> String {
+    format!("{:.1} s", ms as f64 / MS_PER_SECOND)
+}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -7,6 +7,7 @@
 use crate::messages::{decode, encode, NodeLease, Reply, Request};
 use crate::settings::{Role, Settings};
 use crate::signals;
+use crate::status::{basics, DiskStatus, Status, TurnsStatus};
 use anyhow::Context;
 use bytes::Bytes;
 use dunespur_control::{NodeKind, NodeReport, Operation};
@@ -55,6 +56,9 @@
     report: RefCell<NodeReport>,
     /// Everything that it held is kept elsewhere.
     emptied: Cell<bool>,
+    settings: Settings,
+    capacity_bytes: u64,
+    disk: Cell<DiskStatus>,
     rescheduled: Notify,
     report_changed: Notify,
     this: Weak<StoreProcess>,
@@ -105,10 +109,12 @@
             whole: !identity.fresh,
         };
         directory.hold_lease(lease(&report));
+        let disk_bytes = settings.limits.disk_mb.unwrap_or(UNKNOWN_DISK_MB) << 20;
+        let capacity_bytes = disk_bytes * DISK_PERCENT / 100;
         let node_settings = NodeSettings {
             name: settings.node.clone(),
             copies: settings.copies(),
-            capacity_bytes: (settings.limits.disk_mb.unwrap_or(UNKNOWN_DISK_MB) << 20) * DISK_PERCENT / 100,
+            capacity_bytes,
             absent_repair_ms: ABSENT_REPAIR_MS,
         };
         let state = DiskState { disk: identity.disk, fresh: identity.fresh, entries };
@@ -123,6 +129,9 @@
             jobs: start_disk(disk, completions),
             report: RefCell::new(report),
             emptied: Cell::new(false),
+            settings: settings.clone(),
+            capacity_bytes,
+            disk: Cell::default(),
             rescheduled: Notify::new(),
             report_changed: Notify::new(),
             this: this.clone(),
@@ -165,6 +174,7 @@
             }
             Effect::Ask { ask, store, request } => self.ask(ask, &store, request),
             Effect::Disk { job, work } => {
+                self.count(|disk| disk.waiting += 1);
                 let _ = self.jobs.send((job, work));
             }
             Effect::Declare(Declaration::Whole) => {
@@ -178,6 +188,27 @@
         }
     }
 
+    fn count(&self, change: impl FnOnce(&mut DiskStatus)) {
+        let mut disk = self.disk.get();
+        change(&mut disk);
+        self.disk.set(disk);
+    }
+
+    fn status(&self) -> Status {
+        let node = self.node.borrow();
+        let turns = TurnsStatus {
+            turns: node.index().len(),
+            bytes: node.index().bytes(),
+            capacity_bytes: self.capacity_bytes,
+            whole: node.is_whole(),
+            emptied: node.is_emptied(),
+            incomplete: node.index().has_dangling(),
+            waiting: self.callers.borrow().len(),
+            disk: self.disk.get(),
+        };
+        Status { turns: Some(turns), ..basics(&self.settings, Role::Store, &self.directory) }
+    }
+
     fn ask(&self, ask: u64, store: &str, request: StoreRequest) {
         let Some(process) = self.this.upgrade() else { return };
         let stores: Vec<_> = self.directory.known().stores.values().cloned().collect();
@@ -227,6 +258,7 @@
         let reply = match decode::<Request>(&payload)? {
             Request::Store(request) => Reply::Store(self.store_request(request).await?),
             Request::Hello => Reply::View(self.directory.view()),
+            Request::Status { .. } => Reply::Status(self.status().to_json()),
             _ => Reply::Unavailable,
         };
         Some(encode(&reply))
@@ -258,6 +290,11 @@
 
 async fn take_completions(process: Rc<StoreProcess>, mut done: Done) {
     while let Some((job, outcome)) = done.recv().await {
+        process.count(|disk| {
+            disk.waiting = disk.waiting.saturating_sub(1);
+            disk.done += 1;
+            disk.failed += u64::from(outcome == DiskOutcome::Failed);
+        });
         process.with_node(|node, now| node.disk_done(job, outcome, now));
     }
 }
--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -1,10 +1,13 @@
 //! The command line: what it says, how it ends, what a process does whose settings can't be used.
 
+mod running;
+
 use dunespur_emulator::system::{AddressBlock, Ports, TemporaryFolder};
+use running::Running;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Write};
+use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStderr, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 
 /// Ends of the program.
 const DONE: i32 = 0;
@@ -62,6 +65,7 @@
         ("gateway", ["--log", "--log-format", "DUNESPUR_CONFIG"].as_slice()),
         ("store", &["--log", "--log-format", "DUNESPUR_CONFIG"]),
         ("check", &["--settings", "--configuration", "--role", "FILE"]),
+        ("status", &["--json", "--program", "ADDRESS"]),
     ];
     for (command, words) in commands {
         assert!(out(&overview).contains(command), "{}", out(&overview));
@@ -76,13 +80,15 @@
 
 #[test]
 fn a_wrong_command_line_ends_with_2_and_says_why() {
-    let wrong: [&[&str]; 6] = [
+    let wrong: [&[&str]; 8] = [
         &[],
         &["serve"],
         &["check"],
         &["gateway", "--log", "loud"],
         &["store", "--log-format", "xml"],
         &["check", "--settings", "--configuration", "x"],
+        &["status"],
+        &["status", "nowhere"],
     ];
     for arguments in wrong {
         let output = run(arguments);
@@ -187,40 +193,6 @@
     }
 }
 
-/// A gateway whose log is read, ended with this.
-struct Running {
-    child: Child,
-    log: BufReader<ChildStderr>,
-}
-
-impl Running {
-    fn start(arguments: &[&str], settings: &Path) -> Running {
-        let mut child = dunespur()
-            .arg("gateway")
-            .args(arguments)
-            .env("DUNESPUR_CONFIG", settings)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let log = BufReader::new(child.stderr.take().unwrap());
-        Running { child, log }
-    }
-
-    /// The next line of its log; waits for it.
-    fn line(&mut self) -> String {
-        let mut line = String::new();
-        self.log.read_line(&mut line).unwrap();
-        line
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 #[test]
 fn log_lines_tell_time_machine_role_and_level() {
     let folder = TemporaryFolder::new("dunespur-log").unwrap();
