dunespur explain: a request's story out of debug logs; nodes and stores write their part of it

The data plane's own lines (arrived, choice, try, refused, ...) need the request's id, which only crates/proxy has: explain reads them already, the proxy does not write them yet.

--- a/crates/node/src/budgets.rs
+++ b/crates/node/src/budgets.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::status::BudgetStatus;
+use crate::trace::{self, Stopwatch};
 use dunespur_budget::{Admission, CounterRequest, LeaseBook, LimiterId, Refusal, TurnOutcome};
 use dunespur_control::{Operation, Outcome};
 use dunespur_proxy::{Reserve, TurnAsk, TurnKey};
@@ -118,12 +119,16 @@
     fn exchange(&self, request: CounterRequest) {
         let Some(budgets) = self.this.upgrade() else { return };
         spawn_local(async move {
+            let stopwatch = Stopwatch::start(budgets.clock);
             let operation = Operation::Budget(request.clone());
             let outcome = budgets.directory.execute(&operation, COUNTER_LIMIT).await;
             let reply = match &outcome {
                 Ok(Outcome::Budget(reply)) => Some(reply),
                 _ => None,
             };
+            if let Some(took_ms) = stopwatch.took_ms() {
+                trace::counter(&request, reply, took_ms);
+            }
             let outcomes = budgets.book.borrow_mut().replied(&request, reply, budgets.clock.now());
             budgets.tell(outcomes);
             budgets.rescheduled.notify_one();
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::check::{Check, Kind};
+use crate::explain::Explain;
 use crate::logging::LogFormat;
 use crate::settings::Role;
 use crate::status::AskStatus;
@@ -59,6 +60,13 @@
     /// processor time. Ends with 1 if there is no answer.
     #[bpaf(command)]
     Status(#[bpaf(external(ask_status))] AskStatus),
+    /// Tells why a request went where it did
+    ///
+    ///
+    /// Reads log lines of any number of processes, written with --log debug in either format, and prints what was
+    /// decided on one request, in order. Ends with 1 if no line tells of it, 2 if a file can't be read.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain))] Explain),
 }
 
 /// What a process logs on standard error
@@ -72,6 +80,13 @@
     pub format: LogFormat,
 }
 
+fn explain() -> impl bpaf::Parser<Explain> {
+    use bpaf::{construct, positional, Parser};
+    let request = positional::<String>("ID").help("The request's X-Dunespur-Request-Id");
+    let files = positional::<PathBuf>("FILE").help("Logs; standard input where none is named").many();
+    construct!(Explain { request, files })
+}
+
 fn ask_status() -> impl bpaf::Parser<AskStatus> {
     use bpaf::{construct, long, positional, Parser};
     let json = long("json").help("Print JSON instead of tables").switch();
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -3,6 +3,7 @@
 use crate::clock::wall_clock_ms;
 use crate::directory::Directory;
 use crate::messages::{encode, Reply, Request};
+use crate::trace;
 use dunespur_proxy::{History, KeptTurn};
 use dunespur_turns::message::{StoreReply, StoreRequest};
 use dunespur_turns::read::{Outcome, Reading};
@@ -52,6 +53,7 @@
         let (answers, mut queue) = mpsc::unbounded_channel();
         loop {
             while let Some(ask) = reading.poll() {
+                trace::chain_asked(previous, &ask.id, &ask.store);
                 let request = StoreRequest::Chain { id: ask.id.clone() };
                 self.ask(&stores, ask.store, ask.id, request, &answers);
             }
@@ -67,6 +69,9 @@
             tokio::select! {
                 Some(answer) = queue.recv() => {
                     let now = clock.now();
+                    if trace::enabled() {
+                        trace::chain_answered(previous, &answer.store, answer.reply.as_ref());
+                    }
                     match answer.reply {
                         Some(reply) => reading.answered(&answer.store, &answer.id, reply, now),
                         None => reading.failed(&answer.store, &answer.id, now),
@@ -90,20 +95,28 @@
             ended_at_ms: wall_clock_ms(),
             retention_ms: kept.retention_ms,
         };
-        let mut writing = Writing::new(&turn.header(), &stores, self.copies, clock.now());
+        let began_at = clock.now();
+        let mut writing = Writing::new(&turn.header(), &stores, self.copies, began_at);
         let (answers, mut queue) = mpsc::unbounded_channel();
         loop {
             while let Some(put) = writing.poll() {
+                trace::put(&turn.id, &put.store, put.hint.as_deref());
                 let request = StoreRequest::Put { turn: turn.clone(), hint: put.hint };
                 self.ask(&stores, put.store, turn.id.clone(), request, &answers);
             }
             if let Some(verdict) = writing.verdict() {
-                return verdict == Verdict::Kept;
+                let kept = verdict == Verdict::Kept;
+                let took_ms = clock.now() - began_at;
+                trace::kept(&turn.id, turn.previous.as_deref(), &turn.program, kept, took_ms);
+                return kept;
             }
             let due = clock.instant(writing.next_due().unwrap_or(clock.now()));
             tokio::select! {
                 Some(answer) = queue.recv() => {
                     let now = clock.now();
+                    if trace::enabled() {
+                        trace::put_answered(&turn.id, &answer.store, answer.reply.as_ref());
+                    }
                     match answer.reply {
                         Some(StoreReply::Kept) => writing.acknowledged(&answer.store, now),
                         _ => writing.failed(&answer.store, now),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 mod command;
 mod core;
 mod directory;
+mod explain;
 mod founding;
 mod gateway;
 mod joining;
@@ -20,6 +21,7 @@
 mod signals;
 mod status;
 mod store;
+mod trace;
 mod utc;
 
 use command::{Command, Logging};
@@ -42,6 +44,7 @@
         Command::Gateway(logging) => play(Role::Gateway, &logging, gateway::run),
         Command::Store(logging) => play(Role::Store, &logging, store::run),
         Command::Check(check) => check::run(&check),
+        Command::Explain(asked) => explain::run(asked),
         Command::Status(asked) => ended(block_on(status::run(asked))),
     }
 }
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::directory::{Directory, Touched};
 use crate::keeping::Keeping;
+use crate::trace::{self, Stopwatch};
 use dunespur_configuration::Table;
 use dunespur_control::{ServerReport, ServerState};
 use dunespur_proxy::{History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
@@ -99,19 +100,31 @@
     }
 
     fn choose(&self, ask: &Ask) -> Choice {
-        self.chooser.borrow_mut().choose(ask, self.clock.now())
+        let loads = if trace::enabled() { self.loads() } else { Vec::new() };
+        let choice = self.chooser.borrow_mut().choose(ask, self.clock.now());
+        if trace::enabled() {
+            trace::choice(ask, &choice, &loads);
+        }
+        choice
     }
 
     fn first_event(&self, key: u64) {
+        trace::first_event(key);
         self.chooser.borrow_mut().first_event(key, self.clock.now());
     }
 
     fn finished(&self, key: u64, outcome: Outcome) {
+        trace::outcome(key, outcome);
         self.chooser.borrow_mut().finished(key, outcome, self.clock.now());
     }
 
     async fn reserve(&self, turn: TurnAsk<'_>) -> Reserve {
-        self.budgets.reserve(turn).await
+        let stopwatch = Stopwatch::start(self.clock);
+        let verdict = self.budgets.reserve(turn).await;
+        if let Some(waited_ms) = stopwatch.took_ms() {
+            trace::budget(&turn, &verdict, self.budgets.held(turn.program), waited_ms);
+        }
+        verdict
     }
 
     fn used(&self, turn: TurnKey, tokens: u64) {
@@ -119,11 +132,17 @@
     }
 
     fn release(&self, turn: TurnKey) {
+        trace::release(turn.0);
         self.budgets.release(turn);
     }
 
     async fn history(&self, program: &str, previous: &str) -> History {
-        self.keeping.history(program, previous).await
+        let stopwatch = Stopwatch::start(self.clock);
+        let found = self.keeping.history(program, previous).await;
+        if let Some(took_ms) = stopwatch.took_ms() {
+            trace::history(program, previous, &found, took_ms);
+        }
+        found
     }
 
     async fn keep(&self, turn: KeptTurn) -> bool {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -8,6 +8,7 @@
 use crate::settings::{Role, Settings};
 use crate::signals;
 use crate::status::{basics, DiskStatus, Status, TurnsStatus};
+use crate::trace::{self, Stopwatch, StoreSubject};
 use anyhow::Context;
 use bytes::Bytes;
 use dunespur_control::{NodeKind, NodeReport, Operation};
@@ -144,8 +145,14 @@
         let caller = self.next_caller.replace(self.next_caller.get() + 1);
         let (sender, reply) = oneshot::channel();
         self.callers.borrow_mut().insert(caller, sender);
+        let subject = StoreSubject::of(&request);
+        let stopwatch = Stopwatch::start(self.clock);
         self.with_node(|node, now| node.request(caller, request, now));
-        reply.await.ok()
+        let reply = reply.await.ok();
+        if let (Some(subject), Some(took_ms)) = (subject, stopwatch.took_ms()) {
+            trace::store_answered(&subject, reply.as_ref(), took_ms);
+        }
+        reply
     }
 
     fn list_changed(&self) {
--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -66,6 +66,7 @@
         ("store", &["--log", "--log-format", "DUNESPUR_CONFIG"]),
         ("check", &["--settings", "--configuration", "--role", "FILE"]),
         ("status", &["--json", "--program", "ADDRESS"]),
+        ("explain", &["ID", "FILE", "--log debug"]),
     ];
     for (command, words) in commands {
         assert!(out(&overview).contains(command), "{}", out(&overview));
@@ -80,7 +81,7 @@
 
 #[test]
 fn a_wrong_command_line_ends_with_2_and_says_why() {
-    let wrong: [&[&str]; 8] = [
+    let wrong: [&[&str]; 9] = [
         &[],
         &["serve"],
         &["check"],
@@ -88,6 +89,7 @@
         &["store", "--log-format", "xml"],
         &["check", "--settings", "--configuration", "x"],
         &["status"],
+        &["explain"],
         &["status", "nowhere"],
     ];
     for arguments in wrong {
--- /dev/null
+++ b/crates/node/tests/explain.rs
@@ -0,0 +1,100 @@
+//! `dunespur explain`: the story of a request out of logs that were written down, and out of those of processes.
+
+mod support;
+
+use dunespur_emulator::scene::{Scene, ScenePlan};
+use dunespur_emulator::system::TemporaryFolder;
+use std::fs::{self, File};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use support::{go_on, line_of, program};
+
+const TOLD: i32 = 0;
+const UNKNOWN_REQUEST: i32 = 1;
+const UNREADABLE: i32 = 2;
+
+fn explain(request: &str, files: &[PathBuf]) -> Command {
+    let mut command = Command::new(program());
+    command.env_clear().stdin(Stdio::null()).arg("explain").arg(request).args(files);
+    command
+}
+
+fn story(output: &Output) -> &str {
+    assert_eq!(output.status.code(), Some(TOLD), "{}", String::from_utf8_lossy(&output.stderr));
+    std::str::from_utf8(&output.stdout).unwrap()
+}
+
+fn data(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/explain").join(name)
+}
+
+fn logs() -> Vec<PathBuf> {
+    ["front-1.log", "front-2.log", "store-1.log"].map(data).to_vec()
+}
+
+#[test]
+fn a_request_is_followed_over_processes_without_the_lines_of_others() {
+    let told = explain("r-2", &logs()).output().unwrap();
+    assert_eq!(story(&told), fs::read_to_string(data("story.txt")).unwrap());
+}
+
+#[test]
+fn standard_input_tells_the_same_as_files() {
+    let folder = TemporaryFolder::new("dunespur-explain").unwrap();
+    let all = folder.path().join("all.log");
+    let texts = logs().iter().map(|file| fs::read_to_string(file).unwrap()).collect::<String>();
+    fs::write(&all, format!("a line of another program\n\u{fffd}\n{texts}")).unwrap();
+    let told = explain("r-2", &[]).stdin(File::open(&all).unwrap()).output().unwrap();
+    assert_eq!(story(&told), fs::read_to_string(data("story.txt")).unwrap());
+}
+
+#[test]
+fn what_no_line_tells_of_is_1_and_what_cannot_be_read_2() {
+    let unknown = explain("r-404", &logs()).output().unwrap();
+    assert_eq!(unknown.status.code(), Some(UNKNOWN_REQUEST));
+    assert!(unknown.stdout.is_empty() && !unknown.stderr.is_empty());
+    let unreadable = explain("r-2", &[data("absent.log")]).output().unwrap();
+    assert_eq!(unreadable.status.code(), Some(UNREADABLE));
+    assert!(String::from_utf8_lossy(&unreadable.stderr).contains("absent.log"));
+}
+
+/// A program that logs at debug level, whatever it is started with.
+fn talkative(folder: &Path, format: &str) -> PathBuf {
+    let script = folder.join("dunespur");
+    let text = format!("#!/bin/sh\nexec {} \"$@\" --log debug --log-format {format}\n", program().display());
+    fs::write(&script, text).unwrap();
+    fs::set_permissions(&script, fs::Permissions::from_mode(0o755)).unwrap();
+    script
+}
+
+/// The logs of all machines, as files.
+fn written(scene: &Scene, folder: &Path) -> Vec<PathBuf> {
+    let machines = scene.system.machines().iter();
+    machines
+        .map(|machine| {
+            let file = folder.join(format!("{}.log", machine.name()));
+            fs::write(&file, machine.log()).unwrap();
+            file
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn processes_tell_where_a_turn_was_kept_and_looked_up() {
+    let folder = TemporaryFolder::new("dunespur-explain").unwrap();
+    for format in ["text", "json"] {
+        let program = talkative(folder.path(), format);
+        let scene = Scene::start(&program, ScenePlan::default()).await.unwrap();
+        let mut line = line_of(&scene, 1).await;
+        let first = line.previous().unwrap().to_string();
+        go_on(&scene, &mut line, "second").await;
+        let second = line.previous().unwrap().to_string();
+        let told = explain(&second, &written(&scene, folder.path())).output().unwrap();
+        let story = story(&told);
+        let copies = scene.plan.tolerated_losses as usize + 1;
+        assert!(story.matches("asked to keep it, says kept").count() >= copies, "{story}");
+        assert!(story.contains("turn kept"), "{story}");
+        assert!(story.contains(&first), "{story}");
+    }
+}
