--- a/crates/storage/src/core.rs
+++ b/crates/storage/src/core.rs
@@ -4,10 +4,11 @@
 //! whole; of a call that was cut off by a loss of power, all or nothing is there.
 
 use anyhow::{bail, Context, Result};
-use dunespur_chain::{Entry, Saved, SavedSnapshot, Write};
+use dunespur_chain::{Entry, Position, Saved, SavedSnapshot, Write};
 use redb::{Database, Durability, ReadableTable, Table, TableDefinition, WriteTransaction};
 use serde::de::DeserializeOwned;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::fs::{self, File};
 use std::hash::{BuildHasher, Hasher};
@@ -15,12 +16,21 @@
 use std::time::SystemTime;
 
 /// Changes whenever older files can't be read any more.
-const FORMAT: u64 = 1;
+const FORMAT: u64 = 2;
 const CACHE_BYTES: usize = 1 << 20;
+/// Bytes of one part of the snapshot. The library looks for contiguous room for each value: one large value makes the
+/// file grow to many times its size.
+const PART_BYTES: usize = 16 << 10;
+/// Entries that are removed with one write, for each that it adds, once the snapshot holds them; and with any write.
+/// All removed at once made the file grow to ten times what it holds, as pages are free again only after the commit.
+const REMOVED_PER_ENTRY: usize = 4;
+const REMOVED_PER_WRITE: usize = 8;
 
 /// Single values, each in postcard under its own key.
 const VALUES: TableDefinition<&str, &[u8]> = TableDefinition::new("values");
-/// The log's entries after the snapshot, by index, in postcard.
+/// The bytes of the snapshot in parts, numbered from 0.
+const SNAPSHOT_PARTS: TableDefinition<u32, &[u8]> = TableDefinition::new("snapshot_parts");
+/// The log's entries by index, in postcard. Some that the snapshot holds already may still be there.
 const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
 
 const KEY_FORMAT: &str = "format";
@@ -40,9 +50,20 @@
     pub fresh: bool,
 }
 
+/// What is kept of a snapshot beside its parts.
+#[derive(Serialize, Deserialize)]
+struct SnapshotHead {
+    position: Position,
+    parts: u32,
+}
+
 /// The open file of a core member.
 pub struct CoreDisk {
-    database: Database,
+    path: PathBuf,
+    /// None after an error, until the file could be opened again.
+    database: RefCell<Option<Database>>,
+    /// The newest snapshot holds the entries up to here.
+    snapshot_index: Cell<u64>,
 }
 
 impl CoreDisk {
@@ -52,42 +73,80 @@
         if fresh {
             create(path).with_context(|| format!("making {}", path.display()))?;
         }
-        let disk = CoreDisk { database: open_database(path)? };
-        let (identity, saved) = disk.read(fresh).with_context(|| format!("reading {}", path.display()))?;
+        let database = open_database(path)?;
+        let (identity, saved) =
+            read(&database, fresh).with_context(|| format!("reading {}", path.display()))?;
+        let snapshot_index = saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
+        let disk = CoreDisk {
+            path: path.to_owned(),
+            database: RefCell::new(Some(database)),
+            snapshot_index: Cell::new(snapshot_index),
+        };
         Ok((disk, identity, saved))
     }
 
-    /// Brings all writes to the disk with one sync, all or none of them.
+    /// Brings all writes to the disk with one sync, all or none of them. After an error the file is opened anew: the
+    /// library takes no further write otherwise, also when the disk has room again.
     pub fn write(&self, writes: &[Write]) -> Result<()> {
-        let mut transaction = self.database.begin_write()?;
+        let mut open = self.database.borrow_mut();
+        let database = match open.take() {
+            Some(database) => database,
+            None => open_database(&self.path)?,
+        };
+        self.commit(&database, writes)?;
+        *open = Some(database);
+        Ok(())
+    }
+
+    fn commit(&self, database: &Database, writes: &[Write]) -> Result<()> {
+        let mut transaction = database.begin_write()?;
         transaction.set_durability(Durability::Immediate);
-        apply(&transaction, writes)?;
+        let snapshot_index = apply(&transaction, writes, self.snapshot_index.get())?;
         transaction.commit()?;
+        self.snapshot_index.set(snapshot_index);
         Ok(())
     }
+}
 
-    fn read(&self, fresh: bool) -> Result<(DiskIdentity, Saved)> {
-        let transaction = self.database.begin_read()?;
-        let values = transaction.open_table(VALUES)?;
-        let format: Option<u64> = value(&values, KEY_FORMAT)?;
-        if format != Some(FORMAT) {
-            bail!("format {format:?} is not {FORMAT}, the one that this program knows");
-        }
-        let disk = value(&values, KEY_DISK)?.context("no identity")?;
-        let mut entries: Vec<Entry> = Vec::new();
-        for row in transaction.open_table(ENTRIES)?.iter()? {
-            entries.push(postcard::from_bytes(row?.1.value())?);
-        }
-        let saved = Saved {
-            decided: value(&values, KEY_DECIDED)?,
-            promised: value(&values, KEY_PROMISED)?,
-            accepted: value(&values, KEY_ACCEPTED)?,
-            synced_view: value(&values, KEY_SYNCED_VIEW)?.unwrap_or_default(),
-            snapshot: value(&values, KEY_SNAPSHOT)?,
-            entries,
-        };
-        Ok((DiskIdentity { disk, fresh }, saved))
+fn read(database: &Database, fresh: bool) -> Result<(DiskIdentity, Saved)> {
+    let transaction = database.begin_read()?;
+    let values = transaction.open_table(VALUES)?;
+    let format: Option<u64> = value(&values, KEY_FORMAT)?;
+    if format != Some(FORMAT) {
+        bail!("format {format:?} is not {FORMAT}, the one that this program knows");
+    }
+    let disk = value(&values, KEY_DISK)?.context("no identity")?;
+    let head: Option<SnapshotHead> = value(&values, KEY_SNAPSHOT)?;
+    let snapshot = match head {
+        Some(head) => Some(read_snapshot(&transaction.open_table(SNAPSHOT_PARTS)?, &head)?),
+        None => None,
+    };
+    let first = snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index + 1);
+    let mut entries: Vec<Entry> = Vec::new();
+    for row in transaction.open_table(ENTRIES)?.range(first..)? {
+        entries.push(postcard::from_bytes(row?.1.value())?);
     }
+    let saved = Saved {
+        decided: value(&values, KEY_DECIDED)?,
+        promised: value(&values, KEY_PROMISED)?,
+        accepted: value(&values, KEY_ACCEPTED)?,
+        synced_view: value(&values, KEY_SYNCED_VIEW)?.unwrap_or_default(),
+        snapshot,
+        entries,
+    };
+    Ok((DiskIdentity { disk, fresh }, saved))
+}
+
+fn read_snapshot(
+    parts: &impl ReadableTable<u32, &'static [u8]>,
+    head: &SnapshotHead,
+) -> Result<SavedSnapshot> {
+    let mut bytes = Vec::new();
+    for number in 0..head.parts {
+        let part = parts.get(number)?.with_context(|| format!("no part {number} of the snapshot"))?;
+        bytes.extend_from_slice(part.value());
+    }
+    Ok(SavedSnapshot { position: head.position, bytes: bytes.into() })
 }
 
 fn open_database(path: &Path) -> Result<Database> {
@@ -108,6 +167,7 @@
         let mut values = transaction.open_table(VALUES)?;
         put(&mut values, KEY_FORMAT, &FORMAT)?;
         put(&mut values, KEY_DISK, &random_disk())?;
+        transaction.open_table(SNAPSHOT_PARTS)?;
         transaction.open_table(ENTRIES)?;
     }
     transaction.commit()?;
@@ -152,10 +212,12 @@
     Ok(())
 }
 
-/// Does to the tables what [`Saved::apply`] does in memory.
-fn apply(transaction: &WriteTransaction, writes: &[Write]) -> Result<()> {
+/// Does to the tables what [`Saved::apply`] does in memory; gives the index up to which the snapshot holds the entries.
+fn apply(transaction: &WriteTransaction, writes: &[Write], snapshot_index: u64) -> Result<u64> {
     let mut values = transaction.open_table(VALUES)?;
     let mut entries = transaction.open_table(ENTRIES)?;
+    let mut snapshot_index = snapshot_index;
+    let mut added = 0;
     for write in writes {
         match write {
             Write::Promise { ballot } => put(&mut values, KEY_PROMISED, ballot)?,
@@ -168,19 +230,42 @@
             Write::Synced { view } => put(&mut values, KEY_SYNCED_VIEW, view)?,
             Write::Entry { entry } => {
                 entries.insert(entry.index(), postcard::to_stdvec(entry)?.as_slice())?;
+                added += 1;
             }
             Write::Truncate { index } => entries.retain_in(index + 1.., |_, _| false)?,
-            Write::Snapshot { snapshot } => install_snapshot(&mut values, &mut entries, snapshot)?,
+            Write::Snapshot { snapshot } => {
+                let mut parts = transaction.open_table(SNAPSHOT_PARTS)?;
+                write_snapshot(&mut values, &mut parts, snapshot)?;
+                snapshot_index = snapshot.position.index;
+            }
         }
     }
-    Ok(())
+    remove_held(&mut entries, snapshot_index, REMOVED_PER_WRITE + REMOVED_PER_ENTRY * added)?;
+    Ok(snapshot_index)
 }
 
-fn install_snapshot(
+fn write_snapshot(
     values: &mut Table<&str, &[u8]>,
-    entries: &mut Table<u64, &[u8]>,
+    parts: &mut Table<u32, &[u8]>,
     snapshot: &SavedSnapshot,
 ) -> Result<()> {
-    entries.retain_in(..=snapshot.position.index, |_, _| false)?;
-    put(values, KEY_SNAPSHOT, snapshot)
+    let mut count = 0;
+    for part in snapshot.bytes.bytes().chunks(PART_BYTES) {
+        parts.insert(count, part)?;
+        count += 1;
+    }
+    parts.retain_in(count.., |_, _| false)?;
+    put(values, KEY_SNAPSHOT, &SnapshotHead { position: snapshot.position, parts: count })
+}
+
+/// Removes the oldest entries that the snapshot holds, `most` at most.
+fn remove_held(entries: &mut Table<u64, &[u8]>, snapshot_index: u64, most: usize) -> Result<()> {
+    for _ in 0..most {
+        let held = entries.first()?.is_some_and(|(index, _)| index.value() <= snapshot_index);
+        if !held {
+            return Ok(());
+        }
+        entries.pop_first()?;
+    }
+    Ok(())
 }
--- a/crates/storage/tests/core.rs
+++ b/crates/storage/tests/core.rs
@@ -150,3 +150,39 @@
     fs::write(folder.file(), b"not a database").expect("some file");
     assert!(CoreDisk::open(&folder.file()).is_err());
 }
+
+/// Entries between two snapshots, as the chain asks for them.
+const ENTRIES_PER_SNAPSHOT: u64 = 2_000;
+/// Bytes of a snapshot.
+const SNAPSHOT_BYTES: usize = 400_000;
+/// What the file may grow to with some 400 kB of snapshot and 500 kB of entries; disks of core machines have 64 MB.
+const MOST_FILE_BYTES: u64 = 12 << 20;
+
+/// Guards against what filled the disks of a grown deployment's core: each snapshot removed thousands of entries in
+/// one commit and laid itself down in one piece, and the file grew by tens of megabytes.
+#[test]
+fn the_file_stays_small_over_many_snapshots() {
+    let folder = Folder::new("small");
+    let (disk, _, _) = CoreDisk::open(&folder.file()).expect("a new file");
+    let mut index = 0;
+    for _ in 0..4 {
+        for _ in 0..ENTRIES_PER_SNAPSHOT / 4 {
+            let writes: Vec<Write> =
+                (1..=4).map(|step| Write::Entry { entry: entry(index + step, 1) }).collect();
+            index += 4;
+            disk.write(&writes).expect("the disk takes it");
+        }
+        let position = Position { index: index - 10, view: 1 };
+        let snapshot = SavedSnapshot { position, bytes: vec![7; SNAPSHOT_BYTES].into() };
+        disk.write(&[Write::Snapshot { snapshot }]).expect("the disk takes it");
+    }
+    drop(disk);
+    let size = fs::metadata(folder.file()).expect("the file is there").len();
+    assert!(size < MOST_FILE_BYTES, "{size} bytes");
+    let saved = reopened(&folder.file());
+    let snapshot = saved.snapshot.expect("a snapshot");
+    assert_eq!(snapshot.position.index, index - 10);
+    assert_eq!(snapshot.bytes.len(), SNAPSHOT_BYTES);
+    let indices: Vec<u64> = saved.entries.iter().map(Entry::index).collect();
+    assert_eq!(indices, (index - 9..=index).collect::<Vec<u64>>());
+}
