--- a/crates/node/src/budgets.rs
+++ b/crates/node/src/budgets.rs
@@ -13,7 +13,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep_until;
 
 /// The core gets so long for one request; the book sends it again.
@@ -58,7 +58,7 @@
         let admission = match admission {
             Admission::Ask(request) => {
                 let verdict = self.await_verdict(turn);
-                self.exchange(request);
+                drop(self.exchange(request));
                 verdict.await
             }
             Admission::Waiting => self.await_verdict(turn).await,
@@ -115,10 +115,19 @@
         self.rescheduled.notify_one();
     }
 
+    /// Gives back what is held, before the end of the process.
+    pub async fn close(&self) {
+        let requests = self.book.borrow_mut().close(self.clock.now());
+        let sent: Vec<_> = requests.into_iter().filter_map(|request| self.exchange(request)).collect();
+        for exchange in sent {
+            let _ = exchange.await;
+        }
+    }
+
     /// Brings a request to the core and its answer to the book.
-    fn exchange(&self, request: CounterRequest) {
-        let Some(budgets) = self.this.upgrade() else { return };
-        spawn_local(async move {
+    fn exchange(&self, request: CounterRequest) -> Option<JoinHandle<()>> {
+        let budgets = self.this.upgrade()?;
+        Some(spawn_local(async move {
             let stopwatch = Stopwatch::start(budgets.clock);
             let operation = Operation::Budget(request.clone());
             let outcome = budgets.directory.execute(&operation, COUNTER_LIMIT).await;
@@ -132,14 +141,14 @@
             let outcomes = budgets.book.borrow_mut().replied(&request, reply, budgets.clock.now());
             budgets.tell(outcomes);
             budgets.rescheduled.notify_one();
-        });
+        }))
     }
 
     /// Hands verdicts to the turns that wait for them.
     fn tell(&self, outcomes: Vec<TurnOutcome>) {
         for TurnOutcome { turn, admission } in outcomes {
             match admission {
-                Admission::Ask(request) => self.exchange(request),
+                Admission::Ask(request) => drop(self.exchange(request)),
                 Admission::Waiting => {}
                 decided => self.decided(turn, decided),
             }
@@ -160,7 +169,7 @@
             let requests = book.due(self.clock.now());
             (requests, book.outcomes())
         };
-        requests.into_iter().for_each(|request| self.exchange(request));
+        requests.into_iter().for_each(|request| drop(self.exchange(request)));
         self.tell(outcomes);
     }
 }
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -27,7 +27,9 @@
 /// Descriptors kept for files, internal connections and the control interface.
 const SPARE_DESCRIPTORS: u64 = 500;
 /// A leaving process ends after this time at the latest; the platform kills it a little later.
-const LEAVE_LIMIT: Duration = Duration::from_millis(7_500);
+const LEAVE_LIMIT: Duration = Duration::from_millis(7_000);
+/// Units of programs' budgets are given back within this time.
+const RETURN_LIMIT: Duration = Duration::from_millis(500);
 
 /// Runs the process until it is asked to leave and has left.
 pub async fn run(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
@@ -72,6 +74,9 @@
     if timeout(LEAVE_LIMIT, front.drained()).await.is_err() {
         log::warn!("{} ends with requests in hand: {:?}", settings.node, front.counters());
     }
+    if timeout(RETURN_LIMIT, budgets.close()).await.is_err() {
+        log::warn!("{} ends without having given all units back", settings.node);
+    }
     Ok(())
 }
 
