--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -46,7 +46,7 @@
         directory: directory.clone(),
         coordinator: coordinator.clone(),
         plane: plane.clone(),
-        budgets.clone(),
+        budgets: budgets.clone(),
         front: front.clone(),
     };
     start_internal(&settings, clock, status).await?;
