--- a/crates/node/src/explain/tell.rs
+++ b/crates/node/src/explain/tell.rs
@@ -50,7 +50,10 @@
         Some(told) => told,
         None => (event.name.clone(), Vec::new()),
     };
-    let unsaid = event.fields.iter().filter(|field| field.key != "request" && !said.contains(&&*field.key));
+    let is_unsaid = |field: &&Field| {
+        field.key != "request" && !field.value.is_empty() && !said.contains(&field.key.as_str())
+    };
+    let unsaid = event.fields.iter().filter(is_unsaid);
     let rest: Vec<String> = unsaid.map(told).collect();
     if rest.is_empty() {
         words
