--- a/crates/chain/tests/faults.rs
+++ b/crates/chain/tests/faults.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use world::trouble::{play, Played};
+use world::trouble::{play, schedule, storm, Played, Schedule};
 use world::Setup;
 
 const ROUNDS: usize = 3;
@@ -21,6 +21,11 @@
 }
 
 impl Tally {
+    fn assert_none_failed(&self) {
+        let failed = &self.failed;
+        assert!(failed.is_empty(), "{} failed: {:#?}", failed.len(), &failed[..failed.len().min(12)]);
+    }
+
     fn add(&mut self, played: Result<Played, String>) {
         match played {
             Err(text) => self.failed.push(text),
@@ -35,7 +40,7 @@
 }
 
 /// Plays the seeds on a few processors.
-fn play_all(seeds: std::ops::Range<u64>, setup: impl Fn(u64) -> Setup + Sync) -> Tally {
+fn play_all(seeds: std::ops::Range<u64>, plan: impl Fn(&Setup) -> Schedule + Sync) -> Tally {
     let next = AtomicU64::new(seeds.start);
     let tally = Mutex::new(Tally::default());
     let workers = std::thread::available_parallelism().map_or(2, |count| count.get()).min(4);
@@ -46,7 +51,8 @@
                 if seed >= seeds.end {
                     return;
                 }
-                let played = play(setup(seed), ROUNDS);
+                let setup = setup(seed);
+                let played = play(setup, plan(&setup));
                 tally.lock().expect("no worker panics").add(played);
             });
         }
@@ -64,13 +70,18 @@
     Setup::new(seed, 3 + (seed % 4) as usize)
 }
 
-#[test]
-fn cores_of_three_to_six_bear_all_kinds_of_trouble() {
+/// The seeds to play, and how many those are.
+fn seeds() -> (std::ops::Range<u64>, u64) {
     let first = from_environment("CHAIN_FIRST").unwrap_or(0);
     let count = from_environment("CHAIN_SEEDS").unwrap_or(SEEDS);
-    let tally = play_all(first..first + count, setup);
-    let failed = &tally.failed;
-    assert!(failed.is_empty(), "{} failed: {:#?}", failed.len(), &failed[..failed.len().min(12)]);
+    (first..first + count, count)
+}
+
+#[test]
+fn cores_of_three_to_six_bear_all_kinds_of_trouble() {
+    let (seeds, count) = seeds();
+    let tally = play_all(seeds, |setup| schedule(setup, ROUNDS));
+    tally.assert_none_failed();
     // What is said here was tried: writes, reads, and snapshots to members that were away.
     assert!(tally.acknowledged > 200 * count, "{} writes", tally.acknowledged);
     assert!(tally.reads > 50 * count, "{} reads", tally.reads);
@@ -78,9 +89,23 @@
     assert!(tally.snapshots_installed > count / 20, "{} installed", tally.snapshots_installed);
 }
 
+#[test]
+fn cores_of_three_to_six_bear_storms() {
+    let (seeds, count) = seeds();
+    let tally = play_all(seeds, storm);
+    tally.assert_none_failed();
+    assert!(tally.acknowledged > 50 * count, "{} writes", tally.acknowledged);
+    assert!(tally.reads > 10 * count, "{} reads", tally.reads);
+}
+
 #[test]
 #[ignore = "plays one seed, to look at it: CHAIN_SEED=n CHAIN_TRACE=1"]
 fn one_seed() {
     let seed = from_environment("CHAIN_SEED").unwrap_or(0);
-    play(setup(seed), ROUNDS).expect("all holds");
+    let setup = setup(seed);
+    let plan = match from_environment("CHAIN_STORM") {
+        Some(_) => storm(&setup),
+        None => schedule(&setup, ROUNDS),
+    };
+    play(setup, plan).expect("all holds");
 }
--- a/crates/chain/tests/guards.rs
+++ b/crates/chain/tests/guards.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use dunespur_chain::Guards;
-use world::trouble::play;
+use world::trouble::{play, schedule};
 use world::Setup;
 
 const ROUNDS: usize = 3;
@@ -17,7 +17,7 @@
     (0..SEEDS).find_map(|seed| {
         let mut setup = Setup::new(seed, 3 + (seed % 4) as usize);
         without(&mut setup);
-        play(setup, ROUNDS).err().filter(|text| is_broken_promise(text))
+        play(setup, schedule(&setup, ROUNDS)).err().filter(|text| is_broken_promise(text))
     })
 }
 
--- /dev/null
+++ b/crates/chain/tests/plan.rs
@@ -0,0 +1,202 @@
+//! Plans for the next view, over drawn situations: whatever is seen, a plan is a view that could be in force.
+
+use dunespur_chain::plan::{plan, Applicant, Plan, Situation, Standing};
+use dunespur_chain::{MemberId, Peer, View};
+use fastrand::Rng;
+
+const CASES: u64 = 20_000;
+
+fn peer(node: usize, disk: u64) -> Peer {
+    let id = MemberId { node: format!("m{node}"), disk };
+    Peer { id, address: ([10, 0, 0, node as u8], 7380).into() }
+}
+
+struct Case {
+    view: View,
+    standings: Vec<Standing>,
+    applicants: Vec<Applicant>,
+}
+
+impl Case {
+    /// Anything may be seen, whether or not it fits together.
+    fn drawn(seed: u64) -> Case {
+        let mut rng = Rng::with_seed(seed);
+        let count = rng.usize(1..=7);
+        let members: Vec<Peer> = (0..count).map(|node| peer(node, 1)).collect();
+        let mut chain: Vec<MemberId> = members.iter().map(|member| member.id.clone()).collect();
+        rng.shuffle(&mut chain);
+        chain.truncate(rng.usize(count / 2 + 1..=count));
+        let trouble = rng.u32(0..4);
+        let rare = |rng: &mut Rng| rng.u32(0..8) < trouble;
+        let standings = (0..count).map(|index| {
+            let connected = (0..count).map(|other| other == index || !rare(&mut rng)).collect();
+            Standing {
+                connected,
+                unfit: rare(&mut rng),
+                may_return: rng.bool(),
+                accusers: rng.usize(0..=count),
+                silent: rare(&mut rng),
+                present: !rare(&mut rng),
+                replaceable: rare(&mut rng),
+            }
+        });
+        let standings: Vec<Standing> = standings.collect();
+        let applicants = (0..rng.usize(0..3)).map(|_| {
+            let node = rng.usize(0..10);
+            Applicant { peer: peer(node, 2), patient: rng.bool() }
+        });
+        let applicants = applicants.collect();
+        Case { view: View { number: 1, members, chain }, standings, applicants }
+    }
+
+    /// Nothing is wrong, and all are in the chain.
+    fn calm(count: usize) -> Case {
+        let members: Vec<Peer> = (0..count).map(|node| peer(node, 1)).collect();
+        let chain = members.iter().map(|member| member.id.clone()).collect();
+        let standing = Standing {
+            connected: vec![true; count],
+            unfit: false,
+            may_return: false,
+            accusers: 0,
+            silent: false,
+            present: true,
+            replaceable: false,
+        };
+        let standings = vec![standing; count];
+        Case { view: View { number: 1, members, chain }, standings, applicants: Vec::new() }
+    }
+
+    fn plan(&self) -> Option<Plan> {
+        plan(&Situation { view: &self.view, standings: &self.standings, applicants: &self.applicants })
+    }
+
+    fn lose(&mut self, index: usize) {
+        for other in (0..self.standings.len()).filter(|other| *other != index) {
+            self.standings[index].connected[other] = false;
+            self.standings[other].connected[index] = false;
+        }
+        self.standings[index].silent = true;
+        self.standings[index].accusers = self.standings.len() - 1;
+    }
+
+    fn apply(&mut self, peer: Peer, patient: bool) {
+        self.applicants.push(Applicant { peer, patient });
+    }
+}
+
+fn nodes(ids: &[MemberId]) -> Vec<&str> {
+    ids.iter().map(|id| id.node.as_str()).collect()
+}
+
+#[test]
+fn every_plan_is_a_sound_view() {
+    for seed in 0..CASES {
+        let case = Case::drawn(seed);
+        let Some(plan) = case.plan() else { continue };
+        let view = View { number: 2, members: plan.members, chain: plan.chain };
+        assert!(view.is_sound(), "seed {seed}: {view:?}");
+    }
+}
+
+#[test]
+fn survivors_keep_their_order_and_others_come_after_them() {
+    for seed in 0..CASES {
+        let case = Case::drawn(seed);
+        let Some(plan) = case.plan() else { continue };
+        let survives = |id: &&MemberId| plan.chain.contains(id);
+        let survivors: Vec<&MemberId> = case.view.chain.iter().filter(survives).collect();
+        let first: Vec<&MemberId> = plan.chain.iter().take(survivors.len()).collect();
+        assert_eq!(first, survivors, "seed {seed}");
+    }
+}
+
+#[test]
+fn members_change_by_one_at_most() {
+    for seed in 0..CASES {
+        let case = Case::drawn(seed);
+        let Some(plan) = case.plan() else { continue };
+        let new = plan.members.iter().filter(|member| !case.view.members.contains(member)).count();
+        let gone = case.view.members.iter().filter(|member| !plan.members.contains(member)).count();
+        assert!(new <= 1 && gone <= 1, "seed {seed}: {new} new, {gone} gone");
+        assert!(plan.members.len() <= 7);
+    }
+}
+
+#[test]
+fn a_calm_view_is_left_as_it_is() {
+    for count in 1..=7 {
+        let case = Case::calm(count);
+        let plan = case.plan().expect("a plan");
+        assert!(plan.is_in_force(&case.view));
+    }
+}
+
+#[test]
+fn one_that_is_lost_leaves_the_chain_and_stays_a_member() {
+    let mut case = Case::calm(3);
+    case.lose(0);
+    let plan = case.plan().expect("a plan");
+    assert_eq!(nodes(&plan.chain), ["m1", "m2"]);
+    assert_eq!(plan.members, case.view.members);
+}
+
+#[test]
+fn the_chain_is_not_cut_below_a_majority() {
+    let mut case = Case::calm(5);
+    for index in 0..3 {
+        case.lose(index);
+    }
+    assert_eq!(case.plan(), None);
+    let mut case = Case::calm(3);
+    case.lose(0);
+    case.standings[2].unfit = true;
+    let plan = case.plan().expect("rather an unfit member than none");
+    assert_eq!(nodes(&plan.chain), ["m1", "m2"]);
+}
+
+#[test]
+fn a_lost_member_of_an_even_number_goes_after_a_while() {
+    let mut case = Case::calm(4);
+    case.lose(3);
+    assert_eq!(case.plan().expect("a plan").members.len(), 4);
+    case.standings[3].replaceable = true;
+    assert_eq!(case.plan().expect("a plan").members.len(), 3);
+    let mut case = Case::calm(3);
+    case.lose(2);
+    case.standings[2].replaceable = true;
+    assert_eq!(case.plan().expect("a plan").members.len(), 3);
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_its_disk_before() {
+    let mut case = Case::calm(3);
+    case.apply(peer(1, 2), false);
+    assert!(case.plan().expect("a plan").is_in_force(&case.view), "the disk before is still heard");
+    case.lose(1);
+    let plan = case.plan().expect("a plan");
+    assert_eq!(plan.members[1], peer(1, 2));
+    assert_eq!(plan.chain.last(), Some(&peer(1, 2).id));
+}
+
+#[test]
+fn a_newcomer_takes_the_place_of_one_long_gone_or_is_one_more() {
+    let mut case = Case::calm(3);
+    case.apply(peer(8, 2), true);
+    assert_eq!(case.plan().expect("a plan").members.len(), 4);
+    case.lose(0);
+    let plan = case.plan().expect("a plan");
+    assert_eq!(plan.members, case.view.members, "the lost one may be back soon");
+    case.standings[0].replaceable = true;
+    let plan = case.plan().expect("a plan");
+    assert_eq!(plan.members[0], peer(8, 2));
+}
+
+#[test]
+fn whom_more_have_lost_goes_first() {
+    // m0 plans and still hears m1; m2 says that it has lost it.
+    let mut case = Case::calm(3);
+    case.standings[1].connected[2] = false;
+    case.standings[2].connected[1] = false;
+    case.standings[1].accusers = 1;
+    assert_eq!(nodes(&case.plan().expect("a plan").chain), ["m0", "m2"]);
+}
--- a/crates/chain/tests/times.rs
+++ b/crates/chain/tests/times.rs
@@ -23,6 +23,7 @@
     let mut setup = Setup::new(seed, machines);
     setup.write_every = 8;
     setup.padding = 0;
+    setup.sync_most = 4;
     let mut world = World::new(setup);
     world.play_to(CALM).expect("calm");
     world.check_whole(20).expect("whole at first");
--- a/crates/chain/tests/world/mod.rs
+++ b/crates/chain/tests/world/mod.rs
@@ -20,6 +20,10 @@
 /// Some hundred of these are more than a log in memory may hold.
 const LARGE_PAYLOAD: usize = 12_000;
 
+const QUICK_SYNC: Millis = 4;
+/// Slow disks leave more time for trouble between a write and its sync.
+const SLOW_SYNC: Millis = 60;
+
 /// What a broken promise of the protocol looks like.
 pub type Verdict = Result<(), String>;
 
@@ -34,6 +38,8 @@
     /// Mean time between two writes, and between two reads.
     pub write_every: Millis,
     pub read_every: Millis,
+    /// Syncs take up to this long.
+    pub sync_most: Millis,
     /// Bytes of a payload beyond its number: large ones bring on snapshots.
     pub padding: usize,
 }
@@ -49,6 +55,7 @@
             wiped_keep_identity: false,
             write_every: 60,
             read_every: 150,
+            sync_most: if seed % 3 == 2 { SLOW_SYNC } else { QUICK_SYNC },
             padding,
         }
     }
@@ -585,7 +592,7 @@
     }
 
     fn persist(&mut self, index: usize, batch: u64, writes: Vec<Write>) {
-        let sync = self.rng.u64(1..4);
+        let sync = self.rng.u64(1..self.setup.sync_most);
         if self.machines[index].flight.is_some() {
             self.breaks(format!("m{index} has two batches out"));
         }
--- a/crates/chain/tests/world/trouble.rs
+++ b/crates/chain/tests/world/trouble.rs
@@ -148,7 +148,65 @@
     Schedule { troubles: planner.troubles, over_at: planner.over_at }
 }
 
+/// How long a storm lasts, and the longest time between two of its troubles.
+const STORM_LASTS: Millis = 12_000;
+const STORM_GAP: Millis = 350;
+/// Few of its troubles last longer than it takes to notice them.
+const STORM_TROUBLE: Millis = 1_300;
+
+/// Short troubles one upon the other, so that changes of view run into each other. Disks stay.
+pub fn storm(setup: &Setup) -> Schedule {
+    let mut planner = Planner {
+        rng: Rng::with_seed(setup.seed ^ 0x5707),
+        present: (0..setup.machines).collect(),
+        machines: setup.machines,
+        troubles: Vec::new(),
+        over_at: FIRST_TROUBLE,
+    };
+    let end = FIRST_TROUBLE + STORM_LASTS;
+    let mut at = FIRST_TROUBLE;
+    while at < end {
+        planner.gust(at);
+        at += 1 + planner.rng.u64(0..STORM_GAP);
+    }
+    planner.push(end, Trouble::Doubling { on: false });
+    planner.push(end, Trouble::Losing { on: false });
+    Schedule { troubles: planner.troubles, over_at: planner.over_at }
+}
+
 impl Planner {
+    /// One trouble of a storm.
+    fn gust(&mut self, at: Millis) {
+        let machine = self.any();
+        let other = self.any();
+        let lasts = 5 + self.rng.u64(0..STORM_TROUBLE);
+        match self.rng.u32(0..12) {
+            0 | 1 => self.ends(at, Trouble::Kill { machine, back_after: lasts }, lasts),
+            2 | 3 => self.ends(at, Trouble::PowerLoss { machine, back_after: lasts }, lasts),
+            4 => {
+                self.push(at, Trouble::Freeze { machine });
+                self.push(at + lasts, Trouble::Thaw { machine });
+            }
+            5 => self.cut_for(at, lasts, machine, other, true, false),
+            6 => self.cut_for(at, lasts, machine, other, true, true),
+            7 => {
+                let outward = self.rng.bool();
+                self.isolate(at, lasts, machine, outward, !outward);
+            }
+            8 => self.isolate(at, lasts, machine, true, true),
+            9 => {
+                self.push(at, Trouble::StallDisk { machine });
+                self.push(at + lasts, Trouble::UnstallDisk { machine });
+            }
+            10 => {
+                let on = self.rng.bool();
+                self.push(at, Trouble::Doubling { on });
+                self.push(at, Trouble::Losing { on: !on });
+            }
+            _ => self.push(at, Trouble::Reset { one: machine, other }),
+        }
+    }
+
     fn any(&mut self) -> usize {
         self.present[self.rng.usize(..self.present.len())]
     }
@@ -284,10 +342,9 @@
     pub snapshots_installed: u64,
 }
 
-/// Plays a seeded schedule and checks that the core is writable and whole in the end.
-pub fn play(setup: Setup, rounds: usize) -> Result<Played, String> {
+/// Plays a schedule and checks that the core is writable and whole in the end.
+pub fn play(setup: Setup, plan: Schedule) -> Result<Played, String> {
     let mut world = World::new(setup);
-    let plan = schedule(&setup, rounds);
     for (at, trouble) in plan.troubles {
         world.trouble_at(at, trouble);
     }
