--- a/crates/emulator/src/client/retry.rs
+++ b/crates/emulator/src/client/retry.rs
@@ -112,9 +112,8 @@
                 patience,
             };
             let begun = Instant::now();
-            let sent_us = self.shared.clock.now_us();
-            let outcome = attempt.carry_out().await;
-            self.note(&attempt, wanted, sent_us, outcome.clone());
+            let noting = Noting::begin(&self.shared, &attempt, wanted);
+            let outcome = noting.end(attempt.carry_out().await);
             tries += 1;
             let pause = pause_before_retry(ask, &outcome, until, &self.shared.identities);
             let ended = tries > ask.retries || Instant::now() >= until;
@@ -130,24 +129,48 @@
         let fronts = self.shared.fronts.lock().unwrap_or_else(PoisonError::into_inner);
         fronts[place as usize % fronts.len()]
     }
+}
+
+/// Notes a try in the record, as given up where its client is dropped before it ends.
+struct Noting<'a> {
+    shared: &'a Shared,
+    attempt: &'a Attempt<'a>,
+    wanted: u64,
+    sent_us: u64,
+    outcome: TryOutcome,
+}
+
+impl<'a> Noting<'a> {
+    fn begin(shared: &'a Shared, attempt: &'a Attempt<'a>, wanted: u64) -> Noting<'a> {
+        let sent_us = shared.clock.now_us();
+        Noting { shared, attempt, wanted, sent_us, outcome: TryOutcome::GivenUp }
+    }
+
+    fn end(mut self, outcome: TryOutcome) -> TryOutcome {
+        self.outcome = outcome.clone();
+        outcome
+    }
+}
 
-    fn note(&self, attempt: &Attempt<'_>, wanted: u64, sent_us: u64, outcome: TryOutcome) {
-        let moments = moments(sent_us, self.shared.clock.now_us(), &outcome);
+impl Drop for Noting<'_> {
+    fn drop(&mut self) {
+        let ended_us = self.shared.clock.now_us();
+        let ask = self.attempt.ask;
         self.shared.record.tried(Try {
             number: 0,
-            request: attempt.request,
-            wanted,
-            front: attempt.front,
-            sent_ms: sent_us / 1_000,
-            ended_ms: self.shared.clock.now_ms(),
-            host: attempt.ask.host.clone(),
-            method: attempt.ask.method.to_owned(),
-            target: attempt.ask.target.clone(),
-            expected: attempt.ask.expected,
-            repeatable: attempt.ask.kind.repeatable(),
-            program: attempt.ask.program_try(),
-            outcome,
-            moments,
+            request: self.attempt.request,
+            wanted: self.wanted,
+            front: self.attempt.front,
+            sent_ms: self.sent_us / 1_000,
+            ended_ms: ended_us / 1_000,
+            host: ask.host.clone(),
+            method: ask.method.to_owned(),
+            target: ask.target.clone(),
+            expected: ask.expected,
+            repeatable: ask.kind.repeatable(),
+            program: ask.program_try(),
+            moments: moments(self.sent_us, ended_us, &self.outcome),
+            outcome: std::mem::replace(&mut self.outcome, TryOutcome::GivenUp),
         });
     }
 }
--- a/crates/emulator/src/experiment/check.rs
+++ b/crates/emulator/src/experiment/check.rs
@@ -1,6 +1,7 @@
 //! Bounds of experiments: processes, servers, time and requests are few enough for one machine.
 
 use super::file::{Experiment, Fault, What};
+use dunespur_emulator::system::Role;
 
 const MOST_MACHINES: usize = 40;
 const MOST_CORE: usize = 7;
@@ -41,13 +42,14 @@
 
 /// How many there are of what a fault names by a number.
 fn targets(experiment: &Experiment, fault: &Fault) -> usize {
-    match fault.what {
-        What::KillCore | What::TerminateCore | What::FreezeCore | What::WipeCore => experiment.machines.core,
-        What::KillGateway | What::TerminateGateway => experiment.machines.gateways,
-        What::KillStore | What::FreezeStore | What::WipeStore => experiment.machines.stores,
-        What::LoseAnswers => experiment.services.tools.servers,
-        What::ReplaceModel | What::CrashModel => experiment.services.models.servers,
-        What::KillAll | What::Patch => usize::MAX,
+    let machines = &experiment.machines;
+    match (fault.what.role(), fault.what) {
+        (Some(Role::Core), _) => machines.core,
+        (Some(Role::Gateway), _) => machines.gateways,
+        (Some(Role::Store), _) => machines.stores,
+        (None, What::LoseAnswers) => experiment.services.tools.servers,
+        (None, What::ReplaceModel | What::CrashModel) => experiment.services.models.servers,
+        (None, _) => usize::MAX,
     }
 }
 
--- /dev/null
+++ b/crates/emulator/src/experiment/faults/mod.rs
@@ -0,0 +1,155 @@
+//! What happens to the system while traffic runs: faults of the file, taken apart into steps with their times.
+
+mod steps;
+
+use super::file::{Experiment, Fault, What};
+use dunespur_emulator::ingress::{Entry, Ingress};
+use dunespur_emulator::judge::Span;
+use dunespur_emulator::scene::Scene;
+use dunespur_emulator::system::Role;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use steps::Step;
+
+/// A process that is asked to leave is killed after this time.
+const GRACE_S: f64 = 8.0;
+/// A machine is in touch again this long after its trouble.
+const CONTACT_MS: u64 = 3_000;
+
+/// Something that has to be done at its time.
+#[derive(Clone, Copy, Debug)]
+struct Action {
+    at: Duration,
+    step: Step,
+}
+
+/// All that is still to be done, by time.
+pub struct Faults {
+    planned: Vec<Fault>,
+    actions: Vec<Action>,
+    /// Machines that have been taken away for good.
+    gone: BTreeSet<usize>,
+    unrest: Vec<Span>,
+    ingress: Ingress,
+}
+
+impl Faults {
+    pub fn new(scene: &Scene, experiment: &Experiment) -> Faults {
+        let ingress = Ingress::start(scene.client.clone(), entries(scene, &BTreeSet::new()));
+        Faults {
+            planned: experiment.faults.clone(),
+            actions: Vec::new(),
+            gone: BTreeSet::new(),
+            unrest: Vec::new(),
+            ingress,
+        }
+    }
+
+    /// Does all that is due by now.
+    pub async fn due(&mut self, scene: &mut Scene, now: Duration) -> anyhow::Result<()> {
+        let (due, planned) =
+            std::mem::take(&mut self.planned).into_iter().partition(|fault| now.as_secs_f64() >= fault.at_s);
+        self.planned = planned;
+        for fault in due {
+            self.begin(scene, &fault);
+        }
+        self.actions.sort_by_key(|action| action.at);
+        while self.actions.first().is_some_and(|action| action.at <= now) {
+            let action = self.actions.remove(0);
+            self.carry_out(scene, action).await?;
+        }
+        Ok(())
+    }
+
+    /// Whether everything has been done.
+    pub fn ended(&self) -> bool {
+        self.planned.is_empty() && self.actions.is_empty()
+    }
+
+    /// When machines were not in touch.
+    pub fn unrest(&self) -> Vec<Span> {
+        self.unrest.clone()
+    }
+
+    fn begin(&mut self, scene: &Scene, fault: &Fault) {
+        if !fault.what.leaves_in_touch() {
+            let from_ms = scene.clock.now_ms();
+            let lasting_ms = (fault.lasts_s * 1_000.0) as u64;
+            self.unrest.push(Span { from_ms, to_ms: from_ms + lasting_ms + CONTACT_MS });
+        }
+        let at = |after: f64| Duration::from_secs_f64(fault.at_s + after);
+        let actions = self.steps(scene, fault).into_iter();
+        self.actions.extend(actions.map(|step| Action { at: at(step.after_s), step: step.step }));
+    }
+
+    /// What a fault consists of; nothing where its machine is gone.
+    fn steps(&self, scene: &Scene, fault: &Fault) -> Vec<Timed> {
+        let Some(target) = self.target(scene, fault) else { return Vec::new() };
+        let lasting = |first, then| vec![now(first), after(fault.lasts_s, then)];
+        match fault.what {
+            What::KillCore | What::KillGateway | What::KillStore => {
+                lasting(Step::Kill(target), Step::Start(target))
+            }
+            What::KillAll => lasting(Step::KillAll, Step::StartAll),
+            What::TerminateCore | What::TerminateGateway => {
+                vec![now(Step::Terminate(target)), after(GRACE_S, Step::StartAfterLeave(target))]
+            }
+            What::FreezeCore | What::FreezeStore => lasting(Step::Freeze(target), Step::Thaw(target)),
+            What::WipeCore | What::WipeStore => vec![now(Step::Wipe(target))],
+            What::ReplaceCore | What::ReplaceStore => lasting(Step::TakeAway(target), Step::Replace(target)),
+            What::RetireStore => vec![now(Step::Retire(target))],
+            What::AddGateway => vec![now(Step::Add(Role::Gateway))],
+            What::AddStore => vec![now(Step::Add(Role::Store))],
+            What::LoseAnswers => lasting(Step::LoseAnswers(target), Step::EndTrouble(target)),
+            What::ReplaceModel => vec![now(Step::DrainModel(target))],
+            What::CrashModel => vec![now(Step::CrashModel(target))],
+            What::Patch => vec![now(Step::Patch)],
+        }
+    }
+
+    /// The machine or server that a fault is about.
+    fn target(&self, scene: &Scene, fault: &Fault) -> Option<usize> {
+        let Some(role) = fault.what.role() else { return Some(fault.number) };
+        let places = scene.system.places(|plan| plan.role == role);
+        let left: Vec<usize> = places.into_iter().filter(|place| !self.gone.contains(place)).collect();
+        if left.is_empty() {
+            return None;
+        }
+        Some(left[fault.number % left.len()])
+    }
+
+    fn machines_changed(&mut self, scene: &mut Scene) {
+        self.ingress.set_entries(entries(scene, &self.gone));
+        let controls = scene.system.places(|plan| plan.role != Role::Store);
+        let left = controls.into_iter().filter(|place| !self.gone.contains(place));
+        let controls: Vec<_> = left.map(|place| scene.system.control(place)).collect();
+        scene.operator.set_controls(controls.clone());
+        for engine in &scene.engines {
+            engine.registration.set_controls(controls.clone());
+        }
+        for plain in &scene.plains {
+            plain.registration.set_controls(controls.clone());
+        }
+    }
+}
+
+/// A step and its time from the fault's beginning.
+struct Timed {
+    after_s: f64,
+    step: Step,
+}
+
+fn now(step: Step) -> Timed {
+    after(0.0, step)
+}
+
+fn after(after_s: f64, step: Step) -> Timed {
+    Timed { after_s, step }
+}
+
+fn entries(scene: &Scene, gone: &BTreeSet<usize>) -> Vec<Entry> {
+    let gateways = scene.system.places(|plan| plan.role != Role::Store);
+    let left = gateways.into_iter().filter(|place| !gone.contains(place));
+    left.map(|place| Entry { ready: scene.system.ready_address(place), front: scene.system.front(place) })
+        .collect()
+}
--- a/crates/emulator/src/experiment/file.rs
+++ b/crates/emulator/src/experiment/file.rs
@@ -2,6 +2,7 @@
 
 use super::check::check;
 use anyhow::{bail, Context};
+use dunespur_emulator::system::Role;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -184,6 +185,13 @@
     FreezeStore,
     WipeCore,
     WipeStore,
+    /// A machine is lost for good, and an empty one comes at another address.
+    ReplaceCore,
+    ReplaceStore,
+    /// A store is emptied, then taken away.
+    RetireStore,
+    AddGateway,
+    AddStore,
     /// A plain server runs requests and closes without an answer.
     LoseAnswers,
     /// A model server drains, leaves, and another one comes in its place.
@@ -194,6 +202,46 @@
     Patch,
 }
 
+impl What {
+    /// Whether it is planned work, or trouble of servers: machines stay in touch.
+    pub fn leaves_in_touch(self) -> bool {
+        matches!(
+            self,
+            What::TerminateCore
+                | What::TerminateGateway
+                | What::RetireStore
+                | What::AddGateway
+                | What::AddStore
+                | What::LoseAnswers
+                | What::ReplaceModel
+                | What::CrashModel
+                | What::Patch
+        )
+    }
+
+    /// The role of the machines that it is about; nothing where it is about servers or all machines.
+    pub fn role(self) -> Option<Role> {
+        match self {
+            What::KillCore | What::TerminateCore | What::FreezeCore | What::WipeCore | What::ReplaceCore => {
+                Some(Role::Core)
+            }
+            What::KillGateway | What::TerminateGateway => Some(Role::Gateway),
+            What::KillStore
+            | What::FreezeStore
+            | What::WipeStore
+            | What::ReplaceStore
+            | What::RetireStore => Some(Role::Store),
+            What::KillAll
+            | What::AddGateway
+            | What::AddStore
+            | What::LoseAnswers
+            | What::ReplaceModel
+            | What::CrashModel
+            | What::Patch => None,
+        }
+    }
+}
+
 impl Experiment {
     /// Reads and checks the file; all findings at once.
     pub fn read(path: &Path) -> anyhow::Result<Experiment> {
@@ -201,6 +249,21 @@
         Experiment::parse(&text).with_context(|| path.display().to_string())
     }
 
+    /// Machines and faults in one line.
+    pub fn summary(&self) -> String {
+        let machines = &self.machines;
+        let mut faults: Vec<&Fault> = self.faults.iter().collect();
+        faults.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
+        let faults: Vec<String> = faults
+            .iter()
+            .map(|fault| {
+                format!("{:.1} {:?}({}, {:.1} s)", fault.at_s, fault.what, fault.number, fault.lasts_s)
+            })
+            .collect();
+        let (core, gateways, stores) = (machines.core, machines.gateways, machines.stores);
+        format!("{core} core, {gateways} gateways, {stores} stores; {}", faults.join(", "))
+    }
+
     fn parse(text: &str) -> anyhow::Result<Experiment> {
         let experiment: Experiment = toml::from_str(text)?;
         let findings = check(&experiment);
--- a/crates/emulator/src/experiment/findings.rs
+++ b/crates/emulator/src/experiment/findings.rs
@@ -1,9 +1,11 @@
 //! What an experiment has shown, as a table and as JSON.
 
 use super::file::Experiment;
+use super::listing::{self, outcome};
 use super::measure::{ProcessUse, Spans};
 use super::traffic::{Ended, Outcome};
-use dunespur_emulator::record::{Fate, Sighting, Try, TryOutcome};
+use dunespur_emulator::judge::Violation;
+use dunespur_emulator::record::{Fate, Sighting, Try};
 use dunespur_emulator::scene::Scene;
 use dunespur_emulator::RequestId;
 use serde::Serialize;
@@ -28,6 +30,9 @@
     pub probes: u64,
     pub processes: Vec<ProcessUse>,
     pub violations: Vec<String>,
+    /// All tries, for other tools.
+    #[serde(skip)]
+    pub tries: String,
 }
 
 /// One class of programs or requests.
@@ -62,19 +67,25 @@
 }
 
 impl Findings {
-    pub fn new(scene: &Scene, experiment: &Experiment, outcomes: Vec<Outcome>, spans: &Spans) -> Findings {
+    pub fn new(
+        scene: &Scene,
+        experiment: &Experiment,
+        outcomes: &[Outcome],
+        spans: &Spans,
+        violations: &[Violation],
+    ) -> Findings {
         let sightings = scene.record.sightings();
         let tries = scene.record.tries();
         let programs = experiment.programs.iter().map(|class| class.name.clone());
         let requests = experiment.requests.iter().map(|class| class.name.clone());
         let names = programs.chain(requests).enumerate();
-        let mut violations: Vec<String> = scene.violations().iter().map(ToString::to_string).collect();
+        let mut violations: Vec<String> = violations.iter().map(ToString::to_string).collect();
         if scene.record.overflowed() {
             violations.push("the record has overflowed".to_owned());
         }
         Findings {
             seconds: spans.loaded_s(),
-            classes: names.map(|(class, name)| class_finding(name, class, &outcomes)).collect(),
+            classes: names.map(|(class, name)| class_finding(name, class, outcomes)).collect(),
             server_first_ms: server_first(&sightings),
             added_ms: added(&sightings, &tries),
             prompt_tokens: prompt_tokens(scene),
@@ -83,6 +94,7 @@
             probes: scene.servers().map(|door| door.probes()).sum(),
             processes: spans.processes(scene),
             violations,
+            tries: listing::tries(scene),
         }
     }
 
@@ -214,14 +226,7 @@
 fn answers(tries: &[Try]) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
     for attempt in tries {
-        let name = match &attempt.outcome {
-            TryOutcome::Answered(answered) => answered.status.to_string(),
-            TryOutcome::BrokenOff(_) => "broken off".to_owned(),
-            TryOutcome::Closed => "closed".to_owned(),
-            TryOutcome::NotSent => "not sent".to_owned(),
-            TryOutcome::GivenUp => "given up".to_owned(),
-            TryOutcome::Garbled(_) => "garbled".to_owned(),
-        };
+        let name = outcome(&attempt.outcome);
         *counts.entry(name).or_default() += 1;
     }
     counts
--- /dev/null
+++ b/crates/emulator/src/experiment/hunt.rs
@@ -0,0 +1,120 @@
+//! Experiments drawn from a seed: machines, load and faults, one loss of a counted machine at a time.
+
+use super::file::{Experiment, Fault, Machines, ModelService, ProgramClass, RequestClass, RequestKind};
+use super::file::{Services, ToolService, What};
+
+/// A machine counts as lost for this long after its return.
+const CATCH_UP_S: f64 = 4.2;
+/// Traffic before the first fault.
+const CALM_S: f64 = 2.0;
+/// What is left between two faults beyond the least.
+const SPREAD_S: f64 = 1.0;
+/// A machine that is asked to leave has this time.
+const GRACE_S: f64 = 8.0;
+/// The longest that a fault lasts.
+const LONGEST_FAULT_S: f64 = 2.0;
+
+/// Faults of machines that count: one at a time.
+const LOSSES: [What; 11] = [
+    What::KillCore,
+    What::KillStore,
+    What::KillAll,
+    What::TerminateCore,
+    What::FreezeCore,
+    What::FreezeStore,
+    What::WipeCore,
+    What::WipeStore,
+    What::ReplaceCore,
+    What::ReplaceStore,
+    What::RetireStore,
+];
+
+/// Faults that may come at any time.
+const OTHERS: [What; 8] = [
+    What::KillGateway,
+    What::TerminateGateway,
+    What::AddGateway,
+    What::AddStore,
+    What::LoseAnswers,
+    What::ReplaceModel,
+    What::CrashModel,
+    What::Patch,
+];
+
+/// The experiment of a seed.
+pub fn draw(seed: u64, traffic_s: f64) -> Experiment {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let machines = Machines {
+        zones: ["zone-a", "zone-b", "zone-c"].map(str::to_owned).to_vec(),
+        core: random.usize(3..=5),
+        gateways: random.usize(1..=3),
+        stores: random.usize(3..=5),
+        tolerated_losses: 1,
+        heartbeat_ms: random.u64(400..=1_200),
+    };
+    let models = ModelService { servers: 4, slots: 8, step_us: 2_000, ..ModelService::default() };
+    let tools = ToolService { servers: 3, slots: 4, work_ms: 10, ..ToolService::default() };
+    let faults = faults(&mut random, traffic_s);
+    Experiment {
+        seed,
+        traffic_s,
+        idle_s: 0.0,
+        machines,
+        services: Services { models, tools },
+        programs: vec![program("kept", true, &mut random), program("whole", false, &mut random)],
+        requests: vec![lookups()],
+        faults,
+    }
+}
+
+fn program(name: &str, kept: bool, random: &mut fastrand::Rng) -> ProgramClass {
+    ProgramClass {
+        name: name.to_owned(),
+        rate: 3.0,
+        kept,
+        turns: random.u32(2..=5),
+        shared_tokens: 500,
+        input_tokens: 100,
+        input_bytes: random.usize(20..=2_000),
+        most: 12,
+        budget: Some(random.u64(30..=200)),
+        lookups: 1,
+        records: 1,
+        sub_agents: 0.3,
+        aim_ms: 2_000,
+        retries: 1,
+    }
+}
+
+fn lookups() -> RequestClass {
+    RequestClass {
+        name: "lookup".to_owned(),
+        rate: 10.0,
+        kind: RequestKind::ReadOnly,
+        aim_ms: 150,
+        deadline_ms: 1_200,
+        retries: 1,
+    }
+}
+
+fn faults(random: &mut fastrand::Rng, traffic_s: f64) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut at_s = CALM_S;
+    while at_s < traffic_s - LONGEST_FAULT_S {
+        let fault = drawn(random, &LOSSES, at_s);
+        let grace_s = if fault.what == What::TerminateCore { GRACE_S } else { 0.0 };
+        at_s += fault.lasts_s.max(grace_s) + CATCH_UP_S + random.f64() * SPREAD_S;
+        faults.push(fault);
+    }
+    for _ in 0..(traffic_s / 4.0) as usize {
+        let at_s = random.f64() * traffic_s;
+        faults.push(drawn(random, &OTHERS, at_s));
+    }
+    faults
+}
+
+fn drawn(random: &mut fastrand::Rng, among: &[What], at_s: f64) -> Fault {
+    let what = among[random.usize(..among.len())];
+    let number = if what.role().is_some() { random.usize(..8) } else { random.usize(..3) };
+    Fault { at_s, what, number, lasts_s: random.f64() * LONGEST_FAULT_S }
+}
--- a/crates/emulator/src/experiment/traffic.rs
+++ b/crates/emulator/src/experiment/traffic.rs
@@ -2,7 +2,7 @@
 
 use super::file::{Experiment, ProgramClass, RequestClass, RequestKind};
 use dunespur_emulator::client::{Ask, Client, Kind};
-use dunespur_emulator::program::{play, End, ProgramPlan, SharedPart, SubAgents, Tool};
+use dunespur_emulator::program::{play, End, Line, ProgramPlan, SharedPart, SubAgents, Tool};
 use dunespur_emulator::scene::{usual_program, Scene, HOST, KEPT_TURNS, LOOKUP, RECORD, TURNS};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -34,6 +34,8 @@
     pub took_ms: u64,
     /// Times to the first event of its turns, or to its answer.
     pub first_ms: Vec<u64>,
+    /// Where a program that has finished may go on, if its turns are kept.
+    pub line: Option<Line>,
 }
 
 /// The load while it runs.
@@ -129,7 +131,7 @@
     }
 
     fn skipped(&self) -> Outcome {
-        Outcome { class: self.class, ended: Ended::Skipped, took_ms: 0, first_ms: Vec::new() }
+        Outcome { class: self.class, ended: Ended::Skipped, took_ms: 0, first_ms: Vec::new(), line: None }
     }
 
     /// Time to the next beginning: independent of all others.
@@ -161,7 +163,8 @@
         End::Failed { status } => without_success(status),
     };
     let first_ms = played.turns.iter().map(|turn| turn.first_ms).collect();
-    Outcome { class, ended, took_ms: played.took_ms, first_ms }
+    let line = Some(played.line).filter(|_| program.kept && played.end == End::Finished);
+    Outcome { class, ended, took_ms: played.took_ms, first_ms, line }
 }
 
 async fn once_request(class: usize, request: &RequestClass, client: &Client) -> Outcome {
@@ -177,7 +180,7 @@
         true => Ended::Late,
         false => without_success(served.status()),
     };
-    Outcome { class, ended, took_ms: served.took_ms, first_ms: vec![served.first_ms] }
+    Outcome { class, ended, took_ms: served.took_ms, first_ms: vec![served.first_ms], line: None }
 }
 
 fn without_success(status: Option<u16>) -> Ended {
--- a/crates/emulator/src/judge/mod.rs
+++ b/crates/emulator/src/judge/mod.rs
@@ -58,7 +58,7 @@
     pub versions: Vec<ConfigurationPlan>,
     pub drain_ms: u64,
     pub config_apply_ms: u64,
-    /// When machines were not in touch: rules with a bound in time do not hold then.
+    /// When machines were not in touch through unplanned trouble: rules with a bound in time do not hold then.
     pub unrest: Vec<Span>,
 }
 
@@ -86,6 +86,10 @@
         self.versions.iter().filter_map(move |version| version.route(host, target))
     }
 
+    fn calm_during(&self, from_ms: u64, to_ms: u64) -> bool {
+        !self.unrest.iter().any(|span| span.from_ms <= to_ms && from_ms <= span.to_ms)
+    }
+
     fn calm(&self, at_ms: u64) -> bool {
         !self.unrest.iter().any(|span| span.contains(at_ms))
     }
@@ -101,7 +105,7 @@
     programs::judge(&view, terms, &mut violations);
     drain::judge(&view, terms, &mut violations);
     config::judge(&view, terms, &mut violations);
-    planned::judge(&view, &mut violations);
+    planned::judge(&view, terms, &mut violations);
     denied(&view, &mut violations);
     violations
 }
--- a/crates/emulator/src/judge/planned.rs
+++ b/crates/emulator/src/judge/planned.rs
@@ -1,7 +1,7 @@
 //! LOST around planned work: a machine that was asked to leave closes on a request that it has read.
 
 use super::view::View;
-use super::{Rule, Violation};
+use super::{Rule, Terms, Violation};
 use crate::record::{Acknowledged, Try, TryOutcome};
 use std::net::SocketAddr;
 
@@ -18,7 +18,7 @@
     at_ms: u64,
 }
 
-pub(super) fn judge(view: &View, violations: &mut Vec<Violation>) {
+pub(super) fn judge(view: &View, terms: &Terms, violations: &mut Vec<Violation>) {
     let leaving: Vec<Leaving> = view
         .acknowledgements
         .iter()
@@ -29,7 +29,7 @@
         .collect();
     for attempt in &view.tries {
         let Some(leaving) = leaving.iter().find(|leaving| concerns(leaving, attempt)) else { continue };
-        if cut(view, attempt) {
+        if cut(view, attempt) && terms.calm_during(attempt.sent_ms, attempt.ended_ms) {
             let after = attempt.ended_ms.saturating_sub(leaving.at_ms);
             let detail = format!("{} {} was cut {after} ms after SIGTERM", attempt.request, attempt.target);
             violations.push(Violation { rule: Rule::Lost, detail });
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 mod gate;
 pub mod heartbeat;
 mod identity;
+pub mod ingress;
 pub mod judge;
 pub mod operator;
 pub mod plain;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -4,29 +4,57 @@
 
 use anyhow::Context;
 use bpaf::Bpaf;
-use std::path::PathBuf;
+use experiment::{Experiment, Findings};
+use std::ops::Range;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Rules were broken.
 const RULES_BROKEN: u8 = 3;
 
-/// Plays an experiment against real processes on loopback.
+/// Plays experiments against real processes on loopback.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 struct Arguments {
     /// The program of the serving tier; target/release/dunespur where it is left out
     #[bpaf(long, argument("PATH"), fallback(PathBuf::from("target/release/dunespur")))]
     program: PathBuf,
-    /// Where the measurements are written as JSON
+    /// Where every try of the last experiment is written, one a line
     #[bpaf(long, argument("PATH"))]
-    json: Option<PathBuf>,
-    /// The experiment (TOML)
-    #[bpaf(positional("EXPERIMENT"))]
-    experiment: PathBuf,
+    tries: Option<PathBuf>,
+    #[bpaf(external)]
+    command: Command,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Command {
+    /// Plays one experiment
+    #[bpaf(command)]
+    Play {
+        /// Where the measurements are written as JSON
+        #[bpaf(long, argument("PATH"))]
+        json: Option<PathBuf>,
+        /// The experiment (TOML)
+        #[bpaf(positional("EXPERIMENT"))]
+        experiment: PathBuf,
+    },
+    /// Plays experiments drawn from seeds until one breaks a rule
+    #[bpaf(command)]
+    Hunt {
+        /// The first seed
+        #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
+        first: u64,
+        /// How many seeds
+        #[bpaf(long, argument("COUNT"), fallback(10), display_fallback)]
+        count: u64,
+        /// Length of each experiment's traffic
+        #[bpaf(long, argument("SECONDS"), fallback(40.0), display_fallback)]
+        seconds: f64,
+    },
 }
 
 fn main() -> ExitCode {
-    match play(&arguments().run()) {
+    match run(&arguments().run()) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(RULES_BROKEN),
         Err(error) => {
@@ -36,16 +64,42 @@
     }
 }
 
-/// Plays the experiment; false where rules were broken.
-fn play(arguments: &Arguments) -> anyhow::Result<bool> {
+/// False where rules were broken.
+fn run(arguments: &Arguments) -> anyhow::Result<bool> {
     let program =
         arguments.program.canonicalize().with_context(|| arguments.program.display().to_string())?;
-    let experiment = experiment::Experiment::read(&arguments.experiment)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let findings = runtime.block_on(experiment::play(&program, &experiment))?;
-    print!("{}", findings.table());
-    if let Some(path) = &arguments.json {
-        std::fs::write(path, findings.json()).with_context(|| path.display().to_string())?;
+    match &arguments.command {
+        Command::Play { json, experiment } => {
+            let findings = arguments.play(&program, &Experiment::read(experiment)?)?;
+            if let Some(path) = json {
+                std::fs::write(path, findings.json()).with_context(|| path.display().to_string())?;
+            }
+            Ok(findings.violations.is_empty())
+        }
+        Command::Hunt { first, count, seconds } => arguments.hunt(&program, *first..first + count, *seconds),
+    }
+}
+
+impl Arguments {
+    fn play(&self, program: &Path, experiment: &Experiment) -> anyhow::Result<Findings> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let findings = runtime.block_on(experiment::play(program, experiment))?;
+        print!("{}", findings.table());
+        if let Some(path) = &self.tries {
+            std::fs::write(path, &findings.tries).with_context(|| path.display().to_string())?;
+        }
+        Ok(findings)
+    }
+
+    fn hunt(&self, program: &Path, seeds: Range<u64>, seconds: f64) -> anyhow::Result<bool> {
+        for seed in seeds {
+            let experiment = experiment::draw(seed, seconds);
+            println!("seed {seed}: {}", experiment.summary());
+            let findings = self.play(program, &experiment).with_context(|| format!("seed {seed}"))?;
+            if !findings.violations.is_empty() {
+                return Ok(false);
+            }
+        }
+        Ok(true)
     }
-    Ok(findings.violations.is_empty())
 }
--- a/crates/emulator/src/program.rs
+++ b/crates/emulator/src/program.rs
@@ -88,6 +88,8 @@
     /// The turns answered whole, of all lines.
     pub turns: Vec<TurnDone>,
     pub took_ms: u64,
+    /// The main line as it ended.
+    pub line: Line,
 }
 
 /// A turn answered whole.
@@ -241,7 +243,8 @@
         Ok(()) => End::Finished,
         Err(end) => end,
     };
-    Played { program: line.program, end, turns, took_ms: started.elapsed().as_millis() as u64 }
+    let took_ms = started.elapsed().as_millis() as u64;
+    Played { program: line.program.clone(), end, turns, took_ms, line }
 }
 
 async fn main_line(client: &Client, line: &mut Line, turns: &mut Vec<TurnDone>) -> Result<(), End> {
--- a/crates/emulator/src/system/mod.rs
+++ b/crates/emulator/src/system/mod.rs
@@ -139,6 +139,11 @@
         SocketAddr::new(self.machines[index].ip(), self.ports.front)
     }
 
+    /// Where the platform asks whether this gateway is ready.
+    pub fn ready_address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.machines[index].ip(), self.ports.ready)
+    }
+
     pub fn control(&self, index: usize) -> SocketAddr {
         SocketAddr::new(self.machines[index].ip(), self.ports.control)
     }
--- a/crates/emulator/tests/judge.rs
+++ b/crates/emulator/tests/judge.rs
@@ -403,4 +403,12 @@
         it.attempt.sent_ms = it.attempt.ended_ms - 100;
     };
     assert_eq!(cut(2_000, unread), []);
+    let mut in_trouble = exchange(1, "/record/x", "tools");
+    in_trouble.attempt.outcome = TryOutcome::Closed;
+    in_trouble.attempt.ended_ms = 2_000;
+    let front = in_trouble.attempt.front;
+    let record = record_of(vec![in_trouble]);
+    record.acknowledged(1_000, 1_000, Acknowledged::Terminated { front });
+    let unrest = vec![Span { from_ms: 1_500, to_ms: 1_600 }];
+    assert_eq!(judge(&record, &Terms { unrest, ..terms() }), []);
 }
--- a/crates/emulator/tests/servers.rs
+++ b/crates/emulator/tests/servers.rs
@@ -266,3 +266,16 @@
     server.gate.open();
     assert!(held.await.unwrap().succeeded());
 }
+
+#[tokio::test]
+async fn a_try_whose_client_is_dropped_is_in_the_record() {
+    let (place, server) = plain(1, PlainSettings::default()).await;
+    server.gate.hold();
+    let client = place.client.clone();
+    let left = tokio::spawn(async move { client.send(&once("/x")).await });
+    server.gate.waiting(1).await;
+    left.abort();
+    assert!(left.await.is_err());
+    assert!(matches!(place.record().tries()[0].outcome, TryOutcome::GivenUp));
+    place.expect_no_violation();
+}
