Open the turns' file again after an error; test disks that are full for a while

Cause: after an I/O error (disk full) redb takes no write and reads no page until the file is opened again, so a store whose disk had been full refused all turns until it was restarted. The core's file had that mended already. TurnDisk::open_backend takes a function that gives the backend, as it is opened again; CoreDisk has got the same.

--- a/crates/storage/src/core.rs
+++ b/crates/storage/src/core.rs
@@ -5,7 +5,10 @@
 
 use anyhow::{bail, Context, Result};
 use dunespur_chain::{Entry, Position, Saved, SavedSnapshot, Write};
-use redb::{Database, Durability, ReadableTable, Table, TableDefinition, WriteTransaction};
+use redb::{
+    Builder, Database, DatabaseError, Durability, ReadableTable, StorageBackend, Table, TableDefinition,
+    WriteTransaction,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -57,9 +60,12 @@
     parts: u32,
 }
 
+/// Opens the file once more.
+type Opener = Box<dyn Fn() -> Result<Database, DatabaseError> + Send>;
+
 /// The open file of a core member.
 pub struct CoreDisk {
-    path: PathBuf,
+    opener: Opener,
     /// None after an error, until the file could be opened again.
     database: RefCell<Option<Database>>,
     /// The newest snapshot holds the entries up to here.
@@ -73,12 +79,31 @@
         if fresh {
             create(path).with_context(|| format!("making {}", path.display()))?;
         }
-        let database = open_database(path)?;
-        let (identity, saved) =
-            read(&database, fresh).with_context(|| format!("reading {}", path.display()))?;
+        let owned = path.to_owned();
+        let opener: Opener = Box::new(move || builder().open(&owned));
+        let database = opener().with_context(|| format!("opening {}", path.display()))?;
+        Self::start(database, opener, fresh).with_context(|| format!("reading {}", path.display()))
+    }
+
+    /// Opens other storage than a file; an empty one is given an identity. `backend` gives access to it, again after
+    /// each error.
+    pub fn open_backend<B: StorageBackend>(
+        backend: impl Fn() -> B + Send + 'static,
+    ) -> Result<(CoreDisk, DiskIdentity, Saved)> {
+        let opener: Opener = Box::new(move || builder().create_with_backend(backend()));
+        let database = opener().context("opening the backend")?;
+        let fresh = database.begin_read()?.list_tables()?.next().is_none();
+        if fresh {
+            make_tables(&database)?;
+        }
+        Self::start(database, opener, fresh)
+    }
+
+    fn start(database: Database, opener: Opener, fresh: bool) -> Result<(CoreDisk, DiskIdentity, Saved)> {
+        let (identity, saved) = read(&database, fresh)?;
         let snapshot_index = saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
         let disk = CoreDisk {
-            path: path.to_owned(),
+            opener,
             database: RefCell::new(Some(database)),
             snapshot_index: Cell::new(snapshot_index),
         };
@@ -91,7 +116,7 @@
         let mut open = self.database.borrow_mut();
         let database = match open.take() {
             Some(database) => database,
-            None => open_database(&self.path)?,
+            None => (self.opener)().context("opening the core's file again")?,
         };
         self.commit(&database, writes)?;
         *open = Some(database);
@@ -149,9 +174,10 @@
     Ok(SavedSnapshot { position: head.position, bytes: bytes.into() })
 }
 
-fn open_database(path: &Path) -> Result<Database> {
-    let opened = Database::builder().set_cache_size(CACHE_BYTES).open(path);
-    opened.with_context(|| format!("opening {}", path.display()))
+fn builder() -> Builder {
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE_BYTES);
+    builder
 }
 
 /// Makes the file under another name first: what bears the right name is whole, whenever power is lost.
@@ -160,7 +186,15 @@
     if unfinished.exists() {
         fs::remove_file(&unfinished)?;
     }
-    let database = Database::builder().set_cache_size(CACHE_BYTES).create(&unfinished)?;
+    let database = builder().create(&unfinished)?;
+    make_tables(&database)?;
+    drop(database);
+    fs::rename(&unfinished, path)?;
+    sync_folder(path)
+}
+
+/// Gives a new file its tables and its identity.
+fn make_tables(database: &Database) -> Result<()> {
     let mut transaction = database.begin_write()?;
     transaction.set_durability(Durability::Immediate);
     {
@@ -171,9 +205,7 @@
         transaction.open_table(ENTRIES)?;
     }
     transaction.commit()?;
-    drop(database);
-    fs::rename(&unfinished, path)?;
-    sync_folder(path)
+    Ok(())
 }
 
 fn unfinished_path(path: &Path) -> PathBuf {
--- a/crates/storage/src/turns.rs
+++ b/crates/storage/src/turns.rs
@@ -1,7 +1,9 @@
 //! The turns of one store machine in one redb file: headers and bodies in tables of their own, so that a start
 //! reads the headers only. One synced commit for many turns; blocking, the caller has a thread for it.
 
+use std::cell::RefCell;
 use std::collections::hash_map::RandomState;
+use std::fmt;
 use std::fs::File;
 use std::hash::{BuildHasher, Hasher};
 use std::io::ErrorKind;
@@ -53,107 +55,88 @@
     retention_ms: u64,
 }
 
+/// Opens the file once more.
+type Opener = Box<dyn Fn() -> Result<Database, DatabaseError> + Send>;
+
 /// Turns on one disk.
-#[derive(Debug)]
 pub struct TurnDisk {
-    database: Database,
+    opener: Opener,
+    /// None after an error, until the file could be opened again.
+    database: RefCell<Option<Database>>,
+}
+
+impl fmt::Debug for TurnDisk {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("TurnDisk").field("database", &self.database).finish_non_exhaustive()
+    }
 }
 
 impl TurnDisk {
     /// Opens the file, or makes it. One that can't be read, as a loss of power while it was made leaves it, is
     /// made anew: that is a new life of the disk, and the store fetches from others what it should hold.
     pub fn open(path: &Path) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
+        let owned = path.to_owned();
+        let opener: Opener = Box::new(move || builder().open(&owned));
         match builder().create(path) {
-            Ok(database) => Self::start(database),
+            Ok(database) => Self::start(database, opener),
             Err(error) if is_unreadable(&error) => {
                 std::fs::remove_file(path)
                     .with_context(|| format!("remove unreadable {}", path.display()))?;
                 sync_folder_of(path)?;
                 let database = builder().create(path).with_context(|| format!("make {}", path.display()))?;
-                Self::start(database)
+                Self::start(database, opener)
             }
             Err(error) => Err(error).with_context(|| format!("open {}", path.display())),
         }
     }
 
-    /// Opens turns on other storage than a file.
-    pub fn open_backend(
-        backend: impl StorageBackend,
+    /// Opens turns on other storage than a file; `backend` gives access to it, again after each error.
+    pub fn open_backend<B: StorageBackend>(
+        backend: impl Fn() -> B + Send + 'static,
     ) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
-        let database = builder().create_with_backend(backend).context("open the backend")?;
-        Self::start(database)
+        let opener: Opener = Box::new(move || builder().create_with_backend(backend()));
+        let database = opener().context("open the backend")?;
+        Self::start(database, opener)
     }
 
-    fn start(database: Database) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
-        let disk = Self { database };
-        let identity = disk.identity()?;
-        let entries = disk.entries()?;
+    fn start(database: Database, opener: Opener) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
+        let identity = identity(&database)?;
+        let entries = entries(&database)?;
+        let disk = Self { opener, database: RefCell::new(Some(database)) };
         Ok((disk, identity, entries))
     }
 
-    /// Reads who the disk is; a new one is given its number.
-    fn identity(&self) -> anyhow::Result<DiskIdentity> {
-        if let Some(identity) = self.known_identity()? {
-            return Ok(identity);
-        }
-        let disk = random_number();
-        let write = self.begin_write()?;
-        write.open_table(HEADERS)?;
-        write.open_table(BODIES)?;
-        {
-            let mut meta = write.open_table(META)?;
-            meta.insert(META_FORMAT, FORMAT_VERSION)?;
-            meta.insert(META_DISK, disk)?;
-        }
-        write.commit()?;
-        Ok(DiskIdentity { disk, fresh: true })
-    }
-
-    fn known_identity(&self) -> anyhow::Result<Option<DiskIdentity>> {
-        let read = self.database.begin_read()?;
-        let meta = match read.open_table(META) {
-            Ok(meta) => meta,
-            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
-            Err(error) => return Err(error.into()),
+    /// Works on the file. After an error it is opened anew: the library takes no further write and reads no page
+    /// otherwise, also when the disk has room again.
+    fn with<T>(&self, work: impl FnOnce(&Database) -> anyhow::Result<T>) -> anyhow::Result<T> {
+        let mut open = self.database.borrow_mut();
+        let database = match open.take() {
+            Some(database) => database,
+            None => (self.opener)().context("open the turns again")?,
         };
-        let number =
-            |key: &str| -> anyhow::Result<Option<u64>> { Ok(meta.get(key)?.map(|value| value.value())) };
-        match number(META_FORMAT)? {
-            Some(FORMAT_VERSION) => {}
-            other => bail!("turns are stored in format {other:?}, this program reads {FORMAT_VERSION}"),
-        }
-        let disk = number(META_DISK)?.context("the file of turns names no disk")?;
-        let fresh = number(META_WHOLE)?.is_none();
-        Ok(Some(DiskIdentity { disk, fresh }))
-    }
-
-    fn entries(&self) -> anyhow::Result<Vec<IndexEntry>> {
-        let read = self.database.begin_read()?;
-        let headers = read.open_table(HEADERS)?;
-        let mut entries = Vec::new();
-        for row in headers.iter()? {
-            let (id, value) = row?;
-            entries.push(index_entry(id.value(), &decode(value.value())?));
-        }
-        Ok(entries)
+        let done = work(&database)?;
+        *open = Some(database);
+        Ok(done)
     }
 
     /// Writes turns in one synced commit.
     pub fn put(&self, turns: &[Turn]) -> anyhow::Result<()> {
-        let write = self.begin_write()?;
-        {
-            let mut headers = write.open_table(HEADERS)?;
-            let mut bodies = write.open_table(BODIES)?;
-            for turn in turns {
-                headers.insert(turn.id.as_str(), encode(turn)?.as_slice())?;
-                let mut body = bodies.insert_reserve(turn.id.as_str(), turn.size() as u32)?;
-                let (input, output) = body.as_mut().split_at_mut(turn.input.len());
-                input.copy_from_slice(&turn.input);
-                output.copy_from_slice(&turn.output);
+        self.with(|database| {
+            let write = begin_write(database)?;
+            {
+                let mut headers = write.open_table(HEADERS)?;
+                let mut bodies = write.open_table(BODIES)?;
+                for turn in turns {
+                    headers.insert(turn.id.as_str(), encode(turn)?.as_slice())?;
+                    let mut body = bodies.insert_reserve(turn.id.as_str(), turn.size() as u32)?;
+                    let (input, output) = body.as_mut().split_at_mut(turn.input.len());
+                    input.copy_from_slice(&turn.input);
+                    output.copy_from_slice(&turn.output);
+                }
             }
-        }
-        write.commit()?;
-        Ok(())
+            write.commit()?;
+            Ok(())
+        })
     }
 
     /// Reads one turn.
@@ -163,40 +146,46 @@
 
     /// Reads turns in the order of the ids; those that are not there are left out.
     pub fn get_many(&self, ids: &[impl AsRef<str>]) -> anyhow::Result<Vec<Turn>> {
-        let read = self.database.begin_read()?;
-        let headers = read.open_table(HEADERS)?;
-        let bodies = read.open_table(BODIES)?;
-        let mut turns = Vec::with_capacity(ids.len());
-        for id in ids.iter().map(AsRef::as_ref) {
-            let (Some(header), Some(body)) = (headers.get(id)?, bodies.get(id)?) else {
-                continue;
-            };
-            turns.push(turn(id, &decode(header.value())?, body.value())?);
-        }
-        Ok(turns)
+        self.with(|database| {
+            let read = database.begin_read()?;
+            let headers = read.open_table(HEADERS)?;
+            let bodies = read.open_table(BODIES)?;
+            let mut turns = Vec::with_capacity(ids.len());
+            for id in ids.iter().map(AsRef::as_ref) {
+                let (Some(header), Some(body)) = (headers.get(id)?, bodies.get(id)?) else {
+                    continue;
+                };
+                turns.push(turn(id, &decode(header.value())?, body.value())?);
+            }
+            Ok(turns)
+        })
     }
 
     /// Deletes turns in one commit.
     pub fn remove(&self, ids: &[impl AsRef<str>]) -> anyhow::Result<()> {
-        let write = self.begin_write()?;
-        {
-            let mut headers = write.open_table(HEADERS)?;
-            let mut bodies = write.open_table(BODIES)?;
-            for id in ids.iter().map(AsRef::as_ref) {
-                headers.remove(id)?;
-                bodies.remove(id)?;
+        self.with(|database| {
+            let write = begin_write(database)?;
+            {
+                let mut headers = write.open_table(HEADERS)?;
+                let mut bodies = write.open_table(BODIES)?;
+                for id in ids.iter().map(AsRef::as_ref) {
+                    headers.remove(id)?;
+                    bodies.remove(id)?;
+                }
             }
-        }
-        write.commit()?;
-        Ok(())
+            write.commit()?;
+            Ok(())
+        })
     }
 
     /// Remembers, synced, that everything that should be on this disk is there.
     pub fn mark_whole(&self) -> anyhow::Result<()> {
-        let write = self.begin_write()?;
-        write.open_table(META)?.insert(META_WHOLE, 1)?;
-        write.commit()?;
-        Ok(())
+        self.with(|database| {
+            let write = begin_write(database)?;
+            write.open_table(META)?.insert(META_WHOLE, 1)?;
+            write.commit()?;
+            Ok(())
+        })
     }
 
     /// Does a piece of work of the store's state machine.
@@ -209,13 +198,59 @@
         }
         Ok(DiskOutcome::Done)
     }
+}
+
+/// Reads who the disk is; a new one is given its number.
+fn identity(database: &Database) -> anyhow::Result<DiskIdentity> {
+    if let Some(identity) = known_identity(database)? {
+        return Ok(identity);
+    }
+    let disk = random_number();
+    let write = begin_write(database)?;
+    write.open_table(HEADERS)?;
+    write.open_table(BODIES)?;
+    {
+        let mut meta = write.open_table(META)?;
+        meta.insert(META_FORMAT, FORMAT_VERSION)?;
+        meta.insert(META_DISK, disk)?;
+    }
+    write.commit()?;
+    Ok(DiskIdentity { disk, fresh: true })
+}
 
-    /// A write whose commit returns once it is synced.
-    fn begin_write(&self) -> anyhow::Result<WriteTransaction> {
-        let mut write = self.database.begin_write()?;
-        write.set_durability(Durability::Immediate);
-        Ok(write)
+fn known_identity(database: &Database) -> anyhow::Result<Option<DiskIdentity>> {
+    let read = database.begin_read()?;
+    let meta = match read.open_table(META) {
+        Ok(meta) => meta,
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+        Err(error) => return Err(error.into()),
+    };
+    let number = |key: &str| -> anyhow::Result<Option<u64>> { Ok(meta.get(key)?.map(|value| value.value())) };
+    match number(META_FORMAT)? {
+        Some(FORMAT_VERSION) => {}
+        other => bail!("turns are stored in format {other:?}, this program reads {FORMAT_VERSION}"),
     }
+    let disk = number(META_DISK)?.context("the file of turns names no disk")?;
+    let fresh = number(META_WHOLE)?.is_none();
+    Ok(Some(DiskIdentity { disk, fresh }))
+}
+
+fn entries(database: &Database) -> anyhow::Result<Vec<IndexEntry>> {
+    let read = database.begin_read()?;
+    let headers = read.open_table(HEADERS)?;
+    let mut entries = Vec::new();
+    for row in headers.iter()? {
+        let (id, value) = row?;
+        entries.push(index_entry(id.value(), &decode(value.value())?));
+    }
+    Ok(entries)
+}
+
+/// A write whose commit returns once it is synced.
+fn begin_write(database: &Database) -> anyhow::Result<WriteTransaction> {
+    let mut write = database.begin_write()?;
+    write.set_durability(Durability::Immediate);
+    Ok(write)
 }
 
 fn builder() -> Builder {
--- /dev/null
+++ b/crates/storage/tests/full/core.rs
@@ -0,0 +1,75 @@
+//! A core member's disk that was full takes writes again, and holds of each write all or nothing.
+
+use crate::support::Storage;
+use dunespur_chain::{Entry, Origin, Payload, Position, Saved, Write};
+use dunespur_storage::core::CoreDisk;
+
+const ENTRY_BYTES: usize = 20_000;
+
+fn open(storage: &Storage) -> (CoreDisk, Saved) {
+    let storage = storage.clone();
+    let (disk, _, saved) = CoreDisk::open_backend(move || storage.clone()).expect("the storage opens");
+    (disk, saved)
+}
+
+fn entry(index: u64) -> Write {
+    let position = Position { index, view: 1 };
+    let origin = Origin { session: 5, ticket: index };
+    Write::Entry { entry: Entry { position, origin, payload: Payload::from(vec![index as u8; ENTRY_BYTES]) } }
+}
+
+fn indexes(saved: &Saved) -> Vec<u64> {
+    saved.entries.iter().map(Entry::index).collect()
+}
+
+#[test]
+fn a_disk_that_was_full_takes_the_same_write_again() {
+    for takes in 0..60 {
+        let storage = Storage::default();
+        let (disk, _) = open(&storage);
+        disk.write(&[entry(1)]).expect("there is room");
+        storage.full_after(takes);
+        let mut tries = 0;
+        while disk.write(&[entry(2), entry(3)]).is_err() {
+            tries += 1;
+            if tries == 5 {
+                storage.has_room();
+            }
+            assert!(tries < 6, "refused with room again, after {takes} writes");
+        }
+        storage.has_room();
+        disk.write(&[entry(4)]).expect("it goes on");
+        drop(disk);
+        assert_eq!(indexes(&open(&storage).1), [1, 2, 3, 4]);
+    }
+}
+
+#[test]
+fn a_process_that_ends_while_the_disk_is_full_finds_all_or_nothing() {
+    for takes in 0..60 {
+        let storage = Storage::default();
+        let (disk, _) = open(&storage);
+        disk.write(&[entry(1)]).expect("there is room");
+        storage.full_after(takes);
+        let taken = disk.write(&[entry(2), entry(3)]).is_ok();
+        drop(disk);
+        storage.has_room();
+        let found = indexes(&open(&storage).1);
+        assert!(found == [1, 2, 3] || (!taken && found == [1]), "{found:?} after {takes} writes");
+    }
+}
+
+#[test]
+fn an_identity_outlives_a_full_disk() {
+    let storage = Storage::default();
+    let named = storage.clone();
+    let (disk, first, _) = CoreDisk::open_backend(move || named.clone()).expect("the storage opens");
+    assert!(first.fresh);
+    storage.full_after(0);
+    disk.write(&[entry(1)]).expect_err("there is no room");
+    drop(disk);
+    storage.has_room();
+    let named = storage.clone();
+    let (_, second, _) = CoreDisk::open_backend(move || named.clone()).expect("the storage opens");
+    assert_eq!((second.disk, second.fresh), (first.disk, false));
+}
--- /dev/null
+++ b/crates/storage/tests/full/main.rs
@@ -0,0 +1,5 @@
+//! Disks that are full for a while.
+
+mod core;
+mod support;
+mod turns;
--- /dev/null
+++ b/crates/storage/tests/full/support.rs
@@ -0,0 +1,89 @@
+//! A disk in memory that is full for a while.
+
+use redb::StorageBackend;
+use std::io::{Error, ErrorKind, Result};
+use std::sync::{Arc, Mutex};
+
+/// The storage behind the backends that a test gives away: each opening of the same file gets one.
+#[derive(Clone, Debug, Default)]
+pub struct Storage(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    bytes: Vec<u8>,
+    /// Writes that it takes before it is full.
+    takes: u64,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State { bytes: Vec::new(), takes: u64::MAX }
+    }
+}
+
+impl Storage {
+    /// From now on it takes so many writes more.
+    pub fn full_after(&self, takes: u64) {
+        self.state().takes = takes;
+    }
+
+    /// It has room again.
+    pub fn has_room(&self) {
+        self.full_after(u64::MAX);
+    }
+
+    /// Length of the file.
+    pub fn length(&self) -> usize {
+        self.state().bytes.len()
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0.lock().expect("no test panics within")
+    }
+}
+
+impl State {
+    fn take_one(&mut self) -> Result<()> {
+        match self.takes.checked_sub(1) {
+            Some(left) => {
+                self.takes = left;
+                Ok(())
+            }
+            None => Err(Error::from(ErrorKind::StorageFull)),
+        }
+    }
+}
+
+impl StorageBackend for Storage {
+    fn len(&self) -> Result<u64> {
+        Ok(self.state().bytes.len() as u64)
+    }
+
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>> {
+        let offset = offset as usize;
+        let state = self.state();
+        let bytes = state.bytes.get(offset..offset + len).ok_or(Error::from(ErrorKind::UnexpectedEof))?;
+        Ok(bytes.to_vec())
+    }
+
+    fn set_len(&self, len: u64) -> Result<()> {
+        let mut state = self.state();
+        if len as usize > state.bytes.len() {
+            state.take_one()?;
+        }
+        state.bytes.resize(len as usize, 0);
+        Ok(())
+    }
+
+    fn sync_data(&self, _eventual: bool) -> Result<()> {
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<()> {
+        let offset = offset as usize;
+        let mut state = self.state();
+        state.take_one()?;
+        state.bytes[offset..offset + data.len()].copy_from_slice(data);
+        Ok(())
+    }
+}
