Homes of services: gateways hold leases, know each other and tell each other their loads

House style wants a home limiter for each service in each zone; so far every gateway knew of its own sends only. Gateways now report themselves to the core (Operation::Node), renew with each watch, and lapse like stores, each kind judged by itself; Change::Gateway and GatewayGone tell who is there in place of a bare count, which nobody used (its test is replaced by one that checks name, zone, address and life). crates/distribution finds homes by rendezvous hashing, gathers subscribers' loads and exchanges zones' sums; it is asked at most every 250 ms, and not at all while nothing is in flight.

Ruled out: pushing every gateway's statement to every other one (grows with their square; a home's sums don't).

--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -28,13 +28,28 @@
         /// Its name.
         name: String,
     },
-    /// Another number of gateways is there.
-    Gateways {
-        /// How many.
-        count: u32,
+    /// A gateway is there, or something about it has changed.
+    Gateway(GatewayEntry),
+    /// A gateway is no longer there.
+    GatewayGone {
+        /// Its name.
+        name: String,
     },
 }
 
+/// A gateway that is there, as the core knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayEntry {
+    /// The machine's name.
+    pub name: String,
+    /// Where it stands.
+    pub zone: String,
+    /// Where other processes of the system reach it.
+    pub address: SocketAddr,
+    /// The life of its process.
+    pub incarnation: u64,
+}
+
 /// A store as the core knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreEntry {
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -1,9 +1,9 @@
-//! The gateways: only how many there are is needed, by the counters of budgets.
+//! The gateways: which are there, for one another, and how many, for the counters of budgets.
 //!
 //! Each life of a gateway's process has a higher incarnation than the one before, which orders what is said
 //! of it.
 
-use crate::{Change, NodeReport};
+use crate::{Change, GatewayEntry, NodeReport};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -23,6 +23,18 @@
     present: bool,
 }
 
+impl Gateway {
+    /// What others see of it: nothing while it is not there.
+    fn entry(&self) -> Option<GatewayEntry> {
+        self.present.then(|| GatewayEntry {
+            name: self.report.name.clone(),
+            zone: self.report.zone.clone(),
+            address: self.report.address,
+            incarnation: self.report.incarnation,
+        })
+    }
+}
+
 impl Gateways {
     /// The gateways that are there, by name.
     pub(crate) fn all(&self) -> impl Iterator<Item = &NodeReport> {
@@ -52,18 +64,21 @@
     }
 
     /// What a subscriber has to know.
-    pub(crate) fn image(&self) -> Change {
-        Change::Gateways { count: self.count() }
+    pub(crate) fn image(&self) -> impl Iterator<Item = Change> + '_ {
+        self.gateways.values().filter_map(Gateway::entry).map(Change::Gateway)
     }
 
     /// The one change of a gateway's state.
     fn set(&mut self, gateway: Gateway, changes: &mut Vec<Change>) {
-        let before = self.count();
-        self.gateways.insert(gateway.report.name.clone(), gateway);
-        self.bound();
-        if self.count() != before {
-            changes.push(self.image());
+        let name = gateway.report.name.clone();
+        let after = gateway.entry();
+        let before = self.gateways.insert(name.clone(), gateway).and_then(|known| known.entry());
+        match (before, after) {
+            (before, Some(after)) if before.as_ref() != Some(&after) => changes.push(Change::Gateway(after)),
+            (Some(_), None) => changes.push(Change::GatewayGone { name }),
+            _ => {}
         }
+        self.bound();
     }
 
     fn bound(&mut self) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,7 @@
 mod state;
 mod stores;
 
-pub use change::{Change, StoreEntry};
+pub use change::{Change, GatewayEntry, StoreEntry};
 pub use operation::{NodeKind, NodeReport, Operation, Order, OrderKind, ServerReport, ServerState};
 pub use outcome::{Outcome, RetireOutcome, RetireState};
 pub use snapshot::SnapshotError;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -54,7 +54,7 @@
     pub fn image(&self) -> Vec<Change> {
         let mut changes = Vec::new();
         changes.extend(self.configuration.image());
-        changes.push(self.gateways.image());
+        changes.extend(self.gateways.image());
         changes.extend(self.stores.image());
         changes.extend(self.servers.image());
         changes
--- a/crates/control/tests/nodes.rs
+++ b/crates/control/tests/nodes.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{address, gateway, store, Trial};
-use dunespur_control::{Change, NodeReport, Operation, Outcome, RetireOutcome, RetireState, StoreEntry};
+use dunespur_control::{
+    Change, GatewayEntry, NodeReport, Operation, Outcome, RetireOutcome, RetireState, StoreEntry,
+};
 
 fn gone(name: &str, incarnation: u64) -> Operation {
     Operation::NodeGone { name: name.to_owned(), incarnation }
@@ -33,19 +35,47 @@
     trial
 }
 
+fn present(name: &str, incarnation: u64) -> Change {
+    Change::Gateway(GatewayEntry {
+        name: name.to_owned(),
+        zone: "north".to_owned(),
+        address: address(7_000),
+        incarnation,
+    })
+}
+
+fn absent(name: &str) -> Change {
+    Change::GatewayGone { name: name.to_owned() }
+}
+
 #[test]
-fn gateways_are_counted() {
+fn gateways_that_come_and_go_are_told_by_name_and_life() {
     let mut trial = Trial::default();
-    assert_eq!(trial.node(gateway("a", 1)), [Change::Gateways { count: 1 }]);
-    assert_eq!(trial.node(gateway("b", 1)), [Change::Gateways { count: 2 }]);
-    assert_eq!(trial.node(gateway("a", 2)), [], "another life of the same one");
+    assert_eq!(trial.node(gateway("a", 1)), [present("a", 1)]);
+    assert_eq!(trial.node(gateway("a", 1)), [], "nothing new");
+    assert_eq!(trial.node(gateway("b", 1)), [present("b", 1)]);
+    assert_eq!(trial.state.gateways().count(), 2);
+    assert_eq!(trial.node(gateway("a", 2)), [present("a", 2)], "another life of the same one");
+    assert_eq!(trial.state.gateways().count(), 2);
     assert_eq!(trial.changes(&gone("a", 1)), [], "that life was over before");
-    assert_eq!(trial.changes(&gone("a", 2)), [Change::Gateways { count: 1 }]);
+    assert_eq!(trial.changes(&gone("a", 2)), [absent("a")]);
+    assert_eq!(trial.state.gateways().count(), 1);
     assert_eq!(trial.changes(&gone("a", 2)), []);
     assert_eq!(trial.node(gateway("a", 1)), [], "a late report of an older life");
-    assert_eq!(trial.node(gateway("a", 2)), [Change::Gateways { count: 2 }], "it was only silent");
+    assert_eq!(trial.node(gateway("a", 2)), [present("a", 2)], "it was only silent");
     let names: Vec<&str> = trial.state.gateways().map(|gateway| gateway.name.as_str()).collect();
     assert_eq!(names, ["a", "b"]);
+    assert_eq!(trial.state.image(), [present("a", 2), present("b", 1)]);
+}
+
+#[test]
+fn a_gateway_at_another_address_is_told_anew() {
+    let mut trial = Trial::default();
+    trial.node(gateway("a", 1));
+    let moved = NodeReport { address: address(7_001), ..gateway("a", 2) };
+    let Change::Gateway(before) = present("a", 2) else { panic!("a gateway") };
+    let expected = Change::Gateway(GatewayEntry { address: address(7_001), ..before });
+    assert_eq!(trial.node(moved), [expected]);
 }
 
 #[test]
--- a/crates/control/tests/replicas.rs
+++ b/crates/control/tests/replicas.rs
@@ -121,7 +121,7 @@
     configuration: Option<String>,
     servers: BTreeMap<String, Change>,
     stores: BTreeMap<String, Change>,
-    gateways: u32,
+    gateways: BTreeMap<String, Change>,
 }
 
 impl Subscriber {
@@ -144,7 +144,13 @@
                 Change::StoreGone { name } => {
                     assert!(self.stores.remove(name).is_some(), "{name} was told of before");
                 }
-                Change::Gateways { count } => self.gateways = *count,
+                Change::Gateway(entry) => {
+                    let before = self.gateways.insert(entry.name.clone(), change.clone());
+                    assert_ne!(before.as_ref(), Some(change), "a change changes something");
+                }
+                Change::GatewayGone { name } => {
+                    assert!(self.gateways.remove(name).is_some(), "{name} was told of before");
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/distribution/tests/common/mod.rs
@@ -0,0 +1,307 @@
+//! A world of gateways for the tests: carries their calls, loses, doubles and delays some, and knows the truth.
+#![allow(dead_code)]
+
+use dunespur_distribution::{
+    Answer, Call, Distribution, Gateway, Identity, Millis, ServerLoad, ASK_TIMEOUT_MS,
+};
+use fastrand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// How long a message takes.
+const WAY_MS: u64 = 2;
+
+/// A load without trouble.
+pub fn load(server: &str, in_flight: u32) -> ServerLoad {
+    let waiting_tokens = u64::from(in_flight) * 100;
+    ServerLoad { server: server.into(), in_flight, waiting_tokens, in_trouble: 0 }
+}
+
+/// A gateway `name` in `zone`, whose address ends in `number`.
+pub fn gateway(name: &str, zone: &str, number: u8, life: u64) -> Gateway {
+    let address = SocketAddr::from(([10, 0, 0, number], 7_000));
+    Gateway { name: name.into(), zone: zone.into(), address, life }
+}
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    Ask { from: Rc<str>, call: Call },
+    Answer { to: Rc<str>, to_life: u64, number: u64, answer: Answer },
+    Failed { to: Rc<str>, to_life: u64, number: u64 },
+}
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    /// Of a hundred messages so many are lost.
+    pub lost: u32,
+    /// Of a hundred so many come twice.
+    pub doubled: u32,
+    /// Of a hundred so many are late by up to two seconds.
+    pub late: u32,
+}
+
+/// One gateway.
+pub struct Node {
+    pub identity: Identity,
+    pub distribution: Distribution,
+    pub address: SocketAddr,
+    /// What it has in flight.
+    pub own: BTreeMap<Rc<str>, Vec<ServerLoad>>,
+    /// What it was last told of the others.
+    pub others: BTreeMap<Rc<str>, Vec<ServerLoad>>,
+    /// Calls that it made.
+    pub calls: u64,
+    /// Asks that it answered.
+    pub answers: u64,
+    /// It neither acts nor answers.
+    pub down: bool,
+}
+
+/// All of them.
+pub struct World {
+    pub now: Millis,
+    pub weather: Weather,
+    pub nodes: BTreeMap<Rc<str>, Node>,
+    /// Pairs of gateways between which nothing passes.
+    pub cut: BTreeSet<(Rc<str>, Rc<str>)>,
+    random: Rng,
+    messages: BTreeMap<(Millis, u64), Message>,
+    last_message: u64,
+    next_life: u64,
+}
+
+impl World {
+    /// Gateways named by their zone and number, as many in each zone.
+    pub fn new(seed: u64, zones: &[&str], in_each: usize) -> World {
+        let mut world = World {
+            now: 1_000,
+            weather: Weather::default(),
+            nodes: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            random: Rng::with_seed(seed),
+            messages: BTreeMap::new(),
+            last_message: 0,
+            next_life: 1,
+        };
+        for zone in zones {
+            for number in 1..=in_each {
+                world.start(&format!("{zone}-{number}"), zone);
+            }
+        }
+        world.tell_all();
+        world
+    }
+
+    /// Starts a gateway's process, anew if there was one; the others are not told.
+    pub fn start(&mut self, name: &str, zone: &str) {
+        self.next_life += 1;
+        let number = self.nodes.get(name).map_or(self.nodes.len() as u8 + 1, |node| last_byte(node.address));
+        let identity = Identity { name: name.into(), zone: zone.into(), life: self.next_life };
+        let node = Node {
+            distribution: Distribution::new(identity.clone()),
+            identity,
+            address: SocketAddr::from(([10, 0, 0, number], 7_000)),
+            own: BTreeMap::new(),
+            others: BTreeMap::new(),
+            calls: 0,
+            answers: 0,
+            down: false,
+        };
+        self.nodes.insert(name.into(), node);
+    }
+
+    /// The list of gateways that are up.
+    pub fn list(&self) -> Vec<Gateway> {
+        let up = self.nodes.values().filter(|node| !node.down);
+        up.map(|node| {
+            let identity = &node.identity;
+            gateway(&identity.name, &identity.zone, last_byte(node.address), identity.life)
+        })
+        .collect()
+    }
+
+    /// Everybody learns who is up.
+    pub fn tell_all(&mut self) {
+        let list = self.list();
+        for node in self.nodes.values_mut() {
+            node.distribution.set_gateways(list.clone());
+        }
+    }
+
+    pub fn node(&self, name: &str) -> &Node {
+        &self.nodes[name]
+    }
+
+    /// The gateway has this in flight now.
+    pub fn set(&mut self, name: &str, service: &str, loads: &[ServerLoad]) {
+        let now = self.now;
+        let node = self.nodes.get_mut(name).expect("a known gateway");
+        node.own.insert(service.into(), loads.to_vec());
+        node.distribution.set_own(&service.into(), loads, now);
+    }
+
+    /// Nothing passes between the two from now on, or everything again.
+    pub fn set_cut(&mut self, one: &str, other: &str, cut: bool) {
+        for pair in [(one, other), (other, one)] {
+            let pair = (pair.0.into(), pair.1.into());
+            match cut {
+                true => self.cut.insert(pair),
+                false => self.cut.remove(&pair),
+            };
+        }
+    }
+
+    /// The home of a service in a zone, as the gateway `by` sees it.
+    pub fn home(&self, by: &str, service: &str, zone: &str) -> Rc<str> {
+        let home = self.node(by).distribution.roster().home(service, zone);
+        home.expect("a home").name.clone()
+    }
+
+    /// What the others have, in truth, by server.
+    pub fn truth(&self, name: &str, service: &str) -> BTreeMap<Rc<str>, u32> {
+        let mut truth = BTreeMap::new();
+        let others = self.nodes.values().filter(|node| *node.identity.name != *name && !node.down);
+        for load in others.filter_map(|node| node.own.get(service)).flatten() {
+            *truth.entry(load.server.clone()).or_default() += load.in_flight;
+        }
+        truth
+    }
+
+    /// What it was told that the others have, by server.
+    pub fn belief(&self, name: &str, service: &str) -> BTreeMap<Rc<str>, u32> {
+        let told = self.node(name).others.get(service).into_iter().flatten();
+        told.map(|load| (load.server.clone(), load.in_flight)).collect()
+    }
+
+    /// Calls made by all.
+    pub fn calls(&self) -> u64 {
+        self.nodes.values().map(|node| node.calls).sum()
+    }
+
+    /// Lets so much time pass, a millisecond a step.
+    pub fn pass(&mut self, time: Millis) {
+        for _ in 0..time {
+            self.now += 1;
+            self.deliver();
+            self.act();
+        }
+    }
+
+    fn act(&mut self) {
+        let names: Vec<Rc<str>> = self.nodes.keys().cloned().collect();
+        for name in names {
+            while let Some(call) = self.next_call(&name) {
+                let failed = Message::Failed {
+                    to: name.clone(),
+                    to_life: self.node(&name).identity.life,
+                    number: call.number,
+                };
+                self.send_at(self.now + ASK_TIMEOUT_MS, failed);
+                self.send(&name.clone(), call.address, Message::Ask { from: name.clone(), call });
+            }
+        }
+    }
+
+    fn next_call(&mut self, name: &Rc<str>) -> Option<Call> {
+        let now = self.now;
+        let node = self.nodes.get_mut(name).filter(|node| !node.down)?;
+        let due = node.distribution.next_due().is_some_and(|at| at <= now);
+        let call = if due { node.distribution.poll(now) } else { None };
+        node.take_news();
+        node.calls += u64::from(call.is_some());
+        call
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let message = entry.remove();
+            self.arrive(message);
+        }
+    }
+
+    fn arrive(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Ask { from, call } => self.arrive_ask(&from, &call),
+            Message::Answer { to, to_life, number, answer } => {
+                if let Some(node) = self.alive(&to, to_life) {
+                    node.distribution.answered(number, &answer, now);
+                    node.take_news();
+                }
+            }
+            Message::Failed { to, to_life, number } => {
+                if self.nodes[&to].down {
+                    // A frozen process finds its timers over when it thaws.
+                    return self.send_at(now + 1, Message::Failed { to, to_life, number });
+                }
+                if let Some(node) = self.alive(&to, to_life) {
+                    node.distribution.failed(number, now);
+                }
+            }
+        }
+    }
+
+    fn arrive_ask(&mut self, from: &Rc<str>, call: &Call) {
+        let now = self.now;
+        let to = self.nodes.values_mut().find(|node| node.address == call.address && !node.down);
+        let Some(node) = to else { return };
+        node.answers += 1;
+        let answer = node.distribution.asked(&call.ask, now);
+        let address = self.nodes[from].address;
+        let by = self.name_at(call.address);
+        let to_life = call.ask.life;
+        let answer = Message::Answer { to: from.clone(), to_life, number: call.number, answer };
+        self.send(&by, address, answer);
+    }
+
+    fn alive(&mut self, name: &Rc<str>, life: u64) -> Option<&mut Node> {
+        self.nodes.get_mut(name).filter(|node| !node.down && node.identity.life == life)
+    }
+
+    fn name_at(&self, address: SocketAddr) -> Rc<str> {
+        let node = self.nodes.values().find(|node| node.address == address);
+        node.expect("a gateway at this address").identity.name.clone()
+    }
+
+    fn send(&mut self, from: &Rc<str>, to: SocketAddr, message: Message) {
+        let pair = (from.clone(), self.name_at(to));
+        if self.cut.contains(&pair) || self.happens(self.weather.lost) {
+            return;
+        }
+        let copies = if self.happens(self.weather.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = if self.happens(self.weather.late) { self.random.u64(0..2_000) } else { 0 };
+            self.send_at(self.now + WAY_MS + late, message.clone());
+        }
+    }
+
+    fn send_at(&mut self, at: Millis, message: Message) {
+        self.last_message += 1;
+        self.messages.insert((at, self.last_message), message);
+    }
+
+    fn happens(&mut self, of_a_hundred: u32) -> bool {
+        of_a_hundred > 0 && self.random.u32(0..100) < of_a_hundred
+    }
+}
+
+impl Node {
+    fn take_news(&mut self) {
+        for news in self.distribution.take_news() {
+            self.others.insert(news.service, news.others);
+        }
+    }
+}
+
+fn last_byte(address: SocketAddr) -> u8 {
+    match address {
+        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/exchange.rs
@@ -0,0 +1,149 @@
+//! What gateways learn of each other through homes, and what it costs.
+
+mod common;
+
+use common::{load, World};
+use dunespur_distribution::{Answer, Ask, Known, Speaker, Statement};
+
+const SERVICE: &str = "pool";
+/// A load that stays is renewed within this time, the way included.
+const RENEWED_MS: u64 = 1_010;
+const ZONES: [&str; 3] = ["east", "north", "west"];
+
+#[test]
+fn the_gateways_of_a_zone_learn_each_others_loads() {
+    let mut world = World::new(1, &["north"], 3);
+    world.set("north-1", SERVICE, &[load("s1", 2), load("s2", 1)]);
+    world.set("north-2", SERVICE, &[load("s1", 5)]);
+    world.set("north-3", SERVICE, &[load("s3", 1)]);
+    world.pass(RENEWED_MS);
+    for name in ["north-1", "north-2", "north-3"] {
+        assert_eq!(world.belief(name, SERVICE), world.truth(name, SERVICE), "{name}");
+    }
+}
+
+#[test]
+fn a_load_that_changes_is_told_within_two_periods_and_the_way() {
+    let mut world = World::new(2, &["north"], 2);
+    world.set("north-1", SERVICE, &[load("s1", 2)]);
+    world.set("north-2", SERVICE, &[load("s1", 5)]);
+    world.pass(1_000);
+    world.set("north-1", SERVICE, &[load("s2", 3)]);
+    world.set("north-2", SERVICE, &[load("s1", 4)]);
+    world.pass(260);
+    world.set("north-2", SERVICE, &[load("s1", 3)]);
+    world.pass(260);
+    assert_eq!(world.belief("north-2", SERVICE), world.truth("north-2", SERVICE));
+}
+
+#[test]
+fn homes_tell_each_other_their_zones_sums() {
+    let mut world = World::new(3, &ZONES, 3);
+    for (place, name) in world.nodes.keys().cloned().collect::<Vec<_>>().iter().enumerate() {
+        world.set(name, SERVICE, &[load("s1", place as u32 + 1), load(&format!("t{place}"), 1)]);
+    }
+    world.pass(4_000);
+    for name in world.nodes.keys() {
+        assert_eq!(world.belief(name, SERVICE), world.truth(name, SERVICE), "{name}");
+    }
+}
+
+#[test]
+fn nothing_is_sent_while_nothing_is_in_flight() {
+    let mut world = World::new(4, &ZONES, 3);
+    world.pass(2_000);
+    assert_eq!(world.calls(), 0);
+    world.set("north-1", SERVICE, &[load("s1", 2)]);
+    world.pass(1_000);
+    world.set("north-1", SERVICE, &[]);
+    world.pass(2_000);
+    let ended = world.calls();
+    world.pass(20_000);
+    assert_eq!(world.calls(), ended);
+    for node in world.nodes.values() {
+        assert_eq!(node.distribution.next_due(), None, "no timer is left");
+    }
+}
+
+#[test]
+fn a_subscriber_asks_four_times_a_second_at_most_however_often_its_load_changes() {
+    let mut world = World::new(5, &["north"], 2);
+    let home = world.home("north-1", SERVICE, "north");
+    let subscriber = if &*home == "north-1" { "north-2" } else { "north-1" };
+    for step in 0..1_000 {
+        world.set(subscriber, SERVICE, &[load("s1", step % 7 + 1)]);
+        world.pass(10);
+    }
+    let calls = world.node(subscriber).calls;
+    assert!((36..=41).contains(&calls), "{calls} in ten seconds");
+}
+
+#[test]
+fn a_load_that_stays_is_renewed_once_a_second_without_its_statement() {
+    let mut world = World::new(6, &["north"], 2);
+    let home = world.home("north-1", SERVICE, "north");
+    let subscriber = if &*home == "north-1" { "north-2" } else { "north-1" };
+    world.set(subscriber, SERVICE, &[load("s1", 1)]);
+    world.pass(10_000);
+    let calls = world.node(subscriber).calls;
+    assert!((10..=11).contains(&calls), "{calls} in ten seconds");
+    world.set(&home.clone(), SERVICE, &[load("s1", 1)]);
+    world.pass(300);
+    assert_eq!(world.belief(&home, SERVICE), world.truth(&home, SERVICE), "it still counts");
+}
+
+#[test]
+fn two_homes_ask_each_other_once_in_a_period_not_twice() {
+    let mut world = World::new(7, &["north", "west"], 1);
+    for step in 0..1_000 {
+        world.set("north-1", SERVICE, &[load("s1", step % 7 + 1)]);
+        world.set("west-1", SERVICE, &[load("s1", step % 5 + 1)]);
+        world.pass(10);
+    }
+    assert!(world.calls() <= 22, "{} in ten seconds", world.calls());
+    world.pass(1_200);
+    for name in ["north-1", "west-1"] {
+        assert_eq!(world.belief(name, SERVICE), world.truth(name, SERVICE), "{name}");
+    }
+}
+
+#[test]
+fn services_do_not_mix() {
+    let mut world = World::new(8, &["north"], 2);
+    for name in ["north-1", "north-2"] {
+        world.set(name, "one", &[load("s1", 1)]);
+        world.set(name, "other", &[load("s2", 2)]);
+    }
+    world.pass(600);
+    assert_eq!(world.belief("north-1", "one"), [("s1".into(), 1)].into());
+    assert_eq!(world.belief("north-1", "other"), [("s2".into(), 2)].into());
+}
+
+#[test]
+fn trouble_is_counted_by_gateways() {
+    let mut world = World::new(9, &["north"], 3);
+    for name in ["north-1", "north-2", "north-3"] {
+        let in_trouble = u32::from(name != "north-1");
+        world.set(name, SERVICE, &[dunespur_distribution::ServerLoad { in_trouble, ..load("s1", 1) }]);
+    }
+    world.pass(RENEWED_MS);
+    assert_eq!(world.node("north-1").others[SERVICE][0].in_trouble, 2);
+    assert_eq!(world.node("north-2").others[SERVICE][0].in_trouble, 1);
+}
+
+#[test]
+fn an_ask_and_its_answer_are_some_hundred_bytes() {
+    let loads: Vec<_> = (0..5).map(|number| load(&format!("i-7f3a91c{number}"), 3)).collect();
+    let ask = Ask {
+        service: "huvo11a".into(),
+        speaker: Speaker::Subscriber { gateway: "front-queretaro-a-1".into() },
+        life: 1_764_659_000_000,
+        version: 5_000,
+        statement: Some(Statement { version: 5_000, loads: loads.clone() }),
+        known: Known { life: 1_764_659_000_000, version: 5_000 },
+    };
+    let answer =
+        Answer { life: 1_764_659_000_000, version: 5_001, whole: false, loads, wants_statement: false };
+    let sizes = [postcard::to_stdvec(&ask).unwrap().len(), postcard::to_stdvec(&answer).unwrap().len()];
+    assert!(sizes[0] <= 140 && sizes[1] <= 90, "{sizes:?}");
+}
--- /dev/null
+++ b/crates/distribution/tests/faults.rs
@@ -0,0 +1,138 @@
+//! Seeded worlds of gateways under lost, doubled and late messages, restarts, freezes and cuts: once it is calm,
+//! everybody knows what the others have.
+
+mod common;
+
+use common::{load, Weather, World};
+use dunespur_distribution::ServerLoad;
+use fastrand::Rng;
+use std::rc::Rc;
+
+const SEEDS: u64 = 60;
+const SERVICES: [&str; 2] = ["pool", "apps"];
+/// Statements go stale, silences are forgiven and sums travel within this time.
+const CALM_MS: u64 = 14_000;
+/// What a fault lasts at most.
+const FAULT_MS: u64 = 3_000;
+
+fn some_loads(random: &mut Rng) -> Vec<ServerLoad> {
+    let busy: Vec<u32> = (0..6).filter(|_| random.bool()).collect();
+    busy.into_iter().map(|server| load(&format!("s{server}"), random.u32(1..9))).collect()
+}
+
+fn one_fault(world: &mut World, random: &mut Rng) {
+    let names: Vec<Rc<str>> = world.nodes.keys().cloned().collect();
+    let name = names[random.usize(..names.len())].clone();
+    match random.u32(0..6) {
+        0 => {
+            let zone = world.node(&name).identity.zone.clone();
+            world.start(&name, &zone);
+            if random.bool() {
+                world.tell_all();
+            }
+        }
+        1 => world.nodes.get_mut(&name).unwrap().down = true,
+        2 => world.nodes.get_mut(&name).unwrap().down = false,
+        3 => world.tell_all(),
+        4 => {
+            let other = names[random.usize(..names.len())].clone();
+            if other != name {
+                let cut = random.bool();
+                world.set_cut(&name, &other, cut);
+            }
+        }
+        _ => {
+            let list: Vec<_> = world.list().into_iter().filter(|_| random.u32(0..5) > 0).collect();
+            world.nodes.get_mut(&name).unwrap().distribution.set_gateways(list);
+        }
+    }
+}
+
+fn change_loads(world: &mut World, random: &mut Rng) {
+    let names: Vec<Rc<str>> = world.nodes.keys().cloned().collect();
+    for name in names {
+        for service in SERVICES {
+            if random.u32(0..3) == 0 && !world.node(&name).down {
+                let loads = some_loads(random);
+                world.set(&name, service, &loads);
+            }
+        }
+    }
+}
+
+fn troubled_world(seed: u64) -> World {
+    let mut random = Rng::with_seed(seed);
+    let mut world = World::new(seed, &["east", "north", "west"], random.usize(1..4));
+    world.weather = Weather { lost: random.u32(0..30), doubled: random.u32(0..20), late: random.u32(0..20) };
+    for _ in 0..12 {
+        one_fault(&mut world, &mut random);
+        change_loads(&mut world, &mut random);
+        world.pass(random.u64(1..FAULT_MS) / 4);
+    }
+    world
+}
+
+fn calm_down(world: &mut World) {
+    world.weather = Weather::default();
+    world.cut.clear();
+    for node in world.nodes.values_mut() {
+        node.down = false;
+    }
+    world.tell_all();
+}
+
+#[test]
+fn once_it_is_calm_all_know_what_the_others_have() {
+    for seed in 0..SEEDS {
+        let mut world = troubled_world(seed);
+        calm_down(&mut world);
+        let names: Vec<Rc<str>> = world.nodes.keys().cloned().collect();
+        for (place, name) in names.iter().enumerate() {
+            for service in SERVICES {
+                world.set(name, service, &[load("s1", place as u32 + 1), load("last", 1)]);
+            }
+        }
+        world.pass(CALM_MS);
+        for name in &names {
+            for service in SERVICES {
+                let (belief, truth) = (world.belief(name, service), world.truth(name, service));
+                assert_eq!(belief, truth, "seed {seed}, {name}, {service}");
+            }
+        }
+    }
+}
+
+#[test]
+fn once_nothing_is_in_flight_nothing_is_said() {
+    for seed in 0..SEEDS {
+        let mut world = troubled_world(seed);
+        calm_down(&mut world);
+        let names: Vec<Rc<str>> = world.nodes.keys().cloned().collect();
+        for name in &names {
+            for service in SERVICES {
+                world.set(name, service, &[]);
+            }
+        }
+        world.pass(CALM_MS);
+        let calls = world.calls();
+        world.pass(5_000);
+        assert_eq!(world.calls(), calls, "seed {seed}");
+    }
+}
+
+#[test]
+fn at_no_time_is_more_asked_than_a_bound() {
+    for seed in 0..SEEDS {
+        let mut world = troubled_world(seed);
+        let mut random = Rng::with_seed(seed);
+        let before = world.calls();
+        for _ in 0..100 {
+            change_loads(&mut world, &mut random);
+            world.pass(50);
+        }
+        // Each gateway: four asks a second for each service to its home, two to each of two other zones as a home,
+        // and as many again for failures.
+        let bound = 2 * 5 * (4 + 2 * 2) * 2 * world.nodes.len() as u64;
+        assert!(world.calls() - before <= bound, "seed {seed}: {} calls", world.calls() - before);
+    }
+}
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -416,13 +416,10 @@
             return Vec::new();
         }
         self.leases.keep_servers(self.state.servers().map(|server| server.id.as_str()), now);
-        let nodes = self.state.stores().filter(|store| store.present);
-        self.leases.keep_nodes(
-            nodes.map(|store| NodeLease { name: store.name.clone(), incarnation: store.incarnation }),
-            now,
-        );
+        self.leases.keep_nodes(store_leases(&self.state).chain(gateway_leases(&self.state)), now);
         let servers = self.leases.lapsed_servers(now);
-        let nodes = self.leases.lapsed_nodes(now);
+        let mut nodes = self.leases.lapsed_nodes(store_leases(&self.state), now);
+        nodes.extend(self.leases.lapsed_nodes(gateway_leases(&self.state), now));
         let gone = servers.into_iter().filter_map(|id| {
             let last_sequence = self.state.server(&id)?.sequence;
             Some(Operation::ServerExpired { id, last_sequence })
@@ -466,6 +463,18 @@
     }
 }
 
+/// The leases of the stores that are there.
+fn store_leases(state: &ControlState) -> impl Iterator<Item = NodeLease> + '_ {
+    let present = state.stores().filter(|store| store.present);
+    present.map(|store| NodeLease { name: store.name, incarnation: store.incarnation })
+}
+
+/// The leases of the gateways that are there.
+fn gateway_leases(state: &ControlState) -> impl Iterator<Item = NodeLease> + '_ {
+    let present = state.gateways();
+    present.map(|gateway| NodeLease { name: gateway.name.clone(), incarnation: gateway.incarnation })
+}
+
 fn names(view: &View) -> Vec<&str> {
     view.chain.iter().map(|id| id.node.as_str()).collect()
 }
--- a/crates/node/src/core/expiry.rs
+++ b/crates/node/src/core/expiry.rs
@@ -110,9 +110,14 @@
         lapsed(&self.servers, self.server_lease_ms, now)
     }
 
-    /// Nodes whose leases have lapsed.
-    pub fn lapsed_nodes(&self, now: u64) -> Vec<NodeLease> {
-        lapsed(&self.nodes, NODE_LEASE_MS, now)
+    /// Which of these nodes' leases have lapsed. They are of one kind: that we hear the others of that kind says
+    /// that we are not deaf to it.
+    pub fn lapsed_nodes(&self, nodes: impl Iterator<Item = NodeLease>, now: u64) -> Vec<NodeLease> {
+        let held = nodes.filter_map(|node| {
+            let at = *self.nodes.get(&node)?;
+            Some((node, at))
+        });
+        lapsed(&held.collect(), NODE_LEASE_MS, now)
     }
 }
 
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dunespur_chain::View;
 use dunespur_configuration::{Document, Table};
-use dunespur_control::{Change, Operation, Outcome, RetireState, ServerReport, StoreEntry};
+use dunespur_control::{Change, GatewayEntry, Operation, Outcome, RetireState, ServerReport, StoreEntry};
 use dunespur_link::{CallError, Client};
 use dunespur_turns::roster::Store;
 use std::cell::{Cell, RefCell};
@@ -41,6 +41,8 @@
     pub index: Option<u64>,
     pub table: Option<Rc<Table>>,
     pub servers: BTreeMap<String, ServerReport>,
+    /// The gateways that are there.
+    pub gateways: BTreeMap<String, GatewayEntry>,
     pub stores: BTreeMap<String, Store>,
     /// The life of each store's process that the core knows.
     pub incarnations: BTreeMap<String, u64>,
@@ -52,6 +54,7 @@
     pub configuration: bool,
     pub servers: bool,
     pub stores: bool,
+    pub gateways: bool,
 }
 
 /// What is done after a change of the state.
@@ -255,8 +258,10 @@
         if watched.whole {
             known.servers.clear();
             known.stores.clear();
+            known.gateways.clear();
         }
-        let mut touched = Touched { configuration: false, servers: watched.whole, stores: watched.whole };
+        let whole = watched.whole;
+        let mut touched = Touched { configuration: false, servers: whole, stores: whole, gateways: whole };
         for change in watched.changes {
             known.apply(change, &mut touched);
         }
@@ -383,7 +388,14 @@
                 self.incarnations.remove(&name);
                 touched.stores = true;
             }
-            Change::Gateways { .. } => {}
+            Change::Gateway(entry) => {
+                self.gateways.insert(entry.name.clone(), entry);
+                touched.gateways = true;
+            }
+            Change::GatewayGone { name } => {
+                self.gateways.remove(&name);
+                touched.gateways = true;
+            }
         }
     }
 }
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::directory::Directory;
 use crate::founding::Founding;
 use crate::joining::keep_joined;
+use crate::membership::Membership;
 use crate::plane::Plane;
 use crate::service::GatewayService;
 use crate::settings::{Role, Settings};
@@ -14,6 +15,7 @@
 use crate::status::GatewayStatus;
 use anyhow::Context;
 use dunespur_budget::LimiterId;
+use dunespur_distribution::Identity;
 use dunespur_proxy::{serve_ready, Front, FrontSettings};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -36,9 +38,15 @@
     let clock = Clock::start();
     let directory = Directory::new(clock, settings.seed_addresses());
     let coordinator = start_core(&settings, clock)?;
-    let limiter = LimiterId { node: settings.node.clone(), incarnation: wall_clock_ms() };
+    let incarnation = wall_clock_ms();
+    let limiter = LimiterId { node: settings.node.clone(), incarnation };
     let budgets = Budgets::start(limiter, directory.clone(), clock);
-    let plane = Plane::new(directory.clone(), &settings.zone, budgets.clone(), settings.copies(), clock);
+    let own = Identity {
+        name: settings.node.as_str().into(),
+        zone: settings.zone.as_str().into(),
+        life: incarnation,
+    };
+    let plane = Plane::new(directory.clone(), own, budgets.clone(), settings.copies(), clock);
     let front = Front::new(plane.clone(), front_settings(&settings));
 
     let status = GatewayStatus {
@@ -60,6 +68,7 @@
     if let Some(coordinator) = &coordinator {
         spawn_local(keep_joined(coordinator.clone(), directory.clone(), settings.clone()));
     }
+    let membership = Membership::start(&settings, incarnation, directory.clone());
     spawn_local(directory.clone().follow());
     spawn_local(signals::follow_settings(path, Role::Gateway, directory));
     log::info!("{} serves", settings.node);
@@ -67,6 +76,7 @@
     signals::asked_to_leave().await?;
     log::info!("{} leaves", settings.node);
     plane.leave();
+    membership.leave();
     front.drain();
     if let Some(coordinator) = &coordinator {
         coordinator.leave();
@@ -97,7 +107,8 @@
     let founding = founds.then(|| RefCell::new(Founding::new(clock.now())));
     let directory = status.directory.clone();
     let coordinator = status.coordinator.clone();
-    let service = GatewayService { clock, directory, coordinator, founding, status };
+    let homes = status.plane.homes();
+    let service = GatewayService { clock, directory, coordinator, homes, founding, status };
     spawn_local(dunespur_link::serve(listen(address).await?, Rc::new(service)));
     Ok(())
 }
--- /dev/null
+++ b/crates/node/src/homes.rs
@@ -0,0 +1,170 @@
+//! Homes of services: carries what [`Distribution`] wants to other gateways, and brings the loads of the others to the
+//! choice of servers.
+//!
+//! Nothing is done while no request is under way here and no other gateway asks.
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::messages::{encode, Reply, Request};
+use dunespur_control::GatewayEntry;
+use dunespur_distribution::{
+    Answer, Ask, Call, Distribution, Gateway, Identity, News, ServerLoad, ASK_TIMEOUT_MS,
+};
+use dunespur_routing::{Chooser, LoadReport};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+/// This gateway's loads are looked at this often at most, in milliseconds.
+const LOOK_PERIOD_MS: u64 = 250;
+
+/// This gateway's part in the distribution of services' soft state.
+pub struct Homes {
+    clock: Clock,
+    directory: Rc<Directory>,
+    chooser: Rc<RefCell<Chooser>>,
+    distribution: RefCell<Distribution>,
+    /// Told when a request has begun or ended, or another gateway has asked.
+    active: Notify,
+    /// Told when the time of the next call has changed.
+    rescheduled: Notify,
+}
+
+impl Homes {
+    /// Takes part from now on.
+    pub fn start(
+        own: Identity,
+        directory: Rc<Directory>,
+        chooser: Rc<RefCell<Chooser>>,
+        clock: Clock,
+    ) -> Rc<Homes> {
+        let homes = Rc::new(Homes {
+            clock,
+            directory,
+            chooser,
+            distribution: RefCell::new(Distribution::new(own)),
+            active: Notify::new(),
+            rescheduled: Notify::new(),
+        });
+        spawn_local(keep_telling(homes.clone()));
+        homes
+    }
+
+    /// A request has begun or ended here.
+    pub fn note_activity(&self) {
+        self.active.notify_one();
+    }
+
+    /// The core's list of gateways has changed.
+    pub fn gateways_changed(&self) {
+        let gateways = self.directory.known().gateways.values().map(gateway).collect();
+        self.distribution.borrow_mut().set_gateways(gateways);
+        self.rescheduled.notify_one();
+    }
+
+    /// Another gateway asks.
+    pub fn asked(&self, ask: &Ask) -> Answer {
+        let answer = self.distribution.borrow_mut().asked(ask, self.clock.now());
+        self.active.notify_one();
+        answer
+    }
+
+    /// Looks at this gateway's loads, and makes the calls that are due.
+    fn look(self: &Rc<Self>) {
+        let now = self.clock.now();
+        for (service, loads) in self.own_loads() {
+            self.distribution.borrow_mut().set_own(&service, &loads, now);
+        }
+        loop {
+            let call = self.distribution.borrow_mut().poll(now);
+            let Some(call) = call else { break };
+            spawn_local(self.clone().call(call));
+        }
+        self.bring_news();
+    }
+
+    /// What this gateway has in flight, by service; services that were busy before are listed as well.
+    fn own_loads(&self) -> BTreeMap<Rc<str>, Vec<ServerLoad>> {
+        let busy_before = self.distribution.borrow().busy();
+        let mut services: BTreeMap<Rc<str>, Vec<ServerLoad>> =
+            busy_before.into_iter().map(|service| (service, Vec::new())).collect();
+        let known = self.directory.known();
+        for report in self.chooser.borrow().load_reports() {
+            let Some(server) = known.servers.get(&*report.server) else { continue };
+            match services.get_mut(&*server.backend) {
+                Some(loads) => loads.push(server_load(report)),
+                None => {
+                    services.insert(server.backend.as_str().into(), vec![server_load(report)]);
+                }
+            }
+        }
+        services
+    }
+
+    async fn call(self: Rc<Self>, call: Call) {
+        let payload = encode(&Request::Home(call.ask));
+        let limit = Duration::from_millis(ASK_TIMEOUT_MS);
+        let reply = self.directory.call(call.address, payload, limit).await;
+        let now = self.clock.now();
+        match reply {
+            Ok(Reply::Home(answer)) => self.distribution.borrow_mut().answered(call.number, &answer, now),
+            _ => self.distribution.borrow_mut().failed(call.number, now),
+        }
+        self.bring_news();
+        self.rescheduled.notify_one();
+    }
+
+    /// Tells the choice of servers what the other gateways have in flight.
+    fn bring_news(&self) {
+        let news = self.distribution.borrow_mut().take_news();
+        for News { service, others } in news {
+            let reports: Vec<LoadReport> = others.into_iter().map(load_report).collect();
+            self.chooser.borrow_mut().other_load(&reports, &service, self.clock.now());
+        }
+    }
+}
+
+fn gateway(entry: &GatewayEntry) -> Gateway {
+    Gateway {
+        name: entry.name.as_str().into(),
+        zone: entry.zone.as_str().into(),
+        address: entry.address,
+        life: entry.incarnation,
+    }
+}
+
+fn server_load(report: LoadReport) -> ServerLoad {
+    ServerLoad {
+        server: report.server,
+        in_flight: report.in_flight,
+        waiting_tokens: report.waiting_tokens,
+        in_trouble: 0,
+    }
+}
+
+fn load_report(load: ServerLoad) -> LoadReport {
+    LoadReport { server: load.server, in_flight: load.in_flight, waiting_tokens: load.waiting_tokens }
+}
+
+async fn keep_telling(homes: Rc<Homes>) {
+    loop {
+        homes.look();
+        let next_look = homes.clock.now() + LOOK_PERIOD_MS;
+        let due = homes.distribution.borrow().next_due();
+        let due = async {
+            match due {
+                Some(at) => sleep_until(homes.clock.instant(at).into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => {}
+            () = homes.rescheduled.notified() => {}
+            () = homes.active.notified() => sleep_until(homes.clock.instant(next_look).into()).await,
+        }
+    }
+}
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use dunespur_chain::{MemberId, Message, Peer, View};
-use dunespur_control::{Change, Operation, Outcome, RetireState};
+use dunespur_control::{Change, NodeReport, Operation, Outcome, RetireState};
+use dunespur_distribution::{Answer, Ask};
 use dunespur_turns::message::{StoreReply, StoreRequest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,8 @@
     Store(StoreRequest),
     /// How are you, and how is the budget of this program?
     Status { program: Option<String> },
+    /// From one gateway to another as the home of a service.
+    Home(Ask),
 }
 
 /// Asks for changes, and renews leases on the way.
@@ -57,6 +60,13 @@
     pub incarnation: u64,
 }
 
+impl NodeLease {
+    /// The lease of a node that reports itself so.
+    pub fn of(report: &NodeReport) -> NodeLease {
+        NodeLease { name: report.name.clone(), incarnation: report.incarnation }
+    }
+}
+
 /// Answers.
 #[derive(Serialize, Deserialize)]
 pub enum Reply {
@@ -71,6 +81,7 @@
     Store(StoreReply),
     /// A [`Status`](crate::status::Status) as JSON.
     Status(String),
+    Home(Answer),
 }
 
 /// What a candidate for the first view is told.
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -3,10 +3,12 @@
 use crate::budgets::Budgets;
 use crate::clock::Clock;
 use crate::directory::{Directory, Touched};
+use crate::homes::Homes;
 use crate::keeping::Keeping;
 use crate::trace::{self, Stopwatch};
 use dunespur_configuration::Table;
 use dunespur_control::{ServerReport, ServerState};
+use dunespur_distribution::Identity;
 use dunespur_proxy::{History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
 use dunespur_routing::{Ask, Choice, Chooser, EngineShape, LoadReport, Outcome, Server};
 use std::cell::{Cell, RefCell};
@@ -16,7 +18,8 @@
 pub struct Plane {
     clock: Clock,
     directory: Rc<Directory>,
-    chooser: RefCell<Chooser>,
+    chooser: Rc<RefCell<Chooser>>,
+    homes: Rc<Homes>,
     budgets: Rc<Budgets>,
     keeping: Keeping,
     leaving: Cell<bool>,
@@ -25,14 +28,17 @@
 impl Plane {
     pub fn new(
         directory: Rc<Directory>,
-        zone: &str,
+        own: Identity,
         budgets: Rc<Budgets>,
         copies: usize,
         clock: Clock,
     ) -> Rc<Plane> {
+        let chooser = Rc::new(RefCell::new(Chooser::new(own.zone.clone(), fastrand::u64(..))));
+        let homes = Homes::start(own, directory.clone(), chooser.clone(), clock);
         let plane = Rc::new(Plane {
             clock,
-            chooser: RefCell::new(Chooser::new(zone.into(), fastrand::u64(..))),
+            chooser,
+            homes,
             budgets,
             keeping: Keeping::new(directory.clone(), copies),
             directory: directory.clone(),
@@ -52,12 +58,20 @@
         self.leaving.set(true);
     }
 
+    /// This gateway's part in the homes of services.
+    pub fn homes(&self) -> Rc<Homes> {
+        self.homes.clone()
+    }
+
     /// What this gateway has in flight at servers; those without any are left out.
     pub fn loads(&self) -> Vec<LoadReport> {
         self.chooser.borrow().load_reports()
     }
 
     fn changed(&self, touched: Touched) {
+        if touched.gateways {
+            self.homes.gateways_changed();
+        }
         if !touched.servers && !touched.configuration {
             return;
         }
@@ -100,6 +114,7 @@
     }
 
     fn choose(&self, ask: &Ask) -> Choice {
+        self.homes.note_activity();
         let loads = if trace::enabled() { self.loads() } else { Vec::new() };
         let choice = self.chooser.borrow_mut().choose(ask, self.clock.now());
         if trace::enabled() {
@@ -114,6 +129,7 @@
     }
 
     fn finished(&self, key: u64, outcome: Outcome) {
+        self.homes.note_activity();
         trace::outcome(key, outcome);
         self.chooser.borrow_mut().finished(key, outcome, self.clock.now());
     }
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -4,6 +4,7 @@
 use crate::core::Coordinator;
 use crate::directory::Directory;
 use crate::founding::Founding;
+use crate::homes::Homes;
 use crate::messages::{decode, encode, Reply, Request};
 use crate::status::GatewayStatus;
 use bytes::Bytes;
@@ -17,6 +18,7 @@
     pub clock: Clock,
     pub directory: Rc<Directory>,
     pub coordinator: Option<Rc<Coordinator>>,
+    pub homes: Rc<Homes>,
     /// Only at the process that founds the system.
     pub founding: Option<RefCell<Founding>>,
     pub status: GatewayStatus,
@@ -34,6 +36,7 @@
         match request {
             Request::Hello => Reply::View(self.view()),
             Request::Candidate { peer } => self.candidate(peer),
+            Request::Home(ask) => Reply::Home(self.homes.asked(&ask)),
             Request::Status { program } => Reply::Status(self.status.status(program.as_deref()).to_json()),
             request => match &self.coordinator {
                 Some(coordinator) => core_answer(coordinator, request).await,
@@ -70,8 +73,10 @@
             coordinator.told(&heard);
             Reply::View(None)
         }
-        Request::Hello | Request::Candidate { .. } | Request::Store(_) | Request::Status { .. } => {
-            Reply::Unavailable
-        }
+        Request::Hello
+        | Request::Candidate { .. }
+        | Request::Store(_)
+        | Request::Home(_)
+        | Request::Status { .. } => Reply::Unavailable,
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -109,7 +109,7 @@
             disk: identity.disk,
             whole: !identity.fresh,
         };
-        directory.hold_lease(lease(&report));
+        directory.hold_lease(NodeLease::of(&report));
         let disk_bytes = settings.limits.disk_mb.unwrap_or(UNKNOWN_DISK_MB) << 20;
         let capacity_bytes = disk_bytes * DISK_PERCENT / 100;
         let node_settings = NodeSettings {
@@ -242,7 +242,7 @@
         if held_incarnation > report.incarnation {
             // The clock went back between two lives of this process: the present life is the newer one.
             report.incarnation = held_incarnation + 1;
-            self.directory.hold_lease(lease(&report));
+            self.directory.hold_lease(NodeLease::of(&report));
         }
         let told = held.disk == report.disk && held.whole == report.whole && held.address == report.address;
         if !told || !held.present || held_incarnation != report.incarnation {
@@ -256,10 +256,6 @@
     }
 }
 
-fn lease(report: &NodeReport) -> NodeLease {
-    NodeLease { name: report.name.clone(), incarnation: report.incarnation }
-}
-
 impl Service for StoreProcess {
     async fn call(self: Rc<Self>, payload: Bytes) -> Option<Bytes> {
         let reply = match decode::<Request>(&payload)? {
