--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -9,8 +9,8 @@
 use crate::message::{Message, Promise};
 use crate::plan::{plan, Applicant, Plan, Situation, Standing};
 use crate::timing::{
-    Millis, ATTEMPT_LASTS, BACKOFF, BACKOFF_JITTER, LAGGING_AFTER, PROMISES_AWAITED, PROMISE_PATIENCE,
-    PROPOSE_JITTER, RANK_DELAY, REPLACE_AFTER,
+    Millis, ATTEMPT_LASTS, BACKOFF, BACKOFF_JITTER, LAGGING_AFTER, MOST_BEHIND, PROMISES_AWAITED,
+    PROMISE_PATIENCE, PROPOSE_JITTER, RANK_DELAY, REPLACE_AFTER,
 };
 
 /// What this member has promised and voted for; on disk before it is told. A promise seals the present view here.
@@ -409,11 +409,18 @@
                 let heard = !standings[*other].silent;
                 !heard || standings[index].connected[*other]
             };
-            let well = !standings[index].unfit && !standings[index].silent && in_chain.iter().all(connected);
-            standings[index].may_return = self.peers.may_return(&view.members[index].id, well, now);
+            let id = &view.members[index].id;
+            let fit = !standings[index].unfit && !standings[index].silent && in_chain.iter().all(connected);
+            let well = fit && self.has_nearly_all_commits(id, view.number);
+            standings[index].may_return = self.peers.may_return(id, well, now);
         }
     }
 
+    /// A member that is taken in too early holds the chain up until it has caught up.
+    fn has_nearly_all_commits(&self, id: &MemberId, number: u64) -> bool {
+        self.peers.ping(id, number).is_some_and(|ping| ping.committed + MOST_BEHIND >= self.committed)
+    }
+
     pub(super) fn next_agreement_tick(&self) -> Option<Millis> {
         let attempt = match &self.proposer {
             Proposer::Preparing { since, promises, .. } => {
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -1,20 +1,20 @@
 //! The chain: entries go down it, each member syncs before it passes on, commits come back up.
 
+use super::follow::Following;
 use super::{Member, Output};
-use crate::disk::{SavedSnapshot, Write};
+use crate::disk::Write;
 use crate::identity::{MemberId, View};
 use crate::journal::Consequence;
 use crate::log::{Entry, Origin, Payload, Position};
 use crate::message::{Append, Attach, Message};
 use crate::timing::{
-    Millis, APPEND_BYTES, ATTACH_AGAIN, ATTACH_GAP, COMPACT_BYTES, COMPACT_ENTRIES, KEPT_ENTRIES,
-    MOST_UNCOMMITTED, MOST_UNCOMMITTED_BYTES, PROBE_AFTER, SNAPSHOT_AGAIN,
+    Millis, APPEND_BYTES, ATTACH_AGAIN, ATTACH_GAP, MOST_UNCOMMITTED, MOST_UNCOMMITTED_BYTES, PROBE_AFTER,
 };
 
 /// What part a member takes in the chain of its view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
-    /// It is not in the chain.
+    /// It is not in the chain. Follows the commits, if it is a member.
     Outside,
     /// It has promised the next view.
     Sealed,
@@ -41,22 +41,13 @@
     confirmed: bool,
     /// When something was last sent or acknowledged.
     moved_at: Millis,
-    /// The successor needs the caller's state.
-    snapshot_wanted: bool,
 }
 
-/// When the log is cut at a snapshot.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Compaction {
-    /// The newest snapshot on disk ends here.
-    snapshot: u64,
-    wanted: bool,
-    asked_at: Option<Millis>,
-}
-
-impl From<u64> for Compaction {
-    fn from(snapshot: u64) -> Compaction {
-        Compaction { snapshot, wanted: false, asked_at: None }
+impl Downstream {
+    /// The successor was sent a snapshot that ends at `index`.
+    pub(super) fn goes_on_from(&mut self, index: u64, now: Millis) {
+        self.sent = index;
+        self.moved_at = now;
     }
 }
 
@@ -101,7 +92,8 @@
             Stage::Synced => self.begin_passing_on(now, out),
             Stage::Unsynced if self.is_head() => self.come_up(),
             Stage::Unsynced => self.attach(now, out),
-            Stage::Outside | Stage::Sealed | Stage::Syncing => {}
+            Stage::Outside => self.hurry_following(now, out),
+            Stage::Sealed | Stage::Syncing => {}
         }
     }
 
@@ -109,6 +101,8 @@
     pub(super) fn enter_chain(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.upstream = Upstream::default();
         self.downstream = Downstream::default();
+        self.following = Following::default();
+        self.snapshots.forget_demands();
         let in_chain = self.view().is_some_and(|view| view.in_chain(&self.me.id));
         self.enter(if in_chain { Stage::Unsynced } else { Stage::Outside });
         self.resume_chain(now, out);
@@ -118,7 +112,7 @@
         self.view().is_some_and(|view| view.is_head(&self.me.id))
     }
 
-    fn is_tail(&self) -> bool {
+    pub(super) fn is_tail(&self) -> bool {
         self.view().is_some_and(|view| view.is_tail(&self.me.id))
     }
 
@@ -126,12 +120,12 @@
         self.view()?.predecessor(&self.me.id).cloned()
     }
 
-    fn successor(&self) -> Option<MemberId> {
+    pub(super) fn successor(&self) -> Option<MemberId> {
         self.view()?.successor(&self.me.id).cloned()
     }
 
     /// Whether a message of the chain counts here: it is of the view in force, from the neighbour it must come from.
-    fn counts(
+    pub(super) fn counts(
         &mut self,
         from: &MemberId,
         view: u64,
@@ -186,7 +180,7 @@
     }
 
     /// Takes an entry into the log, in place of another one that can't have been committed.
-    fn take_entry(&mut self, entry: Entry) {
+    pub(super) fn take_entry(&mut self, entry: Entry) {
         let index = entry.index();
         if index <= self.committed || self.log.holds(entry.position) {
             return;
@@ -234,8 +228,10 @@
     /// Entries are on disk up to `index`.
     pub(super) fn stored(&mut self, index: u64, now: Millis, out: &mut Vec<Output>) {
         self.persisted = self.persisted.max(index.min(self.log.last().index));
-        if self.stage == Stage::Synced {
-            self.pass_on(now, out);
+        match self.stage {
+            Stage::Synced => self.pass_on(now, out),
+            Stage::Outside => self.commit_followed(now, out),
+            Stage::Sealed | Stage::Unsynced | Stage::Syncing => {}
         }
     }
 
@@ -256,9 +252,9 @@
             return;
         }
         let Some(successor) = self.successor() else { return };
-        while self.downstream.sent < self.persisted && !self.downstream.snapshot_wanted {
+        while self.downstream.sent < self.persisted && !self.snapshots.is_wanted_by(&successor) {
             let Some(previous) = self.log.position(self.downstream.sent) else {
-                return self.want_snapshot_for_successor(now, out);
+                return self.want_snapshot_for(successor, now, out);
             };
             let entries = self.log.copy(previous.index, self.persisted, APPEND_BYTES);
             self.downstream.sent += entries.len() as u64;
@@ -284,12 +280,22 @@
         }
         self.downstream.confirmed = true;
         self.downstream.moved_at = now;
-        let common = [Some(attach.last), self.log.position(attach.committed)];
-        let mut common = common.into_iter().flatten();
-        let common = common.find(|at| self.log.holds(*at) && at.index <= self.persisted);
-        let Some(common) = common else { return self.want_snapshot_for_successor(now, out) };
-        self.downstream.snapshot_wanted = false;
+        let Some(common) = self.common_position(&attach, self.persisted) else {
+            return self.want_snapshot_for(from, now, out);
+        };
+        self.snapshots.is_not_wanted_by(&from);
         self.downstream.sent = common.index;
+        self.go_on_passing_on(now, out);
+    }
+
+    /// From where another member's log can go on: its end, if it is held here, or else what it has committed.
+    pub(super) fn common_position(&self, other: &Attach, most: u64) -> Option<Position> {
+        let candidates = [Some(other.last), self.log.position(other.committed)];
+        candidates.into_iter().flatten().find(|at| self.log.holds(*at) && at.index <= most)
+    }
+
+    /// After the position was set from which to send.
+    pub(super) fn go_on_passing_on(&mut self, now: Millis, out: &mut Vec<Output>) {
         if self.downstream.sent == self.persisted {
             self.ask_successor(now, out);
         }
@@ -323,7 +329,7 @@
     }
 
     /// Gives out the commits up to `index`; says whether there were any.
-    fn commit(&mut self, index: u64, now: Millis, out: &mut Vec<Output>) -> bool {
+    pub(super) fn commit(&mut self, index: u64, now: Millis, out: &mut Vec<Output>) -> bool {
         if index <= self.committed {
             return false;
         }
@@ -355,95 +361,6 @@
         true
     }
 
-    // --- snapshots ---
-
-    fn compact_if_long(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let many = self.committed - self.compaction.snapshot >= COMPACT_ENTRIES;
-        let large = self.log.bytes() >= COMPACT_BYTES && self.committed > self.compaction.snapshot;
-        if (many || large) && !self.compaction.wanted {
-            self.compaction.wanted = true;
-            self.ask_for_snapshot(now, out);
-        }
-    }
-
-    fn want_snapshot_for_successor(&mut self, now: Millis, out: &mut Vec<Output>) {
-        if !self.downstream.snapshot_wanted {
-            self.downstream.snapshot_wanted = true;
-            self.ask_for_snapshot(now, out);
-        }
-    }
-
-    fn ask_for_snapshot(&mut self, now: Millis, out: &mut Vec<Output>) {
-        self.compaction.asked_at = Some(now);
-        out.push(Output::WantSnapshot);
-    }
-
-    pub(super) fn snapshot_given(&mut self, index: u64, bytes: Vec<u8>, now: Millis, out: &mut Vec<Output>) {
-        let Some(position) = self.log.position(index).filter(|_| index <= self.committed) else { return };
-        self.compaction.asked_at = None;
-        let snapshot = SavedSnapshot { position, bytes: Payload::from(bytes) };
-        if self.downstream.snapshot_wanted && self.is_synced() {
-            self.send_snapshot(&snapshot, now, out);
-        }
-        if self.compaction.wanted && index > self.compaction.snapshot {
-            self.compaction = Compaction::from(index);
-            self.journal.write(Write::Snapshot { snapshot });
-            self.forget_entries();
-        }
-    }
-
-    /// Drops entries in the snapshot from memory, all but the newest few.
-    fn forget_entries(&mut self) {
-        let snapshot = self.compaction.snapshot;
-        self.log.forget(snapshot.saturating_sub(KEPT_ENTRIES));
-        while self.log.start().index < snapshot && self.log.bytes() > COMPACT_BYTES / 2 {
-            self.log.forget(self.log.start().index + 1);
-        }
-    }
-
-    fn send_snapshot(&mut self, snapshot: &SavedSnapshot, now: Millis, out: &mut Vec<Output>) {
-        self.downstream.snapshot_wanted = false;
-        let Some(successor) = self.successor() else { return };
-        let SavedSnapshot { position, bytes } = snapshot.clone();
-        self.send(&successor, Message::Snapshot { view: self.number(), position, bytes }, now, out);
-        self.downstream.sent = position.index;
-        self.downstream.moved_at = now;
-        if self.downstream.sent == self.persisted {
-            self.ask_successor(now, out);
-        }
-        self.pass_on(now, out);
-    }
-
-    pub(super) fn snapshot_received(
-        &mut self,
-        from: MemberId,
-        view: u64,
-        snapshot: SavedSnapshot,
-        now: Millis,
-        out: &mut Vec<Output>,
-    ) {
-        let predecessor = |view: &View, me: &MemberId| view.predecessor(me).cloned();
-        let counts = self.counts(&from, view, predecessor, now, out);
-        let position = snapshot.position;
-        let held = position.index <= self.committed || self.log.holds(position);
-        if !counts || self.stage != Stage::Unsynced || held {
-            return;
-        }
-        // The log lacked what was committed, so it was no log to go on from; until it has come up it is none.
-        self.synced_view = 0;
-        self.journal.truncated(0);
-        self.journal.write(Write::Truncate { index: 0 });
-        self.journal.write(Write::Synced { view: 0 });
-        out.push(Output::Install { index: position.index, bytes: snapshot.bytes.to_vec() });
-        self.journal.write(Write::Snapshot { snapshot });
-        self.journal.then(Consequence::Stored { index: position.index });
-        self.log.reset(position);
-        self.persisted = 0;
-        self.committed = position.index;
-        self.compaction = Compaction::from(position.index);
-        self.commits_given_out(out);
-    }
-
     // --- time and connections ---
 
     pub(super) fn chain_reconnected(&mut self, peer: &MemberId, now: Millis, out: &mut Vec<Output>) {
@@ -462,15 +379,13 @@
         if self.next_attach().is_some_and(|at| now >= at) {
             self.attach(now, out);
         }
-        if self.next_snapshot_demand().is_some_and(|at| now >= at) {
-            self.ask_for_snapshot(now, out);
-        }
     }
 
     /// When to ask the successor, from which nothing has come.
     fn next_question(&self) -> Option<Millis> {
         let open = !self.downstream.confirmed || self.committed < self.downstream.sent;
-        let asks = self.stage == Stage::Synced && open && !self.is_tail() && !self.downstream.snapshot_wanted;
+        let waits = self.successor().is_none_or(|successor| self.snapshots.is_wanted_by(&successor));
+        let asks = self.stage == Stage::Synced && open && !waits;
         asks.then_some(self.downstream.moved_at + PROBE_AFTER)
     }
 
@@ -479,12 +394,7 @@
         asks.then(|| self.upstream.attached_at.map_or(0, |at| at + ATTACH_AGAIN))
     }
 
-    fn next_snapshot_demand(&self) -> Option<Millis> {
-        let wanted = self.compaction.wanted || self.downstream.snapshot_wanted;
-        self.compaction.asked_at.filter(|_| wanted).map(|at| at + SNAPSHOT_AGAIN)
-    }
-
     pub(super) fn next_chain_tick(&self) -> Option<Millis> {
-        [self.next_question(), self.next_attach(), self.next_snapshot_demand()].into_iter().flatten().min()
+        [self.next_question(), self.next_attach()].into_iter().flatten().min()
     }
 }
--- a/crates/chain/src/member/membership.rs
+++ b/crates/chain/src/member/membership.rs
@@ -185,6 +185,7 @@
             synced: self.has_come_up(),
             stalled: self.is_stalled(now),
             leaving: self.leaving,
+            committed: self.committed,
             answer,
         };
         out.push(Output::Send { to: to.clone(), message: Message::Ping(ping) });
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -2,8 +2,10 @@
 
 mod agreement;
 mod chain;
+mod follow;
 mod membership;
 mod requests;
+mod snapshots;
 
 use crate::agreed::DecidedView;
 use crate::disk::{Saved, SavedSnapshot, Write};
@@ -16,9 +18,11 @@
 use crate::random::Random;
 use crate::timing::{Millis, OWN_GAP};
 use agreement::{Acceptor, Proposer};
-use chain::{Compaction, Downstream, Stage, Upstream};
+use chain::{Downstream, Stage, Upstream};
+use follow::Following;
 use membership::{Joining, Newcomer};
 use requests::{HeldRequests, Reads, Submissions};
+use snapshots::Snapshots;
 use std::net::SocketAddr;
 
 /// What happens to a member.
@@ -141,7 +145,8 @@
     stage: Stage,
     upstream: Upstream,
     downstream: Downstream,
-    compaction: Compaction,
+    following: Following,
+    snapshots: Snapshots,
     submissions: Submissions,
     reads: Reads,
     held: HeldRequests,
@@ -211,7 +216,8 @@
             stage: Stage::Outside,
             upstream: Upstream::default(),
             downstream: Downstream::default(),
-            compaction: Compaction::from(start.index),
+            following: Following::default(),
+            snapshots: Snapshots::from(start.index),
             submissions: Submissions::default(),
             held: HeldRequests::default(),
             last_step: now,
@@ -247,6 +253,8 @@
             self.next_membership_tick(),
             self.next_agreement_tick(),
             self.next_chain_tick(),
+            self.next_follow_tick(),
+            self.next_snapshot_tick(),
             self.next_request_tick(),
         ];
         wishes.into_iter().flatten().min().unwrap_or(Millis::MAX)
@@ -311,6 +319,8 @@
     fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.tick_membership(now, out);
         self.tick_chain(now, out);
+        self.tick_following(now, out);
+        self.tick_snapshots(now, out);
         self.tick_requests(now, out);
         self.consider_next_view(now, out);
     }
@@ -386,6 +396,8 @@
             Message::Accepted { number, ballot } => self.accepted(from, number, ballot, now, out),
             Message::Append(append) => self.appended(from, append, now, out),
             Message::Attach(attach) => self.attached(from, attach, now, out),
+            Message::Follow(attach) => self.followed(from, attach, now, out),
+            Message::Followed(append) => self.follow(from, append, now, out),
             Message::Snapshot { view, position, bytes } => {
                 self.snapshot_received(from, view, SavedSnapshot { position, bytes }, now, out)
             }
--- a/crates/chain/src/member/requests.rs
+++ b/crates/chain/src/member/requests.rs
@@ -271,6 +271,9 @@
         let Some(round) = self.reads.round.take_if(|own| own.number == round) else { return };
         self.reads.confirmed.push(ConfirmedReads { index, reads: round.reads });
         self.commits_given_out(out);
+        if index > self.committed {
+            self.hurry_following(now, out);
+        }
         self.begin_round(now, out);
     }
 
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -48,7 +48,11 @@
     Append(Append),
     /// To the predecessor: send from another position.
     Attach(Attach),
-    /// To the successor: the caller's state, as the log doesn't reach back far enough.
+    /// To the tail, from a member out of the chain: send what is committed after my position.
+    Follow(Attach),
+    /// From the tail: committed entries, up to `last` at most.
+    Followed(Append),
+    /// To the successor, or from the tail to a member that follows: the caller's state, as the log doesn't reach back far enough.
     Snapshot {
         view: u64,
         position: Position,
@@ -97,6 +101,8 @@
     pub stalled: bool,
     /// It asks to be put out of the chain.
     pub leaving: bool,
+    /// It has given out the commits up to here.
+    pub committed: u64,
     /// An answer is wanted at once.
     pub answer: bool,
 }
--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -64,10 +64,12 @@
         reachable.iter().copied().filter(|index| !situation.standings[*index].unfit).collect();
     situation.take_back(&mut chain, in_place, |standing| standing.may_return);
 
-    let newcomers = usize::from(newcomer.is_some());
-    if chain.len() + newcomers < least {
+    if chain.len() < least {
         situation.take_back(&mut chain, in_place, |standing| !standing.silent);
     }
+    // A newcomer follows the commits first, out of the chain, unless the chain can't do without it.
+    let newcomer = newcomer.filter(|_| chain.len() < least);
+    let newcomers = usize::from(newcomer.is_some());
     if chain.len() + newcomers < least {
         // Rather a chain with unfit members than none.
         let returned: Vec<usize> = chain.into_iter().filter(|index| !reachable.contains(index)).collect();
--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -52,6 +52,13 @@
 pub const ATTACH_AGAIN: Millis = 150;
 /// No more than one demand to start again from another position within this.
 pub const ATTACH_GAP: Millis = 30;
+/// A member out of the chain asks for commits this often, and again this long after an answer that was lost.
+pub const FOLLOW_EVERY: Millis = 150;
+pub const FOLLOW_AGAIN: Millis = 1_000;
+/// A member is taken back into the chain when it has all commits but so many: the chain waits for the rest.
+pub const MOST_BEHIND: u64 = 512;
+/// No further snapshot goes to a member within this time.
+pub const SNAPSHOT_GAP: Millis = 1_000;
 /// A demand for the caller's snapshot is repeated after this.
 pub const SNAPSHOT_AGAIN: Millis = 2_000;
 /// A newcomer asks again after this.
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -228,6 +228,7 @@
             synced: true,
             stalled: false,
             leaving: false,
+            committed: 0,
             answer: false,
         };
         driven.receive(1, Message::Ping(ping));
--- a/crates/chain/tests/plan.rs
+++ b/crates/chain/tests/plan.rs
@@ -175,6 +175,20 @@
     case.lose(1);
     let plan = case.plan().expect("a plan");
     assert_eq!(plan.members[1], peer(1, 2));
+    assert_eq!(nodes(&plan.chain), ["m0", "m2"], "a newcomer follows the commits first");
+}
+
+#[test]
+fn a_newcomer_goes_to_the_end_of_a_chain_that_is_too_short_without_it() {
+    let mut case = Case::calm(5);
+    for index in [0, 1, 2] {
+        case.lose(index);
+    }
+    assert_eq!(case.plan(), None);
+    case.apply(peer(1, 2), false);
+    let plan = case.plan().expect("a plan");
+    assert_eq!(plan.members[1], peer(1, 2));
+    assert_eq!(nodes(&plan.chain), ["m3", "m4", "m1"]);
     assert_eq!(plan.chain.last(), Some(&peer(1, 2).id));
 }
 
