--- a/crates/node/src/status/table.rs
+++ b/crates/node/src/status/table.rs
@@ -21,10 +21,7 @@
     let link = status.link;
     push(
         &mut text,
-        format!(
-            "link: {} calls, {} without an answer, {} watches lost",
-            link.calls, link.failed, link.watches_lost
-        ),
+        format!("link: calls {}, unanswered {}, watches lost {}", link.calls, link.failed, link.watches_lost),
     );
     if let Some(known) = &status.view {
         push(&mut text, view(known));
@@ -36,7 +33,7 @@
         push(&mut text, front(counters));
     }
     if let Some(budgets) = status.budgets {
-        push(&mut text, format!("budgets: {} programs, {} turns wait", budgets.programs, budgets.waiting));
+        push(&mut text, format!("budgets: programs {}, turns waiting {}", budgets.programs, budgets.waiting));
     }
     if let Some(asked) = &status.program {
         push(&mut text, program(asked));
@@ -65,7 +62,7 @@
 
 fn process(process: ProcessStatus) -> String {
     format!(
-        "process: memory {:.1} MB, {:.1} at most; processor {}; {} descriptors",
+        "process: memory {:.1} MB, {:.1} at most; processor {}; descriptors {}",
         process.memory_kb as f64 / KB_PER_MB,
         process.peak_memory_kb as f64 / KB_PER_MB,
         seconds(process.processor_ms),
@@ -105,7 +102,7 @@
         (false, false) => "HEARS NO MAJORITY",
     };
     format!(
-        "core member: {stands}, committed {}, {} operations wait, {} programs counted; {}",
+        "core member: {stands}; committed {}, operations waiting {}, programs counted {}; {}",
         core.committed,
         core.waiting,
         core.programs,
@@ -114,7 +111,7 @@
 }
 
 fn disk(disk: DiskStatus) -> String {
-    format!("disk: {} done, {} wait, {} failed", disk.done, disk.waiting, disk.failed)
+    format!("disk: done {}, waiting {}, failed {}", disk.done, disk.waiting, disk.failed)
 }
 
 fn front(front: FrontStatus) -> String {
@@ -153,7 +150,7 @@
         state.push("some chains incomplete");
     }
     format!(
-        "turns: {} of {:.1} MB, room for {:.1} MB; {}; {} requests wait; {}",
+        "turns: {} of {:.1} MB, room for {:.1} MB; {}; requests waiting {}; {}",
         turns.turns,
         turns.bytes as f64 / BYTES_PER_MB,
         turns.capacity_bytes as f64 / BYTES_PER_MB,
