--- a/crates/node/tests/cli.rs
+++ b/crates/node/tests/cli.rs
@@ -153,6 +153,14 @@
     assert_eq!(code(&output), DONE);
 }
 
+#[test]
+fn the_example_of_the_operators_page_can_be_used() {
+    for file in data("../../../deploy/example", "json") {
+        let output = run(&["check", text(&file)]);
+        assert_eq!(code(&output), DONE, "{}", out(&output));
+    }
+}
+
 #[test]
 fn check_ends_with_2_where_it_can_tell_nothing() {
     let folder = TemporaryFolder::new("dunespur-check").unwrap();
