--- a/crates/node/src/status/gather.rs
+++ b/crates/node/src/status/gather.rs
@@ -2,8 +2,8 @@
 
 use super::own;
 use super::report::{
-    ControlStatus, FrontStatus, MemberStatus, ProgramStatus, ServerStatus, ServiceStatus, Status,
-    StoreStatus, ViewStatus,
+    ControlStatus, FrontStatus, GatewayEntryStatus, MemberStatus, ProgramStatus, ServerStatus, ServiceStatus,
+    Status, StoreStatus, ViewStatus,
 };
 use crate::budgets::Budgets;
 use crate::core::Coordinator;
@@ -31,6 +31,7 @@
         link: directory.link_counters(),
         control: control(directory),
         view: directory.view().as_ref().map(view),
+        gateways: gateways(directory),
         stores: stores(directory),
         ..Status::default()
     }
@@ -106,6 +107,18 @@
     ViewStatus { number: view.number, members: members.collect() }
 }
 
+fn gateways(directory: &Directory) -> Vec<GatewayEntryStatus> {
+    let known = directory.known();
+    let gateways = known.gateways.values().take(MOST_LISTED);
+    gateways
+        .map(|gateway| GatewayEntryStatus {
+            name: gateway.name.clone(),
+            address: gateway.address,
+            zone: gateway.zone.clone(),
+        })
+        .collect()
+}
+
 fn stores(directory: &Directory) -> Vec<StoreStatus> {
     let known = directory.known();
     let stores = known.stores.values().take(MOST_LISTED);
--- a/crates/node/src/status/report.rs
+++ b/crates/node/src/status/report.rs
@@ -21,6 +21,7 @@
     pub view: Option<ViewStatus>,
     /// Of a core member.
     pub core: Option<CoreStatus>,
+    pub gateways: Vec<GatewayEntryStatus>,
     pub services: Vec<ServiceStatus>,
     pub stores: Vec<StoreStatus>,
     /// Of a gateway.
@@ -152,6 +153,14 @@
     pub in_flight: u32,
 }
 
+/// A gateway in the core's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayEntryStatus {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreStatus {
     pub name: String,
--- a/crates/node/src/status/table.rs
+++ b/crates/node/src/status/table.rs
@@ -1,8 +1,8 @@
 //! A status as tables for people.
 
 use super::report::{
-    ControlStatus, CoreStatus, DiskStatus, FrontStatus, ProcessStatus, ProgramStatus, ServiceStatus, Status,
-    StoreStatus, TurnsStatus, ViewStatus,
+    ControlStatus, CoreStatus, DiskStatus, FrontStatus, GatewayEntryStatus, ProcessStatus, ProgramStatus,
+    ServiceStatus, Status, StoreStatus, TurnsStatus, ViewStatus,
 };
 use std::fmt::Write;
 
@@ -41,6 +41,7 @@
     if let Some(held) = status.turns {
         push(&mut text, turns(held));
     }
+    push_table(&mut text, gateways(&status.gateways));
     push_table(&mut text, services(&status.services));
     push_table(&mut text, stores(&status.stores));
     if let Some(member) = &status.core {
@@ -162,6 +163,14 @@
 
 type Row = Vec<String>;
 
+fn gateways(gateways: &[GatewayEntryStatus]) -> Vec<Row> {
+    let mut rows = vec![row(["GATEWAY", "ADDRESS", "ZONE"])];
+    for gateway in gateways {
+        rows.push(vec![gateway.name.clone(), gateway.address.to_string(), gateway.zone.clone()]);
+    }
+    rows
+}
+
 fn services(services: &[ServiceStatus]) -> Vec<Row> {
     let mut rows = vec![row(["SERVICE", "SERVER", "ADDRESS", "ZONE", "SLOTS", "STATE", "IN FLIGHT HERE"])];
     for service in services {
--- a/crates/node/tests/status.rs
+++ b/crates/node/tests/status.rs
@@ -114,14 +114,21 @@
 async fn tables_name_what_there_is() {
     let scene = stage(ScenePlan::default()).await;
     let core = places(&scene, Role::Core)[0];
+    let all_machines = |status: &Value| {
+        let listed = names(&status["gateways"], "name").len() + names(&status["stores"], "name").len();
+        listed == scene.system.machines().len()
+    };
+    json_that(internal(&scene, core), &[], all_machines).await;
     let table = table_of(internal(&scene, core)).await;
-    for machine in scene.system.machines().iter().filter(|machine| machine.plan().role != Role::Gateway) {
+    for machine in scene.system.machines() {
         assert!(table.contains(machine.name()), "{}: {table}", machine.name());
     }
     for server in scene.servers() {
         assert!(table.contains(&server.identity.instance), "{table}");
     }
-    for words in ["in touch", "front: ready", "core member: follows", "configuration 1", "SERVICE", "LEASE"] {
+    for words in
+        ["in touch", "front: ready", "core member: follows", "configuration 1", "GATEWAY", "SERVICE", "LEASE"]
+    {
         assert!(table.contains(words), "{words}: {table}");
     }
     let store = places(&scene, Role::Store)[0];
