Tell the view to processes that are not heard of: seeds may have forgotten the core

Ruled out: the core (current 0.3 s after the restart), readiness. Now a member that follows the chain tells the view to its own seeds, and its head to all gateways and stores that are remembered and not heard of; seeds are asked all at once.

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -41,6 +41,11 @@
         self.gateways.values().filter(|gateway| gateway.present).map(|gateway| &gateway.report)
     }
 
+    /// All gateways that are remembered, those included that are no longer there.
+    pub(crate) fn remembered(&self) -> impl Iterator<Item = &NodeReport> {
+        self.gateways.values().map(|gateway| &gateway.report)
+    }
+
     /// How many gateways are there.
     pub(crate) fn count(&self) -> u32 {
         u32::try_from(self.all().count()).unwrap_or(u32::MAX)
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -80,6 +80,11 @@
         self.gateways.all()
     }
 
+    /// All gateways that are remembered, those included that are no longer there and may come back.
+    pub fn remembered_gateways(&self) -> impl Iterator<Item = &NodeReport> {
+        self.gateways.remembered()
+    }
+
     /// The stores that are there, or may come back, by name.
     pub fn stores(&self) -> impl Iterator<Item = StoreEntry> + '_ {
         self.stores.all()
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -12,7 +12,7 @@
 use dunespur_link::Client;
 use dunespur_storage::core::CoreDisk;
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::{Rc, Weak};
@@ -261,6 +261,18 @@
         Reply::Watched(Watched { index, whole, changes, view })
     }
 
+    /// Processes that may have lost the core: those that seeds name or that are remembered, and are not heard of. A
+    /// machine without a disk that restarts knows only its seeds, and these may have restarted too. Empty unless this
+    /// member follows the chain; remembered ones only at its head, which hears of all.
+    pub fn unheard(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let inner = self.inner.borrow();
+        if !inner.member.follows(now) {
+            return Vec::new();
+        }
+        inner.unheard(&self.id, seeds, now)
+    }
+
     /// Leases that another member was told of.
     pub fn told(&self, heard: &Heard) {
         self.inner.borrow_mut().leases.told(heard, self.clock.now());
@@ -388,6 +400,22 @@
         link
     }
 
+    fn unheard(&self, own: &MemberId, seeds: &[SocketAddr], now: u64) -> Vec<SocketAddr> {
+        let view = self.member.view();
+        let members = view.map(|view| view.members.as_slice()).unwrap_or_default();
+        let is_head = view.is_some_and(|view| view.chain.first() == Some(own));
+        let mut heard: BTreeSet<SocketAddr> = members.iter().map(|peer| peer.address).collect();
+        let mut wanted: BTreeSet<SocketAddr> = seeds.iter().copied().collect();
+        for (name, address) in remembered(&self.state) {
+            if self.leases.hears(&name, now) {
+                heard.insert(address);
+            } else if is_head {
+                wanted.insert(address);
+            }
+        }
+        wanted.difference(&heard).copied().collect()
+    }
+
     /// Tells the other members of the view which leases were renewed here.
     fn tell_leases(&mut self, own: &MemberId, owner: &Weak<Coordinator>) {
         let heard = self.leases.take_untold();
@@ -417,6 +445,8 @@
         }
         self.leases.keep_servers(self.state.servers().map(|server| server.id.as_str()), now);
         self.leases.keep_nodes(store_leases(&self.state).chain(gateway_leases(&self.state)), now);
+        let names: Vec<String> = remembered(&self.state).map(|(name, _)| name).collect();
+        self.leases.keep_heard(names.iter().map(String::as_str));
         let servers = self.leases.lapsed_servers(now);
         let mut nodes = self.leases.lapsed_nodes(store_leases(&self.state), now);
         nodes.extend(self.leases.lapsed_nodes(gateway_leases(&self.state), now));
@@ -469,6 +499,13 @@
     present.map(|store| NodeLease { name: store.name, incarnation: store.incarnation })
 }
 
+/// Names and addresses of all gateways and stores that may come back.
+fn remembered(state: &ControlState) -> impl Iterator<Item = (String, SocketAddr)> + '_ {
+    let gateways = state.remembered_gateways().map(|gateway| (gateway.name.clone(), gateway.address));
+    let stores = state.stores().filter(|store| !store.retired).map(|store| (store.name, store.address));
+    gateways.chain(stores)
+}
+
 /// The leases of the gateways that are there.
 fn gateway_leases(state: &ControlState) -> impl Iterator<Item = NodeLease> + '_ {
     let present = state.gateways();
--- a/crates/node/src/core/expiry.rs
+++ b/crates/node/src/core/expiry.rs
@@ -8,6 +8,8 @@
 const SERVER_LEASE_HEARTBEATS: u64 = 8;
 /// Nodes that did not renew for so long have lapsed, in milliseconds.
 const NODE_LEASE_MS: u64 = 2_500;
+/// A node that follows a core member is heard of at least this often, in milliseconds, told on by others included.
+const HEARD_LATELY_MS: u64 = 1_500;
 /// Nothing lapses while fewer than this share of those known (in hundredths) was heard within half a lease:
 /// guards against taking our own deafness for theirs.
 const LEAST_HEARD_PERCENT: usize = 50;
@@ -19,6 +21,8 @@
     server_lease_ms: u64,
     servers: HashMap<String, u64>,
     nodes: HashMap<NodeLease, u64>,
+    /// When a life of each node was heard of last, by name; only those that were.
+    heard_nodes: HashMap<String, u64>,
     untold_servers: BTreeSet<String>,
     untold_nodes: BTreeSet<NodeLease>,
 }
@@ -29,6 +33,7 @@
             server_lease_ms: heartbeat_ms * SERVER_LEASE_HEARTBEATS,
             servers: HashMap::new(),
             nodes: HashMap::new(),
+            heard_nodes: HashMap::new(),
             untold_servers: BTreeSet::new(),
             untold_nodes: BTreeSet::new(),
         }
@@ -52,9 +57,21 @@
         }
         for node in &heard.nodes {
             renew(&mut self.nodes, node, now);
+            renew(&mut self.heard_nodes, &node.name, now);
         }
     }
 
+    /// Whether a node was heard of lately, under whatever incarnation.
+    pub fn hears(&self, name: &str, now: u64) -> bool {
+        self.heard_nodes.get(name).is_some_and(|at| now.saturating_sub(*at) <= HEARD_LATELY_MS)
+    }
+
+    /// Forgets when nodes were heard of that are not remembered any more.
+    pub fn keep_heard<'a>(&mut self, remembered: impl Iterator<Item = &'a str>) {
+        let names: BTreeSet<&str> = remembered.collect();
+        self.heard_nodes.retain(|name, _| names.contains(name.as_str()));
+    }
+
     /// What the other members are to be told.
     pub fn take_untold(&mut self) -> Heard {
         Heard {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 
 /// A core member answers a watch within this time, or another one is asked. It answers after 0.4 s at the latest.
@@ -228,16 +229,38 @@
         false
     }
 
-    async fn look_for_view(&self) {
-        let seeds = self.seeds.borrow().clone();
-        let calls = seeds.into_iter().map(|seed| self.hello(seed));
-        for call in calls {
-            if let Some(view) = call.await {
-                self.learn_view(view);
-            }
+    /// Asks all seeds at once, and goes on as soon as a view is learnt, from one of them or announced by a member.
+    async fn look_for_view(self: &Rc<Self>) {
+        let learnt = self.changed.notified();
+        tokio::pin!(learnt);
+        learnt.as_mut().enable();
+        let mut asked = JoinSet::new();
+        for seed in self.seeds.borrow().iter().copied() {
+            let directory = self.clone();
+            asked.spawn_local(async move {
+                if let Some(view) = directory.hello(seed).await {
+                    directory.learn_view(view);
+                }
+            });
+        }
+        tokio::select! {
+            () = learnt => {}
+            () = async { while asked.join_next().await.is_some() {} } => {}
+        }
+    }
+
+    /// Tells a process of the view that this one knows.
+    pub fn announce(&self, address: SocketAddr) {
+        if let Some(view) = self.view() {
+            let _ = self.client(address).notify(encode(&Request::Announce(view)));
         }
     }
 
+    /// Addresses that the settings name.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.borrow().clone()
+    }
+
     /// Asks one process for the view it knows.
     pub async fn hello(&self, address: SocketAddr) -> Option<View> {
         match self.call(address, encode(&Request::Hello), HELLO_TIMEOUT).await {
--- a/crates/node/src/joining.rs
+++ b/crates/node/src/joining.rs
@@ -13,18 +13,24 @@
 /// Pause between two tries while this machine is in no view.
 const TRY_PAUSE: Duration = Duration::from_millis(100);
 /// How often a member looks whether it still is one.
-const CHECK_PAUSE: Duration = Duration::from_millis(1000);
+const CHECK_PAUSE: Duration = Duration::from_millis(500);
+/// Processes that are told the view at one look; with more, the others have their turn at the next.
+const MOST_ANNOUNCED: usize = 16;
 /// The founder answers a candidate within this time.
 const CANDIDATE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Keeps this machine in the core for as long as the task lives.
 pub async fn keep_joined(coordinator: Rc<Coordinator>, directory: Rc<Directory>, settings: Settings) {
+    let mut next_announced = 0;
     loop {
         if let Some(view) = coordinator.view() {
             directory.learn_view(view);
         }
         let pause = match standing(&coordinator, &directory) {
-            Standing::Member => CHECK_PAUSE,
+            Standing::Member => {
+                announce(&coordinator, &directory, &mut next_announced);
+                CHECK_PAUSE
+            }
             Standing::Outside(contacts) => {
                 coordinator.join(contacts);
                 CHECK_PAUSE
@@ -38,6 +44,16 @@
     }
 }
 
+/// Tells the view to processes that are not heard of, some at a time.
+fn announce(coordinator: &Coordinator, directory: &Directory, next: &mut usize) {
+    let unheard = coordinator.unheard(&directory.seeds());
+    let turns = unheard.len().min(MOST_ANNOUNCED);
+    for address in unheard.iter().cycle().skip(*next % unheard.len().max(1)).take(turns) {
+        directory.announce(*address);
+    }
+    *next = next.wrapping_add(turns);
+}
+
 /// Where this machine stands to the newest view it knows of.
 enum Standing {
     Member,
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -29,6 +29,8 @@
     Heard(Heard),
     /// To a store.
     Store(StoreRequest),
+    /// A core member tells the view to a process that may know none; not answered.
+    Announce(View),
     /// How are you, and how is the budget of this program?
     Status { program: Option<String> },
     /// From one gateway to another as the home of a service.
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -108,6 +108,10 @@
         self.directory.known().table.clone()
     }
 
+    async fn next_change(&self) {
+        self.directory.next_change().await;
+    }
+
     fn ready(&self) -> bool {
         let known = self.directory.known();
         !self.leaving.get() && known.table.is_some() && !known.servers.is_empty()
--- a/crates/node/src/service.rs
+++ b/crates/node/src/service.rs
@@ -35,6 +35,10 @@
     async fn answer(&self, request: Request) -> Reply {
         match request {
             Request::Hello => Reply::View(self.view()),
+            Request::Announce(view) => {
+                self.directory.learn_view(view);
+                Reply::View(None)
+            }
             Request::Candidate { peer } => self.candidate(peer),
             Request::Home(ask) => Reply::Home(self.homes.asked(&ask)),
             Request::Status { program } => Reply::Status(self.status.status(program.as_deref()).to_json()),
@@ -74,6 +78,7 @@
             Reply::View(None)
         }
         Request::Hello
+        | Request::Announce(_)
         | Request::Candidate { .. }
         | Request::Store(_)
         | Request::Home(_)
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -261,6 +261,10 @@
         let reply = match decode::<Request>(&payload)? {
             Request::Store(request) => Reply::Store(self.store_request(request).await?),
             Request::Hello => Reply::View(self.directory.view()),
+            Request::Announce(view) => {
+                self.directory.learn_view(view);
+                Reply::View(None)
+            }
             Request::Status { .. } => Reply::Status(self.status().to_json()),
             _ => Reply::Unavailable,
         };
