Let requests that come before the first configuration wait for it a short time

Cause: after a kill or a loss of power of all processes, gateways listen some 0.03 to 0.9 s before they hold the first configuration, and answered 503 at once with 0.5 s to come back. Ruled out: budgets and histories (their 503s belong to programs that run away or name no turn); what else fails there are calls that may have run when the gateway was killed, which nobody may send again. Change: such a request waits for the table, a quarter of its time and 500 ms at most; then 503 as before, with 0.2 s to come back.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -22,13 +22,20 @@
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// An answer may still be written for so long after the time of its request; then nobody reads it.
 const OVERTIME_MS: u64 = 500;
 /// The same for an answer of the data plane's own.
 const REFUSAL_TIME_MS: u64 = 2000;
-/// When a client may come back before the first configuration has come.
-const NO_TABLE_RETRY_MS: u64 = 500;
+/// A request that comes before the first configuration waits for it so long at most. Guards against losing, just
+/// after a start of all processes, clients who have only a few tries.
+const MOST_TABLE_WAIT_MS: u64 = 500;
+/// It waits for no more than one in so many parts of its time: a further try at another gateway needs the rest.
+const TABLE_WAIT_PARTS: u64 = 4;
+/// When a client may come back that has waited in vain for the first configuration.
+const NO_TABLE_RETRY_MS: u64 = 200;
 /// When a client may come back whose turn waited for its admission until its time was over.
 const NOT_ADMITTED_RETRY_MS: u64 = 300;
 
@@ -72,7 +79,7 @@
     until_ms: &mut u64,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (head, body) = request.into_parts();
-    let Routed { table, route, asked } = match Routed::find(front, &head) {
+    let Routed { table, route, asked } = match Routed::find(front, &head).await {
         Ok(routed) => routed,
         Err(refusal) => {
             if !discard(body).await {
@@ -102,17 +109,40 @@
 }
 
 impl Routed {
-    fn find<N: Node>(front: &Front<N>, head: &Parts) -> Result<Routed, Refusal> {
+    async fn find<N: Node>(front: &Front<N>, head: &Parts) -> Result<Routed, Refusal> {
         if head.version != Version::HTTP_11 {
             return Err(Refusal::OldVersion);
         }
-        let table = front.node.table().ok_or(Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS })?;
+        let table = match front.node.table() {
+            Some(table) => table,
+            // Boxed, as it is rare and would make room for itself in every request.
+            None => Box::pin(first_table(front, head)).await?,
+        };
         let route = find_route(&table, head)?;
         let asked = Asked::read(&head.headers)?;
         Ok(Routed { table, route, asked })
     }
 }
 
+/// The first configuration, waited for while the process starts.
+async fn first_table<N: Node>(front: &Front<N>, head: &Parts) -> Result<Rc<Table>, Refusal> {
+    let later = Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS };
+    let time_ms = Asked::read(&head.headers)?.deadline_ms.unwrap_or(u64::MAX);
+    let wait_ms = (time_ms / TABLE_WAIT_PARTS).min(MOST_TABLE_WAIT_MS);
+    if wait_ms == 0 {
+        return Err(later);
+    }
+    let coming = async {
+        loop {
+            front.node.next_change().await;
+            if let Some(table) = front.node.table() {
+                return table;
+            }
+        }
+    };
+    timeout(Duration::from_millis(wait_ms), coming).await.map_err(|_| later)
+}
+
 fn find_route(table: &Table, head: &Parts) -> Result<Rc<Route>, Refusal> {
     let named = || head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = head.uri.authority().map(|authority| authority.as_str()).or_else(named);
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,6 +11,9 @@
     /// The configuration in force; none before the first has come.
     fn table(&self) -> Option<Rc<Table>>;
 
+    /// Ready once what the node knows has changed, the configuration or anything else.
+    fn next_change(&self) -> impl Future<Output = ()>;
+
     /// Whether new connections of clients are wanted.
     fn ready(&self) -> bool;
 
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -97,6 +97,41 @@
     });
 }
 
+#[test]
+fn a_request_that_comes_first_is_served_once_the_first_configuration_is_there() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        *gateway.node.table.borrow_mut() = None;
+        let mut client = gateway.ask(&post("/write/", "r1", "", "body")).await;
+        gateway.node.hears(&Told::AwaitsChange).await;
+
+        // Something else has changed: it goes on waiting.
+        gateway.node.log.borrow_mut().clear();
+        gateway.node.learn(None);
+        gateway.node.hears(&Told::AwaitsChange).await;
+
+        gateway.node.learn(Some(table(CONFIGURATION)));
+        let (mut connection, message) = server.take().await;
+        assert_eq!(message.text(), "body");
+        connection.answer(200, "r1", "", "done").await;
+        assert_eq!(client.message().await.status(), 200);
+    });
+}
+
+#[test]
+fn a_request_without_time_does_not_wait_for_the_first_configuration() {
+    play(async {
+        let gateway = Gateway::start(&[]).await;
+        *gateway.node.table.borrow_mut() = None;
+        let hurried = "GET /read/ HTTP/1.1\r\nHost: h.example\r\nX-Dunespur-Request-Id: r1\r\n\
+                       X-Dunespur-Deadline-Ms: 3\r\n\r\n";
+        let answer = gateway.ask(hurried).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(gateway.node.told(), []);
+    });
+}
+
 #[test]
 fn a_request_without_a_server_may_come_back() {
     play(async {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -72,11 +72,13 @@
     asks: RefCell<Vec<AskCopy>>,
     last_key: Cell<u64>,
     changed: Notify,
+    known_changed: Notify,
 }
 
 /// What the node was told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
+    AwaitsChange,
     FirstEvent,
     Finished(Outcome),
     Reserve { program: String, budget: u64, most: u64 },
@@ -118,9 +120,16 @@
             asks: RefCell::default(),
             last_key: Cell::new(0),
             changed: Notify::new(),
+            known_changed: Notify::new(),
         })
     }
 
+    /// Another table comes into force, or none.
+    pub fn learn(&self, table: Option<Rc<Table>>) {
+        *self.table.borrow_mut() = table;
+        self.known_changed.notify_waiters();
+    }
+
     pub fn asks(&self) -> Vec<AskCopy> {
         self.asks.borrow().clone()
     }
@@ -170,6 +179,11 @@
         self.table.borrow().clone()
     }
 
+    async fn next_change(&self) {
+        self.note(Told::AwaitsChange);
+        self.known_changed.notified().await;
+    }
+
     fn ready(&self) -> bool {
         self.ready.get()
     }
