Chain: echoes of an earlier run don't make a member current

Cause: the caller's clock starts with the process, so an echo of the run before could lie in the future and hold for minutes. Found by reading; stamps now begin at a drawn number, and the world's processes have clocks of their own.

--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -17,6 +17,10 @@
 //!   view's *base* ([`DecidedView::base`]) names the synced view which is enough for that.
 //! * The next head is one that holds enough by that rule; everyone else's log is brought in line with it before its
 //!   syncs count.
+//!
+//! Members out of the chain follow the commits from the tail, so that they hold the chain up little when they are
+//! taken in. What is seen of the members, by pings that tell who is connected with whom, and the view that there
+//! should be by that are parted: [`plan`] has no state.
 
 pub mod agreed;
 pub mod disk;
--- a/crates/chain/src/member/membership.rs
+++ b/crates/chain/src/member/membership.rs
@@ -179,7 +179,7 @@
         let ping = Ping {
             address: self.me.address,
             view: self.number(),
-            stamp: now,
+            stamp: self.stamps_begin + now,
             echo: self.peers.stamp(&to.id),
             connected: self.connected_bits(now),
             synced: self.has_come_up(),
@@ -199,6 +199,11 @@
         bits.fold(0, |bits, (index, _)| bits | 1 << index)
     }
 
+    /// When a stamp of this run was sent; none for those of other runs.
+    fn time_of_stamp(&self, stamp: Option<u64>, now: Millis) -> Option<Millis> {
+        stamp?.checked_sub(self.stamps_begin).filter(|at| *at <= now)
+    }
+
     pub(super) fn ping_all(&mut self, answer: bool, now: Millis, out: &mut Vec<Output>) {
         self.next_ping = now + PING_EVERY;
         let Some(view) = self.view().filter(|view| view.has_member(&self.me.id)) else { return };
@@ -213,7 +218,8 @@
         let sender = Peer { id: from, address: ping.address };
         let number = ping.view;
         let answer = ping.answer;
-        self.peers.pinged(&sender.id, ping);
+        let echoed = self.time_of_stamp(ping.echo, now);
+        let news = self.peers.pinged(&sender.id, ping, echoed);
         if number < self.number() {
             self.tell_view(&sender, out);
         } else if number > self.number() {
@@ -222,7 +228,10 @@
         if answer {
             self.ping(&sender, false, now, out);
         }
-        self.consider_next_view(now, out);
+        // Without news the next tick is soon enough.
+        if news {
+            self.consider_next_view(now, out);
+        }
     }
 
     /// Tells the present view to one that doesn't know it.
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -25,6 +25,9 @@
 use snapshots::Snapshots;
 use std::net::SocketAddr;
 
+/// Stamps are this much shorter than their type: they don't run over, and are small in messages.
+const SPARE_STAMP_BITS: u32 = 16;
+
 /// What happens to a member.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -133,6 +136,8 @@
     joining: Option<Joining>,
     leaving: bool,
     next_ping: Millis,
+    /// Stamps in pings begin here. Against echoes of an earlier run, whose clock may have been ahead of this one's.
+    stamps_begin: u64,
     caught_up_at: Millis,
     told_current: bool,
     log: Log,
@@ -182,6 +187,7 @@
     ) -> Member {
         let mut random = Random::new(seed);
         let session = random.next();
+        let stamps_begin = random.next() >> SPARE_STAMP_BITS;
         let start = saved.snapshot.as_ref().map_or_else(Default::default, |snapshot| snapshot.position);
         let log = Log::restore(start, saved.entries);
         let mut peers = Peers::default();
@@ -207,6 +213,7 @@
             joining: None,
             leaving: false,
             next_ping: now,
+            stamps_begin,
             caught_up_at: 0,
             told_current: false,
             log,
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -3,7 +3,6 @@
 use crate::agreed::{AcceptedView, Ballot, DecidedView};
 use crate::identity::{MemberId, Peer, View};
 use crate::log::{Entry, Origin, Payload, Position};
-use crate::timing::Millis;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -89,10 +88,10 @@
     /// Where the sender is reached: the receiver may not know it from its view.
     pub address: SocketAddr,
     pub view: u64,
-    /// The sender's clock.
-    pub stamp: Millis,
+    /// The sender's clock, from a beginning drawn for each run of its process.
+    pub stamp: u64,
     /// The receiver's newest stamp that has reached the sender.
-    pub echo: Option<Millis>,
+    pub echo: Option<u64>,
     /// Whom the sender hears and is heard by: a bit for each of its view's members, in their order.
     pub connected: u32,
     /// Its log holds all that it must in its view.
@@ -107,6 +106,28 @@
     pub answer: bool,
 }
 
+/// What of a ping bears on who should be in the chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PingStanding {
+    view: u64,
+    connected: u32,
+    synced: bool,
+    stalled: bool,
+    leaving: bool,
+}
+
+impl Ping {
+    pub fn standing(&self) -> PingStanding {
+        PingStanding {
+            view: self.view,
+            connected: self.connected,
+            synced: self.synced,
+            stalled: self.stalled,
+            leaving: self.leaving,
+        }
+    }
+}
+
 /// A promise in the agreement on view `number`; the view before it is sealed at the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Promise {
--- a/crates/chain/src/peers.rs
+++ b/crates/chain/src/peers.rs
@@ -20,7 +20,7 @@
     /// Until then it is taken to hear us.
     trusted_until: Millis,
     /// Its newest stamp.
-    stamp: Option<Millis>,
+    stamp: Option<u64>,
     ping: Option<Ping>,
     evictions: u32,
     last_eviction: Millis,
@@ -105,11 +105,16 @@
         }
     }
 
-    pub fn pinged(&mut self, id: &MemberId, ping: Ping) {
-        let Some(state) = self.state_mut(id) else { return };
+    /// Says whether the ping tells anything that the one before didn't, as to who should be in the chain.
+    pub fn pinged(&mut self, id: &MemberId, ping: Ping, echoed: Option<Millis>) -> bool {
+        let Some(state) = self.state_mut(id) else { return false };
+        let first_echo = state.echoed.is_none();
         state.stamp = Some(ping.stamp);
-        state.echoed = state.echoed.max(ping.echo);
+        state.echoed = state.echoed.max(echoed);
+        let news =
+            first_echo || state.ping.as_ref().is_none_or(|before| before.standing() != ping.standing());
         state.ping = Some(ping);
+        news
     }
 
     /// The connection to it was refused or reset.
@@ -165,7 +170,7 @@
     }
 
     /// Its newest stamp, to be echoed.
-    pub fn stamp(&self, id: &MemberId) -> Option<Millis> {
+    pub fn stamp(&self, id: &MemberId) -> Option<u64> {
         self.state(id)?.stamp
     }
 
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -85,11 +85,41 @@
         self.give(Input::Persisted { batch });
     }
 
+    /// A ping of another member which has heard this one just now.
+    fn hear_from(&mut self, node: usize) {
+        self.now = self.member.next_tick().max(self.now);
+        while !self.sends(|message| matches!(message, Message::Ping(_))) {
+            self.give(Input::Tick);
+            self.now = self.member.next_tick().max(self.now);
+        }
+        let stamps = self.sent().into_iter().filter_map(|message| match message {
+            Message::Ping(ping) => Some(ping.stamp),
+            _ => None,
+        });
+        let echo = stamps.max();
+        self.receive(node, Message::Ping(ping(node, echo)));
+    }
+
     fn dropped(&self) -> usize {
         self.outputs.iter().filter(|output| matches!(output, Output::Dropped { .. })).count()
     }
 }
 
+fn ping(node: usize, echo: Option<u64>) -> Ping {
+    Ping {
+        address: peer(node).address,
+        view: 1,
+        stamp: 1,
+        echo,
+        connected: 0b111,
+        synced: true,
+        stalled: false,
+        leaving: false,
+        committed: 0,
+        answer: false,
+    }
+}
+
 fn ballot(round: u64, proposer: usize) -> Ballot {
     Ballot { round, proposer: id(proposer), session: 3 }
 }
@@ -217,21 +247,9 @@
 #[test]
 fn the_vote_of_a_wiped_machine_does_not_count() {
     let mut driven = Driven::new(0, saved(0));
-    for stamp in [NOW, NOW + 200] {
-        driven.now = stamp;
-        let ping = Ping {
-            address: peer(1).address,
-            view: 1,
-            stamp,
-            echo: Some(stamp),
-            connected: 0b111,
-            synced: true,
-            stalled: false,
-            leaving: false,
-            committed: 0,
-            answer: false,
-        };
-        driven.receive(1, Message::Ping(ping));
+    for _ in 0..2 {
+        driven.hear_from(1);
+        driven.now += 200;
     }
     // Member 2 is gone: after a while member 0 proposes.
     while !driven.sends(|message| matches!(message, Message::Prepare { .. })) {
@@ -344,3 +362,22 @@
         dropped += driven.dropped();
     }
 }
+
+#[test]
+fn an_echo_makes_current_for_a_while() {
+    let mut driven = Driven::new(0, saved(0));
+    driven.hear_from(1);
+    assert!(driven.member.current(driven.now));
+    assert!(!driven.member.current(driven.now + 1_000));
+}
+
+#[test]
+fn echoes_of_an_earlier_run_do_not_make_current() {
+    // The clock of the run before was ahead, or behind; its stamps began elsewhere.
+    for echo in [0, 1, NOW - 1, NOW, NOW + 500_000, u64::MAX >> 16, u64::MAX] {
+        let mut driven = Driven::new(0, saved(0));
+        driven.receive(1, Message::Ping(ping(1, Some(echo))));
+        assert!(!driven.member.current(driven.now), "echo {echo}");
+        assert!(!driven.member.current(driven.now + 1_000), "echo {echo}");
+    }
+}
--- a/crates/chain/tests/times.rs
+++ b/crates/chain/tests/times.rs
@@ -226,8 +226,11 @@
         play(world, 2_000);
         assert_pause_below(world, since, SILENT_LOSS);
         happens(world, Trouble::Thaw { machine });
-        let current = world.member(machine).is_some_and(|member| member.current(world.now));
-        assert!(!current, "{}", world.told("what came while it was frozen makes it current".into()));
+        assert!(
+            !world.is_current(machine),
+            "{}",
+            world.told("what came while it was frozen makes it current".into())
+        );
         play(world, CATCH_UP);
         assert_whole(world);
         assert_eq!(views(world), before + 2, "{}", world.told("out and in again".into()));
@@ -293,8 +296,7 @@
         happens(&mut world, Trouble::PowerLoss { machine: 1, back_after: NEVER });
         play(&mut world, 1_500);
         let count = world.committed_count();
-        let current = world.member(2).is_some_and(|member| member.current(world.now));
-        assert!(!current);
+        assert!(!world.is_current(2));
         play(&mut world, 10_000);
         assert_eq!(world.committed_count(), count);
     }
@@ -310,3 +312,18 @@
     play(&mut world, 2_000);
     assert_eq!(world.newest_view(), Some(&view));
 }
+
+#[test]
+fn a_restarted_member_does_not_take_echoes_of_its_run_before_for_its_own() {
+    each_place(|world, machine| {
+        play(world, 20_000);
+        happens(world, Trouble::Kill { machine, back_after: 300 });
+        play(world, 1_500);
+        assert!(world.is_current(machine));
+        for other in (0..world.machines.len()).filter(|other| *other != machine) {
+            happens(world, Trouble::Cut { from: machine, to: other });
+        }
+        play(world, 1_200);
+        assert!(!world.is_current(machine), "{}", world.told(format!("m{machine} is current")));
+    });
+}
--- a/crates/chain/tests/world/mod.rs
+++ b/crates/chain/tests/world/mod.rs
@@ -26,6 +26,9 @@
 /// Slow disks leave more time for trouble between a write and its sync.
 const SLOW_SYNC: Millis = 60;
 
+/// What a process's clock says at its start.
+const FIRST_MOMENT: Millis = 1;
+
 /// What a broken promise of the protocol looks like.
 pub type Verdict = Result<(), String>;
 
@@ -73,6 +76,8 @@
 
 struct Process {
     member: Member,
+    /// The process's clock starts at this time, as steady clocks may.
+    clock_zero: Millis,
     tick_at: Millis,
     /// Commits given out, or installed with a snapshot.
     applied: u64,
@@ -341,10 +346,18 @@
         machine.powered = true;
         machine.frozen = false;
         let saved = machine.saved.clone();
-        let member =
-            Member::with_guards(id, machine.address, machine.may_found, saved, seed, now, self.setup.guards);
+        let member = Member::with_guards(
+            id,
+            machine.address,
+            machine.may_found,
+            saved,
+            seed,
+            FIRST_MOMENT,
+            self.setup.guards,
+        );
         let process = Process {
             member,
+            clock_zero: now,
             tick_at: Millis::MAX,
             applied: 0,
             submitted: HashMap::new(),
@@ -550,8 +563,8 @@
         let Some(process) = self.machines[index].process.as_mut() else { return };
         self.steps += 1;
         let mut out = Vec::new();
-        process.member.step(input, now, &mut out);
-        let next = process.member.next_tick();
+        process.member.step(input, now - process.clock_zero + FIRST_MOMENT, &mut out);
+        let next = process.member.next_tick().saturating_sub(FIRST_MOMENT).saturating_add(process.clock_zero);
         let due = next.max(now + 1);
         if due < process.tick_at {
             process.tick_at = due;
@@ -765,6 +778,12 @@
         self.views.values().next_back()
     }
 
+    /// Whether the member takes itself to be current.
+    pub fn is_current(&self, index: usize) -> bool {
+        let process = self.machines[index].process.as_ref();
+        process.is_some_and(|process| process.member.current(self.now - process.clock_zero + FIRST_MOMENT))
+    }
+
     pub fn member(&self, index: usize) -> Option<&Member> {
         self.machines[index].process.as_ref().map(|process| &process.member)
     }
@@ -782,7 +801,7 @@
             if !view.chain.contains(&self.id(index)) {
                 return Err(self.told(format!("m{index} is not in the chain of view {}", view.number)));
             }
-            if !member.current(self.now) {
+            if !self.is_current(index) {
                 return Err(self.told(format!("m{index} is not current")));
             }
             if applied + most_behind < self.sequence.len() as u64 {
