Play turns in a seeded world of kills, lost disks, cuts and retirements; wake up only when due

The world found two state machines that asked to be called again at once: a writer with a failed store it needed no more, and a store with a new disk that waited for a peer. Both are fixed.

--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -305,13 +305,13 @@
 
     /// When [`Self::tick`] has to be called.
     pub fn next_due(&self) -> u64 {
-        let settle = (self.wholeness == Wholeness::Filling).then_some(self.settled_at_ms);
+        let settles = self.wholeness == Wholeness::Filling && self.is_filled();
         let placed = |name: &str| self.candidates.iter().any(|candidate| candidate.name == name);
         let absences = self.absent_since.iter().filter(|(name, _)| placed(name));
         self.asks
             .values()
             .map(|open| open.give_up_at_ms)
-            .chain(settle.filter(|_| self.repair.began_at_ms() < self.settled_at_ms))
+            .chain(settles.then_some(self.settled_at_ms))
             .chain(absences.map(|(_, since)| since.saturating_add(self.settings.absent_repair_ms)))
             .chain(self.repair.next_due())
             .chain(self.deliveries.next_due(|name| self.is_present(name)))
@@ -795,7 +795,7 @@
         if self.wholeness == Wholeness::Joining && self.is_introduced() {
             self.enter_wholeness(Wholeness::Filling);
         }
-        if self.wholeness != Wholeness::Filling || !self.repair.is_done() || !self.completions.is_idle() {
+        if self.wholeness != Wholeness::Filling || !self.is_filled() {
             return;
         }
         if self.repair.began_at_ms() >= self.settled_at_ms {
@@ -807,6 +807,11 @@
         }
     }
 
+    /// Everything that the others had for this store is here.
+    fn is_filled(&self) -> bool {
+        self.repair.is_done() && self.completions.is_idle()
+    }
+
     /// Every present store has heard of this one. Against readers with an old list: without it they could call
     /// a turn unknown that only stores lie on that they have never heard of.
     fn is_introduced(&self) -> bool {
--- a/crates/turns/src/read.rs
+++ b/crates/turns/src/read.rs
@@ -169,7 +169,7 @@
         }
         let steps = self.sources.iter().filter_map(|source| match source.state {
             AskState::Asked { at_ms } => Some(at_ms + HEDGE_MS),
-            AskState::Failed { at_ms } => Some(at_ms + RETRY_MS),
+            AskState::Failed { at_ms } if self.stage == Stage::Everybody => Some(at_ms + RETRY_MS),
             _ => None,
         });
         Some(steps.min().unwrap_or(u64::MAX).min(self.give_up_at_ms))
--- a/crates/turns/src/write.rs
+++ b/crates/turns/src/write.rs
@@ -123,10 +123,10 @@
         if self.verdict.is_some() {
             return None;
         }
-        let untried = self.copies.iter().any(|copy| copy.state == CopyState::Untried);
+        let short = self.is_short();
         let steps = self.copies.iter().filter_map(|copy| match copy.state {
             CopyState::Asked { at_ms } => Some(at_ms + HEDGE_MS),
-            CopyState::Failed { at_ms } if !untried => Some(at_ms + RETRY_MS),
+            CopyState::Failed { at_ms } if short => Some(at_ms + RETRY_MS),
             _ => None,
         });
         Some(steps.min().unwrap_or(u64::MAX).min(self.give_up_at_ms))
@@ -176,7 +176,7 @@
 
     /// Asks further stores until enough promise an answer.
     fn start_more(&mut self, now_ms: u64) {
-        while self.copies.iter().filter(|copy| copy.is_hopeful()).count() < self.wanted {
+        while self.is_short() {
             let Some(next) = self.next_copy(now_ms) else {
                 return;
             };
@@ -198,6 +198,11 @@
             .position(|copy| copy.state == CopyState::Untried && copy.present && !used(&copy.zone))
     }
 
+    /// Fewer stores than wanted promise an answer.
+    fn is_short(&self) -> bool {
+        self.copies.iter().filter(|copy| copy.is_hopeful()).count() < self.wanted
+    }
+
     fn hopeful_zones(&self) -> usize {
         count_zones(self.copies.iter().filter(|copy| copy.is_hopeful()))
     }
--- /dev/null
+++ b/crates/turns/tests/world/mod.rs
@@ -0,0 +1,223 @@
+//! A seeded world for the turns: stores with simulated disks, a core that notices them, gateways that keep and
+//! read turns for programs, and faults within what the deployment tolerates. No clock, no sleep: one queue of
+//! events, the same for the same seed.
+
+mod core;
+mod faults;
+mod machine;
+mod programs;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use dunespur_turns::message::{StoreReply, StoreRequest};
+use dunespur_turns::node::{AskId, DiskOutcome, JobId};
+use dunespur_turns::roster::Store;
+use fastrand::Rng;
+
+pub use faults::{FaultKind, LONGEST_TROUBLE_MS};
+use machine::Machine;
+use programs::{Operation, Program, Truth};
+
+/// As the pages give it for the first deployments.
+pub const CATCH_UP_MS: u64 = 4_200;
+/// Retention on the world's only route, in true time.
+pub const RETENTION_MS: u64 = 20_000;
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub stores: usize,
+    pub zones: usize,
+    /// Machines that may be lost at one time.
+    pub tolerated: usize,
+    pub programs: usize,
+    /// Trouble is begun until then.
+    pub faults_until_ms: u64,
+    /// The kinds of trouble, drawn from evenly.
+    pub faults: Vec<FaultKind>,
+    /// Everything loses power, and as many disks are lost as are tolerated, after the other trouble.
+    pub final_fault: bool,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub kept: u64,
+    pub unsure_writes: u64,
+    pub chains: u64,
+    pub unsure_reads: u64,
+    pub unknown: u64,
+    pub faults: u64,
+    pub retired: u64,
+    /// The longest that a store with a new disk took to be whole, from its first list on.
+    pub slowest_whole_ms: u64,
+    /// The longest that a store took from being told to retire to saying that it is emptied.
+    pub slowest_retire_ms: u64,
+    pub largest_message: usize,
+}
+
+/// Who waits for the answer of a store.
+#[derive(Clone, Debug)]
+enum Asker {
+    Machine { machine: usize, life: u64, ask: AskId },
+    Gateway { operation: u64, store: String, id: String },
+}
+
+#[derive(Debug)]
+enum Event {
+    Request { to: usize, request: StoreRequest, asker: Asker },
+    Answer { asker: Asker, reply: Option<StoreReply> },
+    DiskDone { machine: usize, life: u64, job: JobId, outcome: Option<DiskOutcome> },
+    Tick { machine: usize, life: u64 },
+    Heartbeats,
+    ListToMachine { machine: usize, life: u64, list: Vec<Store> },
+    ListToGateway { gateway: usize, version: u64, list: Vec<Store> },
+    OperationDue { operation: u64 },
+    ProgramStep { program: usize },
+    Probe,
+    NextFault { slot: usize },
+    Start { machine: usize },
+    Thaw { machine: usize },
+    Join { machine: usize },
+    CaughtUp { slot: usize },
+    FinalFault,
+    CheckCopies,
+}
+
+struct Gateway {
+    list: Vec<Store>,
+    version: u64,
+    wall_offset_ms: i64,
+    /// How far behind its list may be.
+    most_lag_ms: u64,
+}
+
+/// The world.
+pub struct World {
+    plan: Plan,
+    rng: Rng,
+    now_ms: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    last_event: u64,
+    machines: Vec<Machine>,
+    core: core::Core,
+    gateways: Vec<Gateway>,
+    programs: Vec<Program>,
+    operations: BTreeMap<u64, Operation>,
+    last_operation: u64,
+    truth: Truth,
+    slots: Vec<faults::Slot>,
+    /// No trouble from then on.
+    calm_since_ms: Option<u64>,
+    seen: Seen,
+}
+
+impl World {
+    /// Plays a plan to its end; panics with the seed if a rule is broken.
+    pub fn play(plan: Plan) -> Seen {
+        let mut world = World::new(plan);
+        let end_ms = world.plan.faults_until_ms + 45_000;
+        while let Some(Reverse((at_ms, number))) = world.queue.pop() {
+            if at_ms > end_ms {
+                break;
+            }
+            world.now_ms = at_ms;
+            let event = world.events.remove(&number).expect("each queued event is there");
+            world.handle(event);
+        }
+        world.check_end();
+        world.seen
+    }
+
+    fn new(plan: Plan) -> Self {
+        let mut world = World {
+            rng: Rng::with_seed(plan.seed),
+            now_ms: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            last_event: 0,
+            machines: Vec::new(),
+            core: core::Core::default(),
+            gateways: Vec::new(),
+            programs: Vec::new(),
+            operations: BTreeMap::new(),
+            last_operation: 0,
+            truth: Truth::default(),
+            slots: Vec::new(),
+            calm_since_ms: None,
+            seen: Seen::default(),
+            plan,
+        };
+        world.set_up();
+        world
+    }
+
+    fn set_up(&mut self) {
+        for _ in 0..self.plan.stores {
+            let machine = self.add_machine();
+            let at_ms = self.rng.u64(0..300);
+            self.at(at_ms, Event::Start { machine });
+        }
+        for gateway in 0..3 {
+            let wall_offset_ms = self.rng.i64(-2_000..2_000);
+            // The last one lags far behind the core.
+            let most_lag_ms = if gateway == 2 { 3_000 } else { 200 };
+            self.gateways.push(Gateway { list: Vec::new(), version: 0, wall_offset_ms, most_lag_ms });
+        }
+        self.at(50, Event::Heartbeats);
+        self.set_up_programs();
+        for slot in 0..self.plan.tolerated {
+            self.slots.push(faults::Slot::default());
+            let at_ms = 8_000 + self.rng.u64(0..2_000);
+            self.at(at_ms, Event::NextFault { slot });
+        }
+        if self.plan.final_fault {
+            // After the last of the other troubles has been caught up.
+            self.at(self.plan.faults_until_ms + 16_000, Event::FinalFault);
+        }
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.last_event += 1;
+        self.events.insert(self.last_event, event);
+        self.queue.push(Reverse((at_ms.max(self.now_ms), self.last_event)));
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.at(self.now_ms + delay_ms, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Request { to, request, asker } => self.request_arrives(to, request, asker),
+            Event::Answer { asker, reply } => self.answer_arrives(asker, reply),
+            Event::DiskDone { machine, life, job, outcome } => self.disk_done(machine, life, job, outcome),
+            Event::Tick { machine, life } => self.tick(machine, life),
+            Event::Heartbeats => self.heartbeats(),
+            Event::ListToMachine { machine, life, list } => self.list_to_machine(machine, life, list),
+            Event::ListToGateway { gateway, version, list } => self.list_to_gateway(gateway, version, list),
+            Event::OperationDue { operation } => self.operation_due(operation),
+            Event::ProgramStep { program } => self.program_step(program),
+            Event::Probe => self.probe(),
+            Event::NextFault { slot } => self.next_fault(slot),
+            Event::Start { machine } => self.start(machine),
+            Event::Thaw { machine } => self.thaw(machine),
+            Event::Join { machine } => self.join(machine),
+            Event::CaughtUp { slot } => self.caught_up(slot),
+            Event::FinalFault => self.final_fault(),
+            Event::CheckCopies => self.check_copies(),
+        }
+    }
+
+    /// A message on its way between machines.
+    fn latency_ms(&mut self) -> u64 {
+        1 + self.rng.u64(0..3)
+    }
+
+    fn fail(&self, what: &str) -> ! {
+        panic!("seed {}, {} ms: {what}\n{:?}", self.plan.seed, self.now_ms, self.seen);
+    }
+}
