--- a/crates/node/tests/explain.rs
+++ b/crates/node/tests/explain.rs
@@ -2,13 +2,14 @@
 
 mod support;
 
-use dunespur_emulator::scene::{Scene, ScenePlan};
+use dunespur_emulator::client::Ask;
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST};
 use dunespur_emulator::system::TemporaryFolder;
 use std::fs::{self, File};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
-use support::{go_on, line_of, program};
+use support::{go_on, line_of, lookup, program};
 
 const TOLD: i32 = 0;
 const UNKNOWN_REQUEST: i32 = 1;
@@ -98,3 +99,31 @@
         assert!(story.contains(&first), "{story}");
     }
 }
+
+#[tokio::test]
+async fn the_data_plane_tells_where_a_request_went_and_why_it_was_refused() {
+    let folder = TemporaryFolder::new("dunespur-explain").unwrap();
+    let program = talkative(folder.path(), "text");
+    let scene = Scene::start(&program, ScenePlan::default()).await.unwrap();
+    let served = scene.client.send(&lookup()).await;
+    assert!(served.succeeded(), "{served:?}");
+    let refused = scene.client.send(&Ask::get(HOST, "/nowhere/x")).await;
+    assert_eq!(refused.status(), Some(404));
+    let line = line_of(&scene, 1).await;
+    let turn = line.previous().unwrap().to_string();
+    let files = written(&scene, folder.path());
+
+    let told = explain(&served.request.to_string(), &files).output().unwrap();
+    for words in
+        ["route lookup", "choice for service tools", "goes to", "sent to", "answered 200", "client: 200"]
+    {
+        assert!(story(&told).contains(words), "{words}: {}", story(&told));
+    }
+    let told = explain(&refused.request.to_string(), &files).output().unwrap();
+    assert!(story(&told).contains("refused with 404: no route"), "{}", story(&told));
+    let told = explain(&turn, &files).output().unwrap();
+    for words in ["route kept", "admitted", "the core's counter", "the answer begins", "turn kept", "is free"]
+    {
+        assert!(story(&told).contains(words), "{words}: {}", story(&told));
+    }
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::plain::{self, Awaited};
 use crate::refusal::Refusal;
 use crate::sending::{Message, Reply, Sending};
+use crate::story::{self, Told};
 use crate::stream::{is_stream, Begin, Keeping, Streaming};
 use crate::turn::{TokenCount, Turn};
 use bytes::{Bytes, BytesMut};
@@ -49,9 +50,16 @@
     front.count_request();
     let arrived_ms = front.clock.now_ms();
     let mut until_ms = arrived_ms + REFUSAL_TIME_MS;
+    let told = Told::of(&request);
     let mut response = match serve(&front, &client, request, arrived_ms, &mut until_ms).await {
-        Ok(response) => response,
-        Err(refusal) => refuse(&front, &client, refusal),
+        Ok(response) => {
+            told.answered(response.status());
+            response
+        }
+        Err(refusal) => {
+            told.refused(refusal);
+            refuse(&front, &client, refusal)
+        }
     };
     if front.is_leaving() || client.is_ending() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -62,7 +70,6 @@
 }
 
 fn refuse<N: Node>(front: &Front<N>, client: &Rc<Client>, refusal: Refusal) -> Response<AnswerBody> {
-    log::debug!("refused: {refusal:?}");
     front.count_refusal(refusal);
     if refusal.leaves_unread() {
         client.refuse_unread();
@@ -90,6 +97,7 @@
     };
     let held_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     *until_ms = arrived_ms.saturating_add(held_ms);
+    story::arrived(&head, &route, &asked, held_ms);
     let mut limit = TimeLimit::new(&front.clock, &front.departures, *until_ms);
     let mut room = front.memory.room();
     let input = collect(body, table.limits().max_body_bytes, &mut limit, &mut room).await?;
@@ -195,7 +203,10 @@
     }
     let ask = TurnAsk { program, budget, most: most_tokens(asked) };
     match limit.bound(front.node.reserve(ask)).await {
-        Some(Reserve::Admitted(key)) => Ok(Some(Turn::new(&front.node, key))),
+        Some(Reserve::Admitted(key)) => {
+            story::admitted(asked, key.0);
+            Ok(Some(Turn::new(&front.node, key)))
+        }
         Some(Reserve::Spent) => Err(Refusal::Spent),
         Some(Reserve::Wait { retry_after_ms }) => Err(Refusal::Later { retry_after_ms }),
         None => Err(Refusal::Later { retry_after_ms: NOT_ADMITTED_RETRY_MS }),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,6 +38,7 @@
 mod reuse;
 mod sending;
 mod servers;
+mod story;
 mod stream;
 mod turn;
 mod verdict;
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::servers::KeepTerms;
+use crate::story;
 use crate::verdict::{judge, Verdict};
 use bytes::Bytes;
 use dunespur_configuration::{Route, Service, Table};
@@ -246,6 +247,7 @@
             match self.attempt(&ticket, over).await {
                 Ok(answered) => return self.take(answered, ticket, flight),
                 Err(fault) => {
+                    story::fault(&self.asked, &ticket, fault);
                     self.note_fault(&ticket.server, fault);
                     if !(matches!(fault, Fault::Broken | Fault::Spoilt) && self.may_resend()) {
                         flight.finish(outcome(fault));
@@ -368,7 +370,7 @@
     }
 
     fn choose_of(&self, backend: &str) -> Choice {
-        self.front.node.choose(&Ask {
+        let choice = self.front.node.choose(&Ask {
             backend,
             program: text(&self.asked.program),
             session: text(&self.asked.session),
@@ -380,7 +382,9 @@
             time_left_ms: self.limit.left_ms(),
             target_ms: self.route.target_ms,
             tried: &self.tried,
-        })
+        });
+        story::choice(&self.asked, backend, &choice);
+        choice
     }
 
     /// Sends the request to one server and waits for the head of its answer.
@@ -389,6 +393,7 @@
         let idempotent = self.route.idempotent();
         let kept = || self.front.servers.kept(&ticket.server, idempotent, &self.front.clock);
         if let Some(link) = (over == Over::KeptOrNew).then(kept).flatten() {
+            story::sent(&self.asked, ticket, story::Over::Kept);
             match self.exchange(link, ticket).await {
                 // The connection ended as it was used again: the server is as well reached over a new one.
                 Err(Fault::Unsent) => {}
@@ -399,6 +404,7 @@
         let front = self.front.clone();
         let connected = self.limit.bound(front.servers.connect(&ticket.server, self.route.target_ms)).await;
         let link = connected.unwrap_or(Err(Fault::Unsent))?;
+        story::sent(&self.asked, ticket, story::Over::New);
         self.exchange(link, ticket).await
     }
 
@@ -414,8 +420,8 @@
             None => return Err(Fault::Unsent),
         };
         let verdict = judge(&head, &self.message.method, &self.asked.id);
+        story::judged(&self.asked, ticket, head.status, verdict);
         if matches!(verdict, Verdict::Spoilt | Verdict::EmptyPromise) {
-            log::debug!("server {}: {verdict:?} ({})", ticket.server.id, head.status);
             return Err(Fault::Spoilt);
         }
         Ok(Answered { link, head, incoming, verdict })
