Link: join a silent attempt to connect by a further one after 150 ms

Ruled out: disks and agreement on views (current within 0.012 s of the start after a kill, where nothing is dark). Change: a further attempt beside the silent one every 150 ms, within the same 700 ms; the first that is up is taken. Test: a listener that ignores the first packet, as its places are taken; Unreachable before, answered now.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -1,7 +1,7 @@
 //! The side that calls: one kept connection to one address, opened when it is needed.
 
 use crate::frame::{encode, FrameReader, MOST_FRAME};
-use crate::{prepare, CONNECT_TIMEOUT, MOST_QUEUED};
+use crate::{prepare, CONNECT_TIMEOUT, FURTHER_ATTEMPT, MOST_QUEUED};
 use bytes::{Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,7 +13,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::{spawn_local, AbortHandle, JoinSet};
 use tokio::time::timeout;
 
 /// Why a call has no answer. Whether it was carried out is not known, except for [`CallError::Unreachable`].
@@ -179,7 +179,7 @@
 
 /// One connection from its opening to its end; says what calls without an answer get.
 async fn run(address: SocketAddr, frames: mpsc::Receiver<(u64, Bytes)>, client: Weak<Client>) -> CallError {
-    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
+    let Ok(Some(stream)) = timeout(CONNECT_TIMEOUT, open(address)).await else {
         return CallError::Unreachable;
     };
     if prepare(&stream).is_err() {
@@ -192,6 +192,21 @@
     }
 }
 
+/// Opens a connection. An attempt without an answer is joined by a further one after a short time. Guards against a
+/// machine that was dark when the first packet came: that is sent again only after a second, while the machine
+/// may be back long before.
+async fn open(address: SocketAddr) -> Option<TcpStream> {
+    let mut attempts = JoinSet::new();
+    loop {
+        attempts.spawn_local(TcpStream::connect(address));
+        match timeout(FURTHER_ATTEMPT, attempts.join_next()).await {
+            Ok(Some(Ok(connected))) => return connected.ok(),
+            Ok(_) => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 async fn write_frames(mut output: OwnedWriteHalf, mut frames: mpsc::Receiver<(u64, Bytes)>) {
     let mut buffer = BytesMut::new();
     while let Some((number, payload)) = frames.recv().await {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -21,6 +21,9 @@
 /// A connection that does not come up within this time has failed.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// A connection that has not come up after this time is tried once more, beside the first attempt.
+const FURTHER_ATTEMPT: Duration = Duration::from_millis(150);
+
 /// Frames that may wait for a connection to take them; with more the oldest state is stale anyway and the
 /// connection is ended.
 const MOST_QUEUED: usize = 4096;
--- a/crates/link/tests/calls.rs
+++ b/crates/link/tests/calls.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, yield_now, LocalSet};
 
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -101,6 +101,36 @@
     });
 }
 
+/// Takes all places of a listener for connections that nobody has accepted, so that it ignores further ones, as a
+/// dark machine does.
+async fn ignoring_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut taken = Vec::new();
+    for _ in 0..2 {
+        taken.push(TcpStream::connect(address).await.unwrap());
+    }
+    (listener, taken)
+}
+
+#[test]
+fn a_machine_that_comes_back_is_reached_before_the_first_attempt_is_given_up() {
+    run(async {
+        let (listener, taken) = ignoring_listener().await;
+        let client = Client::new(listener.local_addr().unwrap());
+        let call = spawn_local(async move { client.call(Bytes::from_static(b"abc"), LIMIT).await });
+        // The first attempt goes out, and is ignored.
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        drop(taken);
+        spawn_local(serve(listener, Rc::new(Echo::default())));
+        assert_eq!(call.await.unwrap().unwrap(), "cba");
+    });
+}
+
 #[test]
 fn a_connection_that_ends_fails_its_calls_and_the_next_call_opens_another() {
     run(async {
