Give free memory back early: one heap for all threads, blocks of 128 kB mapped

The C library raises its bound for mapped blocks with each large block that is freed, and keeps an arena for each thread. Change: mallopt at the start: one arena, blocks from 128 kB on mapped, 64 kB kept free at the end, growth by 32 kB. Most of what is left are hyper's buffers of 8 kB, two for each connection.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! `dunespur`: the processes of the serving tier, each a role, and the tools of those who run it.
 
+mod allocator;
 mod api;
 mod budgets;
 mod check;
@@ -68,6 +69,7 @@
             return ExitCode::from(UNUSABLE_SETTINGS);
         }
     };
+    allocator::keep_little();
     logging::start(logging.level, logging.format, Origin { node: settings.node.clone(), role });
     ended(block_on(run(settings, path)))
 }
