--- a/crates/storage/src/turns.rs
+++ b/crates/storage/src/turns.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use dunespur_turns::index::IndexEntry;
 use dunespur_turns::node::{DiskOutcome, DiskWork};
-use dunespur_turns::turn::Turn;
+use dunespur_turns::turn::{size_of, Turn};
 use redb::{
     Builder, Database, DatabaseError, Durability, ReadableTable, StorageBackend, StorageError,
     TableDefinition, WriteTransaction,
@@ -128,7 +128,7 @@
                 let mut bodies = write.open_table(BODIES)?;
                 for turn in turns {
                     headers.insert(turn.id.as_str(), encode(turn)?.as_slice())?;
-                    let mut body = bodies.insert_reserve(turn.id.as_str(), turn.size() as u32)?;
+                    let mut body = bodies.insert_reserve(turn.id.as_str(), turn.body_bytes() as u32)?;
                     let (input, output) = body.as_mut().split_at_mut(turn.input.len());
                     input.copy_from_slice(&turn.input);
                     output.copy_from_slice(&turn.output);
@@ -309,7 +309,7 @@
         program: row.program.to_owned(),
         ended_at_ms: row.ended_at_ms,
         retention_ms: row.retention_ms,
-        size: row.input_bytes + row.output_bytes,
+        size: size_of(id, row.previous, row.program, row.input_bytes + row.output_bytes),
     }
 }
 
--- a/crates/turns/src/handoff.rs
+++ b/crates/turns/src/handoff.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::index::Index;
-use crate::message::{PAGE_BYTES, PAGE_IDS};
+use crate::message::{PAGE_BYTES, PAGE_IDS, PAGE_ID_BYTES};
 use crate::roster::Candidate;
 
 /// A hint is delivered after this long: by then a home that was only slow has the turn.
@@ -56,6 +56,19 @@
     not_before_ms: u64,
 }
 
+impl Hints {
+    /// As many ids as one offer may carry.
+    fn page(&self) -> Vec<String> {
+        let mut bytes = 0;
+        let fits = |id: &&String| {
+            let room = bytes < PAGE_ID_BYTES;
+            bytes += id.len();
+            room
+        };
+        self.ids.iter().take(PAGE_IDS).take_while(fits).cloned().collect()
+    }
+}
+
 /// Where the emptying of this store stands with one of the new homes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum EmptyingState {
@@ -206,8 +219,7 @@
     fn next_hints(&self, present: &impl Fn(&str) -> bool, now_ms: u64) -> Option<Delivery> {
         let (home, hints) =
             self.hints.iter().find(|(home, hints)| present(home) && hints.not_before_ms <= now_ms)?;
-        let offered = hints.ids.iter().take(PAGE_IDS).cloned().collect();
-        Some(Delivery::new(home, Source::Hints, offered))
+        Some(Delivery::new(home, Source::Hints, hints.page()))
     }
 
     /// The other store answered the offer.
--- a/crates/turns/src/index.rs
+++ b/crates/turns/src/index.rs
@@ -9,7 +9,7 @@
 use std::ops::Bound;
 use std::sync::Arc;
 
-use crate::message::{ListedTurn, PAGE_IDS};
+use crate::message::{ListedTurn, PAGE_IDS, PAGE_ID_BYTES};
 use crate::placement;
 use crate::roster::Candidate;
 use crate::turn::{TurnHeader, RETENTION_MARGIN_MS};
@@ -141,7 +141,7 @@
         self.records.get(id).map(|record| record.expires_at_ms.saturating_sub(now_ms))
     }
 
-    /// Bytes of a turn's bodies.
+    /// What a turn takes.
     pub fn size(&self, id: &str) -> Option<u64> {
         self.records.get(id).map(|record| record.size)
     }
@@ -155,7 +155,7 @@
         self.records.is_empty()
     }
 
-    /// Bytes of all bodies held.
+    /// What all turns held take.
     pub fn bytes(&self) -> u64 {
         self.bytes
     }
@@ -241,12 +241,14 @@
     ) -> Page {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         let mut page = Page::default();
+        let mut id_bytes = 0;
         for (scanned, (id, record)) in self.records.range::<str, _>((start, Bound::Unbounded)).enumerate() {
             if record.expires_at_ms > now_ms && placement::is_home(&record.program, store, candidates, copies)
             {
                 page.turns.push(ListedTurn { id: id.to_string(), size: record.size });
+                id_bytes += id.len();
             }
-            if page.turns.len() >= PAGE_IDS || scanned + 1 >= SCAN_BOUND {
+            if page.turns.len() >= PAGE_IDS || id_bytes >= PAGE_ID_BYTES || scanned + 1 >= SCAN_BOUND {
                 page.next = Some(id.to_string());
                 break;
             }
--- a/crates/turns/src/message.rs
+++ b/crates/turns/src/message.rs
@@ -14,6 +14,8 @@
 pub const PAGE_BYTES: u64 = 512 << 10;
 /// Most ids in one listing or offer.
 pub const PAGE_IDS: usize = 1_000;
+/// Most bytes of ids in one listing or offer, unless a single id is longer.
+pub const PAGE_ID_BYTES: usize = 256 << 10;
 
 /// To a store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,7 +58,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedTurn {
     pub id: String,
-    /// Bytes of its bodies, so that the asker can ask for as much as one message may carry.
+    /// What it takes, so that the asker can ask for as much as one message may carry.
     pub size: u64,
 }
 
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -32,7 +32,9 @@
 /// How often turns past their time are looked for.
 pub const EXPIRY_SWEEP_MS: u64 = 5_000;
 /// Most turns deleted from the disk in one piece of work.
-const REMOVE_BOUND: usize = 2_000;
+const REMOVE_BOUND: usize = 256;
+/// The most that turns being read may take together. Against callers that ask faster than the disk reads.
+const READING_BOUND_BYTES: u64 = 16 << 20;
 
 /// What the node is told at its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,8 +43,10 @@
     pub name: String,
     /// How many stores keep each turn: as many as may be lost at one time, and one more.
     pub copies: usize,
-    /// Most bytes of bodies that it takes in.
+    /// The most that its turns may take. The file of the disk may need three times as much.
     pub capacity_bytes: u64,
+    /// The most turns that it takes in; each costs some 250 bytes of memory.
+    pub capacity_turns: usize,
     /// A store that is absent for this long is replaced: what it held gets further copies elsewhere.
     pub absent_repair_ms: u64,
 }
@@ -88,6 +92,7 @@
     Done,
     /// For [`DiskWork::Get`]: what was found, in the order asked for.
     Turns(Vec<Turn>),
+    /// A disk that fails once usually fails on: after a failed put the process should end.
     Failed,
 }
 
@@ -139,8 +144,8 @@
 #[derive(Debug)]
 enum JobPurpose {
     Commit,
-    Chain { caller: CallerId, missing: Option<String>, more: bool },
-    Fetch { caller: CallerId },
+    Chain { caller: CallerId, bytes: u64, missing: Option<String>, more: bool },
+    Fetch { caller: CallerId, bytes: u64 },
     Delivery { serial: u64 },
     Removal,
     MarkWhole,
@@ -172,6 +177,8 @@
     asks: BTreeMap<AskId, OpenAsk>,
     jobs: BTreeMap<JobId, JobPurpose>,
     last_number: u64,
+    /// What the turns take that callers wait for the disk to read.
+    reading_bytes: u64,
     sweep_at_ms: u64,
     effects: VecDeque<Effect>,
 }
@@ -198,6 +205,7 @@
             asks: BTreeMap::new(),
             jobs: BTreeMap::new(),
             last_number: 0,
+            reading_bytes: 0,
             sweep_at_ms: now_ms.saturating_add(EXPIRY_SWEEP_MS),
             effects: VecDeque::new(),
         }
@@ -283,8 +291,14 @@
         };
         match purpose {
             JobPurpose::Commit => self.commit_done(outcome != DiskOutcome::Failed, now_ms),
-            JobPurpose::Chain { caller, missing, more } => self.chain_read(caller, missing, more, outcome),
-            JobPurpose::Fetch { caller } => self.fetch_read(caller, outcome, now_ms),
+            JobPurpose::Chain { caller, bytes, missing, more } => {
+                self.reading_bytes -= bytes;
+                self.chain_read(caller, missing, more, outcome);
+            }
+            JobPurpose::Fetch { caller, bytes } => {
+                self.reading_bytes -= bytes;
+                self.fetch_read(caller, outcome, now_ms);
+            }
             JobPurpose::Delivery { serial } => self.delivery_read(serial, outcome, now_ms),
             JobPurpose::Removal => {}
             JobPurpose::MarkWhole => self.marked(outcome != DiskOutcome::Failed, now_ms),
@@ -453,7 +467,9 @@
             Some(Refusal::Joining)
         } else if self.index.contains(&turn.id) {
             Some(Refusal::Conflict)
-        } else if used + turn.size() > self.settings.capacity_bytes {
+        } else if used + turn.size() > self.settings.capacity_bytes
+            || self.index.len() >= self.settings.capacity_turns
+        {
             Some(Refusal::Full)
         } else {
             None
@@ -504,9 +520,22 @@
             return self.reply(caller, reply);
         };
         self.index.extend(id, now_ms.saturating_add(READ_HOLD_MS));
-        let ids = chain.ids.iter().rev().map(|id| id.to_string()).collect();
+        let ids: Vec<String> = chain.ids.iter().rev().map(|id| id.to_string()).collect();
+        let Some(bytes) = self.room_to_read(&ids) else {
+            return self.reply(caller, StoreReply::Refused(Refusal::Busy));
+        };
         let missing = chain.missing.map(|id| id.to_string());
-        self.work(JobPurpose::Chain { caller, missing, more: chain.more }, DiskWork::Get(ids));
+        self.work(JobPurpose::Chain { caller, bytes, missing, more: chain.more }, DiskWork::Get(ids));
+    }
+
+    /// What these turns take, if as much may be read now.
+    fn room_to_read(&mut self, ids: &[String]) -> Option<u64> {
+        let bytes: u64 = ids.iter().filter_map(|id| self.index.size(id)).sum();
+        if self.reading_bytes > 0 && self.reading_bytes + bytes > READING_BOUND_BYTES {
+            return None;
+        }
+        self.reading_bytes += bytes;
+        Some(bytes)
     }
 
     fn chain_read(&mut self, caller: CallerId, missing: Option<String>, more: bool, outcome: DiskOutcome) {
@@ -538,7 +567,10 @@
         if wanted.is_empty() {
             return self.reply(caller, StoreReply::Fetched { turns: Vec::new() });
         }
-        self.work(JobPurpose::Fetch { caller }, DiskWork::Get(wanted));
+        let Some(bytes) = self.room_to_read(&wanted) else {
+            return self.reply(caller, StoreReply::Refused(Refusal::Busy));
+        };
+        self.work(JobPurpose::Fetch { caller, bytes }, DiskWork::Get(wanted));
     }
 
     fn fetch_read(&mut self, caller: CallerId, outcome: DiskOutcome, now_ms: u64) {
--- a/crates/turns/src/read.rs
+++ b/crates/turns/src/read.rs
@@ -104,11 +104,23 @@
 impl Reading {
     /// Begins to look up the chain that ends in `id`, for a turn of `program`.
     pub fn new(id: &str, program: &str, stores: &[Store], copies: usize, now_ms: u64) -> Self {
+        Self::near(id, program, stores, copies, None, now_ms)
+    }
+
+    /// As [`Self::new`], asking homes of the given zone first: bytes between zones cost.
+    pub fn near(
+        id: &str,
+        program: &str,
+        stores: &[Store],
+        copies: usize,
+        zone: Option<&str>,
+        now_ms: u64,
+    ) -> Self {
         let mut reading = Self {
             wanted: id.to_owned(),
             found: Vec::new(),
             found_bytes: 0,
-            sources: sources(program, stores, copies),
+            sources: sources(program, stores, copies, zone),
             listed: stores.iter().map(|store| store.name.clone()).collect(),
             stage: Stage::Homes,
             list_is_old: false,
@@ -310,21 +322,17 @@
     }
 }
 
-/// All stores that may hold turns: the program's homes first, those that are present before the others.
-fn sources(program: &str, stores: &[Store], copies: usize) -> Vec<Source> {
+/// All stores that may hold turns: the program's homes first, those that are present before the others, and
+/// those of the given zone before those of others.
+fn sources(program: &str, stores: &[Store], copies: usize, zone: Option<&str>) -> Vec<Source> {
     let order = placement::order(program, stores);
+    let placed = order.into_iter().enumerate().map(|(position, store)| (store, position < copies));
     let emptying = stores.iter().filter(|store| store.retiring && !store.retired);
-    let mut sources: Vec<(bool, Source)> = order
-        .into_iter()
-        .enumerate()
-        .map(|(position, store)| (store, position < copies))
-        .chain(emptying.map(|store| (store, false)))
-        .map(|(store, home)| {
-            (store.present, Source { store: store.name.clone(), home, state: AskState::Untried })
-        })
-        .collect();
-    sources.sort_by_key(|(present, source)| (!source.home, !present));
-    sources.into_iter().map(|(_, source)| source).collect()
+    let mut stores: Vec<(&Store, bool)> = placed.chain(emptying.map(|store| (store, false))).collect();
+    stores.sort_by_key(|(store, home)| (!home, !store.present, zone != Some(store.zone.as_str())));
+    let source =
+        |(store, home): (&Store, bool)| Source { store: store.name.clone(), home, state: AskState::Untried };
+    stores.into_iter().map(source).collect()
 }
 
 /// Guards against a store that answers something else: the piece ends in the wanted turn, each turn goes on
--- a/crates/turns/src/turn.rs
+++ b/crates/turns/src/turn.rs
@@ -28,10 +28,15 @@
 
 impl Turn {
     /// Bytes of input and output.
-    pub fn size(&self) -> u64 {
+    pub fn body_bytes(&self) -> u64 {
         self.input.len() as u64 + self.output.len() as u64
     }
 
+    /// What the turn takes in a message, in memory or on a disk.
+    pub fn size(&self) -> u64 {
+        size_of(&self.id, self.previous.as_deref(), &self.program, self.body_bytes())
+    }
+
     /// Everything but the bodies.
     pub fn header(&self) -> TurnHeader {
         TurnHeader {
@@ -53,10 +58,19 @@
     pub program: String,
     pub ended_at_ms: u64,
     pub retention_ms: u64,
-    /// Bytes of input and output.
+    /// What the turn takes, see [`Turn::size`].
     pub size: u64,
 }
 
+/// What a turn takes beside its strings and bodies.
+const FIXED_BYTES: u64 = 64;
+
+/// What a turn with these strings and so many bytes of input and output takes.
+pub fn size_of(id: &str, previous: Option<&str>, program: &str, body_bytes: u64) -> u64 {
+    let strings = id.len() + previous.map_or(0, str::len) + program.len();
+    FIXED_BYTES + strings as u64 + body_bytes
+}
+
 impl TurnHeader {
     /// How long a turn that has just ended is kept, margin included.
     pub fn full_term_ms(&self) -> u64 {
--- /dev/null
+++ b/crates/turns/tests/index.rs
@@ -0,0 +1,146 @@
+//! The index of one store: chains, expiry on the steady clock, listings.
+
+mod common;
+
+use common::{stores, turn, PROGRAM};
+use dunespur_turns::index::{Index, LEAST_TERM_AFTER_START_MS};
+use dunespur_turns::message::PAGE_IDS;
+use dunespur_turns::placement;
+use dunespur_turns::roster::Candidate;
+use dunespur_turns::turn::{TurnHeader, RETENTION_MARGIN_MS};
+
+const RETENTION_MS: u64 = 20_000;
+
+fn header(id: &str, previous: Option<&str>) -> TurnHeader {
+    turn(id, previous).header()
+}
+
+fn ids(index: &Index, id: &str) -> Option<Vec<String>> {
+    let chain = index.chain(id, u64::MAX, 0)?;
+    Some(chain.ids.iter().map(|id| id.to_string()).collect())
+}
+
+#[test]
+fn ancestors_live_as_long_as_their_youngest_descendant() {
+    let mut index = Index::default();
+    index.insert(&header("a", None), 100);
+    index.insert(&header("b", Some("a")), 200);
+    index.insert(&header("c", Some("b")), 900);
+    index.insert(&header("d", Some("a")), 300);
+    assert_eq!(index.expire(300), ["d"]);
+    assert_eq!(ids(&index, "c").unwrap(), ["c", "b", "a"]);
+    assert_eq!(index.expire(899), Vec::<String>::new());
+    assert_eq!(index.expire(900), ["a", "b", "c"]);
+    assert!(index.is_empty());
+    assert_eq!(index.bytes(), 0);
+}
+
+#[test]
+fn an_ancestor_that_comes_late_is_kept_for_its_descendants() {
+    let mut index = Index::default();
+    index.insert(&header("c", Some("b")), 900);
+    assert_eq!(index.first_missing("c"), Some("b".to_owned()));
+    assert_eq!(index.dangling().collect::<Vec<_>>(), ["b"]);
+    index.insert(&header("b", Some("a")), 100);
+    index.insert(&header("a", None), 50);
+    assert!(!index.has_dangling());
+    assert_eq!(index.first_missing("c"), None);
+    assert_eq!(index.expire(899), Vec::<String>::new());
+}
+
+#[test]
+fn a_chain_is_cut_where_the_next_turn_is_missing_or_has_no_room() {
+    let mut index = Index::default();
+    index.insert(&header("b", Some("a")), 900);
+    index.insert(&header("c", Some("b")), 900);
+    let whole = index.chain("c", u64::MAX, 0).unwrap();
+    assert_eq!((whole.missing.as_deref(), whole.more), (Some("a"), false));
+    let page = index.chain("c", 1, 0).unwrap();
+    assert_eq!(page.ids.len(), 1, "one turn always comes");
+    assert_eq!((page.missing.as_deref(), page.more), (Some("b"), true));
+}
+
+#[test]
+fn a_turn_past_its_time_is_unknown_before_it_is_deleted() {
+    let mut index = Index::default();
+    index.insert(&header("a", None), 100);
+    assert!(index.chain("a", u64::MAX, 99).is_some());
+    assert!(index.chain("a", u64::MAX, 100).is_none());
+}
+
+#[test]
+fn a_turn_again_only_lives_longer() {
+    let mut index = Index::default();
+    index.insert(&header("a", None), 100);
+    let bytes = index.bytes();
+    index.insert(&header("a", None), 50);
+    assert_eq!(index.remaining_ms("a", 0), Some(100));
+    index.insert(&header("a", None), 500);
+    assert_eq!(index.remaining_ms("a", 0), Some(500));
+    assert_eq!((index.len(), index.bytes()), (1, bytes));
+}
+
+#[test]
+fn a_wall_clock_that_steps_ahead_deletes_nothing_at_a_start() {
+    let entries = vec![header("a", None)];
+    let day_ms = 86_400_000;
+    let index = Index::load(entries, 1_000_000 + day_ms, 5_000);
+    assert_eq!(index.remaining_ms("a", 5_000), Some(LEAST_TERM_AFTER_START_MS));
+}
+
+#[test]
+fn a_wall_clock_that_steps_back_keeps_nothing_for_ever() {
+    let entries = vec![header("a", None)];
+    let index = Index::load(entries, 0, 5_000);
+    assert_eq!(index.remaining_ms("a", 5_000), Some(RETENTION_MS + RETENTION_MARGIN_MS));
+}
+
+#[test]
+fn a_start_within_the_retention_keeps_at_least_the_rest_of_it() {
+    let entries = vec![header("a", None), header("b", Some("a"))];
+    let index = Index::load(entries, 1_000_000 + 5_000, 0);
+    assert!(index.remaining_ms("a", 0).unwrap() >= RETENTION_MS - 5_000 + RETENTION_MARGIN_MS);
+}
+
+#[test]
+fn listings_bring_exactly_what_a_store_should_hold_page_by_page() {
+    let stores = stores(3);
+    let candidates: Vec<Candidate> = stores.iter().map(Candidate::from).collect();
+    let mut index = Index::default();
+    let count = PAGE_IDS * 4;
+    for number in 0..count {
+        let mut header = header(&format!("turn-{number:06}"), None);
+        header.program = format!("program-{}", number % 100);
+        index.insert(&header, 1_000);
+    }
+    let mut listed = Vec::new();
+    let mut after = None;
+    loop {
+        let page = index.missing_at("storage-1", &candidates, 2, after.as_deref(), 0);
+        assert!(page.turns.len() <= PAGE_IDS);
+        listed.extend(page.turns.into_iter().map(|turn| turn.id));
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    let expected: Vec<String> = (0..count)
+        .filter(|number| {
+            let program = format!("program-{}", number % 100);
+            placement::homes(&program, &stores, 2).iter().any(|home| home.name == "storage-1")
+        })
+        .map(|number| format!("turn-{number:06}"))
+        .collect();
+    assert_eq!(listed, expected);
+}
+
+#[test]
+fn the_same_id_with_other_contents_is_another_turn() {
+    let mut index = Index::default();
+    index.insert(&header("a", None), 100);
+    assert!(index.agrees_with(&header("a", None)));
+    assert!(!index.agrees_with(&header("a", Some("z"))));
+    let mut other = turn("a", None);
+    other.program = format!("{PROGRAM}x");
+    assert!(!index.agrees_with(&other.header()));
+}
--- a/crates/turns/tests/world/machine.rs
+++ b/crates/turns/tests/world/machine.rs
@@ -104,6 +104,7 @@
             name: machine.name.clone(),
             copies,
             capacity_bytes: 64 << 20,
+            capacity_turns: 100_000,
             absent_repair_ms: 1_000,
         };
         let wall_ms = wall(self.now_ms, machine.wall_offset_ms);
