Copy an absent store's turns at once; give the first view to its head alone

Cause: replacing.rs failed each time: a store killed for good, a successor a second later, another store wiped 4.2 s on: turns with both copies there were gone, as repair began 8.5 s after the loss. It begins 2.8 s after it now. And a founder that restarts could give a second first view to others; only the chain's head is told, which tells the others from its disk.

--- a/crates/node/src/founding.rs
+++ b/crates/node/src/founding.rs
@@ -19,7 +19,8 @@
 /// Members of the first view.
 const MOST_MEMBERS: usize = 7;
 
-/// What the founder knows.
+/// What the founder knows. It tells the first view to the chain's head alone, which tells the others once the view is
+/// on its disk: a founder that restarts and forgets can't give two of them different first views.
 pub enum Founding {
     Collecting { since: u64, candidates: BTreeMap<SocketAddr, Peer> },
     Founded(View),
@@ -38,9 +39,12 @@
         self.collect(&peer, now);
         match self {
             Founding::Collecting { .. } => Candidacy::Wait,
-            Founding::Founded(view) if view.number == FIRST_VIEW && view.members.contains(&peer) => {
+            Founding::Founded(view) if view.number == FIRST_VIEW && view.chain.first() == Some(&peer.id) => {
                 Candidacy::Found(view.clone())
             }
+            Founding::Founded(view) if view.number == FIRST_VIEW && view.members.contains(&peer) => {
+                Candidacy::Wait
+            }
             Founding::Founded(view) => Candidacy::Join(view.clone()),
         }
     }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -38,8 +38,10 @@
 const DISK_PERCENT: u64 = 60;
 /// Of a disk of unknown size, in megabytes.
 const UNKNOWN_DISK_MB: u64 = 256;
-/// A store that is absent for this long has its turns copied elsewhere, in milliseconds.
-const ABSENT_REPAIR_MS: u64 = 6_000;
+/// A store whose lease has lapsed for this long has its turns copied elsewhere, in milliseconds. A machine that is gone
+/// for good may have a successor a second later, and stops counting as lost once that had its time to catch up (some
+/// four seconds); by then there have to be enough copies again.
+const ABSENT_REPAIR_MS: u64 = 300;
 /// Pause before the core is told again what it did not take.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 /// The core gets so long for a report.
