Servers are asked to beat at the home of their service in their zone

So far each heartbeat went to any gateway, mostly of another zone. The answer now names the home's control address, if a home is known present; a gateway that has lost touch with the core takes no heartbeats, as the servers that hold to it would lapse. Tests of whole programs: a home that is killed, leaves, is frozen while its server drains, or is without the core.

Ruled out: naming a home to save processor time (no difference seen).

--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -2,9 +2,10 @@
 //! JSON bodies.
 
 use crate::directory::{Directory, Unavailable};
+use crate::homes::Homes;
 use crate::registry::{self, Heartbeat};
 use bytes::Bytes;
-use dunespur_control::{Operation, Order, OrderKind, Outcome, RetireOutcome, RetireState};
+use dunespur_control::{Operation, Order, OrderKind, Outcome, RetireOutcome, RetireState, ServerReport};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -15,6 +16,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -41,6 +43,9 @@
 /// What the interface needs to know and to ask.
 pub struct ControlApi {
     pub directory: Rc<Directory>,
+    pub homes: Rc<Homes>,
+    /// The port of this interface, the same on all machines.
+    pub control_port: u16,
     /// Machines that may be lost at once.
     pub tolerated_losses: u32,
 }
@@ -139,12 +144,25 @@
             Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
         };
         let report = heartbeat.report(id);
-        if registry::is_known(&self.directory.known(), &report) {
-            self.directory.heard(&report.id);
-            return accepted();
+        if self.directory.has_lost_touch() {
+            // Told here it would reach nobody, and the server's lease would lapse: it is to call another one.
+            return unavailable();
         }
+        let beat_address = self.beat_address(&report);
         self.directory.heard(&report.id);
-        self.acknowledged(&Operation::Server(report)).await
+        if registry::is_known(&self.directory.known(), &report) {
+            return heard(beat_address);
+        }
+        match self.directory.execute(&Operation::Server(report), ORDER_LIMIT).await {
+            Ok(_) => heard(beat_address),
+            Err(Unavailable) => unavailable(),
+        }
+    }
+
+    /// Where a server's later heartbeats are wanted: at the home of its service in its zone.
+    fn beat_address(&self, report: &ServerReport) -> Option<SocketAddr> {
+        let home = self.homes.home_address(&report.backend, &report.zone)?;
+        Some(SocketAddr::new(home.ip(), self.control_port))
     }
 
     /// Carries out an operation that can only succeed.
@@ -227,6 +245,14 @@
     json_answer(StatusCode::OK, "{}".to_owned())
 }
 
+/// A heartbeat was taken; later ones go to the address, if there is one.
+fn heard(beat_address: Option<SocketAddr>) -> Answer {
+    match beat_address {
+        Some(address) => json_answer(StatusCode::OK, json!({ "beat_addr": address.to_string() }).to_string()),
+        None => accepted(),
+    }
+}
+
 fn unavailable() -> Answer {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "the core did not answer in time");
     answer.headers_mut().insert(RETRY_AFTER, hyper::header::HeaderValue::from_static(RETRY_SECONDS));
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -144,6 +144,11 @@
         self.link.get()
     }
 
+    /// Whether core members have answered before, but not lately.
+    pub fn has_lost_touch(&self) -> bool {
+        self.answered_at.get() > 0 && !self.in_touch()
+    }
+
     /// What is known now.
     pub fn known(&self) -> std::cell::Ref<'_, Known> {
         self.known.borrow()
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::core::{Coordinator, CoreIdentity};
 use crate::directory::Directory;
 use crate::founding::Founding;
+use crate::homes::Homes;
 use crate::joining::keep_joined;
 use crate::membership::Membership;
 use crate::plane::Plane;
@@ -58,7 +59,7 @@
         front: front.clone(),
     };
     start_internal(&settings, clock, status).await?;
-    start_control(&settings, &directory).await?;
+    start_control(&settings, &directory, plane.homes()).await?;
     if let Some(ready) = settings.listen.ready {
         spawn_local(serve_ready(plane.clone(), listen(ready).await?));
     }
@@ -113,10 +114,18 @@
     Ok(())
 }
 
-async fn start_control(settings: &Settings, directory: &Rc<Directory>) -> anyhow::Result<()> {
+async fn start_control(
+    settings: &Settings,
+    directory: &Rc<Directory>,
+    homes: Rc<Homes>,
+) -> anyhow::Result<()> {
     let Some(address) = settings.listen.control else { return Ok(()) };
-    let api =
-        ControlApi { directory: directory.clone(), tolerated_losses: settings.fault_tolerance.machines };
+    let api = ControlApi {
+        directory: directory.clone(),
+        homes,
+        control_port: address.port(),
+        tolerated_losses: settings.fault_tolerance.machines,
+    };
     spawn_local(api::serve(Rc::new(api), listen(address).await?));
     Ok(())
 }
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -13,6 +13,7 @@
 use dunespur_routing::{Chooser, LoadReport};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -66,6 +67,11 @@
         self.rescheduled.notify_one();
     }
 
+    /// Where the home of a service in a zone listens for other gateways.
+    pub fn home_address(&self, service: &str, zone: &str) -> Option<SocketAddr> {
+        self.distribution.borrow().roster().home(service, zone).map(|home| home.address)
+    }
+
     /// Another gateway asks.
     pub fn asked(&self, ask: &Ask) -> Answer {
         let answer = self.distribution.borrow_mut().asked(ask, self.clock.now());
--- /dev/null
+++ b/crates/node/tests/homes.rs
@@ -0,0 +1,172 @@
+//! Homes of services as servers see them: which gateway is named for their later heartbeats, and what happens when it
+//! is gone.
+
+mod support;
+
+use dunespur_emulator::client::call::{call, Call};
+use dunespur_emulator::scene::{Scene, ScenePlan, SETTLE_LIMIT};
+use dunespur_emulator::system::Role;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{expect_no_violation, places, stage, ORDER_LIMIT};
+use tokio::time::{sleep, Instant};
+
+/// A heartbeat is answered within this time.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+/// Pause between two looks at what is to become so.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// The zone that has a core member and another gateway.
+const ZONE: &str = "zone-a";
+
+/// Sends a heartbeat of a server that no route leads to: the address that it names for later ones.
+async fn beat(control: SocketAddr, service: &str, seq: u64) -> Option<SocketAddr> {
+    let body = json!({
+        "backend": service,
+        "address": "127.0.0.9:9",
+        "zone": ZONE,
+        "generation": "v1",
+        "slots": 1,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": seq,
+    });
+    let target = format!("/api/instances/i-{service}/heartbeat");
+    let answer = call(control, &Call::post(target, body.to_string()), ANSWERED_WITHIN).await.ok()?;
+    let answer: Value = serde_json::from_slice(&answer.body).ok()?;
+    answer["beat_addr"].as_str()?.parse().ok()
+}
+
+/// The gateways of the zone: one with the core's disk and one without.
+fn gateways(scene: &Scene) -> [usize; 2] {
+    [places(scene, Role::Core)[0], places(scene, Role::Gateway)[0]]
+}
+
+/// Waits until `by` names `home` for the service's heartbeats.
+async fn named(by: SocketAddr, service: &str, home: SocketAddr) {
+    let until = Instant::now() + SETTLE_LIMIT;
+    let mut seq = 100;
+    loop {
+        seq += 1;
+        let named = beat(by, service, seq).await;
+        if named == Some(home) {
+            return;
+        }
+        assert!(Instant::now() < until, "{by} names {named:?}, not {home}");
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// A service whose home in the zone is the gateway at `place`, as all gateways say after a while.
+async fn service_at(scene: &Scene, place: usize) -> String {
+    let controls = scene.system.controls();
+    let homes: Vec<SocketAddr> =
+        gateways(scene).into_iter().map(|place| scene.system.control(place)).collect();
+    for number in 0.. {
+        let service = format!("service-{number}");
+        let until = Instant::now() + SETTLE_LIMIT;
+        loop {
+            let mut named = Vec::new();
+            for control in &controls {
+                named.push(beat(*control, &service, 1).await);
+            }
+            if let Some(home) = named[0].filter(|home| named.iter().all(|other| *other == Some(*home))) {
+                assert!(homes.contains(&home), "{home} is not in the zone");
+                if home == scene.system.control(place) {
+                    return service;
+                }
+                break;
+            }
+            assert!(Instant::now() < until, "{service}: {named:?}");
+        }
+    }
+    unreachable!("one of some names falls to each gateway")
+}
+
+#[tokio::test]
+async fn a_home_that_is_killed_is_followed_by_the_other_gateway_and_takes_over_again() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let [other, home] = gateways(&scene);
+    let service = service_at(&scene, home).await;
+    let (home_control, other_control) = (scene.system.control(home), scene.system.control(other));
+    let asked = scene.system.control(places(&scene, Role::Core)[1]);
+    scene.system.machine(home).kill();
+    named(asked, &service, other_control).await;
+    named(other_control, &service, other_control).await;
+    scene.system.restart(home).unwrap();
+    named(asked, &service, home_control).await;
+    named(home_control, &service, home_control).await;
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_gateway_that_leaves_is_not_named_any_more_while_it_still_serves() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let [other, home] = gateways(&scene);
+    let service = service_at(&scene, home).await;
+    for engine in &scene.engines {
+        engine.server.gate.hold();
+    }
+    let turn = held_turn(&scene, home).await;
+    scene.terminate(home).unwrap();
+    let asked = scene.system.control(places(&scene, Role::Core)[1]);
+    named(asked, &service, scene.system.control(other)).await;
+    assert!(scene.system.machine(home).is_running(), "it was named until its end");
+    for engine in &scene.engines {
+        engine.server.gate.open();
+    }
+    assert!(turn.await.unwrap(), "its stream ends whole");
+    expect_no_violation(&scene);
+}
+
+/// A turn through the gateway at `place` that waits at a server.
+async fn held_turn(scene: &Scene, place: usize) -> tokio::task::JoinHandle<bool> {
+    let ask = scene.turn_ask();
+    let (client, front) = (scene.client.clone(), scene.system.front(place));
+    let turn = tokio::spawn(async move { client.send_to(front, &ask).await.succeeded() });
+    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
+    tokio::select! {
+        () = first.gate.waiting(1) => {}
+        () = second.gate.waiting(1) => {}
+    }
+    turn
+}
+
+#[tokio::test]
+async fn a_server_drains_in_time_while_the_home_that_it_beats_at_is_frozen() {
+    // The next server after three engines stands in the zone that has two gateways.
+    let mut scene = stage(ScenePlan { engines: 3, ..ScenePlan::default() }).await;
+    let [_, home] = gateways(&scene);
+    let service = service_at(&scene, home).await;
+    let address = scene.system.server_address().unwrap();
+    let server = scene.add_plain_at(address, &service).await.unwrap();
+    assert_eq!(scene.plains[server].server.door.identity.zone, ZONE);
+    scene.plains[server].registration.known().await;
+    scene.system.machine(home).freeze().unwrap();
+    let asked = Instant::now();
+    scene.plains[server].registration.drain().await;
+    let took = asked.elapsed();
+    scene.system.machine(home).thaw().unwrap();
+    assert!(took < ORDER_LIMIT, "{took:?}");
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn servers_that_beat_at_a_home_without_the_core_go_elsewhere() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let [_, home] = gateways(&scene);
+    let service = service_at(&scene, home).await;
+    for core in places(&scene, Role::Core) {
+        scene.system.machine(core).freeze().unwrap();
+    }
+    let control = scene.system.control(home);
+    let until = Instant::now() + SETTLE_LIMIT;
+    while beat(control, &service, 200).await.is_some() {
+        assert!(Instant::now() < until, "it takes heartbeats that nobody hears of");
+        sleep(LOOK_PAUSE).await;
+    }
+    for core in places(&scene, Role::Core) {
+        scene.system.machine(core).thaw().unwrap();
+    }
+    named(control, &service, control).await;
+}
