--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -38,6 +38,10 @@
 const DISK_PERCENT: u64 = 60;
 /// Of a disk of unknown size, in megabytes.
 const UNKNOWN_DISK_MB: u64 = 256;
+/// The index of turns may take this part of the memory.
+const MEMORY_DIVISOR: u64 = 8;
+/// What the index takes for one turn.
+const TURN_MEMORY_BYTES: u64 = 250;
 /// A store whose lease has lapsed for this long has its turns copied elsewhere, in milliseconds. A machine that is gone
 /// for good may have a successor a second later, and stops counting as lost once that had its time to catch up (some
 /// four seconds); by then there have to be enough copies again.
@@ -114,10 +118,13 @@
         directory.hold_lease(NodeLease::of(&report));
         let disk_bytes = settings.limits.disk_mb.unwrap_or(UNKNOWN_DISK_MB) << 20;
         let capacity_bytes = disk_bytes * DISK_PERCENT / 100;
+        let index_bytes = (settings.limits.memory_mb << 20) / MEMORY_DIVISOR;
+        let capacity_turns = (index_bytes / TURN_MEMORY_BYTES) as usize;
         let node_settings = NodeSettings {
             name: settings.node.clone(),
             copies: settings.copies(),
             capacity_bytes,
+            capacity_turns,
             absent_repair_ms: ABSENT_REPAIR_MS,
         };
         let state = DiskState { disk: identity.disk, fresh: identity.fresh, entries };
