--- a/crates/distribution/tests/roster.rs
+++ b/crates/distribution/tests/roster.rs
@@ -47,8 +47,7 @@
 #[test]
 fn a_gateway_that_goes_moves_its_own_services_only_and_to_the_next_in_order() {
     let whole = Roster::new(gateways());
-    let without =
-        Roster::new(gateways().into_iter().filter(|gateway| &*gateway.name != "north-2").collect());
+    let without = Roster::new(gateways().into_iter().filter(|gateway| &*gateway.name != "north-2").collect());
     for service in services() {
         let before = whole.ranked(&service, "north");
         let expected = if &*before[0].name == "north-2" { before[1] } else { before[0] };
