--- a/crates/turns/src/index.rs
+++ b/crates/turns/src/index.rs
@@ -20,7 +20,9 @@
 /// What a turn that was read is kept for at least, in milliseconds: whoever asked for it is about to go on
 /// from it, and its chain must still be there when that turn has ended.
 pub const READ_HOLD_MS: u64 = 30_000;
-/// The least term after a start, whatever the wall clock says. Against a clock that has stepped ahead.
+/// By how much the wall clock may have stepped ahead without a turn being deleted too early after a start.
+pub const CLOCK_STEP_BOUND_MS: u64 = 120_000;
+/// The least term after a start, whatever the wall clock says.
 pub const LEAST_TERM_AFTER_START_MS: u64 = RETENTION_MARGIN_MS;
 
 #[derive(Debug)]
@@ -275,7 +277,7 @@
 
 fn term_after_start(entry: &IndexEntry, wall_ms: u64) -> u64 {
     let full = entry.full_term_ms();
-    let ends_at = entry.ended_at_ms.saturating_add(full);
+    let ends_at = entry.ended_at_ms.saturating_add(full).saturating_add(CLOCK_STEP_BOUND_MS);
     let least = LEAST_TERM_AFTER_START_MS.min(full);
     ends_at.saturating_sub(wall_ms).clamp(least, full)
 }
--- a/crates/turns/tests/faults.rs
+++ b/crates/turns/tests/faults.rs
@@ -5,11 +5,12 @@
 
 use world::{FaultKind, Plan, Seen, World, CATCH_UP_MS, LONGEST_TROUBLE_MS};
 
-const ALL: [FaultKind; 8] = [
+const ALL: [FaultKind; 9] = [
     FaultKind::Kill,
     FaultKind::Wipe,
     FaultKind::Freeze,
     FaultKind::CutOff,
+    FaultKind::CutFromStores,
     FaultKind::KillAll,
     FaultKind::Replace,
     FaultKind::Add,
--- a/crates/turns/tests/index.rs
+++ b/crates/turns/tests/index.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{stores, turn, PROGRAM};
-use dunespur_turns::index::{Index, LEAST_TERM_AFTER_START_MS};
+use dunespur_turns::index::{Index, CLOCK_STEP_BOUND_MS, LEAST_TERM_AFTER_START_MS};
 use dunespur_turns::message::PAGE_IDS;
 use dunespur_turns::placement;
 use dunespur_turns::roster::Candidate;
@@ -97,9 +97,18 @@
 
 #[test]
 fn a_start_within_the_retention_keeps_at_least_the_rest_of_it() {
-    let entries = vec![header("a", None), header("b", Some("a"))];
-    let index = Index::load(entries, 1_000_000 + 5_000, 0);
-    assert!(index.remaining_ms("a", 0).unwrap() >= RETENTION_MS - 5_000 + RETENTION_MARGIN_MS);
+    for step_ms in [0, 60_000, CLOCK_STEP_BOUND_MS] {
+        let entries = vec![header("a", None), header("b", Some("a"))];
+        let index = Index::load(entries, 1_000_000 + 5_000 + step_ms, 0);
+        assert!(index.remaining_ms("a", 0).unwrap() >= RETENTION_MS - 5_000 + RETENTION_MARGIN_MS);
+    }
+}
+
+#[test]
+fn what_is_long_past_its_time_goes_soon_after_a_start() {
+    let old_ms = RETENTION_MS + RETENTION_MARGIN_MS + CLOCK_STEP_BOUND_MS;
+    let index = Index::load(vec![header("a", None)], 1_000_000 + old_ms, 0);
+    assert_eq!(index.remaining_ms("a", 0), Some(LEAST_TERM_AFTER_START_MS));
 }
 
 #[test]
--- a/crates/turns/tests/world/faults.rs
+++ b/crates/turns/tests/world/faults.rs
@@ -15,6 +15,7 @@
     Wipe,
     Freeze,
     CutOff,
+    CutFromStores,
     /// All processes end at once; the disks stay.
     KillAll,
     /// A machine is gone for good and an empty one of another name comes.
@@ -47,6 +48,7 @@
             FaultKind::Wipe => self.wipe(machine),
             FaultKind::Freeze => self.hold_up(machine, Trouble::Frozen),
             FaultKind::CutOff => self.hold_up(machine, Trouble::CutOff),
+            FaultKind::CutFromStores => self.hold_up(machine, Trouble::CutFromStores),
             FaultKind::KillAll => self.kill_all(),
             FaultKind::Replace => self.replace(slot, machine),
             FaultKind::Add => self.add(),
--- a/crates/turns/tests/world/machine.rs
+++ b/crates/turns/tests/world/machine.rs
@@ -11,6 +11,9 @@
 
 use super::{Asker, Event, World, BYTES_A_MS};
 
+/// By how much the wall clock of a machine may be off when its process starts.
+const CLOCK_STEP_MS: i64 = 60_000;
+
 /// What holds the machine up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -20,6 +23,8 @@
     Frozen,
     /// Nothing reaches it and it reaches nothing.
     CutOff,
+    /// Only the gateways reach it, neither the core nor the other stores.
+    CutFromStores,
     /// Taken away for good.
     Gone,
 }
@@ -43,7 +48,6 @@
     /// Writes handed to the disk and not yet acknowledged by it.
     unsynced: BTreeMap<JobId, DiskWork>,
     disk_busy_until_ms: u64,
-    wall_offset_ms: i64,
     last_caller: u64,
     callers: BTreeMap<u64, Asker>,
     /// What came while the machine was frozen or cut off.
@@ -74,7 +78,6 @@
             disk: Disk::default(),
             unsynced: BTreeMap::new(),
             disk_busy_until_ms: 0,
-            wall_offset_ms: self.rng.i64(-2_000..2_000),
             last_caller: 0,
             callers: BTreeMap::new(),
             held_up: Vec::new(),
@@ -93,6 +96,7 @@
             return;
         }
         let drawn = self.rng.u64(1..);
+        let wall_offset_ms = self.rng.i64(-CLOCK_STEP_MS..CLOCK_STEP_MS);
         let copies = self.plan.tolerated + 1;
         let machine = &mut self.machines[number];
         if machine.disk.number == 0 {
@@ -107,7 +111,7 @@
             capacity_turns: 100_000,
             absent_repair_ms: 1_000,
         };
-        let wall_ms = wall(self.now_ms, machine.wall_offset_ms);
+        let wall_ms = wall(self.now_ms, wall_offset_ms);
         machine.node = Some(StoreNode::new(settings, disk, wall_ms, self.now_ms));
         machine.life += 1;
         machine.trouble = Trouble::None;
@@ -146,12 +150,12 @@
     pub(super) fn thaw(&mut self, number: usize) {
         let machine = &mut self.machines[number];
         let was = machine.trouble;
-        if !matches!(was, Trouble::Frozen | Trouble::CutOff) {
+        if !matches!(was, Trouble::Frozen | Trouble::CutOff | Trouble::CutFromStores) {
             return;
         }
         machine.trouble = Trouble::None;
         for event in std::mem::take(&mut machine.held_up) {
-            let lost = was == Trouble::CutOff && !matches!(event, Event::Tick { .. }) && self.rng.bool();
+            let lost = was != Trouble::Frozen && self.rng.bool();
             if !lost {
                 let delay_ms = self.latency_ms();
                 self.after(delay_ms, event);
@@ -169,7 +173,8 @@
     pub(super) fn request_arrives(&mut self, to: usize, request: StoreRequest, asker: Asker) {
         match self.machines[to].trouble {
             Trouble::None if self.machines[to].node.is_some() => {}
-            Trouble::Frozen | Trouble::CutOff => {
+            Trouble::CutFromStores if matches!(asker, Asker::Gateway { .. }) => {}
+            Trouble::Frozen | Trouble::CutOff | Trouble::CutFromStores => {
                 return self.machines[to].held_up.push(Event::Request { to, request, asker });
             }
             _ => {
@@ -196,7 +201,7 @@
                 }
                 match asking.trouble {
                     Trouble::None if asking.node.is_some() => {}
-                    Trouble::Frozen | Trouble::CutOff => {
+                    Trouble::Frozen | Trouble::CutOff | Trouble::CutFromStores => {
                         let asker = Asker::Machine { machine, life, ask };
                         return asking.held_up.push(Event::Answer { asker, reply });
                     }
@@ -286,14 +291,19 @@
                 let bytes = reply_bytes(&reply);
                 self.seen.largest_message = self.seen.largest_message.max(bytes);
                 let asker = self.machines[number].callers.remove(&caller).expect("one reply to each caller");
-                let cut = self.machines[number].trouble == Trouble::CutOff;
+                let cut = match self.machines[number].trouble {
+                    Trouble::CutOff => true,
+                    Trouble::CutFromStores => matches!(asker, Asker::Machine { .. }),
+                    _ => false,
+                };
                 if !cut {
                     let delay_ms = self.transfer_ms(bytes);
                     self.after(delay_ms, Event::Answer { asker, reply: Some(reply) });
                 }
             }
             Effect::Ask { ask, store, request } => {
-                if self.machines[number].trouble != Trouble::CutOff {
+                let cut = [Trouble::CutOff, Trouble::CutFromStores].contains(&self.machines[number].trouble);
+                if !cut {
                     self.send(&store, request, Asker::Machine { machine: number, life, ask });
                 }
             }
