Play a freeze of four seconds again, with its exact count of views by the number of members

The long freeze is back beside it, and asks for 2 views with an odd and 4 with an even number, exactly.

--- a/crates/chain/tests/times.rs
+++ b/crates/chain/tests/times.rs
@@ -237,6 +237,25 @@
     });
 }
 
+#[test]
+fn a_member_frozen_for_long_comes_back_without_flapping() {
+    each_place(|world, machine| {
+        let before = views(world);
+        let since = world.now;
+        happens(world, Trouble::Freeze { machine });
+        play(world, 4_000);
+        assert_pause_below(world, since, SILENT_LOSS);
+        happens(world, Trouble::Thaw { machine });
+        assert!(!world.is_current(machine), "{}", world.told("current right after a thaw".into()));
+        play(world, CATCH_UP);
+        assert_whole(world);
+        // Out of the chain and in again; an even number of members also drops it, and takes it as a newcomer.
+        let expected = if world.running().len() % 2 == 0 { 4 } else { 2 };
+        let changes = views(world) - before;
+        assert_eq!(changes, expected, "{}", world.told("changes of the view".into()));
+    });
+}
+
 #[test]
 fn a_short_freeze_changes_nothing() {
     each_place(|world, machine| {
