--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -830,13 +830,15 @@
         if self.wholeness != Wholeness::Filling || !self.is_filled() {
             return;
         }
-        if self.repair.began_at_ms() >= self.settled_at_ms {
-            self.enter_wholeness(Wholeness::Marking);
-            self.work(JobPurpose::MarkWhole, DiskWork::MarkWhole);
-        } else if now_ms >= self.settled_at_ms {
+        if now_ms >= self.settled_at_ms && self.repair.began_at_ms() < self.settled_at_ms {
             self.pull_from_all(now_ms);
             self.pull(now_ms);
         }
+        // With no other store present the pass has ended as it began.
+        if self.repair.began_at_ms() >= self.settled_at_ms && self.is_filled() {
+            self.enter_wholeness(Wholeness::Marking);
+            self.work(JobPurpose::MarkWhole, DiskWork::MarkWhole);
+        }
     }
 
     /// Everything that the others had for this store is here.
--- a/crates/turns/tests/node.rs
+++ b/crates/turns/tests/node.rs
@@ -283,6 +283,17 @@
     assert!(matches!(bench.call(chain_of("a")), StoreReply::Unknown { whole: true, .. }));
 }
 
+#[test]
+fn a_new_disk_with_no_other_store_is_whole_when_old_writers_have_ended() {
+    let mut bench = Bench::new("storage-0", true, &[]);
+    bench.list(&stores(1));
+    assert_eq!(bench.node.next_due(), SETTLE_MS);
+    bench.at(SETTLE_MS);
+    assert!(bench.node.next_due() > SETTLE_MS, "it wants to be called at once again");
+    bench.work();
+    assert_eq!(bench.declared, [Declaration::Whole]);
+}
+
 #[test]
 fn a_new_disk_fetches_what_it_should_hold_before_it_is_whole() {
     let turns = chain();
