A server that one gateway finds failing is asked less by the others

Each gateway learnt of a failing, silent or unreachable server by failures of its own: ten gateways, some three each. Gateways now tell through the home which servers they avoid for faults (not full ones). A hint makes a server count as eight times slower; it never keeps one out: a request that was sent after the hint and served ends it, one goes there every five seconds whatever is said, and trouble told of more than a third of a service's servers is not believed, as it says more of who tells it.

--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -18,6 +18,8 @@
 const HOME_STAGGER_MS: u64 = 60;
 /// A home sums its subscribers' loads up at most this often.
 const SUM_PERIOD_MS: u64 = 250;
+/// Trouble is believed of this share of a service's servers at most, in hundredths.
+const MOST_IN_TROUBLE_PERCENT: usize = 34;
 /// Services that are told of. Bounds memory against names without end.
 const MOST_SERVICES: usize = 256;
 
@@ -53,6 +55,19 @@
     pub others: Vec<ServerLoad>,
 }
 
+impl News {
+    /// Which of the service's `servers` other gateways find in trouble. Where that is said of many, it says more of
+    /// those who say it, and none is named: against a gateway that is cut off from servers that the others reach.
+    pub fn in_trouble(&self, servers: usize) -> Vec<Rc<str>> {
+        let named = self.others.iter().filter(|load| load.in_trouble > 0);
+        let named: Vec<Rc<str>> = named.map(|load| load.server.clone()).collect();
+        match named.len() * 100 > servers * MOST_IN_TROUBLE_PERCENT {
+            true => Vec::new(),
+            false => named,
+        }
+    }
+}
+
 /// One service's state on this gateway.
 #[derive(Debug)]
 struct Service {
--- a/crates/distribution/tests/exchange.rs
+++ b/crates/distribution/tests/exchange.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{load, World};
-use dunespur_distribution::{Answer, Ask, Known, Speaker, Statement};
+use dunespur_distribution::{Answer, Ask, Known, News, ServerLoad, Speaker, Statement};
 
 const SERVICE: &str = "pool";
 /// A load that stays is renewed within this time, the way included.
@@ -124,7 +124,7 @@
     let mut world = World::new(9, &["north"], 3);
     for name in ["north-1", "north-2", "north-3"] {
         let in_trouble = u32::from(name != "north-1");
-        world.set(name, SERVICE, &[dunespur_distribution::ServerLoad { in_trouble, ..load("s1", 1) }]);
+        world.set(name, SERVICE, &[ServerLoad { in_trouble, ..load("s1", 1) }]);
     }
     world.pass(RENEWED_MS);
     assert_eq!(world.node("north-1").others[SERVICE][0].in_trouble, 2);
@@ -147,3 +147,17 @@
     let sizes = [postcard::to_stdvec(&ask).unwrap().len(), postcard::to_stdvec(&answer).unwrap().len()];
     assert!(sizes[0] <= 140 && sizes[1] <= 90, "{sizes:?}");
 }
+
+#[test]
+fn trouble_is_believed_of_a_third_of_the_servers_at_most() {
+    let in_trouble = |servers: usize| -> Vec<ServerLoad> {
+        let named = (0..servers).map(|number| load(&format!("s{number}"), 0));
+        named.map(|load| ServerLoad { in_trouble: 1, ..load }).collect()
+    };
+    let mut others = in_trouble(4);
+    others.push(load("well", 3));
+    let news = News { service: SERVICE.into(), others };
+    assert_eq!(news.in_trouble(12).len(), 4);
+    assert!(news.in_trouble(11).is_empty(), "it is the one who says it");
+    assert!(news.in_trouble(0).is_empty());
+}
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -99,18 +99,31 @@
         let mut services: BTreeMap<Rc<str>, Vec<ServerLoad>> =
             busy_before.into_iter().map(|service| (service, Vec::new())).collect();
         let known = self.directory.known();
-        for report in self.chooser.borrow().load_reports() {
-            let Some(server) = known.servers.get(&*report.server) else { continue };
+        for load in self.loads() {
+            let Some(server) = known.servers.get(&*load.server) else { continue };
             match services.get_mut(&*server.backend) {
-                Some(loads) => loads.push(server_load(report)),
+                Some(loads) => loads.push(load),
                 None => {
-                    services.insert(server.backend.as_str().into(), vec![server_load(report)]);
+                    services.insert(server.backend.as_str().into(), vec![load]);
                 }
             }
         }
         services
     }
 
+    /// Servers on which this gateway has anything in flight, or which it finds in trouble.
+    fn loads(&self) -> Vec<ServerLoad> {
+        let chooser = self.chooser.borrow();
+        let mut loads: Vec<ServerLoad> = chooser.load_reports().into_iter().map(server_load).collect();
+        for server in chooser.in_trouble(self.clock.now()) {
+            match loads.iter_mut().find(|load| load.server == server) {
+                Some(load) => load.in_trouble = 1,
+                None => loads.push(ServerLoad { server, in_flight: 0, waiting_tokens: 0, in_trouble: 1 }),
+            }
+        }
+        loads
+    }
+
     async fn call(self: Rc<Self>, call: Call) {
         let payload = encode(&Request::Home(call.ask));
         let limit = Duration::from_millis(ASK_TIMEOUT_MS);
@@ -127,9 +140,19 @@
     /// Tells the choice of servers what the other gateways have in flight.
     fn bring_news(&self) {
         let news = self.distribution.borrow_mut().take_news();
-        for News { service, others } in news {
-            let reports: Vec<LoadReport> = others.into_iter().map(load_report).collect();
-            self.chooser.borrow_mut().other_load(&reports, &service, self.clock.now());
+        for news in news {
+            self.bring_hints(&news);
+            let reports: Vec<LoadReport> = news.others.into_iter().map(load_report).collect();
+            self.chooser.borrow_mut().other_load(&reports, &news.service, self.clock.now());
+        }
+    }
+
+    /// Tells the choice of servers which of them other gateways find in trouble.
+    fn bring_hints(&self, news: &News) {
+        let known = self.directory.known();
+        let servers = known.servers.values().filter(|server| *server.backend == *news.service).count();
+        for server in news.in_trouble(servers) {
+            self.chooser.borrow_mut().hint_trouble(&server, self.clock.now());
         }
     }
 }
--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -11,7 +11,7 @@
 use crate::pool::Pool;
 use crate::priority::{engine_priority, is_under_way};
 use crate::rendezvous::{name_hash, IdMap};
-use crate::types::{Ask, Choice, LoadReport, Millis, Outcome, Server, Ticket, TicketKey};
+use crate::types::{Ask, Choice, LoadReport, Millis, Outcome, Server, ServerId, Ticket, TicketKey};
 
 /// Chooses servers for one gateway process.
 #[derive(Debug)]
@@ -127,6 +127,21 @@
         .collect()
     }
 
+    /// Servers that this gateway avoids for their faults, for the other gateways.
+    pub fn in_trouble(&self, now: Millis) -> Vec<ServerId> {
+        let members = self.pools.values().flat_map(|pool| pool.members.iter());
+        let avoided = members.filter(|member| member.health.is_in_trouble(now));
+        avoided.map(|member| member.server.id.clone()).collect()
+    }
+
+    /// Another gateway avoids this server for its faults: it is asked less until our own requests are served there.
+    pub fn hint_trouble(&mut self, server: &str, now: Millis) {
+        let mut members = self.pools.values_mut().flat_map(|pool| pool.members.iter_mut());
+        if let Some(member) = members.find(|member| *member.server.id == *server) {
+            member.hint.note(now);
+        }
+    }
+
     /// Requests of this gateway that are not finished.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -165,7 +180,7 @@
             chunk_tokens: member.server.engine.map_or(1, |engine| engine.chunk_tokens),
             new_part,
         };
-        member.load.sent(choice.fresh_tokens, choice.footprint, now);
+        member.sent(choice.fresh_tokens, choice.footprint, now);
         member.cache.sent(ask.prefix, (memory_capacity(member) as f64 * traffic_share) as u64);
         let priority = engine_priority(ask, under_way, choice.estimate.first_token_ms);
         self.send(ask, choice.index, Some(engine), Some(priority), now)
@@ -187,7 +202,7 @@
         if let Some(retry_after_ms) = refusal(ask, &outlook) {
             return Choice::Refuse { retry_after_ms };
         }
-        pool.members[index].load.sent(0, 0, now);
+        pool.members[index].sent(0, 0, now);
         self.send(ask, index, None, None, now)
     }
 
--- a/crates/routing/src/flight.rs
+++ b/crates/routing/src/flight.rs
@@ -41,6 +41,9 @@
     if let Some(sign) = sign_of(flight, result, now) {
         member.health.note(sign, now);
     }
+    if let Outcome::Served { .. } = result {
+        member.hint.refute(flight.sent_at, now);
+    }
 }
 
 fn sign_of(flight: &Flight, result: Outcome, now: Millis) -> Option<Sign> {
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -67,6 +67,8 @@
     full_in_a_row: u32,
     full_tolerated: u32,
     times_avoided: u32,
+    /// It was last avoided for a fault, not as it was full.
+    at_fault: bool,
     recent: f64,
     recent_failed: f64,
 }
@@ -89,6 +91,7 @@
             failures_in_a_row: 0,
             full_in_a_row: 0,
             times_avoided: 0,
+            at_fault: false,
             recent: 0.0,
             recent_failed: 0.0,
         }
@@ -109,6 +112,11 @@
         matches!(self.standing(now), Standing::Avoided { .. })
     }
 
+    /// Whether the server is to be avoided for faults.
+    pub(crate) fn is_in_trouble(&self, now: Millis) -> bool {
+        self.at_fault && self.is_avoided(now)
+    }
+
     /// Whether the server must never be asked.
     pub(crate) fn is_gone(&self) -> bool {
         self.standing == Standing::Gone
@@ -186,6 +194,7 @@
         }
         let for_ms = first_ms << self.times_avoided.min(MOST_DOUBLINGS);
         self.times_avoided += 1;
+        self.at_fault = true;
         self.enter(Standing::Avoided { until: now + for_ms, for_ms });
     }
 
@@ -197,6 +206,7 @@
         if self.full_in_a_row <= self.full_tolerated {
             return;
         }
+        self.at_fault = false;
         let doublings = self.full_in_a_row - self.full_tolerated - 1;
         let for_ms = FULL_MS << doublings.min(MOST_DOUBLINGS);
         self.enter(Standing::Avoided { until: now + for_ms, for_ms });
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,7 +11,7 @@
 //! - `priority`: the rank of a request at an engine;
 //! - `estimate`, `learning`, `line_fit`: what an engine would take, learnt from observed times;
 //! - `prefix_cache`, `sharing`, `rendezvous`: which engine holds the beginning of a prompt;
-//! - `health`, `load`, `member`: what is known of one server.
+//! - `health`, `hint`, `load`, `member`: what is known of one server.
 
 mod admission;
 mod chooser;
@@ -19,6 +19,7 @@
 mod estimate;
 mod flight;
 mod health;
+mod hint;
 mod learning;
 mod line_fit;
 mod load;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::health::Health;
+use crate::hint::Hint;
 use crate::load::Load;
 use crate::prefix_cache::PrefixCache;
 use crate::rendezvous::name_hash;
@@ -27,6 +28,7 @@
     pub(crate) name_hash: u64,
     pub(crate) is_local: bool,
     pub(crate) health: Health,
+    pub(crate) hint: Hint,
     pub(crate) load: Load,
     pub(crate) cache: PrefixCache,
     slowness: Slowness,
@@ -40,6 +42,7 @@
             name_hash: name_hash(&server.id),
             is_local: *server.zone == *zone,
             health: if server.engine.is_some() { Health::of_engine() } else { Health::of_server() },
+            hint: Hint::default(),
             load: Load::default(),
             cache: PrefixCache::new(),
             slowness: Slowness { value: 1.0, at: now },
@@ -58,6 +61,12 @@
         self.server = Rc::new(server);
     }
 
+    /// A request is sent there.
+    pub(crate) fn sent(&mut self, fresh_tokens: u64, memory_tokens: u64, now: Millis) {
+        self.load.sent(fresh_tokens, memory_tokens, now);
+        self.hint.sent(now);
+    }
+
     /// Whether a request may be sent there at all.
     pub(crate) fn is_usable(&self) -> bool {
         !self.server.draining && !self.health.is_gone() && !self.is_out_of_connections()
@@ -87,7 +96,7 @@
     /// How slow it is, 1 for the mean.
     pub(crate) fn slowness(&self, now: Millis) -> f64 {
         let cold = if self.is_cold(now) { COLD_SLOWNESS } else { 1.0 };
-        cold * self.learnt_slowness(now)
+        cold * self.hint.slowness(now) * self.learnt_slowness(now)
     }
 
     /// How slow it has been while it was warm, 1 for the mean.
