--- a/crates/turns/tests/world/faults.rs
+++ b/crates/turns/tests/world/faults.rs
@@ -128,6 +128,10 @@
             return 0;
         }
         let name = self.machines[machine].name.clone();
+        // One that the core has not heard of yet can't be named to it.
+        if !self.core.list.iter().any(|entry| entry.name == name) {
+            return 0;
+        }
         self.machines[machine].retire_told_at_ms = Some(self.now_ms);
         self.change_entry(&name, |entry| entry.retiring = true);
         0
