--- a/crates/turns/tests/node.rs
+++ b/crates/turns/tests/node.rs
@@ -451,6 +451,17 @@
     assert_eq!(bench.call(StoreRequest::Put { turn: turn("b", Some("a")), hint: None }), StoreReply::Kept);
 }
 
+#[test]
+fn a_turn_is_known_for_seconds_beyond_its_retention() {
+    // The store counts from the put, the client from the end of the answer, and the question takes its time.
+    let seconds_ms = 10_000;
+    let mut bench = calm(&[]);
+    bench.put(&turn("a", None), None);
+    bench.work();
+    bench.at(RETENTION_MS + seconds_ms);
+    assert_eq!(bench.call(chain_of("a")), found(&[turn("a", None)]));
+}
+
 #[test]
 fn what_is_past_its_time_is_deleted_from_the_disk() {
     let mut bench = calm(&[]);
