--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -1,6 +1,6 @@
 //! The owner of a core member: everything the chain's state machine asks for is carried out here.
 
-use super::changes::ChangeLog;
+use super::applied::AppliedState;
 use super::disk::{Batch, DiskWriter};
 use super::expiry::Leases;
 use crate::clock::Clock;
@@ -66,8 +66,7 @@
 
 struct Inner {
     member: Member,
-    state: ControlState,
-    changes: ChangeLog,
+    applied: AppliedState,
     leases: Leases,
     disk: DiskWriter,
     links: HashMap<SocketAddr, Rc<Client>>,
@@ -91,8 +90,7 @@
         let (persisted, synced) = mpsc::unbounded_channel();
         let inner = Inner {
             member,
-            state: ControlState::default(),
-            changes: ChangeLog::default(),
+            applied: AppliedState::default(),
             leases: Leases::new(identity.heartbeat_ms),
             disk: DiskWriter::start(disk, persisted)?,
             links: HashMap::new(),
@@ -132,10 +130,10 @@
         let inner = self.inner.borrow();
         CoreStatus {
             current: inner.member.current(now),
-            follows: inner.member.follows(now),
+            follows: inner.serves(now),
             committed: inner.member.committed(),
             waiting: inner.executing.len(),
-            programs: inner.state.counters().programs(),
+            programs: inner.applied.state().counters().programs(),
             disk: inner.disk.status(),
             leases: inner.leases.status(most_leases, now),
         }
@@ -144,7 +142,7 @@
     /// A program's budget by the counter of this member.
     pub fn budget_of(&self, program: &str) -> CountedBudget {
         let inner = self.inner.borrow();
-        let counters = inner.state.counters();
+        let counters = inner.applied.state().counters();
         CountedBudget { used: counters.used(program), held: counters.held(program) }
     }
 
@@ -182,7 +180,7 @@
         let (sender, answer) = oneshot::channel();
         let ticket = {
             let mut inner = self.inner.borrow_mut();
-            if inner.executing.len() >= MOST_WAITING || !inner.member.follows(self.clock.now()) {
+            if inner.executing.len() >= MOST_WAITING || !inner.serves(self.clock.now()) {
                 return None;
             }
             inner.executing.retain(|_, waiting| !waiting.is_closed());
@@ -199,7 +197,7 @@
         if !self.confirmed().await {
             return Reply::Unavailable;
         }
-        let json = self.inner.borrow().state.configuration().map(|document| document.to_json());
+        let json = self.inner.borrow().applied.state().configuration().map(|document| document.to_json());
         Reply::Configuration(json)
     }
 
@@ -208,7 +206,7 @@
         if !self.confirmed().await {
             return Reply::Unavailable;
         }
-        Reply::Retirement(self.inner.borrow().state.retirement(node))
+        Reply::Retirement(self.inner.borrow().applied.state().retirement(node))
     }
 
     /// Waits until all that was committed before is applied here.
@@ -229,7 +227,7 @@
     pub async fn watch(&self, request: WatchRequest) -> Reply {
         let now = self.clock.now();
         self.inner.borrow_mut().leases.heard(&request.heard, now);
-        if !self.inner.borrow().member.follows(now) {
+        if !self.inner.borrow().serves(now) {
             return Reply::Unavailable;
         }
         let changed = self.changed.notified();
@@ -244,19 +242,19 @@
     fn news_for(&self, request: &WatchRequest) -> bool {
         let inner = self.inner.borrow();
         let newer_view = inner.member.view().is_some_and(|view| view.number > request.view);
-        newer_view || request.after.is_none_or(|after| inner.changes.has_after(after))
+        newer_view || request.after.is_none_or(|after| inner.applied.changes().has_after(after))
     }
 
     fn watched(&self, request: &WatchRequest) -> Reply {
         let inner = self.inner.borrow();
-        if !inner.member.follows(self.clock.now()) {
+        if !inner.serves(self.clock.now()) {
             return Reply::Unavailable;
         }
         let view = inner.member.view().filter(|view| view.number > request.view).cloned();
-        let newest = inner.changes.newest();
-        let kept = request.after.and_then(|after| inner.changes.after(after));
+        let newest = inner.applied.changes().newest();
+        let kept = request.after.and_then(|after| inner.applied.changes().after(after));
         let whole = kept.is_none();
-        let changes = kept.unwrap_or_else(|| inner.state.image());
+        let changes = kept.unwrap_or_else(|| inner.applied.state().image());
         let index = if whole { newest } else { newest.max(request.after.unwrap_or(0)) };
         Reply::Watched(Watched { index, whole, changes, view })
     }
@@ -267,7 +265,7 @@
     pub fn unheard(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let inner = self.inner.borrow();
-        if !inner.member.follows(now) {
+        if !inner.serves(now) {
             return Vec::new();
         }
         inner.unheard(&self.id, seeds, now)
@@ -324,10 +322,16 @@
                 }
             }
             Output::WantSnapshot => {
-                let bytes = inner.state.snapshot();
-                inputs.push_back(Input::Snapshot { index: inner.changes.newest(), bytes });
+                // A state that has fallen behind isn't handed on as that of the newest index.
+                if inner.applied.is_readable() {
+                    let bytes = inner.applied.state().snapshot();
+                    inputs.push_back(Input::Snapshot { index: inner.applied.changes().newest(), bytes });
+                }
+            }
+            Output::Install { index, bytes } => {
+                inner.applied.install(index, &bytes);
+                return true;
             }
-            Output::Install { index, bytes } => return inner.install(index, &bytes),
             Output::ViewChanged { view, current } => {
                 log::info!("view {}: chain {:?}, current {current}", view.number, names(&view));
                 return true;
@@ -380,6 +384,11 @@
 }
 
 impl Inner {
+    /// Whether this member may answer: it follows the chain, and its state is that of what it has followed.
+    fn serves(&self, now: u64) -> bool {
+        self.member.follows(now) && self.applied.is_readable()
+    }
+
     fn take_ticket(&mut self) -> u64 {
         self.next_ticket += 1;
         self.next_ticket
@@ -406,7 +415,7 @@
         let is_head = view.is_some_and(|view| view.chain.first() == Some(own));
         let mut heard: BTreeSet<SocketAddr> = members.iter().map(|peer| peer.address).collect();
         let mut wanted: BTreeSet<SocketAddr> = seeds.iter().copied().collect();
-        for (name, address) in remembered(&self.state) {
+        for (name, address) in remembered(self.applied.state()) {
             if self.leases.hears(&name, now) {
                 heard.insert(address);
             } else if is_head {
@@ -437,21 +446,22 @@
     /// last round.
     fn lapsed(&mut self, own: &MemberId, now: u64) -> Vec<Operation> {
         let heads = self.member.view().is_some_and(|view| view.chain.first() == Some(own));
-        let decides = heads && self.member.current(now);
+        let decides = heads && self.member.current(now) && self.applied.is_readable();
         if !decides || !self.decided_leases {
             self.leases.renew_all(now);
             self.decided_leases = decides;
             return Vec::new();
         }
-        self.leases.keep_servers(self.state.servers().map(|server| server.id.as_str()), now);
-        self.leases.keep_nodes(store_leases(&self.state).chain(gateway_leases(&self.state)), now);
-        let names: Vec<String> = remembered(&self.state).map(|(name, _)| name).collect();
+        let state = self.applied.state();
+        self.leases.keep_servers(state.servers().map(|server| server.id.as_str()), now);
+        self.leases.keep_nodes(store_leases(state).chain(gateway_leases(state)), now);
+        let names: Vec<String> = remembered(state).map(|(name, _)| name).collect();
         self.leases.keep_heard(names.iter().map(String::as_str));
         let servers = self.leases.lapsed_servers(now);
-        let mut nodes = self.leases.lapsed_nodes(store_leases(&self.state), now);
-        nodes.extend(self.leases.lapsed_nodes(gateway_leases(&self.state), now));
+        let mut nodes = self.leases.lapsed_nodes(store_leases(state), now);
+        nodes.extend(self.leases.lapsed_nodes(gateway_leases(state), now));
         let gone = servers.into_iter().filter_map(|id| {
-            let last_sequence = self.state.server(&id)?.sequence;
+            let last_sequence = state.server(&id)?.sequence;
             Some(Operation::ServerExpired { id, last_sequence })
         });
         let absent = nodes
@@ -462,34 +472,11 @@
 
     /// Applies a committed operation and answers whoever waits for it.
     fn commit(&mut self, index: u64, payload: &[u8], ticket: Option<u64>) -> bool {
-        let mut changes = Vec::new();
-        let outcome = match postcard::from_bytes::<Operation>(payload) {
-            Ok(operation) => Some(self.state.apply(&operation, &mut changes)),
-            Err(error) => {
-                log::error!("operation {index} can't be read: {error}");
-                None
-            }
-        };
+        let outcome = self.applied.commit(index, payload);
         if let Some(waiting) = ticket.and_then(|ticket| self.executing.remove(&ticket)) {
             let _ = waiting.send(outcome);
         }
-        let news = !changes.is_empty();
-        self.changes.push(index, changes);
-        news
-    }
-
-    fn install(&mut self, index: u64, bytes: &[u8]) -> bool {
-        match ControlState::restore(bytes) {
-            Ok(state) => {
-                self.state = state;
-                self.changes.reset(index);
-                true
-            }
-            Err(error) => {
-                log::error!("the state of index {index} can't be read: {error:?}");
-                false
-            }
-        }
+        self.applied.changes().has_after(index - 1)
     }
 }
 
