--- a/crates/control/src/operation.rs
+++ b/crates/control/src/operation.rs
@@ -38,6 +38,8 @@
         node: String,
         /// How many stores may be lost at once; more than that have to remain.
         tolerated_losses: u32,
+        /// What an earlier call was told with [`Outcome::Fenced`](crate::Outcome::Fenced), else 0.
+        fence: u64,
     },
     /// All that a store held is kept elsewhere.
     RetireDone {
@@ -59,6 +61,9 @@
     pub base: u64,
     /// Its body, byte for byte.
     pub body: Vec<u8>,
+    /// What an earlier call was told with [`Outcome::Fenced`](crate::Outcome::Fenced), else 0. No part of what the
+    /// order says.
+    pub fence: u64,
 }
 
 /// What an order does with its body.
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -19,6 +19,12 @@
     /// The order builds on a configuration so old that nobody knows any more whether it was taken. It gets no
     /// clear answer, since one that was taken must not be refused.
     Forgotten,
+    /// The order was not looked at: this call may have been made before an earlier one was refused. Whoever still
+    /// wants it calls again with this fence.
+    Fenced {
+        /// What to call with.
+        fence: u64,
+    },
     /// What became of the wish to take a store away.
     Retire(RetireOutcome),
     /// What the counter answers.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,12 +1,14 @@
 //! The whole control state.
 
 use crate::{
-    configuration::Configuration, gateways::Gateways, servers::Servers, stores::Stores, Change, NodeKind,
-    NodeReport, Operation, Outcome, RetireState, ServerReport, StoreEntry,
+    configuration::Configuration, gateways::Gateways, retirement::RetireFence, servers::Servers,
+    stores::Stores, Change, Guards, NodeKind, NodeReport, Operation, Outcome, RetireState, ServerReport,
+    StoreEntry,
 };
 use dunespur_budget::Counters;
 use dunespur_configuration::Document;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 
 /// All that the core agrees on. Two states to which the same operations were applied in the same order are
 /// equal, also in their snapshots.
@@ -16,14 +18,39 @@
     servers: Servers,
     gateways: Gateways,
     stores: Stores,
+    retire_fence: RetireFence,
     counters: Counters,
+    #[serde(skip)]
+    guards: Guards,
 }
 
 impl ControlState {
+    /// An empty state without some of the guards.
+    #[doc(hidden)]
+    pub fn with_guards(guards: Guards) -> ControlState {
+        ControlState { guards, ..ControlState::default() }
+    }
+
+    /// The same state without some of the guards: a snapshot does not say which stand.
+    #[doc(hidden)]
+    pub fn guarded_by(self, guards: Guards) -> ControlState {
+        ControlState { guards, ..self }
+    }
+
+    /// What goes into a snapshot.
+    pub(crate) fn to_be_saved(&self) -> Cow<'_, ControlState> {
+        if self.guards.taken_orders_in_snapshot {
+            return Cow::Borrowed(self);
+        }
+        let mut saved = self.clone();
+        saved.configuration.forget_taken_orders();
+        Cow::Owned(saved)
+    }
+
     /// Applies a committed operation. What it changes for subscribers is added to `changes`.
     pub fn apply(&mut self, operation: &Operation, changes: &mut Vec<Change>) -> Outcome {
         match operation {
-            Operation::Configure(order) => return self.configuration.apply(order, changes),
+            Operation::Configure(order) => return self.configuration.apply(order, self.guards, changes),
             Operation::Server(report) => self.servers.report(report, changes),
             Operation::ServerLeft { id } => self.servers.left(id, changes),
             Operation::ServerExpired { id, last_sequence } => {
@@ -37,8 +64,8 @@
                 self.gateways.gone(name, *incarnation, changes);
                 self.stores.gone(name, *incarnation, changes);
             }
-            Operation::RetireStart { node, tolerated_losses } => {
-                return Outcome::Retire(self.stores.retire(node, *tolerated_losses, changes));
+            Operation::RetireStart { node, tolerated_losses, fence } => {
+                return self.retire(node, *tolerated_losses, *fence, changes);
             }
             Operation::RetireDone { node, incarnation } => {
                 self.stores.emptied(node, *incarnation, changes);
@@ -50,6 +77,24 @@
         Outcome::Done
     }
 
+    /// The operator wants a store emptied. One that is on its way out already needs no fence: nothing changes.
+    fn retire(
+        &mut self,
+        node: &str,
+        tolerated_losses: u32,
+        fence: u64,
+        changes: &mut Vec<Change>,
+    ) -> Outcome {
+        let runs = self.stores.retirement(node).is_some();
+        if !runs && self.guards.refusals_fenced && !self.retire_fence.lets_pass(fence) {
+            return Outcome::Fenced { fence: self.retire_fence.current() };
+        }
+        if !runs {
+            self.retire_fence.decided();
+        }
+        Outcome::Retire(self.stores.retire(node, tolerated_losses, changes))
+    }
+
     /// All that a new subscriber needs.
     pub fn image(&self) -> Vec<Change> {
         let mut changes = Vec::new();
