Currency of a control machine: no old state after a restart, a freeze or a step of the clock

Ruled out: a clock that is held still instead of going back (what is current would stay so).

Tests: crates/chain/tests/member.rs; the guards currency_by_sending and commits_awaited can be taken out.

--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -11,10 +11,22 @@
     pub synced_before_passed_on: bool,
     /// A read passes along the whole chain. Against reading from a member that was put out and doesn't know it.
     pub reads_confirmed: bool,
+    /// Others count as having answered by when we sent what they answer, not by when the answer came.
+    /// Against a member that was frozen and finds old answers in its sockets.
+    pub currency_by_sending: bool,
+    /// A member shows its state once it has given out all that was committed before it took its place in the chain.
+    /// Against the old state of one that has started again.
+    pub commits_awaited: bool,
 }
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { views_checked: true, synced_before_passed_on: true, reads_confirmed: true }
+        Guards {
+            views_checked: true,
+            synced_before_passed_on: true,
+            reads_confirmed: true,
+            currency_by_sending: true,
+            commits_awaited: true,
+        }
     }
 }
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -210,6 +210,7 @@
     fn come_up(&mut self) {
         let view = self.number();
         self.synced_view = view;
+        self.committed_before_place = self.log.last().index;
         self.journal.write(Write::Synced { view });
         self.journal.then(Consequence::Synced { view });
         self.enter(Stage::Syncing);
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -148,6 +148,8 @@
     /// Commits were given out up to here.
     committed: u64,
     stage: Stage,
+    /// All that was committed before this member took its place in the chain goes up to here at most.
+    committed_before_place: u64,
     upstream: Upstream,
     downstream: Downstream,
     following: Following,
@@ -221,6 +223,7 @@
             persisted,
             committed: start.index,
             stage: Stage::Outside,
+            committed_before_place: persisted,
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
@@ -278,14 +281,21 @@
         if !view.has_member(&self.me.id) {
             return false;
         }
-        let others = view.members.iter().filter(|member| self.peers.is_current(&member.id, view.number, now));
+        let answered = |id: &MemberId| match self.guards.currency_by_sending {
+            true => self.peers.is_current(id, view.number, now),
+            false => self.peers.is_heard_lately(id, view.number, now),
+        };
+        let others = view.members.iter().filter(|member| answered(&member.id));
         others.count() + 1 >= view.majority()
     }
 
-    /// Whether commits come in here as they are made: this member is [`current`](Member::current), and has its place
-    /// in the chain. One that was put out hears the others, but no commits.
+    /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
+    /// the chain, and has given out all that was committed before it took it. One that was put out hears the others,
+    /// but no commits; one that has started again, or was taken back, holds commits that it doesn't know to be some.
     pub fn follows(&self, now: Millis) -> bool {
-        self.current(now) && !matches!(self.stage, Stage::Outside | Stage::Unsynced)
+        let in_chain = !matches!(self.stage, Stage::Outside | Stage::Unsynced);
+        let caught_up = self.committed >= self.committed_before_place || !self.guards.commits_awaited;
+        self.current(now) && in_chain && caught_up
     }
 
     /// The index up to which commits were given out here.
@@ -314,12 +324,17 @@
         }
     }
 
-    /// A member that stood still doubts itself before others.
+    /// A member that stood still, or whose clock was stepped, doubts itself before others.
     fn notice_standstill(&mut self, now: Millis) {
         if now.saturating_sub(self.last_step) > OWN_GAP {
             self.peers.doubt_ourselves(now);
             self.propose_at = None;
         }
+        if now < self.last_step {
+            // Stamps of what was a later time would stay young for as long as the clock went back.
+            self.peers.forget_echoes();
+            self.stamps_begin = self.random.next() >> SPARE_STAMP_BITS;
+        }
         self.last_step = now;
     }
 
--- a/crates/chain/src/peers.rs
+++ b/crates/chain/src/peers.rs
@@ -15,8 +15,9 @@
     heard_at: Millis,
     /// Its connection was refused or reset then, and it hasn't been heard since.
     disconnected_at: Option<Millis>,
-    /// The newest of our stamps that it has echoed.
+    /// The newest of our stamps that it has echoed, and the view that it was in then.
     echoed: Option<Millis>,
+    echoed_in_view: u64,
     /// Until then it is taken to hear us.
     trusted_until: Millis,
     /// Its newest stamp.
@@ -35,6 +36,7 @@
             heard_at: now,
             disconnected_at: None,
             echoed: None,
+            echoed_in_view: 0,
             trusted_until: now + ECHO_LASTS,
             stamp: None,
             ping: None,
@@ -110,7 +112,10 @@
         let Some(state) = self.state_mut(id) else { return false };
         let first_echo = state.echoed.is_none();
         state.stamp = Some(ping.stamp);
-        state.echoed = state.echoed.max(echoed);
+        if echoed >= state.echoed {
+            state.echoed = echoed;
+            state.echoed_in_view = ping.view;
+        }
         let news =
             first_echo || state.ping.as_ref().is_none_or(|before| before.standing() != ping.standing());
         state.ping = Some(ping);
@@ -156,8 +161,20 @@
     /// Has answered lately, in view `number`.
     pub fn is_current(&self, id: &MemberId, number: u64, now: Millis) -> bool {
         let echoed = |state: &PeerState| state.echoed.is_some_and(|stamp| now <= stamp + CURRENT_WITHIN);
+        self.state(id).is_some_and(|state| echoed(state) && state.echoed_in_view == number)
+    }
+
+    /// Was heard lately, in view `number`; for the guard that is against this.
+    pub fn is_heard_lately(&self, id: &MemberId, number: u64, now: Millis) -> bool {
         let same_view = |state: &PeerState| state.ping.as_ref().is_some_and(|ping| ping.view == number);
-        self.state(id).is_some_and(|state| echoed(state) && same_view(state))
+        self.state(id).is_some_and(|state| now <= state.heard_at + CURRENT_WITHIN && same_view(state))
+    }
+
+    /// Our clock went back: what was echoed says nothing any more.
+    pub fn forget_echoes(&mut self) {
+        for state in &mut self.states {
+            state.echoed = None;
+        }
     }
 
     pub fn silent_for(&self, id: &MemberId, now: Millis) -> Millis {
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -100,6 +100,24 @@
         self.receive(node, Message::Ping(ping(node, echo)));
     }
 
+    /// The stamp of a ping that this member sends now.
+    fn stamp(&mut self) -> u64 {
+        self.give(Input::Tick);
+        while !self.sends(|message| matches!(message, Message::Ping(_))) {
+            self.now = self.member.next_tick().max(self.now);
+            self.give(Input::Tick);
+        }
+        let stamps = self.sent().into_iter().filter_map(|message| match message {
+            Message::Ping(ping) => Some(ping.stamp),
+            _ => None,
+        });
+        stamps.max().expect("a ping was sent")
+    }
+
+    fn is_current(&self) -> bool {
+        self.member.current(self.now)
+    }
+
     fn dropped(&self) -> usize {
         self.outputs.iter().filter(|output| matches!(output, Output::Dropped { .. })).count()
     }
@@ -381,3 +399,49 @@
         assert!(!driven.member.current(driven.now + 1_000), "echo {echo}");
     }
 }
+
+/// Longer than any member takes another to be current.
+const FREEZE: u64 = 20_000;
+
+#[test]
+fn a_member_that_was_frozen_is_not_current_by_what_lay_in_its_sockets() {
+    let mut driven = Driven::new(0, saved(0));
+    let stamp = driven.stamp();
+    driven.now += FREEZE;
+    for node in [1, 2] {
+        driven.receive(node, Message::Ping(ping(node, Some(stamp))));
+        assert!(!driven.is_current(), "by what m{node} said before");
+        assert!(!driven.member.follows(driven.now));
+    }
+    let stamp = driven.stamp();
+    driven.receive(1, Message::Ping(ping(1, Some(stamp))));
+    assert!(driven.is_current(), "by what was said since");
+}
+
+#[test]
+fn a_member_whose_clock_went_back_is_not_current_by_what_was_said_before() {
+    let mut driven = Driven::new(0, saved(0));
+    let stamp = driven.stamp();
+    driven.receive(1, Message::Ping(ping(1, Some(stamp))));
+    assert!(driven.is_current());
+    driven.now -= 5_000;
+    driven.give(Input::Tick);
+    assert!(!driven.is_current());
+    driven.receive(1, Message::Ping(ping(1, Some(stamp))));
+    assert!(!driven.is_current(), "that stamp is of another time");
+    let stamp = driven.stamp();
+    driven.receive(1, Message::Ping(ping(1, Some(stamp))));
+    assert!(driven.is_current());
+}
+
+#[test]
+fn an_answer_given_in_a_later_view_does_not_count_after_a_late_ping_of_this_one() {
+    let mut driven = Driven::new(0, saved(0));
+    let early = driven.stamp();
+    driven.now += 100;
+    let late = driven.stamp();
+    driven.receive(1, Message::Ping(Ping { view: 2, ..ping(1, Some(late)) }));
+    assert!(!driven.is_current());
+    driven.receive(1, Message::Ping(ping(1, Some(early))));
+    assert!(!driven.is_current(), "m1 has gone on to another view since");
+}
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Bytes of a configuration or heartbeat.
 const MOST_BODY: usize = 8 * 1024 * 1024;
@@ -173,13 +173,30 @@
         }
     }
 
+    /// Has an order decided on. If others were refused before, it counts only with the fence that this call is told.
+    async fn decide(
+        &self,
+        order: impl Fn(u64) -> Operation,
+        limit: Duration,
+    ) -> Result<Outcome, Unavailable> {
+        let end = Instant::now() + limit;
+        let mut fence = 0;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.directory.execute(&order(fence), left).await? {
+                Outcome::Fenced { fence: newer } if newer > fence => fence = newer,
+                outcome => return Ok(outcome),
+            }
+        }
+    }
+
     async fn configure(&self, kind: OrderKind, base: Option<u64>, body: Bytes) -> Answer {
         let Some(base) = base else {
             return plain(StatusCode::BAD_REQUEST, "X-Dunespur-Base-Version: is missing or no number");
         };
         let limit = if body.len() >= LARGE_BODY { LARGE_ORDER_LIMIT } else { ORDER_LIMIT };
-        let order = Operation::Configure(Order { kind, base, body: body.to_vec() });
-        match self.directory.execute(&order, limit).await {
+        let order = |fence| Operation::Configure(Order { kind, base, body: body.to_vec(), fence });
+        match self.decide(order, limit).await {
             Ok(Outcome::Accepted) => accepted(),
             Ok(Outcome::Current { generation }) => {
                 let text = json!({ "error": "another version is current", "generation": generation });
@@ -210,8 +227,9 @@
         if let Err(error) = serde_json::from_slice::<RetireBody>(body) {
             return plain(StatusCode::BAD_REQUEST, &error.to_string());
         }
-        let order = Operation::RetireStart { node, tolerated_losses: self.tolerated_losses };
-        match self.directory.execute(&order, ORDER_LIMIT).await {
+        let tolerated_losses = self.tolerated_losses;
+        let order = |fence| Operation::RetireStart { node: node.clone(), tolerated_losses, fence };
+        match self.decide(order, ORDER_LIMIT).await {
             Ok(Outcome::Retire(RetireOutcome::Taken)) => accepted(),
             Ok(Outcome::Retire(RetireOutcome::UnknownNode)) => {
                 plain(StatusCode::NOT_FOUND, "no such store machine")
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -28,8 +28,9 @@
 /// A process that knows of a view is asked for it with this limit.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// After a longer silence of all core members, in milliseconds, this process counts as out of touch.
-const IN_TOUCH_MS: u64 = 2_000;
+/// This process counts as out of touch when the newest watch that was answered was sent longer ago, in milliseconds: a
+/// watch without news is held for 0.4 s, and two silent members are given up meanwhile.
+const IN_TOUCH_MS: u64 = 2_400;
 
 /// No core member has answered in time: the operation may or may not be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,8 +72,9 @@
     clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
     /// The member that answered last.
     attached: Cell<Option<SocketAddr>>,
-    /// Steady time of the last answer to a watch.
-    answered_at: Cell<u64>,
+    /// Steady time at which the newest watch that was answered was sent. Not that of the answer: a process that was
+    /// frozen finds old answers in its sockets.
+    confirmed_at: Cell<u64>,
     /// Servers heard of since the last watch.
     heard: RefCell<BTreeSet<String>>,
     /// This process's own lease, if it holds one.
@@ -93,7 +95,7 @@
             seeds: RefCell::new(seeds),
             clients: RefCell::default(),
             attached: Cell::new(None),
-            answered_at: Cell::new(0),
+            confirmed_at: Cell::new(0),
             heard: RefCell::default(),
             lease: RefCell::default(),
             link: Cell::default(),
@@ -124,14 +126,13 @@
 
     /// Whether a core member has answered lately.
     pub fn in_touch(&self) -> bool {
-        let silence = self.clock.now().saturating_sub(self.answered_at.get());
-        self.answered_at.get() > 0 && silence < IN_TOUCH_MS
+        self.silent_ms().is_some_and(|silence| silence < IN_TOUCH_MS)
     }
 
-    /// Time since the last answer of a core member; none until the first.
+    /// Time since the newest watch was sent that a core member has answered; none until the first.
     pub fn silent_ms(&self) -> Option<u64> {
-        let answered_at = Some(self.answered_at.get()).filter(|at| *at > 0)?;
-        Some(self.clock.now().saturating_sub(answered_at))
+        let confirmed_at = Some(self.confirmed_at.get()).filter(|at| *at > 0)?;
+        Some(self.clock.now().saturating_sub(confirmed_at))
     }
 
     /// The core member that answered last.
@@ -146,7 +147,7 @@
 
     /// Whether core members have answered before, but not lately.
     pub fn has_lost_touch(&self) -> bool {
-        self.answered_at.get() > 0 && !self.in_touch()
+        self.confirmed_at.get() > 0 && !self.in_touch()
     }
 
     /// What is known now.
@@ -209,10 +210,11 @@
             },
         };
         let payload = encode(&Request::Watch(request));
+        let sent_at = self.clock.now();
         match self.call(address, payload, WATCH_TIMEOUT).await {
             Ok(Reply::Watched(watched)) => {
                 self.attached.set(Some(address));
-                self.answered_at.set(self.clock.now());
+                self.confirmed_at.set(sent_at);
                 self.take(watched);
                 true
             }
@@ -333,10 +335,11 @@
         }
     }
 
-    /// Asks core members in turn until one answers or the time is over.
+    /// Asks core members in turn until one answers or the time is over. An answer that is found when it is over says
+    /// nothing on the present state: this process may have been frozen since it came.
     async fn ask_core(&self, payload: Bytes, limit: Duration) -> Result<Reply, Unavailable> {
         let end = Instant::now() + limit;
-        timeout(limit, async {
+        let reply = timeout(limit, async {
             loop {
                 for address in self.members() {
                     let left = end.saturating_duration_since(Instant::now());
@@ -349,8 +352,8 @@
                 sleep(ROUND_PAUSE).await;
             }
         })
-        .await
-        .map_err(|_| Unavailable)
+        .await;
+        reply.ok().filter(|_| Instant::now() <= end).ok_or(Unavailable)
     }
 
     /// Calls one process of the system.
