World of operators: orders and reads are linearizable through cuts, freezes and losses

Need: the chain's world knows no orders, and the tests of orders no faults. Members apply commits to the control state and answer three operators, who order, read and send again what got no clear answer, and two followers, through cuts of up to a minute with callers on both sides, one-way cuts, freezes with what came meanwhile, losses of power and of the disk that has just acknowledged an order. A checker judges the history that operators see; what followers are shown may be 3 s old.

--- /dev/null
+++ b/crates/control/tests/operators.rs
@@ -0,0 +1,69 @@
+//! Orders and reads are linearizable for operators who meet cuts, freezes, and losses of power and disks, and send
+//! what got no clear answer again.
+
+mod world;
+
+use world::trouble::play;
+use world::Setup;
+
+const ROUNDS: usize = 3;
+/// Seeds that are played for each size of the core.
+const SEEDS: u64 = 60;
+const SIZES: [usize; 4] = [3, 4, 5, 6];
+
+fn holds(machines: usize) {
+    for seed in 0..SEEDS {
+        if let Err(text) = play(Setup::new(seed, machines), ROUNDS) {
+            panic!("{text}");
+        }
+    }
+}
+
+#[test]
+fn three_members() {
+    holds(SIZES[0]);
+}
+
+#[test]
+fn four_members() {
+    holds(SIZES[1]);
+}
+
+#[test]
+fn five_members() {
+    holds(SIZES[2]);
+}
+
+#[test]
+fn six_members() {
+    holds(SIZES[3]);
+}
+
+/// As many seeds as are asked for: `FIRST` and `SEEDS` in the environment.
+#[test]
+#[ignore = "takes as long as it is told to"]
+fn many_seeds() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let first = number("FIRST").unwrap_or(1_000);
+    let (mut broken, mut most_stale, mut calls, mut taken, mut refused, mut snapshots) = (0, 0, 0, 0, 0, 0);
+    for seed in first..first + number("SEEDS").unwrap_or(1_000) {
+        match play(Setup::new(seed, SIZES[seed as usize % SIZES.len()]), ROUNDS) {
+            Ok(tally) => {
+                most_stale = most_stale.max(tally.most_stale);
+                calls += tally.calls;
+                taken += tally.taken;
+                refused += tally.refused;
+                snapshots += tally.snapshots;
+            }
+            Err(text) => {
+                broken += 1;
+                eprintln!("{text}");
+            }
+        }
+    }
+    eprintln!(
+        "broken {broken}, calls {calls}, taken {taken}, refused {refused}, snapshots installed {snapshots}, \
+         oldest shown {most_stale} ms"
+    );
+    assert_eq!(broken, 0);
+}
--- /dev/null
+++ b/crates/control/tests/world/callers.rs
@@ -0,0 +1,276 @@
+//! Those who call the members: operators who order and read, and followers. They give a call up after a second, and
+//! send an order without a clear answer again, unchanged, to any machine.
+
+use super::history::{Asked, OrderId};
+use super::lines::Place;
+use super::machines::Arrival;
+use super::{Event, World};
+use dunespur_chain::Millis;
+use dunespur_control::{Order, OrderKind};
+
+const OPERATORS: usize = 3;
+const FOLLOWERS: usize = 2;
+/// A call without an answer is given up after this.
+const PATIENCE: Millis = 1_000;
+/// An operator thinks this long at most between two calls.
+const LONGEST_THOUGHT: Millis = 500;
+/// An operator that gets no clear answer leaves an order after so many calls at most.
+const MOST_TRIES: u32 = 25;
+/// Of a hundred answers so many are lost on their way.
+const LOST_PERCENT: u32 = 10;
+/// A follower asks again after this.
+const WATCH_EVERY: Millis = 200;
+/// What a member shows to followers is no older than this: what was acknowledged earlier is in it.
+pub const MOST_STALE: Millis = 3_000;
+
+/// One call of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CallId {
+    pub caller: usize,
+    pub number: u64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Question {
+    Order(Order),
+    Configuration,
+    Watch,
+}
+
+/// What a call is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// 200 to an order.
+    Accepted,
+    /// 412: another version is current.
+    Current { generation: u64 },
+    /// 400.
+    Invalid,
+    /// 200 or 404 to a read.
+    Configuration(Option<(u64, String)>),
+    /// To a follower.
+    Watched { generation: u64 },
+    /// 503.
+    Unclear,
+}
+
+/// Why a caller wakes up.
+#[derive(Clone, Debug)]
+pub enum Wake {
+    Next,
+    Timeout { number: u64 },
+    Answered { number: u64, answer: Answer },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trade {
+    Operator,
+    Follower,
+}
+
+/// An order that an operator wants decided.
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    order: OrderId,
+    tries_left: u32,
+}
+
+/// A call that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    number: u64,
+    entry: Option<usize>,
+}
+
+pub struct Caller {
+    trade: Trade,
+    machine: usize,
+    next_number: u64,
+    open: Option<Open>,
+    /// The newest generation that it has heard of.
+    known: u64,
+    wanted: Option<Wanted>,
+    orders: Vec<OrderId>,
+}
+
+impl World {
+    pub fn add_callers(&mut self) {
+        let trades = [Trade::Operator; OPERATORS].into_iter().chain([Trade::Follower; FOLLOWERS]);
+        for (caller, trade) in trades.enumerate() {
+            self.callers.push(Caller {
+                trade,
+                machine: caller % self.setup.machines,
+                next_number: 1,
+                open: None,
+                known: 0,
+                wanted: None,
+                orders: Vec::new(),
+            });
+            self.schedule(1_000, Event::Caller { caller, wake: Wake::Next });
+        }
+    }
+
+    pub fn caller_wakes(&mut self, caller: usize, wake: Wake) {
+        match wake {
+            Wake::Next if self.callers[caller].open.is_none() => self.next_call(caller),
+            Wake::Next => {}
+            Wake::Timeout { number } => self.call_over(caller, number, None),
+            Wake::Answered { number, answer } => self.call_over(caller, number, Some(answer)),
+        }
+    }
+
+    fn next_call(&mut self, caller: usize) {
+        match self.callers[caller].trade {
+            Trade::Follower => self.call(caller, Question::Watch, None),
+            Trade::Operator => self.next_of_operator(caller),
+        }
+    }
+
+    fn next_of_operator(&mut self, caller: usize) {
+        if self.rng.u32(0..3) > 0 {
+            self.callers[caller].machine = self.rng.usize(..self.setup.machines);
+        }
+        if self.callers[caller].wanted.is_none() {
+            self.callers[caller].wanted = self.next_order(caller);
+        }
+        match self.callers[caller].wanted {
+            Some(wanted) => {
+                let question = Question::Order(self.history.order(wanted.order));
+                self.call(caller, question, Some(Asked::Order(wanted.order)));
+            }
+            None => self.call(caller, Question::Configuration, Some(Asked::Read)),
+        }
+    }
+
+    /// Another order, an old one again, or none: then it reads.
+    fn next_order(&mut self, caller: usize) -> Option<Wanted> {
+        let tries_left = 1 + self.rng.u32(0..MOST_TRIES);
+        let choice = self.rng.u32(0..10);
+        let known = self.callers[caller].known;
+        let old = self.callers[caller].orders.len();
+        let (ahead, behind) = (self.rng.u64(1..3), self.rng.u64(1..4));
+        let order = match choice {
+            0..=2 => return None,
+            3 if old > 0 => self.callers[caller].orders[self.rng.usize(..old)],
+            // As one that builds on an order which isn't decided yet, and as one that is behind.
+            4 => self.new_order(caller, known + ahead),
+            5 => self.new_order(caller, known.saturating_sub(behind)),
+            _ => self.new_order(caller, known),
+        };
+        Some(Wanted { order, tries_left })
+    }
+
+    fn new_order(&mut self, caller: usize, base: u64) -> OrderId {
+        let valid = self.rng.u32(0..12) > 0;
+        let generation = if valid { base + self.rng.u64(1..4) } else { base };
+        let number = self.history.orders();
+        let body = format!(r#"{{"generation":{generation},"routes":[],"services":[],"by":{number}}}"#);
+        let kind = OrderKind::Replace;
+        let order = Order { kind, base, body: body.into_bytes(), fence: 0 };
+        let id = self.history.add_order(order, generation, valid);
+        self.callers[caller].orders.push(id);
+        id
+    }
+
+    fn call(&mut self, caller: usize, question: Question, asked: Option<Asked>) {
+        let entry = asked.map(|asked| self.history.begin(asked, self.now));
+        let number = self.callers[caller].next_number;
+        self.callers[caller].next_number += 1;
+        self.callers[caller].open = Some(Open { number, entry });
+        self.schedule(self.now + PATIENCE, Event::Caller { caller, wake: Wake::Timeout { number } });
+        let machine = self.callers[caller].machine;
+        if self.lines.is_cut(Place::Caller(caller), Place::Machine(machine)) {
+            return;
+        }
+        let at = self.now + self.rng.u64(1..4);
+        if self.machines[machine].process.is_none() {
+            if self.machines[machine].powered {
+                let wake = Wake::Answered { number, answer: Answer::Unclear };
+                self.schedule(at, Event::Caller { caller, wake });
+            }
+            return;
+        }
+        let run = self.machines[machine].run;
+        let arrival = Arrival::Call { call: CallId { caller, number }, question };
+        self.schedule(at, Event::Arrive { machine, run, arrival });
+    }
+
+    /// A machine answers a call.
+    pub fn send_answer(&mut self, machine: usize, call: CallId, answer: Answer) {
+        if let Answer::Watched { generation } = answer {
+            self.check_age(machine, generation);
+        }
+        if answer == Answer::Accepted {
+            if let Some(trouble) = self.at_next_acknowledgement.take() {
+                self.schedule(self.now, Event::Trouble(trouble.at(machine)));
+            }
+        }
+        let CallId { caller, number } = call;
+        let lost = self.rng.u32(0..100) < LOST_PERCENT;
+        if lost || self.lines.is_cut(Place::Machine(machine), Place::Caller(caller)) {
+            return;
+        }
+        let at = self.now + self.rng.u64(1..4);
+        let wake = Wake::Answered { number, answer };
+        self.schedule(at, Event::Caller { caller, wake });
+    }
+
+    /// Whether what a member shows to those who follow it is too old.
+    fn check_age(&mut self, machine: usize, generation: u64) {
+        let Some(since) = self.history.acknowledged_beyond(generation) else { return };
+        let age = self.now - since;
+        self.history.most_stale = self.history.most_stale.max(age);
+        if age > MOST_STALE {
+            self.breaks(format!(
+                "m{machine} shows {generation} as current, {age} ms after another was taken"
+            ));
+        }
+    }
+
+    fn call_over(&mut self, caller: usize, number: u64, answer: Option<Answer>) {
+        let Some(open) = self.callers[caller].open.take_if(|open| open.number == number) else { return };
+        self.note(|| format!("caller {caller} at m{}: {answer:?}", self.callers[caller].machine));
+        if let (Some(entry), Some(answer)) = (open.entry, &answer) {
+            self.history.end(entry, self.now, answer.clone());
+        }
+        let clear = answer.filter(|answer| *answer != Answer::Unclear);
+        let pause = match self.callers[caller].trade {
+            Trade::Follower => self.watch_over(caller, clear.is_some()),
+            Trade::Operator => self.order_over(caller, clear),
+        };
+        self.schedule(self.now + pause, Event::Caller { caller, wake: Wake::Next });
+    }
+
+    fn watch_over(&mut self, caller: usize, answered: bool) -> Millis {
+        if !answered {
+            self.callers[caller].machine = self.rng.usize(..self.setup.machines);
+        }
+        WATCH_EVERY
+    }
+
+    fn order_over(&mut self, caller: usize, clear: Option<Answer>) -> Millis {
+        let heard = match &clear {
+            Some(Answer::Accepted) => {
+                self.callers[caller].wanted.map(|wanted| self.history.generation_of(wanted.order))
+            }
+            Some(Answer::Current { generation }) => Some(*generation),
+            Some(Answer::Configuration(configuration)) => {
+                configuration.as_ref().map(|(generation, _)| *generation)
+            }
+            _ => None,
+        };
+        let operator = &mut self.callers[caller];
+        operator.known = operator.known.max(heard.unwrap_or(0));
+        let done = match &mut operator.wanted {
+            Some(wanted) => {
+                wanted.tries_left -= 1;
+                clear.is_some() || wanted.tries_left == 0
+            }
+            None => true,
+        };
+        if done {
+            operator.wanted = None;
+        }
+        1 + self.rng.u64(0..LONGEST_THOUGHT)
+    }
+}
--- /dev/null
+++ b/crates/control/tests/world/history.rs
@@ -0,0 +1,292 @@
+//! What the operators saw, and whether it could be so: orders and reads have to be linearizable.
+//!
+//! Every content of an order is its own, and generations only rise. So there is one candidate for the sequence of
+//! configurations, and a history is linearizable if and only if
+//!
+//! * each configuration that is seen was ordered before, builds on the one seen before it, and none is left out
+//!   between an order and what it builds on;
+//! * no order that was taken is refused, and none that was refused is taken but by a call made since;
+//! * what is seen never goes back: from one call's end to another's begin.
+
+use super::callers::Answer;
+use dunespur_chain::Millis;
+use dunespur_control::Order;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderId(usize);
+
+/// What a call was about.
+#[derive(Clone, Copy, Debug)]
+pub enum Asked {
+    Order(OrderId),
+    Read,
+}
+
+struct Ordered {
+    order: Order,
+    generation: u64,
+    valid: bool,
+    /// When it was first sent.
+    since: Option<Millis>,
+}
+
+struct Call {
+    asked: Asked,
+    since: Millis,
+    end: Option<(Millis, Answer)>,
+}
+
+#[derive(Default)]
+pub struct History {
+    ordered: Vec<Ordered>,
+    calls: Vec<Call>,
+    /// When the first operator knew of this generation or a later one, as it rose.
+    acknowledged: Vec<(u64, Millis)>,
+    /// The oldest state that was shown to a follower: how long before another had been acknowledged.
+    pub most_stale: Millis,
+}
+
+/// How much a history holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub calls: u64,
+    pub taken: u64,
+    pub refused: u64,
+    pub reads: u64,
+    pub unclear: u64,
+    pub snapshots: u64,
+    pub most_stale: Millis,
+}
+
+impl History {
+    pub fn orders(&self) -> usize {
+        self.ordered.len()
+    }
+
+    pub fn add_order(&mut self, order: Order, generation: u64, valid: bool) -> OrderId {
+        self.ordered.push(Ordered { order, generation, valid, since: None });
+        OrderId(self.ordered.len() - 1)
+    }
+
+    pub fn order(&self, id: OrderId) -> Order {
+        self.ordered[id.0].order.clone()
+    }
+
+    pub fn generation_of(&self, id: OrderId) -> u64 {
+        self.ordered[id.0].generation
+    }
+
+    pub fn begin(&mut self, asked: Asked, now: Millis) -> usize {
+        if let Asked::Order(id) = asked {
+            self.ordered[id.0].since.get_or_insert(now);
+        }
+        self.calls.push(Call { asked, since: now, end: None });
+        self.calls.len() - 1
+    }
+
+    pub fn end(&mut self, entry: usize, now: Millis, answer: Answer) {
+        if let (Asked::Order(id), Answer::Accepted) = (self.calls[entry].asked, &answer) {
+            let generation = self.ordered[id.0].generation;
+            if self.acknowledged.last().is_none_or(|(newest, _)| *newest < generation) {
+                self.acknowledged.push((generation, now));
+            }
+        }
+        self.calls[entry].end = Some((now, answer));
+    }
+
+    /// When a generation beyond this one was first acknowledged.
+    pub fn acknowledged_beyond(&self, generation: u64) -> Option<Millis> {
+        let first = self.acknowledged.partition_point(|(acknowledged, _)| *acknowledged <= generation);
+        self.acknowledged.get(first).map(|(_, at)| *at)
+    }
+
+    pub fn tally(&self) -> Tally {
+        let mut tally = Tally { most_stale: self.most_stale, ..Tally::default() };
+        for call in &self.calls {
+            tally.calls += 1;
+            match &call.end {
+                Some((_, Answer::Accepted)) => tally.taken += 1,
+                Some((_, Answer::Current { .. } | Answer::Invalid)) => tally.refused += 1,
+                Some((_, Answer::Configuration(_))) => tally.reads += 1,
+                _ => tally.unclear += 1,
+            }
+        }
+        tally
+    }
+}
+
+/// What was seen at one time.
+struct Sight {
+    since: Millis,
+    until: Millis,
+    /// The state was at this generation at some time in between, or is known to have been at it by the end.
+    generation: u64,
+    /// Whether it was at just this generation.
+    exact: bool,
+}
+
+/// Judges a history.
+pub struct Judge<'a> {
+    history: &'a History,
+    /// Orders that are known to have been taken, by their generation.
+    taken: BTreeMap<u64, OrderId>,
+    sights: Vec<Sight>,
+}
+
+/// Says what could not have been so.
+pub fn check(history: &History) -> Result<(), String> {
+    let mut judge = Judge { history, taken: BTreeMap::new(), sights: Vec::new() };
+    judge.gather()?;
+    judge.check_refusals()?;
+    judge.check_sequence()?;
+    judge.check_times()
+}
+
+impl Judge<'_> {
+    fn gather(&mut self) -> Result<(), String> {
+        for call in &self.history.calls {
+            let Some((until, answer)) = &call.end else { continue };
+            let sight = |generation, exact| Sight { since: call.since, until: *until, generation, exact };
+            match (call.asked, answer) {
+                (Asked::Order(id), Answer::Accepted) => {
+                    self.is_taken(id)?;
+                    self.sights.push(sight(self.history.generation_of(id), false));
+                }
+                (Asked::Order(_), Answer::Current { generation }) => {
+                    self.sights.push(sight(*generation, true))
+                }
+                (Asked::Order(id), Answer::Invalid) => {
+                    self.sights.push(sight(self.history.ordered[id.0].order.base, true))
+                }
+                (Asked::Read, Answer::Configuration(None)) => self.sights.push(sight(0, true)),
+                (Asked::Read, Answer::Configuration(Some((generation, json)))) => {
+                    self.is_taken(self.whose(*generation, json)?)?;
+                    self.sights.push(sight(*generation, true));
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// The order with this content.
+    fn whose(&self, generation: u64, json: &str) -> Result<OrderId, String> {
+        let of = |ordered: &Ordered| {
+            ordered.generation == generation && ordered.order.body == json.as_bytes() && ordered.valid
+        };
+        let place = self.history.ordered.iter().position(of);
+        place.map(OrderId).ok_or_else(|| format!("nobody ordered what was read as {generation}: {json}"))
+    }
+
+    fn is_taken(&mut self, id: OrderId) -> Result<(), String> {
+        let ordered = &self.history.ordered[id.0];
+        let other = *self.taken.entry(ordered.generation).or_insert(id);
+        if other != id {
+            return Err(format!("two orders were taken as {}: {other:?} and {id:?}", ordered.generation));
+        }
+        if !ordered.valid {
+            return Err(format!("the invalid {id:?} was taken"));
+        }
+        Ok(())
+    }
+
+    fn check_refusals(&self) -> Result<(), String> {
+        for call in &self.history.calls {
+            let (Asked::Order(id), Some((until, answer))) = (call.asked, &call.end) else { continue };
+            let ordered = &self.history.ordered[id.0];
+            let refused = matches!(answer, Answer::Current { .. } | Answer::Invalid);
+            if refused && self.taken.get(&ordered.generation) == Some(&id) {
+                self.check_taken_by_another_call(id, *until, answer)?;
+            }
+            if *answer == Answer::Invalid && ordered.valid {
+                return Err(format!("the valid {id:?} was refused as invalid at {until}"));
+            }
+            if *answer == (Answer::Current { generation: ordered.order.base }) {
+                return Err(format!("{id:?} was refused at {until} as what it builds on is current"));
+            }
+        }
+        Ok(())
+    }
+
+    /// An order that came too early may be taken by a call made after its refusal, and by none made before.
+    fn check_taken_by_another_call(
+        &self,
+        id: OrderId,
+        refused_at: Millis,
+        answer: &Answer,
+    ) -> Result<(), String> {
+        let base = self.history.ordered[id.0].order.base;
+        let early = matches!(answer, Answer::Current { generation } if *generation < base);
+        let is_of = |call: &&Call| matches!(call.asked, Asked::Order(other) if other == id);
+        let mut calls = self.history.calls.iter().filter(is_of);
+        if early && calls.any(|call| call.since > refused_at) {
+            return Ok(());
+        }
+        Err(format!("{id:?} was taken, and refused at {refused_at}: {answer:?}"))
+    }
+
+    /// Whoever was taken builds on what was there just before.
+    fn check_sequence(&self) -> Result<(), String> {
+        let mut before = 0;
+        for (generation, id) in &self.taken {
+            let base = self.history.ordered[id.0].order.base;
+            if base < before {
+                return Err(format!("{id:?} was taken as {generation} on {base}, and {before} was as well"));
+            }
+            before = *generation;
+        }
+        for sight in &self.sights {
+            let next = self.taken.range(sight.generation + 1..).next();
+            let left_out = next.filter(|(_, id)| self.history.ordered[id.0].order.base < sight.generation);
+            if let Some((generation, id)) = left_out {
+                return Err(format!("{id:?} was taken as {generation} past {}", sight.generation));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_times(&self) -> Result<(), String> {
+        let mut ends: Vec<(Millis, u64)> =
+            self.sights.iter().map(|sight| (sight.until, sight.generation)).collect();
+        ends.sort_unstable();
+        let mut newest = 0;
+        for end in &mut ends {
+            newest = newest.max(end.1);
+            end.1 = newest;
+        }
+        let seen_before = |at: Millis| {
+            let place = ends.partition_point(|(until, _)| *until < at);
+            place.checked_sub(1).map_or(0, |place| ends[place].1)
+        };
+        for sight in self.sights.iter().filter(|sight| sight.exact) {
+            let seen = seen_before(sight.since);
+            if seen > sight.generation {
+                let Sight { since, until, generation, .. } = sight;
+                return Err(format!("{generation} was current between {since} and {until}, after {seen}"));
+            }
+        }
+        for sight in &self.sights {
+            self.check_not_early(sight)?;
+        }
+        for id in self.taken.values() {
+            let ordered = &self.history.ordered[id.0];
+            let seen = ordered.since.map_or(0, seen_before);
+            if seen > ordered.order.base {
+                return Err(format!("{id:?} on {} was taken after {seen}", ordered.order.base));
+            }
+        }
+        Ok(())
+    }
+
+    /// What is seen was ordered before.
+    fn check_not_early(&self, sight: &Sight) -> Result<(), String> {
+        let made = |ordered: &&Ordered| ordered.generation == sight.generation && ordered.valid;
+        let first = self.history.ordered.iter().filter(made).filter_map(|ordered| ordered.since).min();
+        let early = sight.generation > 0 && first.is_none_or(|first| first > sight.until);
+        if early {
+            return Err(format!("{} was seen at {} and ordered at {first:?}", sight.generation, sight.until));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/tests/world/machines.rs
@@ -0,0 +1,385 @@
+//! Machines of the core: a disk, a member of the chain, the control state that it applies commits to, and its answers
+//! to calls, which are those of the program.
+
+use super::callers::{Answer, CallId, Question};
+use super::{Event, World};
+use dunespur_chain::{Input, Member, MemberId, Millis, Output, Peer, Saved, View, Write};
+use dunespur_control::{ControlState, Operation, Order, Outcome};
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hasher};
+use std::net::SocketAddr;
+
+/// What a process's clock says at its start.
+const FIRST_MOMENT: Millis = 1;
+/// A call that is not decided after this time is answered without a clear answer.
+pub const CALL_LIMIT: Millis = 850;
+
+/// What reaches a process.
+#[derive(Clone, Debug)]
+pub enum Arrival {
+    Chain(Input),
+    Call { call: CallId, question: Question },
+    Deadline { call: CallId },
+}
+
+/// A batch that the disk hasn't finished.
+pub struct Flight {
+    batch: u64,
+    writes: Vec<Write>,
+}
+
+/// A call that is not answered yet.
+struct Pending {
+    question: Question,
+    since: Millis,
+}
+
+pub struct Process {
+    pub member: Member,
+    /// The process's clock starts at this time, as steady clocks may.
+    clock_zero: Millis,
+    tick_at: Millis,
+    applied: u64,
+    pub state: ControlState,
+    /// Calls by the ticket that they wait for.
+    tickets: HashMap<u64, CallId>,
+    pending: HashMap<CallId, Pending>,
+}
+
+pub struct Machine {
+    node: String,
+    address: SocketAddr,
+    disk: u64,
+    pub saved: Saved,
+    flight: Option<Flight>,
+    pub frozen: bool,
+    /// What came while it was frozen.
+    backlog: VecDeque<Arrival>,
+    /// Counts starts, so that events of an earlier run are told apart.
+    pub run: u64,
+    pub process: Option<Process>,
+    /// Without power, connections to it hang; without a process, they are refused.
+    pub powered: bool,
+    may_found: bool,
+}
+
+impl World {
+    pub fn add_machine(&mut self) -> usize {
+        let index = self.machines.len();
+        self.machines.push(Machine {
+            node: format!("m{index}"),
+            address: SocketAddr::from(([10, 0, 0, index as u8], 7380)),
+            disk: self.rng.u64(1..),
+            saved: Saved::default(),
+            flight: None,
+            frozen: false,
+            backlog: VecDeque::new(),
+            run: 1,
+            process: None,
+            powered: true,
+            may_found: true,
+        });
+        index
+    }
+
+    pub fn id(&self, machine: usize) -> MemberId {
+        MemberId { node: self.machines[machine].node.clone(), disk: self.machines[machine].disk }
+    }
+
+    pub fn first_view(&self) -> View {
+        let peer = |index| Peer { id: self.id(index), address: self.machines[index].address };
+        let members: Vec<Peer> = (0..self.setup.machines).map(peer).collect();
+        let chain = members.iter().map(|member| member.id.clone()).collect();
+        View { number: 1, members, chain }
+    }
+
+    pub fn start_at(&mut self, machine: usize, at: Millis) {
+        self.machines[machine].run += 1;
+        let run = self.machines[machine].run;
+        self.schedule(at, Event::Start { machine, run });
+    }
+
+    pub fn start(&mut self, index: usize, run: u64) {
+        let clock_zero = self.now;
+        let seed = self.rng.u64(..);
+        let contacts: Vec<SocketAddr> = self.machines.iter().map(|machine| machine.address).collect();
+        let id = self.id(index);
+        let guards = self.setup.guards;
+        let machine = &mut self.machines[index];
+        if machine.run != run {
+            return;
+        }
+        machine.powered = true;
+        machine.frozen = false;
+        let (saved, address, may_found) = (machine.saved.clone(), machine.address, machine.may_found);
+        let member = Member::with_guards(id, address, may_found, saved, seed, FIRST_MOMENT, guards.chain);
+        machine.process = Some(Process {
+            member,
+            clock_zero,
+            tick_at: Millis::MAX,
+            applied: 0,
+            state: ControlState::with_guards(guards.control),
+            tickets: HashMap::new(),
+            pending: HashMap::new(),
+        });
+        let first_start = machine.may_found && run == 1;
+        self.note(|| format!("m{index} starts"));
+        let input = if first_start { Input::Tick } else { Input::Join { contacts } };
+        self.arrive(index, Arrival::Chain(input));
+    }
+
+    /// The process ends; the machine keeps what is on its disk. A batch under way may have reached it.
+    pub fn end_process(&mut self, index: usize, with_power: bool) {
+        let keeps_batch = self.rng.bool();
+        let machine = &mut self.machines[index];
+        machine.run += 1;
+        machine.process = None;
+        machine.backlog.clear();
+        machine.frozen = false;
+        machine.powered = with_power;
+        if let Some(flight) = machine.flight.take().filter(|_| keeps_batch) {
+            flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        }
+        for other in 0..self.machines.len() {
+            self.reset_connection(index, other, with_power);
+        }
+    }
+
+    pub fn wipe(&mut self, index: usize) {
+        let disk = self.rng.u64(1..);
+        let machine = &mut self.machines[index];
+        machine.saved = Saved::default();
+        machine.may_found = false;
+        machine.disk = disk;
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.machines[index].frozen = true;
+    }
+
+    /// The process goes on, and takes what has filled its sockets before it hears anything new.
+    pub fn thaw(&mut self, index: usize) {
+        if !std::mem::take(&mut self.machines[index].frozen) {
+            return;
+        }
+        for arrival in std::mem::take(&mut self.machines[index].backlog) {
+            self.arrive(index, arrival);
+        }
+        self.arrive(index, Arrival::Chain(Input::Tick));
+    }
+
+    pub fn disk_done(&mut self, index: usize, run: u64, batch: u64) {
+        let machine = &mut self.machines[index];
+        if machine.run != run || machine.flight.as_ref().is_none_or(|flight| flight.batch != batch) {
+            return;
+        }
+        let flight = machine.flight.take().expect("just seen");
+        flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        self.arrive(index, Arrival::Chain(Input::Persisted { batch }));
+    }
+
+    pub fn tick(&mut self, index: usize, run: u64, at: Millis) {
+        let machine = &mut self.machines[index];
+        if machine.run != run {
+            return;
+        }
+        let Some(process) = machine.process.as_mut().filter(|process| process.tick_at == at) else { return };
+        process.tick_at = Millis::MAX;
+        if !machine.frozen {
+            self.arrive(index, Arrival::Chain(Input::Tick));
+        }
+    }
+
+    pub fn arrive(&mut self, index: usize, arrival: Arrival) {
+        if self.machines[index].frozen {
+            self.machines[index].backlog.push_back(arrival);
+            return;
+        }
+        if self.machines[index].process.is_none() {
+            return;
+        }
+        match arrival {
+            Arrival::Chain(input) => self.step(index, input),
+            Arrival::Call { call, question } => self.called(index, call, question),
+            Arrival::Deadline { call } => self.answer(index, call, Answer::Unclear),
+        }
+    }
+
+    fn process(&mut self, index: usize) -> &mut Process {
+        self.machines[index].process.as_mut().expect("a running process")
+    }
+
+    fn clock(&mut self, index: usize) -> Millis {
+        self.now - self.process(index).clock_zero + FIRST_MOMENT
+    }
+
+    fn step(&mut self, index: usize, input: Input) {
+        let (now, clock) = (self.now, self.clock(index));
+        let process = self.process(index);
+        let mut out = Vec::new();
+        process.member.step(input, clock, &mut out);
+        let next = process.member.next_tick().saturating_sub(FIRST_MOMENT).saturating_add(process.clock_zero);
+        let due = next.max(now + 1);
+        if due < process.tick_at {
+            process.tick_at = due;
+            let run = self.machines[index].run;
+            self.schedule(due, Event::Tick { machine: index, run, at: due });
+        }
+        for output in out {
+            self.output(index, output);
+        }
+    }
+
+    fn output(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                if let Some(machine) = self.machine_at(to.address) {
+                    self.send(index, machine, Some(to.id), message);
+                }
+            }
+            Output::SendTo { address, message } => {
+                if let Some(machine) = self.machine_at(address) {
+                    self.send(index, machine, None, message);
+                }
+            }
+            Output::Persist { batch, writes } => {
+                let sync = self.rng.u64(1..self.setup.sync_most);
+                let run = self.machines[index].run;
+                self.machines[index].flight = Some(Flight { batch, writes });
+                self.schedule(self.now + sync, Event::DiskDone { machine: index, run, batch });
+            }
+            Output::Commit { index: at, payload, ticket } => self.commit(index, at, &payload, ticket),
+            Output::ReadReady { ticket } => self.read_ready(index, ticket),
+            Output::Dropped { ticket } => {
+                if let Some(call) = self.process(index).tickets.remove(&ticket) {
+                    self.answer(index, call, Answer::Unclear);
+                }
+            }
+            Output::WantSnapshot => {
+                let process = self.process(index);
+                let input = Input::Snapshot { index: process.applied, bytes: process.state.snapshot() };
+                let at = self.now + self.rng.u64(0..5);
+                let run = self.machines[index].run;
+                self.schedule(at, Event::Arrive { machine: index, run, arrival: Arrival::Chain(input) });
+            }
+            Output::Install { index: at, bytes } => {
+                let guards = self.setup.guards.control;
+                let state = ControlState::restore(&bytes).expect("a snapshot").guarded_by(guards);
+                self.snapshots_installed += 1;
+                let process = self.process(index);
+                process.applied = at;
+                process.state = state;
+            }
+            Output::ViewChanged { view, current } => {
+                self.note(|| {
+                    let chain: Vec<&str> = view.chain.iter().map(|id| id.node.as_str()).collect();
+                    format!("m{index} is in view {} of {chain:?}, current {current}", view.number)
+                });
+            }
+        }
+    }
+
+    fn machine_at(&self, address: SocketAddr) -> Option<usize> {
+        self.machines.iter().position(|machine| machine.address == address)
+    }
+
+    fn commit(&mut self, index: usize, at: u64, payload: &[u8], ticket: Option<u64>) {
+        let mut digest = DefaultHasher::new();
+        digest.write(payload);
+        self.committed_at(index, at, digest.finish());
+        let operation: Operation = postcard::from_bytes(payload).expect("an operation");
+        let process = self.process(index);
+        process.applied = at;
+        let outcome = process.state.apply(&operation, &mut Vec::new());
+        let Some(call) = ticket.and_then(|ticket| process.tickets.remove(&ticket)) else { return };
+        self.decided(index, call, outcome);
+    }
+
+    // --- answers to calls ---
+
+    fn called(&mut self, index: usize, call: CallId, question: Question) {
+        let clock = self.clock(index);
+        let process = self.process(index);
+        process.pending.insert(call, Pending { question: question.clone(), since: clock });
+        let run = self.machines[index].run;
+        let at = self.now + CALL_LIMIT;
+        self.schedule(at, Event::Arrive { machine: index, run, arrival: Arrival::Deadline { call } });
+        match question {
+            Question::Order(order) => self.execute(index, call, order),
+            Question::Configuration => {
+                let ticket = self.take_ticket();
+                self.process(index).tickets.insert(ticket, call);
+                self.step(index, Input::Read { ticket });
+            }
+            Question::Watch => {
+                let process = self.process(index);
+                let generation = process.state.configuration().map_or(0, |document| document.generation());
+                let follows = process.member.follows(clock);
+                let answer = if follows { Answer::Watched { generation } } else { Answer::Unclear };
+                self.answer(index, call, answer);
+            }
+        }
+    }
+
+    fn execute(&mut self, index: usize, call: CallId, order: Order) {
+        let clock = self.clock(index);
+        let refuses_unconfirmed = self.setup.guards.refuses_unconfirmed;
+        let process = self.process(index);
+        if refuses_unconfirmed {
+            let outcome = process.state.clone().apply(&Operation::Configure(order.clone()), &mut Vec::new());
+            if matches!(outcome, Outcome::Current { .. } | Outcome::Invalid(_)) {
+                return self.decided(index, call, outcome);
+            }
+        }
+        if !process.member.follows(clock) {
+            return self.answer(index, call, Answer::Unclear);
+        }
+        let payload = postcard::to_stdvec(&Operation::Configure(order)).expect("an operation");
+        let ticket = self.take_ticket();
+        self.process(index).tickets.insert(ticket, call);
+        self.step(index, Input::Submit { ticket, payload });
+    }
+
+    fn decided(&mut self, index: usize, call: CallId, outcome: Outcome) {
+        match outcome {
+            Outcome::Accepted => self.answer(index, call, Answer::Accepted),
+            Outcome::Current { generation } => self.answer(index, call, Answer::Current { generation }),
+            Outcome::Invalid(_) => self.answer(index, call, Answer::Invalid),
+            Outcome::Fenced { fence } => {
+                let question = self.process(index).pending.get(&call).map(|pending| pending.question.clone());
+                if let Some(Question::Order(order)) = question {
+                    self.execute(index, call, Order { fence, ..order });
+                }
+            }
+            _ => self.answer(index, call, Answer::Unclear),
+        }
+    }
+
+    fn read_ready(&mut self, index: usize, ticket: u64) {
+        let process = self.process(index);
+        let Some(call) = process.tickets.remove(&ticket) else { return };
+        let document = process.state.configuration();
+        let configuration = document.map(|document| (document.generation(), document.to_json()));
+        self.answer(index, call, Answer::Configuration(configuration));
+    }
+
+    /// Answers a call, without a clear answer if it has taken too long: the process may have been frozen.
+    fn answer(&mut self, index: usize, call: CallId, answer: Answer) {
+        let clock = self.clock(index);
+        let Some(pending) = self.process(index).pending.remove(&call) else { return };
+        let late = clock > pending.since + CALL_LIMIT;
+        let answer = if late { Answer::Unclear } else { answer };
+        self.send_answer(index, call, answer);
+    }
+
+    /// A payload that means nothing.
+    pub fn submit_filling(&mut self, index: usize) {
+        if self.machines[index].process.is_none() || self.machines[index].frozen {
+            return;
+        }
+        let node = "-".repeat(self.setup.filling);
+        let payload = postcard::to_stdvec(&Operation::RetireDone { node, incarnation: 0 });
+        let ticket = self.take_ticket();
+        self.step(index, Input::Submit { ticket, payload: payload.expect("an operation") });
+    }
+}
