Ask for a copy of the present view only where something may have been committed in it

The head is synced in a view as soon as it is installed. If it left then, before any other member of the chain had come up, the next view's base was that view, for somebody had synced in it: the head was the only member that held enough, could not be put out of the chain although it left, and once it had ended no view could be decided.

A commit in a view needs every member of the chain, synced in it. So one that has promised without having synced shows that nothing was committed there, whoever else had synced; what was enough for that view is enough for the next.

Ruled out: to hold a leaver back until others are synced (helps a drain, not a head that is lost at that moment).

--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -250,15 +250,7 @@
         let decided = self.decided.clone()?;
         let number = decided.number();
         let plan = self.plan(now)?;
-        // Whoever synced in this view holds all that was committed in it. If none of those in the chain that have
-        // promised has, nothing was committed in it; what was before it, the base says who holds.
-        let synced_now = promises.iter().any(|other| other.promise.synced_view == number);
-        let sealed_in_chain = promises.iter().any(|other| decided.view.in_chain(&other.from));
-        let base = match (synced_now, sealed_in_chain) {
-            (true, _) => number,
-            (false, true) => decided.base,
-            (false, false) => return None,
-        };
+        let base = base_after(&decided, promises)?;
         let enough = |other: &&PromiseOf| other.promise.synced_view >= base;
         let chain = chain_after(&decided.view, &plan, promises.iter().filter(enough))?;
         let view = View { number: number + 1, members: plan.members, chain };
@@ -436,6 +428,21 @@
     }
 }
 
+/// The base of the view after `decided`, from the promises of a majority; none, if no member of the chain is among
+/// them.
+///
+/// A commit in a view needs every member of its chain, synced in it. If one of them has promised without having synced,
+/// nothing was committed in the view, nor ever will be: what was enough for it is enough for the next one. To ask for a
+/// member that has synced in it all the same would make the head the only whole copy right after each change, and its
+/// loss the end of the core.
+fn base_after(decided: &DecidedView, promises: &[PromiseOf]) -> Option<u64> {
+    let number = decided.number();
+    let mut of_chain = promises.iter().filter(|other| decided.view.in_chain(&other.from)).peekable();
+    of_chain.peek()?;
+    let all_synced = of_chain.all(|other| other.promise.synced_view == number);
+    Some(if all_synced { number } else { decided.base })
+}
+
 /// The planned chain, headed by members that hold enough. Survivors of the chain before keep their order.
 fn chain_after<'a>(
     before: &View,
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -274,6 +274,48 @@
     assert!(driven.sends(goes_on));
 }
 
+/// Drives a member until it asks for promises; its own is on disk then.
+fn begin_attempt(driven: &mut Driven) -> Ballot {
+    let asked = |message: &Message| matches!(message, Message::Prepare { .. });
+    while !driven.sends(asked) {
+        driven.now = driven.member.next_tick();
+        assert!(driven.now < NOW + 3_000, "no attempt was made");
+        driven.give(Input::Tick);
+    }
+    let sent = driven.sent().into_iter().find_map(|message| match message {
+        Message::Prepare { ballot, .. } => Some(ballot.clone()),
+        _ => None,
+    });
+    driven.persist();
+    sent.expect("just seen")
+}
+
+/// A head is synced as soon as its view is installed. If it leaves before another member of the chain is, nothing was
+/// committed in the view, and the others go on without it.
+#[test]
+fn a_head_that_leaves_before_others_are_synced_is_not_needed() {
+    let mut on_disk = saved(5);
+    on_disk.decided = Some(DecidedView { view: view(2, &[0, 1, 2]), base: 1 });
+    on_disk.synced_view = 2;
+    let mut driven = Driven::new(0, on_disk);
+    driven.hear_from(1);
+    driven.now += 1;
+    driven.hear_from(2);
+    driven.give(Input::Leave);
+    let ballot = begin_attempt(&mut driven);
+    let last = Position { index: 5, view: 1 };
+    let promise = Promise { number: 3, ballot, accepted: None, synced_view: 1, last };
+    driven.receive(1, Message::Promise(promise.clone()));
+    driven.receive(2, Message::Promise(promise));
+    let proposal = driven.sent().into_iter().find_map(|message| match message {
+        Message::Accept { proposal, .. } => Some(proposal.clone()),
+        _ => None,
+    });
+    let proposal = proposal.expect("a view is put to the vote");
+    assert_eq!(proposal.base, 1);
+    assert_eq!(proposal.view.chain, [id(1), id(2)]);
+}
+
 #[test]
 fn a_first_view_is_taken_on_an_empty_disk_only_where_it_may_be() {
     let first = view(1, &[0, 1, 2]);
--- a/crates/chain/tests/windows.rs
+++ b/crates/chain/tests/windows.rs
@@ -96,6 +96,15 @@
     check(Change::RollingRestart);
 }
 
+/// Seeds in which the head left right after a change of the view, as the only one that counted as a copy: the core
+/// stood still for good.
+#[test]
+fn a_head_that_leaves_right_after_a_change_does_not_end_the_core() {
+    for (machines, seed) in [(4, 827), (5, 566), (6, 968)] {
+        window(Change::PlannedReplacement, machines, seed).unwrap_or_else(|text| panic!("{text}"));
+    }
+}
+
 #[test]
 #[ignore = "prints the table of the guarantees' page: WINDOW_SEEDS=10000, in release"]
 fn table() {
