Dispositions of attempts as one typed table that the data plane decides by

What was sent, what came back and who ended it were spread over faults, verdicts and flags in four files; now `disposition::Attempt` holds them and its table says whether the request may have run, may be sent again, may leave its connection in use, and what the client gets. The test drives each row that a server or client can bring about over loopback and compares with the table itself.

Found not to hold, and mended: - A request whose head was written, but not all of its body, counted as unsent: it was sent to a second server, and answered 503 at its time. A server may answer, and so run, a request whose body it has not read. It may have run as soon as its head is out. - Answers without a length were refused with a 502. An error of the socket that a write has met leaves an end of the stream to reads: `WatchedStream` keeps the first end. - A request that was turned away and then sent to the same server again could go over the same connection, where a second copy of the first answer carries the same id. It goes over a new one. - A failure of a server for which no further server was found became a 502; it is passed on.

Bytes on a resting connection are now looked for before every request, not only before those that can't be repeated.

Changed test: the row "without an end of its own" of an_answer_that_is_not_the_servers_is_not_passed_on wanted a 502 for an answer without a length while its connection stood.

Ruled out: hyper's reports of interim answers (they change nothing), a parser of heads (four bytes tell the end).

--- a/crates/proxy/src/asked.rs
+++ b/crates/proxy/src/asked.rs
@@ -1,6 +1,6 @@
 //! What a client's request says of itself.
 
-use crate::hop;
+use crate::http_headers;
 use crate::refusal::Refusal;
 use dunespur_routing::Part;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -28,16 +28,16 @@
 impl Asked {
     pub(crate) fn read(headers: &HeaderMap) -> Result<Asked, Refusal> {
         let text = |name: HeaderName| headers.get(name).filter(|value| value.to_str().is_ok()).cloned();
-        let id = text(hop::REQUEST_ID).filter(|id| !id.is_empty()).ok_or(Refusal::NoId)?;
+        let id = text(http_headers::REQUEST_ID).filter(|id| !id.is_empty()).ok_or(Refusal::NoId)?;
         let (prompt_tokens, most_tokens) = token_count(headers);
         Ok(Asked {
             id,
-            deadline_ms: number(headers, hop::DEADLINE)?,
-            program: text(hop::PROGRAM),
-            session: text(hop::SESSION),
-            budget: number(headers, hop::BUDGET)?,
-            previous: text(hop::PREVIOUS),
-            last_event_id: text(hop::LAST_EVENT_ID),
+            deadline_ms: number(headers, http_headers::DEADLINE)?,
+            program: text(http_headers::PROGRAM),
+            session: text(http_headers::SESSION),
+            budget: number(headers, http_headers::BUDGET)?,
+            previous: text(http_headers::PREVIOUS),
+            last_event_id: text(http_headers::LAST_EVENT_ID),
             prefix: prefix(headers),
             prompt_tokens,
             most_tokens,
@@ -58,14 +58,16 @@
 
 /// Tokens of the prompt, and the most that are generated.
 fn token_count(headers: &HeaderMap) -> (u32, u32) {
-    let value = headers.get(hop::TOKEN_COUNT).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let value =
+        headers.get(http_headers::TOKEN_COUNT).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let mut numbers = value.split(',').map(|number| number.trim().parse().unwrap_or(0));
     (numbers.next().unwrap_or(0), numbers.next().unwrap_or(0))
 }
 
 /// The parts that the prompt consists of, in order.
 fn prefix(headers: &HeaderMap) -> SmallVec<[Part; 8]> {
-    let value = headers.get(hop::PROMPT_PREFIX).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let value =
+        headers.get(http_headers::PROMPT_PREFIX).and_then(|value| value.to_str().ok()).unwrap_or_default();
     value.split(',').map_while(part).take(MOST_PARTS).collect()
 }
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,16 +4,18 @@
 use crate::asked::{text, Asked};
 use crate::body::{collect, discard};
 use crate::client::{Client, Stage};
+use crate::disposition::EndedBy;
 use crate::front::Front;
-use crate::hop;
+use crate::http_headers;
 use crate::limit::TimeLimit;
 use crate::memory::Room;
 use crate::node::{History, KeptTurn, Node, Reserve, TurnAsk};
 use crate::plain::{self, Awaited};
 use crate::refusal::Refusal;
-use crate::sending::{Message, Reply, Sending};
-use crate::story::{self, Told};
+use crate::reply::Reply;
+use crate::sending::{Message, Sending};
 use crate::stream::{is_stream, Begin, Keeping, Streaming};
+use crate::trace::{self, Told};
 use crate::turn::{TokenCount, Turn};
 use bytes::{Bytes, BytesMut};
 use dunespur_configuration::{Kind, Route, Table};
@@ -97,7 +99,7 @@
     };
     let held_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     *until_ms = arrived_ms.saturating_add(held_ms);
-    story::arrived(&head, &route, &asked, held_ms);
+    trace::arrived(&head, &route, &asked, held_ms);
     let mut limit = TimeLimit::new(&front.clock, &front.departures, *until_ms);
     let mut room = front.memory.room();
     let input = collect(body, table.limits().max_body_bytes, &mut limit, &mut room).await?;
@@ -204,7 +206,7 @@
     let ask = TurnAsk { program, budget, most: most_tokens(asked) };
     match limit.bound(front.node.reserve(ask)).await {
         Some(Reserve::Admitted(key)) => {
-            story::admitted(asked, key.0);
+            trace::admitted(asked, key.0);
             Ok(Some(Turn::new(&front.node, key)))
         }
         Some(Reserve::Spent) => Err(Refusal::Spent),
@@ -239,7 +241,7 @@
 /// The message for the servers, but for what each of them gets of its own.
 fn message(head: Parts, pieces: SmallVec<[Bytes; 1]>, room: Room) -> Message {
     let Parts { method, uri, mut headers, .. } = head;
-    hop::prepare_request(&mut headers);
+    http_headers::prepare_request(&mut headers);
     let is_empty = pieces.iter().all(Bytes::is_empty);
     if is_empty && matches!(method, Method::POST | Method::PUT | Method::PATCH) {
         headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
@@ -266,26 +268,25 @@
     let mut streaming = Streaming::new(tokens, turn, keeping, last_id(&sending.asked));
     let mut reply = sending.send().await?;
     loop {
-        let time_up = if is_stream(sending.route.kind, &reply.head) {
+        let ended_by = if is_stream(sending.route.kind, &reply.head) {
             match streaming.begin(&mut sending, &mut reply.source).await {
                 Begin::Events(begun) => return Ok(streaming.respond(sending, reply, begun, client)),
-                Begin::Cut { time_up } => time_up,
+                Begin::Broken(ended_by) => ended_by,
             }
         } else if streaming.is_kept() && reply.head.status.is_success() {
             // Passed on, it would promise that a later turn may go on from it.
-            false
+            EndedBy::Proxy
         } else {
             reply.source.flight.first_event();
             sending.limit.wait_out();
             match plain::await_body(&mut sending, &mut reply.source).await {
                 Awaited::Whole(body) => return Ok(finish_plain(&sending, reply, body, client)),
                 Awaited::Longer(begun) => return Ok(plain::relayed_response(sending, reply, begun, client)),
-                Awaited::Cut => false,
-                Awaited::TimeUp => true,
+                Awaited::Broken(ended_by) => ended_by,
             }
         };
         // Boxed, as it is rare and would make room for itself in every request.
-        reply = Box::pin(sending.send_again(reply.source, time_up)).await?;
+        reply = Box::pin(sending.send_again(reply.source, ended_by, false)).await?;
     }
 }
 
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, Order, Stage, Wire};
 use crate::clock::Clock;
 use crate::exchange;
+use crate::guards::Guards;
 use crate::limit::Departures;
 use crate::memory::Memory;
 use crate::node::Node;
@@ -105,6 +106,7 @@
     pub(crate) servers: Servers,
     pub(crate) memory: Rc<Memory>,
     pub(crate) departures: Rc<Departures>,
+    pub(crate) guards: Guards,
     settings: FrontSettings,
     phase: Cell<Phase>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
@@ -119,12 +121,19 @@
 impl<N: Node> Front<N> {
     /// A front that serves no listener yet.
     pub fn new(node: Rc<N>, settings: FrontSettings) -> Rc<Front<N>> {
+        Front::with_guards(node, settings, Guards::default())
+    }
+
+    /// The same with these guards; for tests, which take single ones out.
+    pub fn with_guards(node: Rc<N>, settings: FrontSettings, guards: Guards) -> Rc<Front<N>> {
+        let settle = Duration::from_millis(settings.settle_ms);
         Rc::new(Front {
             node,
             clock: Rc::new(Clock::new()),
-            servers: Servers::new(settings.max_server_connections, Duration::from_millis(settings.settle_ms)),
+            servers: Servers::new(settings.max_server_connections, settle, guards),
             memory: Memory::new(settings.memory_bytes),
             departures: Rc::new(Departures::new()),
+            guards,
             settings,
             phase: Cell::new(Phase::Serving),
             clients: RefCell::default(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,31 +19,39 @@
 //! - A request with a length beside chunks is read by its chunks, and its connection ends with the answer.
 
 mod answer;
+mod answer_head;
 mod asked;
+mod attempt;
 mod body;
 mod client;
 mod clock;
+pub mod disposition;
 mod events;
 mod exchange;
 mod flight;
 mod front;
-mod hop;
+mod guards;
+mod http_headers;
 mod limit;
 mod link;
 mod memory;
 mod node;
 mod plain;
+mod progress;
 mod ready;
 mod refusal;
+mod reply;
 mod reuse;
+mod run_record;
 mod sending;
 mod servers;
-mod story;
 mod stream;
+mod trace;
 mod turn;
-mod verdict;
+mod watched_stream;
 
 pub use events::{Event, Splitter, TooLong};
 pub use front::{Counters, Front, FrontSettings};
+pub use guards::Guards;
 pub use node::{History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
 pub use ready::serve_ready;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -1,5 +1,8 @@
 //! A connection to a server: one request at a time, driven by whoever waits for the answer.
 
+use crate::disposition::{AnswerKind, Attempt, EndedBy, Framing, Received, Sent};
+use crate::progress::Progress;
+use crate::watched_stream::WatchedStream;
 use bytes::Bytes;
 use dunespur_routing::ServerId;
 use http::{Request, Response};
@@ -17,7 +20,7 @@
 use std::mem::MaybeUninit;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Duration};
 
@@ -26,23 +29,17 @@
 /// Headers of an answer.
 const MOST_HEADERS: usize = 160;
 
-/// Why no answer came over a connection.
+/// Why no connection came up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
-    /// No connection came up.
+pub(crate) enum ConnectError {
+    /// Nobody listens there, or nobody answered in time.
     Unreachable,
     /// All connections that this process may have are in use.
     NoConnectionLeft,
     /// The server ended it as soon as it had come up: it has too many.
     TurnedAway,
-    /// It ended before the request was written whole, so the request has not run.
-    Unsent,
-    /// It ended after that.
-    Broken,
-    /// Nothing came in time, and the request was written whole.
-    Silent,
-    /// What came is no answer.
-    Spoilt,
+    /// The time of the request was over first.
+    TimeUp,
 }
 
 /// The body of a request to a server.
@@ -62,7 +59,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let Some(piece) = self.pieces.find(|piece| !piece.is_empty()) else { return Poll::Ready(None) };
         self.left -= piece.len() as u64;
-        self.line.body_taken.set(self.left == 0);
+        if self.left == 0 {
+            self.line.change(Progress::note_body_taken);
+        }
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
@@ -77,17 +76,15 @@
 
 /// A socket, with what has gone out of the present request.
 struct Line {
-    stream: RefCell<TokioIo<TcpStream>>,
-    written: Cell<bool>,
-    body_taken: Cell<bool>,
-    whole: Cell<bool>,
+    stream: RefCell<TokioIo<WatchedStream>>,
+    progress: Cell<Progress>,
 }
 
 impl Line {
-    fn begin(&self, body_left: u64) {
-        self.written.set(false);
-        self.body_taken.set(body_left == 0);
-        self.whole.set(false);
+    fn change(&self, change: impl FnOnce(&mut Progress)) {
+        let mut progress = self.progress.get();
+        change(&mut progress);
+        self.progress.set(progress);
     }
 }
 
@@ -95,15 +92,9 @@
 struct Wire(Rc<Line>);
 
 impl Wire {
-    fn poll<T>(&self, f: impl FnOnce(Pin<&mut TokioIo<TcpStream>>) -> Poll<Io<T>>) -> Poll<Io<T>> {
+    fn poll<T>(&self, f: impl FnOnce(Pin<&mut TokioIo<WatchedStream>>) -> Poll<Io<T>>) -> Poll<Io<T>> {
         f(Pin::new(&mut *self.0.stream.borrow_mut()))
     }
-
-    fn note_written(&self, written: &Poll<Io<usize>>) {
-        if matches!(written, Poll::Ready(Ok(bytes)) if *bytes > 0) {
-            self.0.written.set(true);
-        }
-    }
 }
 
 impl Read for Wire {
@@ -114,15 +105,20 @@
 
 impl Write for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<Io<usize>> {
-        let written = self.poll(|stream| stream.poll_write(cx, bytes));
-        self.note_written(&written);
-        written
+        let written = ready!(self.poll(|stream| stream.poll_write(cx, bytes)))?;
+        self.0.change(|progress| progress.note_written(&bytes[..written]));
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(self: Pin<&mut Self>, cx: &mut Context, slices: &[IoSlice]) -> Poll<Io<usize>> {
-        let written = self.poll(|stream| stream.poll_write_vectored(cx, slices));
-        self.note_written(&written);
-        written
+        let written = ready!(self.poll(|stream| stream.poll_write_vectored(cx, slices)))?;
+        let mut left = written;
+        for slice in slices {
+            let bytes = &slice[..left.min(slice.len())];
+            left -= bytes.len();
+            self.0.change(|progress| progress.note_written(bytes));
+        }
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -131,9 +127,7 @@
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Io<()>> {
         // Hyper flushes when all that it held has been written.
-        if self.0.written.get() && self.0.body_taken.get() {
-            self.0.whole.set(true);
-        }
+        self.0.change(Progress::note_flushed);
         self.poll(|stream| stream.poll_flush(cx))
     }
 
@@ -169,17 +163,15 @@
 }
 
 impl Link {
-    pub(crate) async fn new(server: ServerId, stream: TcpStream, place: Place) -> Result<Link, Fault> {
+    pub(crate) async fn new(server: ServerId, stream: TcpStream, place: Place) -> Result<Link, ConnectError> {
         let line = Rc::new(Line {
-            stream: RefCell::new(TokioIo::new(stream)),
-            written: Cell::new(false),
-            body_taken: Cell::new(false),
-            whole: Cell::new(false),
+            stream: RefCell::new(TokioIo::new(WatchedStream::new(stream))),
+            progress: Cell::new(Progress::of_request(0)),
         });
         let mut builder = http1::Builder::new();
         builder.max_headers(MOST_HEADERS).max_buf_size(BUFFER);
         let handshake = builder.handshake(Wire(line.clone())).await;
-        let (sender, connection) = handshake.map_err(|_| Fault::Unreachable)?;
+        let (sender, connection) = handshake.map_err(|_| ConnectError::Unreachable)?;
         Ok(Link { server, line, sender, connection: Some(Box::new(connection)), _place: place })
     }
 
@@ -204,13 +196,18 @@
     /// guards against news that the event loop has not looked at yet.
     pub(crate) fn is_quiet(&self) -> bool {
         let stream = self.line.stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(stream.inner().stream()).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Whether the present request was written whole, so that it may run.
-    pub(crate) fn sent_whole(&self) -> bool {
-        self.line.whole.get()
+    /// How much of the present request was written.
+    pub(crate) fn sent(&self) -> Sent {
+        self.line.progress.get().sent()
+    }
+
+    /// Who ended it, as far as a read or write has met the end.
+    pub(crate) fn ended_by(&self) -> EndedBy {
+        self.line.stream.borrow().inner().ended_by()
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -218,9 +215,9 @@
         &mut self,
         head: Request<()>,
         pieces: SmallVec<[Bytes; 1]>,
-    ) -> Result<Response<Incoming>, Fault> {
+    ) -> Result<Response<Incoming>, Attempt> {
         let left = pieces.iter().map(|piece| piece.len() as u64).sum();
-        self.line.begin(left);
+        self.line.progress.set(Progress::of_request(left));
         let body = Outgoing { pieces: pieces.into_iter(), left, line: self.line.clone() };
         let mut answer = pin!(self.sender.send_request(head.map(|()| body)));
         let connection = &mut self.connection;
@@ -228,19 +225,26 @@
             drive(connection, cx);
             answer.as_mut().poll(cx)
         });
-        answered.await.map_err(|error| self.fault(&error))
+        answered.await.map_err(|error| self.failed(&error))
     }
 
-    fn fault(&self, error: &hyper::Error) -> Fault {
+    /// The attempt that ended with this error before the head of an answer.
+    fn failed(&self, error: &hyper::Error) -> Attempt {
         log::debug!("server {}: {error}", self.server);
-        if !self.sent_whole() {
-            return Fault::Unsent;
-        }
-        if error.is_parse() {
-            Fault::Spoilt
+        let received = if error.is_parse() {
+            Received::PartOfAnswer {
+                kind: AnswerKind::NotOurs,
+                framing: Framing::Delimited,
+                passed_on: false,
+            }
         } else {
-            Fault::Broken
-        }
+            Received::Nothing
+        };
+        let ended_by = match self.ended_by() {
+            EndedBy::Nobody => EndedBy::Proxy,
+            other => other,
+        };
+        Attempt { sent: self.sent(), received, ended_by }
     }
 
     /// The next bytes of the answer's body; None at its end.
@@ -248,7 +252,7 @@
         &mut self,
         body: &mut Incoming,
         cx: &mut Context,
-    ) -> Poll<Option<Result<Bytes, Fault>>> {
+    ) -> Poll<Option<Result<Bytes, hyper::Error>>> {
         loop {
             drive(&mut self.connection, cx);
             match Pin::new(&mut *body).poll_frame(cx) {
@@ -256,7 +260,7 @@
                     Ok(bytes) => return Poll::Ready(Some(Ok(bytes))),
                     Err(_trailers) => continue,
                 },
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(self.fault(&error)))),
+                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error))),
                 Poll::Ready(None) => return Poll::Ready(None),
                 Poll::Pending => return Poll::Pending,
             }
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -2,9 +2,11 @@
 
 use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
-use crate::hop;
+use crate::disposition::EndedBy;
+use crate::http_headers;
 use crate::node::Node;
-use crate::sending::{Next, Reply, Sending, Source};
+use crate::reply::{Next, Reply, Source};
+use crate::sending::Sending;
 use bytes::{Bytes, BytesMut};
 use dunespur_routing::Outcome;
 use http::header::CONTENT_LENGTH;
@@ -21,8 +23,8 @@
     Whole(Bytes),
     /// Longer than that: what has come.
     Longer(Bytes),
-    Cut,
-    TimeUp,
+    /// It broke off.
+    Broken(EndedBy),
 }
 
 /// Waits for the body of an answer.
@@ -37,8 +39,7 @@
                 body.extend_from_slice(&bytes);
             }
             Next::End => return Awaited::Whole(joined(first, body)),
-            Next::Cut => return Awaited::Cut,
-            Next::TimeUp => return Awaited::TimeUp,
+            Next::Broken(ended_by) => return Awaited::Broken(ended_by),
         }
         if first.len() + body.len() > MOST_AWAITED {
             return Awaited::Longer(joined(first, body));
@@ -65,7 +66,7 @@
 
 /// The head for the client of an answer with this head.
 pub(crate) fn response_head(mut head: Parts) -> Parts {
-    hop::strip(&mut head.headers);
+    http_headers::strip(&mut head.headers);
     if matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
         head.headers.remove(CONTENT_LENGTH);
     }
@@ -123,11 +124,15 @@
                     piece = Bytes::new();
                     break;
                 }
-                next => return self.broken(next == Next::TimeUp),
+                Next::Broken(ended_by) => return self.broken(ended_by),
             };
         }
-        if self.left == Some(0) && self.sending.next(&mut self.source.body).await != Next::End {
-            return self.broken(false);
+        if self.left == Some(0) {
+            match self.sending.next(&mut self.source.body).await {
+                Next::End => {}
+                Next::Broken(ended_by) => return self.broken(ended_by),
+                Next::Piece(_) => return self.broken(EndedBy::Proxy),
+            }
         }
         let Relay { sending, mut source, status, outlet, .. } = self;
         source.flight.finish(outcome(status));
@@ -136,8 +141,8 @@
         Ok(())
     }
 
-    fn broken(self, time_up: bool) -> Result<(), Broken> {
-        Sending::give_up_on(self.source, time_up);
+    fn broken(self, ended_by: EndedBy) -> Result<(), Broken> {
+        self.source.give_up(ended_by);
         Err(Broken)
     }
 }
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -1,8 +1,9 @@
 //! All connections to servers: kept for the next request where that is safe, bounded, closed when they rest long.
 
 use crate::clock::Clock;
-use crate::hop;
-use crate::link::{Fault, Link, Place};
+use crate::guards::Guards;
+use crate::http_headers;
+use crate::link::{ConnectError, Link, Place};
 use crate::reuse::Rest;
 use dunespur_routing::{Server, ServerId};
 use http::HeaderMap;
@@ -36,6 +37,7 @@
 pub(crate) struct Servers {
     most: usize,
     settle: Duration,
+    guards: Guards,
     open: Rc<Cell<usize>>,
     opened: Cell<u64>,
     /// Of each server those that rest, the one used last at the end.
@@ -55,15 +57,15 @@
     }
 
     /// Whether it stands ready for a request.
-    fn is_ready(&mut self, idempotent: bool) -> bool {
-        self.link.is_ready() && (idempotent || self.link.is_quiet())
+    fn is_ready(&mut self, guards: Guards) -> bool {
+        self.link.is_ready() && (self.link.is_quiet() || !guards.surplus_bytes_end_connection)
     }
 }
 
 impl Servers {
     /// At most so many, each watched for a moment before it carries a request.
-    pub(crate) fn new(most: usize, settle: Duration) -> Servers {
-        Servers { most, settle, open: Rc::default(), opened: Cell::new(0), idle: RefCell::default() }
+    pub(crate) fn new(most: usize, settle: Duration, guards: Guards) -> Servers {
+        Servers { most, settle, guards, open: Rc::default(), opened: Cell::new(0), idle: RefCell::default() }
     }
 
     pub(crate) fn open(&self) -> usize {
@@ -87,16 +89,16 @@
                 return None;
             }
             let mut idle = links.remove(at);
-            if idle.is_ready(idempotent) {
+            if idle.is_ready(self.guards) {
                 return Some(idle.link);
             }
         }
     }
 
     /// A new connection, for a request with this aim.
-    pub(crate) async fn connect(&self, server: &Server, target_ms: u64) -> Result<Link, Fault> {
+    pub(crate) async fn connect(&self, server: &Server, target_ms: u64) -> Result<Link, ConnectError> {
         if self.open.get() >= self.most && !self.close_oldest() {
-            return Err(Fault::NoConnectionLeft);
+            return Err(ConnectError::NoConnectionLeft);
         }
         let place = Place::new(&self.open);
         self.opened.set(self.opened.get() + 1);
@@ -105,25 +107,25 @@
             Ok(Ok(stream)) => self.settled(Link::new(server.id.clone(), stream, place).await?).await,
             Ok(Err(error)) => {
                 log::debug!("server {} at {}: {error}", server.id, server.address);
-                Err(fault(&error))
+                Err(connect_error(&error))
             }
-            Err(_) => Err(Fault::Unreachable),
+            Err(_) => Err(ConnectError::Unreachable),
         }
     }
 
     /// Guards against a server that has too many connections and resets a new one: a request written to it by then
     /// might have run, for all that could be told.
-    async fn settled(&self, mut link: Link) -> Result<Link, Fault> {
+    async fn settled(&self, mut link: Link) -> Result<Link, ConnectError> {
         if link.settles(self.settle).await {
             Ok(link)
         } else {
-            Err(Fault::TurnedAway)
+            Err(ConnectError::TurnedAway)
         }
     }
 
     /// Keeps a connection after a whole answer, unless something speaks against it.
     pub(crate) fn keep(&self, mut link: Link, terms: &KeepTerms, clock: &Clock) {
-        if terms.closes || !link.sent_whole() || !link.is_ready() {
+        if terms.closes || !link.is_ready() {
             return;
         }
         if self.idle_count() >= MOST_IDLE {
@@ -171,7 +173,10 @@
 
 impl KeepTerms {
     pub(crate) fn read(headers: &HeaderMap) -> KeepTerms {
-        KeepTerms { closes: hop::says_close(headers), stated_ms: hop::keep_alive_ms(headers) }
+        KeepTerms {
+            closes: http_headers::says_close(headers),
+            stated_ms: http_headers::keep_alive_ms(headers),
+        }
     }
 }
 
@@ -184,10 +189,10 @@
 
 /// Whether the server can't be reached or wants no more connections, or this machine has nothing left to reach it
 /// with.
-fn fault(error: &Error) -> Fault {
+fn connect_error(error: &Error) -> ConnectError {
     match (error.raw_os_error(), error.kind()) {
-        (Some(ENFILE | EMFILE | ENOBUFS | EADDRNOTAVAIL), _) => Fault::NoConnectionLeft,
-        (_, ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => Fault::TurnedAway,
-        _ => Fault::Unreachable,
+        (Some(ENFILE | EMFILE | ENOBUFS | EADDRNOTAVAIL), _) => ConnectError::NoConnectionLeft,
+        (_, ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted) => ConnectError::TurnedAway,
+        _ => ConnectError::Unreachable,
     }
 }
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -2,12 +2,14 @@
 
 use crate::answer::{AnswerBody, Broken, Outlet};
 use crate::client::Client;
+use crate::disposition::EndedBy;
 use crate::events::{Event, Splitter};
-use crate::hop;
+use crate::http_headers;
 use crate::memory::Room;
 use crate::node::{KeptTurn, Node};
 use crate::plain::response_head;
-use crate::sending::{Next, Reply, Sending, Source};
+use crate::reply::{Next, Reply, Source};
+use crate::sending::Sending;
 use crate::turn::{TokenCount, Turn};
 use bytes::{Bytes, BytesMut};
 use dunespur_configuration::Kind;
@@ -66,7 +68,7 @@
     /// With these events, or with its end where there are none.
     Events(Bytes),
     /// It broke off before the first.
-    Cut { time_up: bool },
+    Broken(EndedBy),
 }
 
 impl<N: Node> Streaming<N> {
@@ -102,10 +104,11 @@
                         source.flight.first_event();
                         return Begin::Events(whole);
                     }
-                    Err(Broken) => return Begin::Cut { time_up: false },
+                    Err(Broken) => return Begin::Broken(EndedBy::Proxy),
                 },
                 Next::End if self.splitter.is_empty() => return Begin::Events(Bytes::new()),
-                next => return Begin::Cut { time_up: next == Next::TimeUp },
+                Next::End => return Begin::Broken(EndedBy::Server),
+                Next::Broken(ended_by) => return Begin::Broken(ended_by),
             }
         }
     }
@@ -135,21 +138,21 @@
     ) -> Result<(), Broken> {
         outlet.put(begun).await;
         loop {
-            let time_up = match sending.next(&mut source.body).await {
+            let ended_by = match sending.next(&mut source.body).await {
                 Next::Piece(bytes) => match self.take(bytes) {
                     Ok(whole) => {
                         sending.heard_event();
                         outlet.put(whole).await;
                         continue;
                     }
-                    Err(Broken) => false,
+                    Err(Broken) => EndedBy::Proxy,
                 },
                 Next::End if self.splitter.is_empty() => break,
-                Next::End | Next::Cut => false,
-                Next::TimeUp => true,
+                Next::End => EndedBy::Server,
+                Next::Broken(ended_by) => ended_by,
             };
             // Boxed, as it is rare and would make room for itself in every stream.
-            source = Box::pin(self.resume(&mut sending, source, time_up)).await?;
+            source = Box::pin(self.resume(&mut sending, source, ended_by)).await?;
         }
         let tokens_out = u32::try_from(self.tokens.counted()).unwrap_or(u32::MAX);
         source.flight.finish(Outcome::Served { tokens_out });
@@ -192,17 +195,17 @@
         &mut self,
         sending: &mut Sending<N>,
         cut: Source<N>,
-        time_up: bool,
+        ended_by: EndedBy,
     ) -> Result<Source<N>, Broken> {
         self.splitter.clear();
         let Some(last_id) = self.last_id.filter(|_| sending.route.resumable) else {
-            Sending::give_up_on(cut, time_up);
+            cut.give_up(ended_by);
             return Err(Broken);
         };
-        sending.message.headers.insert(hop::LAST_EVENT_ID, hop::number(last_id));
-        let reply = sending.send_again(cut, time_up).await.map_err(|_| Broken)?;
+        sending.message.headers.insert(http_headers::LAST_EVENT_ID, http_headers::number(last_id));
+        let reply = sending.send_again(cut, ended_by, true).await.map_err(|_| Broken)?;
         if !is_stream(sending.route.kind, &reply.head) {
-            Sending::give_up_on(reply.source, false);
+            reply.source.give_up(EndedBy::Proxy);
             return Err(Broken);
         }
         reply.source.flight.first_event();
--- a/crates/proxy/src/story.rs
+++ b/crates/proxy/src/trace.rs
@@ -2,9 +2,9 @@
 //! `dunespur explain` reads them. Nothing of this is formatted, let alone written, above debug.
 
 use crate::asked::{text, Asked};
-use crate::link::Fault;
+use crate::attempt::AttemptError;
+use crate::disposition::AnswerKind;
 use crate::refusal::Refusal;
-use crate::verdict::Verdict;
 use dunespur_configuration::Route;
 use dunespur_routing::{Choice, Ticket};
 use http::request::Parts;
@@ -21,7 +21,7 @@
 
 impl Told {
     pub(crate) fn of<B>(request: &Request<B>) -> Told {
-        let id = || request.headers().get(crate::hop::REQUEST_ID).cloned();
+        let id = || request.headers().get(crate::http_headers::REQUEST_ID).cloned();
         Told(enabled().then(id).flatten())
     }
 
@@ -101,20 +101,35 @@
     log::debug!("event=try request={id} ticket={} server={server} over={over}", ticket.key);
 }
 
-/// The head of an answer has come.
-pub(crate) fn judged(asked: &Asked, ticket: &Ticket, status: StatusCode, verdict: Verdict) {
+/// The head of an answer has come. The key `verdict` is what `dunespur explain` reads.
+pub(crate) fn answer_kind(asked: &Asked, ticket: &Ticket, status: StatusCode, kind: AnswerKind) {
     let (id, server) = (Value::of(&asked.id), Value(&ticket.server.id));
     let status = status.as_u16();
     log::debug!(
-        "event=verdict request={id} ticket={} server={server} status={status} verdict={verdict:?}",
+        "event=verdict request={id} ticket={} server={server} status={status} verdict={kind:?}",
         ticket.key
     );
 }
 
-/// No answer came.
-pub(crate) fn fault(asked: &Asked, ticket: &Ticket, fault: Fault) {
+/// An attempt brought no answer that can be used.
+pub(crate) fn attempt_failed(asked: &Asked, ticket: &Ticket, error: AttemptError) {
     let (id, server) = (Value::of(&asked.id), Value(&ticket.server.id));
-    log::debug!("event=fault request={id} ticket={} server={server} fault={fault:?}", ticket.key);
+    log::debug!("event=fault request={id} ticket={} server={server} fault={}", ticket.key, Fault(error));
+}
+
+/// An error of an attempt as one word.
+struct Fault(AttemptError);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            AttemptError::Connect(error) => write!(f, "{error:?}"),
+            AttemptError::Ended(attempt) => {
+                let execution = attempt.disposition().execution;
+                write!(f, "{execution:?},sent:{:?},ended_by:{:?}", attempt.sent, attempt.ended_by)
+            }
+        }
+    }
 }
 
 /// A value as it stands behind its key: in quotation marks if it would not end where it ends.
