--- a/crates/proxy/tests/dispositions.rs
+++ b/crates/proxy/tests/dispositions.rs
@@ -13,8 +13,8 @@
 use support::*;
 use tokio::time::Duration;
 
-/// A body that no socket's buffers hold.
-const LONG_BODY: usize = 24 * 1024 * 1024;
+/// A body that no socket's buffers hold: a sender's are 4 MB at most.
+const LONG_BODY: usize = 6 * 1024 * 1024;
 /// A part of an answer that is passed on at once, and the whole.
 const PART: usize = 80_000;
 const WHOLE: usize = 200_000;
@@ -22,7 +22,7 @@
 const ALL_TIME: Duration = Duration::from_millis(15_200);
 
 fn roomy_table() -> std::rc::Rc<dunespur_configuration::Table> {
-    table(&CONFIGURATION.replace(r#""max_body_bytes":100000"#, r#""max_body_bytes":30000000"#))
+    table(&CONFIGURATION.replace(r#""max_body_bytes":100000"#, r#""max_body_bytes":20000000"#))
 }
 
 /// The head of an answer of this kind, but for what tells its end.
@@ -83,7 +83,7 @@
 
     async fn drive(&self) {
         let Attempt { sent, received, ended_by } = self.attempt;
-        let (first, second) = (StandIn::start("i-1").await, StandIn::start("i-2").await);
+        let (first, second) = (StandIn::narrow("i-1").await, StandIn::start("i-2").await);
         let servers = if self.further { vec![&first, &second] } else { vec![&first] };
         let gateway = Gateway::start(&servers).await;
         *gateway.node.table.borrow_mut() = Some(roomy_table());
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::LocalSet;
 use tokio::time::{timeout, Duration};
@@ -19,6 +19,9 @@
 /// Guards against a test that hangs; none comes near it.
 const WATCHDOG: Duration = Duration::from_secs(30);
 
+/// What a narrow stand-in holds of what it has not read.
+const NARROW_BYTES: u32 = 16 * 1024;
+
 /// Runs a test on one thread.
 pub fn play(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -319,6 +322,15 @@
         StandIn { id: id.to_owned(), address: listener.local_addr().unwrap(), listener: Some(listener) }
     }
 
+    /// One whose connections hold little that it has not read, so that a long request stays with its sender.
+    pub async fn narrow(id: &str) -> StandIn {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(NARROW_BYTES).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(64).unwrap();
+        StandIn { id: id.to_owned(), address: listener.local_addr().unwrap(), listener: Some(listener) }
+    }
+
     /// One whose port nobody listens at.
     pub async fn dead(id: &str) -> StandIn {
         let mut dead = StandIn::start(id).await;
