--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -498,14 +498,21 @@
         Ok(message)
     }
 
-    /// The next message; None where the connection ends before it is whole.
-    pub async fn next_message(&mut self) -> Option<Message> {
+    /// The head of the next message; None where the connection ends before it is whole.
+    pub async fn next_head(&mut self) -> Option<Message> {
         while find(&self.buffer, b"\r\n\r\n").is_none() {
             if !self.more().await {
                 return None;
             }
         }
-        self.try_message().await.ok()
+        Some(self.head().await)
+    }
+
+    /// The next message; None where the connection ends before it is whole.
+    pub async fn next_message(&mut self) -> Option<Message> {
+        let mut message = self.next_head().await?;
+        message.body = self.body_of(&message).await.ok()?;
+        Some(message)
     }
 
     /// The body of the message with this head, or what of it came before the connection ended.
