Test servers that leave without draining, and those that drain beyond the bound

Whole programs: a turn in hand ends whole, nothing new comes, and heartbeats that are seconds late bring nothing back. Ruled out: the usual route's 5 s, as a turn that is held for 2.5 s of others' traffic would come near it on a busy machine; the routes of these tests wait 20 s.

--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -2,17 +2,89 @@
 
 mod support;
 
+use dunespur_emulator::client::Served;
 use dunespur_emulator::client::{Ask, Kind};
 use dunespur_emulator::configuration::ServicePlan;
 use dunespur_emulator::record::Fate;
-use dunespur_emulator::scene::{ScenePlan, HOST, LOOKUP, RECORD};
-use support::{expect_no_violation, lookup, programs_for, stage, DRAIN, RECOVERY};
+use dunespur_emulator::scene::{Engine, Scene, ScenePlan, HOST, LOOKUP, RECORD};
+use support::{expect_no_violation, lookup, programs_for, stage, Stage, DRAIN, RECOVERY};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+/// How long the client of a turn that a test holds waits for it.
+const PATIENCE_MS: u64 = 20_000;
+
 fn record() -> Ask {
     Ask::post(HOST, &format!("{RECORD}x"), Kind::Mutating, "once")
 }
 
+/// A scene whose routes hold requests for as long as the others are watched.
+async fn patient_stage() -> Stage {
+    let mut plan = ScenePlan::default();
+    plan.configuration.routes.iter_mut().for_each(|route| route.timeout_ms = PATIENCE_MS);
+    stage(plan).await
+}
+
+/// A turn that one of the engines holds, and which one that is.
+async fn held_turn(scene: &Scene) -> (usize, JoinHandle<Served>) {
+    scene.engines.iter().for_each(|engine| engine.server.gate.hold());
+    let ask = Ask { deadline_ms: PATIENCE_MS, pause_ms: PATIENCE_MS, ..scene.turn_ask() };
+    let client = scene.client.clone();
+    let turn = tokio::spawn(async move { client.send(&ask).await });
+    let holder = tokio::select! {
+        () = scene.engines[0].server.gate.waiting(1) => 0,
+        () = scene.engines[1].server.gate.waiting(1) => 1,
+    };
+    (holder, turn)
+}
+
+/// Requests that an engine has seen.
+fn seen_at(scene: &Scene, engine: &Engine) -> usize {
+    scene.record.sightings_at(&engine.server.door.identity.instance).len()
+}
+
+/// Serves turns until long after it was acknowledged that this engine is not to get any more, and sees that it gets
+/// none by then.
+async fn others_serve(scene: &Scene, holder: usize) {
+    scene.engines[1 - holder].server.gate.open();
+    programs_for(scene, DRAIN).await;
+    let before = seen_at(scene, &scene.engines[holder]);
+    programs_for(scene, DRAIN / 4).await;
+    assert_eq!(seen_at(scene, &scene.engines[holder]), before);
+}
+
+/// The engine lets go of the turn that it held, which ends whole.
+async fn ends_whole(scene: &Scene, holder: usize, turn: JoinHandle<Served>) {
+    scene.engines[holder].server.gate.open();
+    let served = turn.await.unwrap();
+    assert!(served.succeeded() && served.tries == 1, "{served:?}");
+    expect_no_violation(scene);
+}
+
+#[tokio::test]
+async fn a_server_that_leaves_without_draining_ends_what_it_has_and_gets_nothing_new() {
+    let scene = patient_stage().await;
+    let (holder, turn) = held_turn(&scene).await;
+    let leaving = &scene.engines[holder].registration;
+    leaving.leave().await;
+    for control in scene.system.controls() {
+        // Heartbeats of before that come seconds late.
+        leaving.stray(control, 1, false).await;
+        leaving.stray(control, 1_000, false).await;
+    }
+    others_serve(&scene, holder).await;
+    ends_whole(&scene, holder, turn).await;
+}
+
+#[tokio::test]
+async fn a_server_that_drains_for_seconds_beyond_the_bound_ends_what_it_has() {
+    let scene = patient_stage().await;
+    let (holder, turn) = held_turn(&scene).await;
+    scene.engines[holder].registration.drain().await;
+    others_serve(&scene, holder).await;
+    ends_whole(&scene, holder, turn).await;
+}
+
 #[tokio::test]
 async fn a_server_that_crashed_holds_nothing_up_and_is_forgotten() {
     let mut scene = stage(ScenePlan::default()).await;
