Test that gateways are not ready from SIGTERM on while they still serve

The test of a leaving gateway waited for anything but a 200, which the end of the process gave as well. This one wants a 503 of two gateways at once, within 4 s, with their turns still in hand.

--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use dunespur_emulator::program::Line;
+use dunespur_emulator::record::{Fate, Sighting};
 use dunespur_emulator::scene::{usual_program, ScenePlan};
 use dunespur_emulator::system::{MachinePlan, Role, TemporaryFolder};
 use serde_json::Value;
@@ -16,6 +17,8 @@
 
 /// The platform kills a process this long after SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
+/// A process counts as one that takes clients no longer than this after SIGTERM.
+const READY_LIMIT: Duration = Duration::from_secs(4);
 
 #[tokio::test]
 async fn a_gateway_that_is_asked_to_leave_ends_its_streams_whole() {
@@ -50,6 +53,39 @@
     expect_no_violation(&scene);
 }
 
+#[tokio::test]
+async fn gateways_that_are_asked_to_leave_are_not_ready_while_they_still_serve() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let leaving = [places(&scene, Role::Gateway)[0], places(&scene, Role::Core)[0]];
+    scene.engines.iter().for_each(|engine| engine.server.gate.hold());
+    let before = scene.record.sightings().len();
+    let turns = leaving.map(|index| {
+        let (client, front, ask) = (scene.client.clone(), scene.system.front(index), scene.turn_ask());
+        tokio::spawn(async move { client.send_to(front, &ask).await })
+    });
+    let arrived = |seen: &&Sighting| seen.fate != Fate::TurnedAway;
+    scene.record.until(|seen| seen[before..].iter().filter(arrived).count() == leaving.len()).await;
+    for index in leaving {
+        scene.terminate(index).unwrap();
+    }
+    let asked = Instant::now();
+    for index in leaving {
+        let mut status = scene.system.readiness(index).await;
+        while status == Some(200) {
+            status = scene.system.readiness(index).await;
+        }
+        assert_eq!(status, Some(503), "it still runs, and says so");
+    }
+    assert!(asked.elapsed() < READY_LIMIT, "{:?}", asked.elapsed());
+    assert!(turns.iter().all(|turn| !turn.is_finished()), "their turns are still in hand");
+    scene.engines.iter().for_each(|engine| engine.server.gate.open());
+    for turn in turns {
+        let served = turn.await.unwrap();
+        assert!(served.succeeded(), "{served:?}");
+    }
+    expect_no_violation(&scene);
+}
+
 #[tokio::test]
 async fn gateways_leave_and_return_in_turn_under_load() {
     let mut scene = stage(ScenePlan::default()).await;
