Test that a gateway without a configuration says 503 to everything

DENIED counts a 401, 403 or 404 from a machine that knows no configuration. Whole programs: no core, one gateway started anew; lookups, calls, a turn that goes on from another and an unknown path are all 503, and served later.

--- a/crates/node/tests/seeds.rs
+++ b/crates/node/tests/seeds.rs
@@ -1,10 +1,13 @@
-//! Seeds that know nothing: machines without a disk that restart together, and are each other's seeds.
+//! Gateways that know nothing: those without a disk that restart together and are each other's seeds, and one that
+//! finds no core.
 
 mod support;
 
-use dunespur_emulator::scene::ScenePlan;
+use dunespur_emulator::client::{Ask, Kind};
+use dunespur_emulator::scene::{ScenePlan, HOST, RECORD};
 use dunespur_emulator::system::{MachinePlan, Role};
-use support::{expect_no_violation, line_of, places, stage, RECOVERY};
+use support::{expect_no_violation, go_on_within, line_of, lookup, places, stage, RECOVERY};
+use tokio::time::Instant;
 
 /// After all processes were killed a machine without a disk knows only its seeds. Where these have no disk either and
 /// restarted too, nobody whom it can ask knows the core: the core has to tell.
@@ -27,3 +30,35 @@
     line_of(&scene, 2).await;
     expect_no_violation(&scene);
 }
+
+/// A gateway that has not found the core says 503 to everything: it can't know what the configuration allows, which
+/// turns there are, or what is left of a budget.
+#[tokio::test]
+async fn a_gateway_that_knows_no_configuration_refuses_nothing_for_good() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut line = line_of(&scene, 1).await;
+    let gateway = places(&scene, Role::Gateway)[0];
+    for core in places(&scene, Role::Core) {
+        scene.system.machine(core).kill();
+    }
+    scene.system.machine(gateway).kill();
+    scene.system.restart(gateway).unwrap();
+    let turn = line.ask(&scene.client, &"goes on".into());
+    let record = Ask::post(HOST, &format!("{RECORD}x"), Kind::Mutating, "once");
+    for ask in [lookup(), record, turn, Ask::get(HOST, "/nowhere/x")] {
+        let until = Instant::now() + RECOVERY;
+        let front = scene.system.front(gateway);
+        let mut status = None;
+        // It may not listen yet.
+        while status.is_none() && Instant::now() < until {
+            status = scene.client.send_to(front, &Ask { retries: 0, ..ask.clone() }).await.status();
+        }
+        assert_eq!(status, Some(503), "{}", ask.target);
+    }
+    for core in places(&scene, Role::Core) {
+        scene.system.restart(core).unwrap();
+    }
+    scene.settle().await.unwrap();
+    go_on_within(&scene, &mut line, "later", RECOVERY).await;
+    expect_no_violation(&scene);
+}
