A member that promised before it took its place in the chain shows no state

It had been cut off, was taken back into the chain, and promised the next view before it had come up to its predecessor. A sealed member counted as one that follows, whatever it held. Ruled out: the new base of views (nothing was lost: every other member had all that was taken). Now a sealed member follows only if it had come up in that view. tests/member.rs fails without it.

--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -292,10 +292,15 @@
     /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
     /// the chain, and has given out all that was committed before it took it. One that was put out hears the others,
     /// but no commits; one that has started again, or was taken back, holds commits that it doesn't know to be some.
+    /// One that promised before it had taken its place never takes it in this view.
     pub fn follows(&self, now: Millis) -> bool {
-        let in_chain = !matches!(self.stage, Stage::Outside | Stage::Unsynced);
+        let has_place = match self.stage {
+            Stage::Outside | Stage::Unsynced => false,
+            Stage::Sealed => self.has_come_up(),
+            Stage::Syncing | Stage::Synced => true,
+        };
         let caught_up = self.committed >= self.committed_before_place || !self.guards.commits_awaited;
-        self.current(now) && in_chain && caught_up
+        self.current(now) && has_place && caught_up
     }
 
     /// The index up to which commits were given out here.
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -487,3 +487,18 @@
     driven.receive(1, Message::Ping(ping(1, Some(early))));
     assert!(!driven.is_current(), "m1 has gone on to another view since");
 }
+
+#[test]
+fn a_member_that_promised_before_it_took_its_place_shows_no_state() {
+    let mut on_disk = saved(0);
+    on_disk.synced_view = 0;
+    let decided = on_disk.decided.clone().expect("a view is on disk");
+    let mut driven = Driven::new(1, on_disk);
+    driven.hear_from(0);
+    assert!(driven.is_current());
+    assert!(!driven.member.follows(driven.now), "it has not come up to its predecessor");
+    let ballot = Ballot { round: 1, proposer: id(0), session: 1 };
+    driven.receive(0, Message::Prepare { ballot, decided });
+    assert!(driven.is_current());
+    assert!(!driven.member.follows(driven.now), "nor does it in this view any more");
+}
