Gateway: a client accepted in the turn of the close is told to leave

Cause: the listener looked at whether it closes before it waited for a client. Where a client and the time of the close come in one turn of the runtime, the close runs first, finds no such client to tell, and the listener then takes the client as one that may stay: its answer has no `connection: close`, and the process waits for it. Mostly a gateway that stands still wakes in its wait for events, which ends without any, so that the close has a turn of its own; stopped while it runs, it has not.

Ruled out: a signal that came late (the test then saw the gateway leave before it stopped it).

Change: the phase is looked at after the accept. The test takes the runtime's turns one by one and fails each time without the change.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -405,7 +405,8 @@
                     // the bound.
                     let now = hub.clock.now();
                     let client = Client::new(stream, now);
-                    if closing {
+                    // Looked at anew: the close may have come while the listener waited, and has passed over it.
+                    if front.phase.get() == Phase::Closing {
                         client.leave(now);
                     }
                     let place = Place::new(&hub, &client);
@@ -605,3 +606,6 @@
         Ok(answered.await.unwrap_or(Reply::Errored))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/reducer.rs
+++ b/crates/gateway/src/reducer.rs
@@ -363,4 +363,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/crates/gateway/src/reducer/tests.rs
+++ b/crates/gateway/src/reducer/tests.rs
@@ -7,7 +7,7 @@
 const ENDINGS: [Ending; 5] =
     [Ending::Succeeded, Ending::Error, Ending::Full, Ending::ConnectFailed, Ending::Reset];
 
-fn settings() -> Settings {
+pub fn settings() -> Settings {
     let operation = |effect| OperationSettings {
         effect,
         objective: 0.6,
