A member shows its state only while it lags behind its log by a moment

Nothing is committed without every member of the chain having it in its log, so what a log held 1.5 s ago has to be given out for a member to follow. This takes the place of committed_before_place, which asked only at the beginning. Leases are renewed by watches as long as the member is current.

--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -14,8 +14,8 @@
     /// Others count as having answered by when we sent what they answer, not by when the answer came.
     /// Against a member that was frozen and finds old answers in its sockets.
     pub currency_by_sending: bool,
-    /// A member shows its state once it has given out all that was committed before it took its place in the chain.
-    /// Against the old state of one that has started again.
+    /// A member shows its state only while it has given out all that has been in its log for some time.
+    /// Against the old state of one that has started again, or that is parted from the tail.
     pub commits_awaited: bool,
 }
 
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -1,6 +1,7 @@
 //! The chain: entries go down it, each member syncs before it passes on, commits come back up.
 
 use super::follow::Following;
+use super::freshness::Freshness;
 use super::{Member, Output};
 use crate::disk::Write;
 use crate::identity::{MemberId, View};
@@ -90,7 +91,7 @@
     pub(super) fn resume_chain(&mut self, now: Millis, out: &mut Vec<Output>) {
         match self.stage {
             Stage::Synced => self.begin_passing_on(now, out),
-            Stage::Unsynced if self.is_head() => self.come_up(),
+            Stage::Unsynced if self.is_head() => self.come_up(now),
             Stage::Unsynced => self.attach(now, out),
             Stage::Outside => self.hurry_following(now, out),
             Stage::Sealed | Stage::Syncing => {}
@@ -172,7 +173,7 @@
         }
         if self.stage == Stage::Unsynced && end == append.last {
             self.truncate(end);
-            self.come_up();
+            self.come_up(now);
         }
         if question && self.stage == Stage::Synced {
             self.send_committed(now, out);
@@ -207,10 +208,10 @@
     }
 
     /// The log holds all that it must in this view.
-    fn come_up(&mut self) {
+    fn come_up(&mut self, now: Millis) {
         let view = self.number();
         self.synced_view = view;
-        self.committed_before_place = self.log.last().index;
+        self.freshness = Freshness::begins(self.log.last().index, now);
         self.journal.write(Write::Synced { view });
         self.journal.then(Consequence::Synced { view });
         self.enter(Stage::Syncing);
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod agreement;
 mod chain;
 mod follow;
+mod freshness;
 mod membership;
 mod requests;
 mod snapshots;
@@ -20,6 +21,7 @@
 use agreement::{Acceptor, Proposer};
 use chain::{Downstream, Stage, Upstream};
 use follow::Following;
+use freshness::Freshness;
 use membership::{Joining, Newcomer};
 use requests::{HeldRequests, Reads, Submissions};
 use snapshots::Snapshots;
@@ -148,8 +150,7 @@
     /// Commits were given out up to here.
     committed: u64,
     stage: Stage,
-    /// All that was committed before this member took its place in the chain goes up to here at most.
-    committed_before_place: u64,
+    freshness: Freshness,
     upstream: Upstream,
     downstream: Downstream,
     following: Following,
@@ -223,7 +224,7 @@
             persisted,
             committed: start.index,
             stage: Stage::Outside,
-            committed_before_place: persisted,
+            freshness: Freshness::begins(persisted, now),
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
@@ -290,12 +291,13 @@
     }
 
     /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
-    /// the chain, and has given out all that was committed before it took it. One that was put out hears the others,
-    /// but no commits; one that has started again, or was taken back, holds commits that it doesn't know to be some.
+    /// the chain, and lags behind its log by a moment only. One that was put out hears the others, but no commits; one
+    /// that has started again, was taken back, or is parted from the tail holds commits that it doesn't know to be some.
     pub fn follows(&self, now: Millis) -> bool {
-        let in_chain = !matches!(self.stage, Stage::Outside | Stage::Unsynced);
-        let caught_up = self.committed >= self.committed_before_place || !self.guards.commits_awaited;
-        self.current(now) && in_chain && caught_up
+        // A member may be sealed before it has come up.
+        let in_chain = self.stage != Stage::Outside && self.has_come_up();
+        let fresh = self.freshness.is_fresh(self.committed, self.log.last().index, now);
+        self.current(now) && in_chain && (fresh || !self.guards.commits_awaited)
     }
 
     /// The index up to which commits were given out here.
@@ -334,6 +336,7 @@
             // Stamps of what was a later time would stay young for as long as the clock went back.
             self.peers.forget_echoes();
             self.stamps_begin = self.random.next() >> SPARE_STAMP_BITS;
+            self.freshness = Freshness::begins(self.log.last().index, now);
         }
         self.last_step = now;
     }
@@ -363,6 +366,7 @@
         if let Some(batch) = self.journal.next_batch(now) {
             out.push(Output::Persist { batch: batch.number, writes: batch.writes });
         }
+        self.freshness.note(self.committed, self.log.last().index, now);
         let current = self.current(now);
         if let Some(view) = self.view().filter(|_| current != self.told_current) {
             out.push(Output::ViewChanged { view: view.clone(), current });
--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -14,6 +14,9 @@
 pub const ECHO_LASTS: Millis = SUSPECT_AFTER + 2 * PING_EVERY + 100;
 /// A member is current while a majority has answered what it sent within this time.
 pub const CURRENT_WITHIN: Millis = 800;
+/// What is in a member's log for longer is committed, or the member may lack commits that others know: more than a
+/// stalled disk takes to be noticed.
+pub const COMMITS_KNOWN_WITHIN: Millis = 1_500;
 /// A gap this long between steps means that we stood still ourselves.
 pub const OWN_GAP: Millis = 500;
 /// After a standstill others get this long to be heard before they are suspected.
--- a/crates/chain/tests/member.rs
+++ b/crates/chain/tests/member.rs
@@ -1,7 +1,9 @@
 //! Single members, driven by hand: what they must not do, and what is bounded.
 
 use dunespur_chain::message::{Append, Ping, Promise};
-use dunespur_chain::timing::{MOST_NEWCOMERS, MOST_READS, MOST_SUBMISSIONS, MOST_UNCOMMITTED};
+use dunespur_chain::timing::{
+    COMMITS_KNOWN_WITHIN, MOST_NEWCOMERS, MOST_READS, MOST_SUBMISSIONS, MOST_UNCOMMITTED,
+};
 use dunespur_chain::{
     AcceptedView, Ballot, DecidedView, Entry, Input, Member, MemberId, Message, Origin, Output, Payload,
     Peer, Position, Saved, View, Write,
@@ -445,3 +447,43 @@
     driven.receive(1, Message::Ping(ping(1, Some(early))));
     assert!(!driven.is_current(), "m1 has gone on to another view since");
 }
+
+#[test]
+fn a_member_that_has_started_again_follows_once_its_log_is_given_out() {
+    let mut driven = Driven::new(0, saved(3));
+    driven.hear_from(1);
+    assert!(driven.is_current());
+    assert!(!driven.member.follows(driven.now), "it doesn't know what of its log is committed");
+    driven.receive(1, Message::Committed { view: 1, index: 2 });
+    assert!(!driven.member.follows(driven.now));
+    driven.receive(1, Message::Committed { view: 1, index: 3 });
+    assert!(driven.member.follows(driven.now));
+}
+
+#[test]
+fn a_member_that_lags_behind_its_log_does_not_follow() {
+    let mut driven = Driven::new(0, saved(0));
+    driven.hear_from(1);
+    driven.give(Input::Submit { ticket: 1, payload: vec![1] });
+    let begun = driven.now;
+    while driven.now < begun + COMMITS_KNOWN_WITHIN {
+        assert!(driven.member.follows(driven.now), "after {} ms", driven.now - begun);
+        driven.hear_from(1);
+    }
+    driven.hear_from(1);
+    assert!(driven.is_current());
+    assert!(!driven.member.follows(driven.now), "what it holds may have been committed long ago");
+    driven.receive(1, Message::Committed { view: 1, index: 0 });
+    assert!(!driven.member.follows(driven.now));
+}
+
+#[test]
+fn a_member_that_is_sealed_before_it_has_come_up_does_not_follow() {
+    let mut driven = Driven::new(1, Saved { synced_view: 0, ..saved(0) });
+    driven.hear_from(2);
+    assert!(driven.is_current() && !driven.member.follows(driven.now));
+    driven.receive(2, prepare(1, 2));
+    driven.hear_from(2);
+    assert!(driven.is_current());
+    assert!(!driven.member.follows(driven.now));
+}
--- a/crates/control/tests/world/callers.rs
+++ b/crates/control/tests/world/callers.rs
@@ -21,7 +21,7 @@
 /// A follower asks again after this.
 const WATCH_EVERY: Millis = 200;
 /// What a member shows to followers is no older than this: what was acknowledged earlier is in it.
-pub const MOST_STALE: Millis = 3_000;
+pub const MOST_STALE: Millis = 2_000;
 
 /// One call of a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/control/tests/world/history.rs
+++ b/crates/control/tests/world/history.rs
@@ -138,8 +138,8 @@
 pub fn check(history: &History) -> Result<(), String> {
     let mut judge = Judge { history, taken: BTreeMap::new(), sights: Vec::new() };
     judge.gather()?;
-    judge.check_refusals()?;
     judge.check_sequence()?;
+    judge.check_refusals()?;
     judge.check_times()
 }
 
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -226,11 +226,13 @@
     /// Answers a watch: at once if there are changes, else when there are some or after [`WATCH_LIMIT`].
     pub async fn watch(&self, request: WatchRequest) -> Reply {
         let now = self.clock.now();
+        if self.inner.borrow().member.current(now) {
+            // One that was frozen finds renewals of long ago in its sockets.
+            self.inner.borrow_mut().leases.heard(&request.heard, now);
+        }
         if !self.inner.borrow().serves(now) {
-            // Nor does it renew a lease: a member that was frozen finds renewals of long ago in its sockets.
             return Reply::Unavailable;
         }
-        self.inner.borrow_mut().leases.heard(&request.heard, now);
         let changed = self.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
