Whole programs that were frozen answer by nothing that they knew before

Need: the claim on frozen machines had no test with real sockets. A core member is frozen while 91 calls lie in its sockets and two versions are taken by the others: after SIGCONT each call gets a 503 or what is current, and an order that may be taken is not refused. A gateway is frozen, then the core; after SIGCONT of the gateway it takes no heartbeat.

--- /dev/null
+++ b/crates/node/tests/frozen.rs
@@ -0,0 +1,144 @@
+//! A process that was frozen and goes on finds requests and answers of long ago in its sockets: it answers by nothing
+//! that it knew before.
+
+mod support;
+
+use dunespur_emulator::client::call::{call, Call, CallAnswer};
+use dunespur_emulator::client::Kind;
+use dunespur_emulator::configuration::{patch, RoutePlan};
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST, TOOLS};
+use dunespur_emulator::system::Role;
+use dunespur_emulator::wire::name;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{expect_no_violation, places, programs_for, stage, Stage, ORDER_LIMIT};
+use tokio::task::JoinSet;
+
+/// Calls of each kind that lie in the sockets of the frozen process.
+const CALLS: usize = 30;
+/// They wait as long as it takes.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// A gateway without an answer of the core for this long is out of touch.
+const OUT_OF_TOUCH: Duration = Duration::from_millis(2_600);
+/// A server is told within this time.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+const BEATS: usize = 20;
+
+fn route(name: &str) -> RoutePlan {
+    RoutePlan::new(name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS)
+}
+
+fn order(base: u64, body: &Value) -> Call {
+    let mut order = Call::post("/api/config/patch", body.to_string());
+    order.headers.push(name::BASE_VERSION, base.to_string());
+    order
+}
+
+/// What is called while the process stands still.
+#[derive(Clone, Copy, Debug)]
+enum Asked {
+    Read,
+    /// An order that has lost.
+    Lost,
+    /// An order that may be taken.
+    Fresh,
+    UnknownMachine,
+}
+
+async fn take(scene: &mut Stage, base: u64, body: &Value) {
+    let answer = scene.operator.patch(base, body, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+}
+
+fn generation(answer: &CallAnswer) -> Value {
+    serde_json::from_slice::<Value>(&answer.body).expect("a body")["generation"].clone()
+}
+
+/// The newest version is 7, or 8 if the fresh order was taken.
+fn expect_current(asked: Asked, answer: &CallAnswer) {
+    let newest = [json!(7), json!(8)];
+    let text = String::from_utf8_lossy(&answer.body);
+    match (asked, answer.status) {
+        (_, 503) | (Asked::Fresh, 200) | (Asked::UnknownMachine, 404) => {}
+        (Asked::Read, 200) | (Asked::Lost, 412) => {
+            assert!(newest.contains(&generation(answer)), "{asked:?}: {text}");
+        }
+        (_, status) => panic!("{asked:?}: {status} {text}"),
+    }
+}
+
+#[tokio::test]
+async fn a_thawed_core_member_answers_by_nothing_that_it_knew_before() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let member = places(&scene, Role::Core)[0];
+    let frozen = scene.system.control(member);
+    let others: Vec<SocketAddr> =
+        scene.system.controls().into_iter().filter(|control| *control != frozen).collect();
+    take(&mut scene, 1, &patch(3, &[route("before")], &[])).await;
+    scene.system.machine(member).freeze().unwrap();
+    let (lost, fresh) = (patch(5, &[route("lost")], &[]), patch(8, &[route("fresh")], &[]));
+    let unknown = Call::post("/api/retire/nobody/start", json!({ "deadline_s": 5 }).to_string());
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        let asked = [
+            (Asked::Read, Call::get("/api/config/get")),
+            (Asked::Lost, order(3, &lost)),
+            (Asked::UnknownMachine, unknown.clone()),
+        ];
+        let fresh = (number == 0).then(|| (Asked::Fresh, order(7, &fresh)));
+        for (asked, request) in asked.into_iter().chain(fresh) {
+            calls.spawn(async move { (asked, call(frozen, &request, PATIENCE).await) });
+        }
+    }
+    scene.operator.set_controls(others);
+    take(&mut scene, 3, &patch(4, &[route("first")], &[])).await;
+    take(&mut scene, 4, &patch(7, &[route("second")], &[])).await;
+    scene.system.machine(member).thaw().unwrap();
+    while let Some(answered) = calls.join_next().await {
+        let (asked, answer) = answered.unwrap();
+        let answer = answer.unwrap_or_else(|error| panic!("{asked:?}: {error}"));
+        expect_current(asked, &answer);
+    }
+    take(&mut scene, 7, &fresh).await;
+    expect_no_violation(&scene);
+}
+
+/// The status of a heartbeat that says nothing new.
+async fn beat(control: SocketAddr) -> Option<u16> {
+    let body = json!({
+        "backend": TOOLS, "address": "127.0.0.9:9", "zone": "zone-a", "generation": "v1", "slots": 1,
+        "state": "ready", "cold_left_ms": 0, "seq": 1,
+    });
+    let request = Call::post("/api/instances/i-beats/heartbeat", body.to_string());
+    call(control, &request, ANSWERED_WITHIN).await.ok().map(|answer| answer.status)
+}
+
+async fn freeze_core(scene: &mut Scene) {
+    for member in places(scene, Role::Core) {
+        scene.system.machine(member).freeze().unwrap();
+    }
+}
+
+#[tokio::test]
+async fn a_thawed_gateway_takes_no_heartbeat_on_an_answer_of_before() {
+    let mut scene = stage(ScenePlan { engines: 2, ..ScenePlan::default() }).await;
+    let gateway = places(&scene, Role::Gateway)[0];
+    let control = scene.system.control(gateway);
+    while beat(control).await != Some(200) {}
+    scene.system.machine(gateway).freeze().unwrap();
+    let fronts = scene.system.fronts();
+    let own = scene.system.front(gateway);
+    scene.client.set_fronts(fronts.into_iter().filter(|front| *front != own).collect());
+    programs_for(&scene, OUT_OF_TOUCH).await;
+    // Now the core's last answer lies in the gateway's socket, and no other one comes.
+    freeze_core(&mut scene).await;
+    scene.system.machine(gateway).thaw().unwrap();
+    for number in 0..BEATS {
+        let status = beat(control).await;
+        assert!(status.is_none_or(|status| status == 503), "heartbeat {number}: {status:?}");
+    }
+    for member in places(&scene, Role::Core) {
+        scene.system.machine(member).thaw().unwrap();
+    }
+}
