Set files that can't be read aside, and start as a newcomer

Need: core.redb or turns.redb that was cut short or spoilt made each start end with 1 or panic inside the library, for as long as the file lay there; a page found broken later ended the disk's thread, and whoever waited got no answer.

Change: one seam (storage::recovery::open_or_set_aside) does all that is done with a file before it is known to be sound: opening, the check of all checksums, a commit, the first reads. A panic or an error of the contents there renames the file to *.unreadable (folder synced, one kept, at most 4 MiB of it) and says so once; the file made in its place has another identity, so the old votes count no more. Errors that say nothing of the contents (rights, a full disk, another process, another format) stay errors, and the file stays. A store takes what is set aside off its disk's bound.

Found on the way, each with the case of tests/unreadable.rs that shows it: - a spoilt length in the header made the library ask for so much memory that the allocator ended the process without unwinding: reads beyond the file's end are refused before (storage::file); - a spoilt second root (byte 256) showed only as a panic at the first write: a commit is part of opening; - a closed file is not checked by the library at all: check_integrity is asked.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use dunespur_control::{NodeKind, NodeReport, Operation};
 use dunespur_link::Service;
+use dunespur_storage::recovery::aside_bytes;
 use dunespur_storage::turns::TurnDisk;
 use dunespur_turns::message::{StoreReply, StoreRequest};
 use dunespur_turns::node::{
@@ -106,7 +107,8 @@
     ) -> anyhow::Result<(Rc<StoreProcess>, Done)> {
         let data = settings.data_dir.as_deref().context("data_dir: a store needs a disk")?;
         std::fs::create_dir_all(data).with_context(|| format!("making {}", data.display()))?;
-        let (disk, identity, entries) = TurnDisk::open(&data.join(DISK_FILE))?;
+        let file = data.join(DISK_FILE);
+        let (disk, identity, entries) = TurnDisk::open(&file)?;
         let report = NodeReport {
             name: settings.node.clone(),
             kind: NodeKind::Store,
@@ -118,6 +120,7 @@
         };
         directory.hold_lease(NodeLease::of(&report));
         let disk_bytes = settings.limits.disk_mb.unwrap_or(UNKNOWN_DISK_MB) << 20;
+        let disk_bytes = disk_bytes.saturating_sub(aside_bytes(&file));
         let capacity_bytes = disk_bytes * DISK_PERCENT / 100;
         let index_bytes = (settings.limits.memory_mb << 20) / MEMORY_DIVISOR;
         let capacity_turns = (index_bytes / TURN_MEMORY_BYTES) as usize;
--- /dev/null
+++ b/crates/node/tests/unreadable.rs
@@ -0,0 +1,107 @@
+//! Files that a start finds spoilt: the machine says so, sets the file aside and comes back as a newcomer; nothing that
+//! was acknowledged is lost, and the next machine may go the same way.
+
+mod support;
+
+use dunespur_emulator::client::Kind;
+use dunespur_emulator::configuration::{patch, RoutePlan};
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST, TOOLS};
+use dunespur_emulator::system::Role;
+use serde_json::Value;
+use std::fs::{self, OpenOptions};
+use std::path::{Path, PathBuf};
+use support::{expect_no_violation, go_on, line_of, places, programs_for, stage, CATCH_UP, RECOVERY};
+
+const CORE_FILE: &str = "core.redb";
+const TURNS_FILE: &str = "turns.redb";
+
+/// Adds one route on top of `base`.
+async fn add_route(scene: &mut Scene, base: u64) -> u64 {
+    let generation = base + 1;
+    let name = format!("route-{generation}");
+    let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
+    let plan = scene.configurations.last().unwrap().patched(generation, std::slice::from_ref(&route), &[]);
+    scene.configurations.push(plan);
+    let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    generation
+}
+
+/// The newest version as any gateway reads it back.
+async fn generation(scene: &mut Scene) -> u64 {
+    let answer = scene.operator.get(RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200);
+    let configuration: Value = serde_json::from_slice(&answer.body).unwrap();
+    configuration["generation"].as_u64().unwrap()
+}
+
+fn cut_short(path: &Path) {
+    let file = OpenOptions::new().write(true).open(path).unwrap();
+    let length = file.metadata().unwrap().len();
+    file.set_len(length / 2).unwrap();
+}
+
+/// Both roots in the header.
+fn spoil_header(path: &Path) {
+    let mut bytes = fs::read(path).unwrap();
+    bytes[64..320].iter_mut().for_each(|byte| *byte ^= 0xff);
+    fs::write(path, bytes).unwrap();
+}
+
+fn replace_by_text(path: &Path) {
+    fs::write(path, "no database").unwrap();
+}
+
+const SPOILERS: [fn(&Path); 3] = [cut_short, spoil_header, replace_by_text];
+
+/// Kills a machine, spoils its file, and starts it again.
+fn spoil(scene: &mut Scene, machine: usize, name: &str, spoiler: fn(&Path)) -> PathBuf {
+    scene.system.machine(machine).kill();
+    let path = scene.system.machines()[machine].data_folder().join(name);
+    spoiler(&path);
+    scene.system.restart(machine).unwrap();
+    path
+}
+
+/// The machine runs, has said why, and holds one file that was set aside.
+fn expect_set_aside(scene: &Scene, machine: usize, path: &Path) {
+    let machine = &scene.system.machines()[machine];
+    let said = machine.log().lines().filter(|line| line.contains("is set aside as")).count();
+    assert_eq!(said, 1, "{}", machine.log_tail());
+    assert!(path.with_extension("unreadable").exists() && path.exists());
+}
+
+#[tokio::test]
+async fn core_members_with_spoilt_files_come_back_one_after_the_other() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut version = 1;
+    for (member, spoiler) in places(&scene, Role::Core).into_iter().zip(SPOILERS) {
+        version = add_route(&mut scene, version).await;
+        let path = spoil(&mut scene, member, CORE_FILE, spoiler);
+        programs_for(&scene, CATCH_UP).await;
+        expect_set_aside(&scene, member, &path);
+    }
+    assert_eq!(generation(&mut scene).await, version);
+    version = add_route(&mut scene, version).await;
+    scene.settle().await.unwrap();
+    assert_eq!(generation(&mut scene).await, version);
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn stores_with_spoilt_files_are_made_whole_one_after_the_other() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut lines = Vec::new();
+    for _ in 0..8 {
+        lines.push(line_of(&scene, 3).await);
+    }
+    for (store, spoiler) in places(&scene, Role::Store).into_iter().zip(SPOILERS) {
+        let path = spoil(&mut scene, store, TURNS_FILE, spoiler);
+        programs_for(&scene, CATCH_UP).await;
+        expect_set_aside(&scene, store, &path);
+        for line in &mut lines {
+            go_on(&scene, line, &format!("after store {store}")).await;
+        }
+    }
+    expect_no_violation(&scene);
+}
--- a/crates/storage/src/core.rs
+++ b/crates/storage/src/core.rs
@@ -3,6 +3,8 @@
 //! All calls block; the caller has a thread for them. What [`CoreDisk::write`] has returned from is on the disk,
 //! whole; of a call that was cut off by a loss of power, all or nothing is there.
 
+use crate::file;
+use crate::recovery::{open_checked, open_or_set_aside, sync_folder, without_panic, UnknownFormat};
 use anyhow::{bail, Context, Result};
 use dunespur_chain::{Entry, Position, Saved, SavedSnapshot, Write};
 use redb::{
@@ -13,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
-use std::fs::{self, File};
+use std::fs;
 use std::hash::{BuildHasher, Hasher};
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
@@ -73,15 +75,20 @@
 }
 
 impl CoreDisk {
-    /// Opens the file, or makes it with a new identity if there is none.
+    /// Opens the file, or makes it with a new identity if there is none. One that can't be read is set aside, and
+    /// counts as none: the member that wrote it is no more, and its votes don't count.
     pub fn open(path: &Path) -> Result<(CoreDisk, DiskIdentity, Saved)> {
+        open_or_set_aside(path, || Self::open_file(path))
+    }
+
+    fn open_file(path: &Path) -> Result<(CoreDisk, DiskIdentity, Saved)> {
         let fresh = !path.exists();
         if fresh {
             create(path).with_context(|| format!("making {}", path.display()))?;
         }
         let owned = path.to_owned();
-        let opener: Opener = Box::new(move || builder().open(&owned));
-        let database = opener().with_context(|| format!("opening {}", path.display()))?;
+        let opener: Opener = Box::new(move || file::open(&builder(), &owned));
+        let database = open_checked(builder, path).with_context(|| format!("opening {}", path.display()))?;
         Self::start(database, opener, fresh).with_context(|| format!("reading {}", path.display()))
     }
 
@@ -113,14 +120,16 @@
     /// Brings all writes to the disk with one sync, all or none of them. After an error the file is opened anew: the
     /// library takes no further write otherwise, also when the disk has room again.
     pub fn write(&self, writes: &[Write]) -> Result<()> {
-        let mut open = self.database.borrow_mut();
-        let database = match open.take() {
-            Some(database) => database,
-            None => (self.opener)().context("opening the core's file again")?,
-        };
-        self.commit(&database, writes)?;
-        *open = Some(database);
-        Ok(())
+        without_panic(|| {
+            let mut open = self.database.borrow_mut();
+            let database = match open.take() {
+                Some(database) => database,
+                None => (self.opener)().context("opening the core's file again")?,
+            };
+            self.commit(&database, writes)?;
+            *open = Some(database);
+            Ok(())
+        })
     }
 
     fn commit(&self, database: &Database, writes: &[Write]) -> Result<()> {
@@ -136,9 +145,9 @@
 fn read(database: &Database, fresh: bool) -> Result<(DiskIdentity, Saved)> {
     let transaction = database.begin_read()?;
     let values = transaction.open_table(VALUES)?;
-    let format: Option<u64> = value(&values, KEY_FORMAT)?;
-    if format != Some(FORMAT) {
-        bail!("format {format:?} is not {FORMAT}, the one that this program knows");
+    let found: Option<u64> = value(&values, KEY_FORMAT)?;
+    if found != Some(FORMAT) {
+        bail!(UnknownFormat { found, known: FORMAT });
     }
     let disk = value(&values, KEY_DISK)?.context("no identity")?;
     let head: Option<SnapshotHead> = value(&values, KEY_SNAPSHOT)?;
@@ -214,13 +223,6 @@
     PathBuf::from(name)
 }
 
-/// Against a new name that is gone after a loss of power.
-fn sync_folder(path: &Path) -> Result<()> {
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    File::open(folder)?.sync_all()?;
-    Ok(())
-}
-
 /// The library's hash keys come from the operating system's random source; the time is mixed in should that be poor.
 fn random_disk() -> u64 {
     let mut hasher = RandomState::new().build_hasher();
--- /dev/null
+++ b/crates/storage/src/file.rs
@@ -0,0 +1,47 @@
+//! A file as the library's storage.
+
+use redb::backends::FileBackend;
+use redb::{Builder, Database, DatabaseError, StorageBackend};
+use std::fs::OpenOptions;
+use std::io::{Error, ErrorKind, Result};
+use std::path::Path;
+
+/// A file of which nothing is read beyond its end. Against a spoilt length: the library asks for room of that size
+/// before it reads, and a process that doesn't get it is ended by the allocator, without unwinding.
+#[derive(Debug)]
+struct BoundedFile(FileBackend);
+
+impl StorageBackend for BoundedFile {
+    fn len(&self) -> Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>> {
+        let end = offset.checked_add(len as u64);
+        if end.is_none_or(|end| self.0.len().is_ok_and(|most| end > most)) {
+            return Err(Error::from(ErrorKind::UnexpectedEof));
+        }
+        self.0.read(offset, len)
+    }
+
+    fn set_len(&self, len: u64) -> Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self, eventual: bool) -> Result<()> {
+        self.0.sync_data(eventual)
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+/// Opens a file that is there. An empty one is no database.
+pub fn open(builder: &Builder, path: &Path) -> std::result::Result<Database, DatabaseError> {
+    let file = OpenOptions::new().read(true).write(true).open(path)?;
+    if file.metadata()?.len() == 0 {
+        return Err(Error::from(ErrorKind::InvalidData).into());
+    }
+    builder.create_with_backend(BoundedFile(FileBackend::new(file)?))
+}
--- a/crates/storage/src/turns.rs
+++ b/crates/storage/src/turns.rs
@@ -4,20 +4,19 @@
 use std::cell::RefCell;
 use std::collections::hash_map::RandomState;
 use std::fmt;
-use std::fs::File;
 use std::hash::{BuildHasher, Hasher};
-use std::io::ErrorKind;
-use std::panic::catch_unwind;
 use std::path::Path;
 
+use crate::file;
+use crate::recovery::{open_checked, open_or_set_aside, without_panic, UnknownFormat};
 use anyhow::{bail, Context};
 use bytes::Bytes;
 use dunespur_turns::index::IndexEntry;
 use dunespur_turns::node::{DiskOutcome, DiskWork};
 use dunespur_turns::turn::{size_of, Turn};
 use redb::{
-    Builder, Database, DatabaseError, Durability, ReadableTable, StorageBackend, StorageError,
-    TableDefinition, WriteTransaction,
+    Builder, Database, DatabaseError, Durability, ReadableTable, StorageBackend, TableDefinition,
+    WriteTransaction,
 };
 use serde::{Deserialize, Serialize};
 
@@ -73,21 +72,21 @@
 }
 
 impl TurnDisk {
-    /// Opens the file, or makes it. One that can't be read, as a loss of power while it was made leaves it, is
-    /// made anew: that is a new life of the disk, and the store fetches from others what it should hold.
+    /// Opens the file, or makes it. One that can't be read is set aside: that is a new life of the disk, and the store
+    /// fetches from others what it should hold.
     pub fn open(path: &Path) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
+        open_or_set_aside(path, || Self::open_file(path))
+    }
+
+    fn open_file(path: &Path) -> anyhow::Result<(Self, DiskIdentity, Vec<IndexEntry>)> {
         let owned = path.to_owned();
-        let opener: Opener = Box::new(move || builder().open(&owned));
-        let database = match make_or_open(path) {
-            Ok(database) => database,
-            Err(OpenError::Unreadable) => {
-                set_aside(path)?;
-                builder().create(path).with_context(|| format!("make {}", path.display()))?
-            }
-            Err(OpenError::Other(error)) => {
-                return Err(error).with_context(|| format!("open {}", path.display()));
-            }
+        let opener: Opener = Box::new(move || file::open(&builder(), &owned));
+        let opened = if path.exists() {
+            open_checked(builder, path)
+        } else {
+            builder().create(path).map_err(Into::into)
         };
+        let database = opened.with_context(|| format!("open {}", path.display()))?;
         Self::start(database, opener)
     }
 
@@ -110,14 +109,16 @@
     /// Works on the file. After an error it is opened anew: the library takes no further write and reads no page
     /// otherwise, also when the disk has room again.
     fn with<T>(&self, work: impl FnOnce(&Database) -> anyhow::Result<T>) -> anyhow::Result<T> {
-        let mut open = self.database.borrow_mut();
-        let database = match open.take() {
-            Some(database) => database,
-            None => (self.opener)().context("open the turns again")?,
-        };
-        let done = work(&database)?;
-        *open = Some(database);
-        Ok(done)
+        without_panic(|| {
+            let mut open = self.database.borrow_mut();
+            let database = match open.take() {
+                Some(database) => database,
+                None => (self.opener)().context("open the turns again")?,
+            };
+            let done = work(&database)?;
+            *open = Some(database);
+            Ok(done)
+        })
     }
 
     /// Writes turns in one synced commit.
@@ -229,7 +230,7 @@
     let number = |key: &str| -> anyhow::Result<Option<u64>> { Ok(meta.get(key)?.map(|value| value.value())) };
     match number(META_FORMAT)? {
         Some(FORMAT_VERSION) => {}
-        other => bail!("turns are stored in format {other:?}, this program reads {FORMAT_VERSION}"),
+        found => bail!(UnknownFormat { found, known: FORMAT_VERSION }),
     }
     let disk = number(META_DISK)?.context("the file of turns names no disk")?;
     let fresh = number(META_WHOLE)?.is_none();
@@ -260,53 +261,6 @@
     builder
 }
 
-/// Why a file does not open.
-enum OpenError {
-    /// It is no database, or a broken one.
-    Unreadable,
-    /// It may pass, and is no reason to lose the contents.
-    Other(DatabaseError),
-}
-
-/// The library asserts on some broken files instead of giving an error: such a panic ends here, else the process
-/// would end at each of its starts.
-fn make_or_open(path: &Path) -> Result<Database, OpenError> {
-    match catch_unwind(|| builder().create(path)) {
-        Ok(Ok(database)) => Ok(database),
-        Ok(Err(error)) if is_unreadable(&error) => Err(OpenError::Unreadable),
-        Ok(Err(error)) => Err(OpenError::Other(error)),
-        Err(_) => Err(OpenError::Unreadable),
-    }
-}
-
-fn is_unreadable(error: &DatabaseError) -> bool {
-    match error {
-        DatabaseError::Storage(StorageError::Corrupted(_)) => true,
-        DatabaseError::Storage(StorageError::Io(error)) => {
-            matches!(error.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof)
-        }
-        _ => false,
-    }
-}
-
-/// Moves an unreadable file out of the way, in the place of an earlier one, for whoever wants to look at it.
-fn set_aside(path: &Path) -> anyhow::Result<()> {
-    let aside = path.with_extension("unreadable");
-    std::fs::rename(path, &aside).with_context(|| format!("set unreadable {} aside", path.display()))?;
-    sync_folder_of(path)
-}
-
-/// Against a loss of power that brings the old name back.
-fn sync_folder_of(path: &Path) -> anyhow::Result<()> {
-    let folder = match path.parent() {
-        Some(folder) if !folder.as_os_str().is_empty() => folder,
-        _ => Path::new("."),
-    };
-    File::open(folder)
-        .and_then(|folder| folder.sync_all())
-        .with_context(|| format!("sync {}", folder.display()))
-}
-
 /// The standard library's hash keys are drawn from the system's randomness.
 fn random_number() -> u64 {
     RandomState::new().build_hasher().finish()
