--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use dunespur_configuration::{Document, Table};
-use dunespur_proxy::{Front, FrontSettings, History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
+use dunespur_proxy::{Front, FrontSettings, Guards, History, KeptTurn, Node, Reserve, TurnAsk, TurnKey};
 use dunespur_routing::{Ask, Choice, Outcome, Server, Ticket};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::LocalSet;
 use tokio::time::{timeout, Duration};
@@ -19,6 +19,9 @@
 /// Guards against a test that hangs; none comes near it.
 const WATCHDOG: Duration = Duration::from_secs(30);
 
+/// What a narrow stand-in holds of what it has not read.
+const NARROW_BYTES: u32 = 16 * 1024;
+
 /// Runs a test on one thread.
 pub fn play(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -28,6 +31,13 @@
     }));
 }
 
+/// Lets so much time pass for the data plane and its timers, at once.
+pub async fn pass_time(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    tokio::time::resume();
+}
+
 /// Routes of every kind, all to the services `plain` and `engine`.
 pub const CONFIGURATION: &str = r#"{"generation":1,
     "routes":[
@@ -61,6 +71,10 @@
     pub without_servers: RefCell<Vec<String>>,
     pub refuse: Cell<Option<u64>>,
     pub engine_priority: Cell<Option<u8>>,
+    /// Whether a server that was tried is offered again once there is no other.
+    pub offers_tried: Cell<bool>,
+    /// Done once, in the very moment in which a server is chosen next.
+    pub at_next_choice: RefCell<Option<Box<dyn FnOnce()>>>,
     pub reserve: Cell<Reserve>,
     /// Permits of turns that may be admitted; none waits unless a test takes them away.
     pub admissions: Semaphore,
@@ -111,6 +125,8 @@
             without_servers: RefCell::default(),
             refuse: Cell::new(None),
             engine_priority: Cell::new(None),
+            offers_tried: Cell::new(false),
+            at_next_choice: RefCell::default(),
             reserve: Cell::new(Reserve::Admitted(TurnKey(7))),
             admissions: Semaphore::new(1000),
             history: RefCell::new(History::Found(Vec::new())),
@@ -200,6 +216,9 @@
             time_left_ms: ask.time_left_ms,
             tried: ask.tried.iter().map(|id| id.to_string()).collect(),
         });
+        if let Some(act) = self.at_next_choice.borrow_mut().take() {
+            act();
+        }
         if let Some(retry_after_ms) = self.refuse.get() {
             return Choice::Refuse { retry_after_ms };
         }
@@ -207,7 +226,8 @@
             return Choice::NoServer;
         }
         let servers = self.servers.borrow();
-        match servers.iter().find(|server| !ask.tried.contains(&server.id)) {
+        let untried = servers.iter().find(|server| !ask.tried.contains(&server.id));
+        match untried.or(servers.first().filter(|_| self.offers_tried.get())) {
             Some(server) => {
                 self.last_key.set(self.last_key.get() + 1);
                 let engine_priority = self.engine_priority.get();
@@ -264,8 +284,13 @@
     }
 
     pub async fn with(servers: &[&StandIn], settings: FrontSettings) -> Gateway {
+        Gateway::guarded(servers, settings, Guards::default()).await
+    }
+
+    /// One whose guards may be taken out.
+    pub async fn guarded(servers: &[&StandIn], settings: FrontSettings, guards: Guards) -> Gateway {
         let node = TestNode::new(servers.iter().map(|server| server.server()).collect());
-        let front = Front::new(node.clone(), settings);
+        let front = Front::with_guards(node.clone(), settings, guards);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::task::spawn_local(front.clone().serve(listener));
@@ -297,6 +322,15 @@
         StandIn { id: id.to_owned(), address: listener.local_addr().unwrap(), listener: Some(listener) }
     }
 
+    /// One whose connections hold little that it has not read, so that a long request stays with its sender.
+    pub async fn narrow(id: &str) -> StandIn {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(NARROW_BYTES).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(64).unwrap();
+        StandIn { id: id.to_owned(), address: listener.local_addr().unwrap(), listener: Some(listener) }
+    }
+
     /// One whose port nobody listens at.
     pub async fn dead(id: &str) -> StandIn {
         let mut dead = StandIn::start(id).await;
@@ -464,14 +498,21 @@
         Ok(message)
     }
 
-    /// The next message; None where the connection ends before it is whole.
-    pub async fn next_message(&mut self) -> Option<Message> {
+    /// The head of the next message; None where the connection ends before it is whole.
+    pub async fn next_head(&mut self) -> Option<Message> {
         while find(&self.buffer, b"\r\n\r\n").is_none() {
             if !self.more().await {
                 return None;
             }
         }
-        self.try_message().await.ok()
+        Some(self.head().await)
+    }
+
+    /// The next message; None where the connection ends before it is whole.
+    pub async fn next_message(&mut self) -> Option<Message> {
+        let mut message = self.next_head().await?;
+        message.body = self.body_of(&message).await.ok()?;
+        Some(message)
     }
 
     /// The body of the message with this head, or what of it came before the connection ended.
@@ -513,6 +554,22 @@
         }
     }
 
+    /// Ends the connection in order towards the other side, and goes on reading.
+    pub async fn end_in_order(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// All that comes until the connection ends, however it does.
+    pub async fn rest(&mut self) -> Vec<u8> {
+        while self.more().await {}
+        std::mem::take(&mut self.buffer)
+    }
+
+    /// A second handle of the socket, to write to it in the midst of something else.
+    pub fn writer(&self) -> std::net::TcpStream {
+        std::net::TcpStream::from(socket2::SockRef::from(&self.stream).try_clone().unwrap())
+    }
+
     /// Ends the connection at once, so that the other side sees a reset.
     pub fn reset(self) {
         self.stream.set_zero_linger().unwrap();
