--- a/crates/control/src/change.rs
+++ b/crates/control/src/change.rs
@@ -67,8 +67,10 @@
     pub whole: bool,
     /// The core hears of it.
     pub present: bool,
-    /// It is being emptied: nothing new is placed there.
+    /// It is being emptied: it is no home of turns, and takes them only while others fail.
     pub retiring: bool,
     /// It is empty, and stays so.
     pub retired: bool,
+    /// While it is being emptied: the round, which changes whenever the standing of any store does.
+    pub round: u64,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod departed;
 mod gateways;
+mod guards;
 mod operation;
 mod orders;
 mod outcome;
@@ -21,6 +22,7 @@
 mod stores;
 
 pub use change::{Change, GatewayEntry, StoreEntry};
+pub use guards::Guards;
 pub use operation::{NodeKind, NodeReport, Operation, Order, OrderKind, ServerReport, ServerState};
 pub use outcome::{Outcome, RetireOutcome, RetireState};
 pub use snapshot::SnapshotError;
--- a/crates/control/src/operation.rs
+++ b/crates/control/src/operation.rs
@@ -45,6 +45,8 @@
         node: String,
         /// The life of its process that was emptied.
         incarnation: u64,
+        /// The round in which it found so.
+        round: u64,
     },
     /// A limiter asks a program's counter.
     Budget(CounterRequest),
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 /// The format that is written.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Why bytes are no snapshot.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,8 +1,8 @@
 //! The whole control state.
 
 use crate::{
-    configuration::Configuration, gateways::Gateways, servers::Servers, stores::Stores, Change, NodeKind,
-    NodeReport, Operation, Outcome, RetireState, ServerReport, StoreEntry,
+    configuration::Configuration, gateways::Gateways, servers::Servers, stores::Stores, Change, Guards,
+    NodeKind, NodeReport, Operation, Outcome, RetireState, ServerReport, StoreEntry,
 };
 use dunespur_budget::Counters;
 use dunespur_configuration::Document;
@@ -20,6 +20,13 @@
 }
 
 impl ControlState {
+    /// An empty state; tests take single guards out.
+    pub fn with_guards(guards: Guards) -> ControlState {
+        let mut state = ControlState::default();
+        state.stores.set_guards(guards);
+        state
+    }
+
     /// Applies a committed operation. What it changes for subscribers is added to `changes`.
     pub fn apply(&mut self, operation: &Operation, changes: &mut Vec<Change>) -> Outcome {
         match operation {
@@ -40,8 +47,8 @@
             Operation::RetireStart { node, tolerated_losses } => {
                 return Outcome::Retire(self.stores.retire(node, *tolerated_losses, changes));
             }
-            Operation::RetireDone { node, incarnation } => {
-                self.stores.emptied(node, *incarnation, changes);
+            Operation::RetireDone { node, incarnation, round } => {
+                self.stores.emptied(node, *incarnation, *round, changes);
             }
             Operation::Budget(request) => {
                 return Outcome::Budget(self.counters.apply(request, self.gateways.count()));
--- a/crates/control/src/stores.rs
+++ b/crates/control/src/stores.rs
@@ -2,8 +2,16 @@
 //!
 //! Each life of a store's process has a higher incarnation than the one before, which orders what is said of
 //! it. A store that isn't heard of stays known as absent: its machine, and what it holds, may come back.
+//!
+//! **Retirement.** A store *remains* if it is present, whole and not on its way out. An order to retire is taken
+//! only if more stores remain than may be lost at once. That can change later: then the retirement *stands still*,
+//! and the store is used like any other until enough remain again.
+//!
+//! **Rounds.** Each change of a store's standing begins another round, which the stores that are being emptied are
+//! told. One that says that it is empty names the round in which it found that out, and is believed in that round
+//! only: what it says rests on all the others as they stand in it.
 
-use crate::{Change, NodeReport, RetireOutcome, RetireState, StoreEntry};
+use crate::{Change, Guards, NodeReport, RetireOutcome, RetireState, StoreEntry};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -15,36 +23,68 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Stores {
     stores: BTreeMap<String, Store>,
+    /// Rises with each change of a store's standing.
+    round: u64,
+    #[serde(skip)]
+    guards: Guards,
+}
+
+/// Where a store is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Retirement {
+    /// It is being emptied.
+    Running {
+        /// How many stores may be lost at once, by the order.
+        tolerated_losses: u32,
+    },
+    /// It is empty.
+    Done,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Store {
     report: NodeReport,
     present: bool,
-    retirement: Option<RetireState>,
+    retirement: Option<Retirement>,
+}
+
+/// What the others count on in a store. If it changes, another round begins.
+#[derive(PartialEq)]
+struct Standing {
+    present: bool,
+    whole: bool,
+    disk: u64,
+    zone: String,
+    retirement: Option<Retirement>,
 }
 
 impl Store {
-    /// What the data plane sees of it: nothing once it was emptied and taken away.
-    fn entry(&self) -> Option<StoreEntry> {
-        let retired = self.retirement == Some(RetireState::Done);
-        let taken_away = retired && !self.present;
-        (!taken_away).then(|| StoreEntry {
-            name: self.report.name.clone(),
-            zone: self.report.zone.clone(),
-            address: self.report.address,
-            incarnation: self.report.incarnation,
-            disk: self.report.disk,
-            whole: self.report.whole,
+    fn standing(&self) -> Standing {
+        Standing {
             present: self.present,
-            retiring: self.retirement == Some(RetireState::Running),
-            retired,
-        })
+            whole: self.report.whole,
+            disk: self.report.disk,
+            zone: self.report.zone.clone(),
+            retirement: self.retirement,
+        }
+    }
+
+    /// It was emptied and taken away.
+    fn is_taken_away(&self) -> bool {
+        self.retirement == Some(Retirement::Done) && !self.present
+    }
+
+    /// The losses that its retirement has to leave room for, while it runs.
+    fn running(&self) -> Option<u32> {
+        match self.retirement {
+            Some(Retirement::Running { tolerated_losses }) => Some(tolerated_losses),
+            Some(Retirement::Done) | None => None,
+        }
     }
 
     /// The store after another report of it.
     fn reported(&self, report: &NodeReport) -> Store {
-        let emptied = self.retirement == Some(RetireState::Done);
+        let emptied = self.retirement == Some(Retirement::Done);
         // A machine of that name with another disk is not the one that was taken away.
         let another = emptied && report.disk != self.report.disk;
         let retirement = if another { None } else { self.retirement };
@@ -53,14 +93,22 @@
 }
 
 impl Stores {
+    /// Takes guards out, for tests.
+    pub(crate) fn set_guards(&mut self, guards: Guards) {
+        self.guards = guards;
+    }
+
     /// The stores that are there, or may come back, by name.
     pub(crate) fn all(&self) -> impl Iterator<Item = StoreEntry> + '_ {
-        self.stores.values().filter_map(Store::entry)
+        self.stores.values().filter_map(|store| self.entry(store))
     }
 
     /// How far a store is on its way out, if it is.
     pub(crate) fn retirement(&self, name: &str) -> Option<RetireState> {
-        self.stores.get(name)?.retirement
+        match self.stores.get(name)?.retirement? {
+            Retirement::Running { .. } => Some(RetireState::Running),
+            Retirement::Done => Some(RetireState::Done),
+        }
     }
 
     /// Takes a report.
@@ -95,19 +143,22 @@
         if known.retirement.is_some() {
             return RetireOutcome::Taken;
         }
-        if self.remaining_without(name) <= tolerated_losses as usize {
+        if !self.enough_remain_without(name, tolerated_losses) {
             return RetireOutcome::TooFew;
         }
-        let next = Store { retirement: Some(RetireState::Running), ..known.clone() };
+        let next = Store { retirement: Some(Retirement::Running { tolerated_losses }), ..known.clone() };
         self.set(next, changes);
         RetireOutcome::Taken
     }
 
-    /// A store is empty. That of an earlier life of it means nothing.
-    pub(crate) fn emptied(&mut self, name: &str, incarnation: u64, changes: &mut Vec<Change>) {
+    /// A store has found in a round that it is empty. That of an earlier life of it means nothing, nor of an
+    /// earlier round, nor while too few others remain.
+    pub(crate) fn emptied(&mut self, name: &str, incarnation: u64, round: u64, changes: &mut Vec<Change>) {
         let Some(known) = self.stores.get(name) else { return };
-        if known.retirement == Some(RetireState::Running) && known.report.incarnation == incarnation {
-            let next = Store { retirement: Some(RetireState::Done), ..known.clone() };
+        let rests_on_the_present = round == self.round || !self.guards.rounds_checked;
+        let believed = known.report.incarnation == incarnation && rests_on_the_present;
+        if believed && self.is_being_emptied(known) {
+            let next = Store { retirement: Some(Retirement::Done), ..known.clone() };
             self.set(next, changes);
         }
     }
@@ -117,35 +168,79 @@
         self.all().map(Change::Store)
     }
 
-    /// How many stores would go on taking data without this one.
-    fn remaining_without(&self, name: &str) -> usize {
-        let stays = |store: &&Store| store.retirement.is_none() && store.report.name != name;
-        self.stores.values().filter(stays).count()
+    /// What the data plane sees of a store: nothing once it was emptied and taken away.
+    fn entry(&self, store: &Store) -> Option<StoreEntry> {
+        let retiring = self.is_being_emptied(store);
+        (!store.is_taken_away()).then(|| StoreEntry {
+            name: store.report.name.clone(),
+            zone: store.report.zone.clone(),
+            address: store.report.address,
+            incarnation: store.report.incarnation,
+            disk: store.report.disk,
+            whole: store.report.whole,
+            present: store.present,
+            retiring,
+            retired: store.retirement == Some(Retirement::Done),
+            round: if retiring { self.round } else { 0 },
+        })
+    }
+
+    /// Its retirement runs and does not stand still.
+    fn is_being_emptied(&self, store: &Store) -> bool {
+        let enough = |tolerated| self.enough_remain_without(&store.report.name, tolerated);
+        store.running().is_some_and(|tolerated| enough(tolerated) || !self.guards.stands_still)
+    }
+
+    /// Whether more stores remain without this one than may be lost at once.
+    fn enough_remain_without(&self, name: &str, tolerated_losses: u32) -> bool {
+        let others = self.stores.values().filter(|store| store.report.name != name);
+        others.filter(|store| self.remains(store)).count() > tolerated_losses as usize
+    }
+
+    fn remains(&self, store: &Store) -> bool {
+        let sound = store.present && store.report.whole;
+        store.retirement.is_none() && (sound || !self.guards.remaining_present_and_whole)
     }
 
     /// The one change of a store's state.
     fn set(&mut self, store: Store, changes: &mut Vec<Change>) {
         let name = store.report.name.clone();
-        let before = self.stores.get(&name).and_then(Store::entry);
-        let after = store.entry();
-        self.stores.insert(name.clone(), store);
-        match (before, after) {
-            (before, Some(after)) if before.as_ref() != Some(&after) => changes.push(Change::Store(after)),
-            (Some(_), None) => changes.push(Change::StoreGone { name }),
-            _ => {}
+        let before = self.told_with(&name);
+        let standing = store.standing();
+        let known = self.stores.insert(name.clone(), store);
+        if known.is_none_or(|known| known.standing() != standing) {
+            self.round += 1;
         }
+        self.tell(&name, &before, changes);
         self.bound(changes);
     }
 
+    /// What subscribers see of a store and of all on their way out, which a change of it may concern.
+    fn told_with(&self, name: &str) -> BTreeMap<String, StoreEntry> {
+        let concerned = |store: &&Store| store.report.name == name || store.running().is_some();
+        let entries = self.stores.values().filter(concerned).filter_map(|store| self.entry(store));
+        entries.map(|entry| (entry.name.clone(), entry)).collect()
+    }
+
+    /// Tells what a change of the named store has changed.
+    fn tell(&self, name: &str, before: &BTreeMap<String, StoreEntry>, changes: &mut Vec<Change>) {
+        let after = self.told_with(name);
+        if before.contains_key(name) && !after.contains_key(name) {
+            changes.push(Change::StoreGone { name: name.to_owned() });
+        }
+        let changed = after.into_values().filter(|entry| before.get(&entry.name) != Some(entry));
+        changes.extend(changed.map(Change::Store));
+    }
+
     fn bound(&mut self, changes: &mut Vec<Change>) {
         let absent = || self.stores.values().filter(|store| !store.present);
         if absent().count() <= MAX_ABSENT {
             return;
         }
-        let oldest = absent().min_by_key(|store| (store.entry().is_some(), store.report.incarnation));
+        let oldest = absent().min_by_key(|store| (!store.is_taken_away(), store.report.incarnation));
         let Some(name) = oldest.map(|store| store.report.name.clone()) else { return };
         let forgotten = self.stores.remove(&name);
-        if forgotten.is_some_and(|store| store.entry().is_some()) {
+        if forgotten.is_some_and(|store| !store.is_taken_away()) {
             changes.push(Change::StoreGone { name });
         }
     }
--- a/crates/control/tests/nodes.rs
+++ b/crates/control/tests/nodes.rs
@@ -23,8 +23,14 @@
     }
 }
 
-fn emptied(name: &str, incarnation: u64) -> Operation {
-    Operation::RetireDone { node: name.to_owned(), incarnation }
+/// The named store says that it is empty, in the present round.
+fn emptied(trial: &mut Trial, name: &str, incarnation: u64) -> Vec<Change> {
+    let round = trial.state.stores().find(|store| store.name == name).map_or(0, |store| store.round);
+    emptied_in(trial, name, incarnation, round)
+}
+
+fn emptied_in(trial: &mut Trial, name: &str, incarnation: u64, round: u64) -> Vec<Change> {
+    trial.changes(&Operation::RetireDone { node: name.to_owned(), incarnation, round })
 }
 
 fn with_stores(names: &[&str]) -> Trial {
@@ -92,6 +98,7 @@
         present: true,
         retiring: false,
         retired: false,
+        round: 0,
     };
     assert_eq!(trial.node(unfinished.clone()), [Change::Store(expected.clone())]);
     assert_eq!(trial.node(unfinished), []);
@@ -152,27 +159,113 @@
     assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
     assert_eq!(retire(&mut trial, "b", 1), RetireOutcome::Taken);
     assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::TooFew);
-    trial.changes(&emptied("a", 10));
+    emptied(&mut trial, "a", 10);
     trial.changes(&gone("a", 10));
     assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::TooFew);
     trial.node(store("e", 1));
     assert_eq!(retire(&mut trial, "c", 1), RetireOutcome::Taken);
 }
 
+#[test]
+fn a_store_that_is_gone_for_good_does_not_remain() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    trial.changes(&gone("c", 10));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::TooFew, "c is away, maybe for good");
+    trial.node(NodeReport { whole: false, ..store("d", 1) });
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::TooFew, "its successor is not whole yet");
+    trial.node(store("d", 1));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
+    emptied(&mut trial, "a", 10);
+    trial.changes(&gone("a", 10));
+    assert_eq!(retire(&mut trial, "b", 1), RetireOutcome::TooFew, "one would be left beside two ghosts");
+    assert_eq!(trial.state.retirement("b"), None);
+}
+
+#[test]
+fn an_order_refused_while_a_store_is_away_is_taken_once_it_is_back() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    trial.changes(&gone("c", 10));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::TooFew);
+    assert_eq!(
+        retire(&mut trial, "c", 1),
+        RetireOutcome::Taken,
+        "a and b remain without the one that is away"
+    );
+    trial.node(store("c", 10));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::TooFew, "c is on its way out");
+    trial.node(store("d", 1));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
+}
+
+#[test]
+fn a_retirement_that_leaves_too_few_stands_still_until_enough_remain() {
+    let mut trial = with_stores(&["a", "b", "c"]);
+    retire(&mut trial, "a", 1);
+    let before = trial.told.len();
+    trial.changes(&gone("b", 10));
+    assert!(!entry(&trial, "a").retiring, "it is used like any other");
+    assert!(trial.told[before..].contains(&Change::Store(entry(&trial, "a"))), "and all are told");
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Running));
+    assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken, "the order stands");
+    assert_eq!(emptied(&mut trial, "a", 10), [], "nor is it done meanwhile");
+    trial.node(NodeReport { whole: false, disk: 2, ..store("b", 11) });
+    assert!(!entry(&trial, "a").retiring, "a new disk that is being filled does not remain yet");
+    trial.node(NodeReport { disk: 2, ..store("b", 11) });
+    assert!(entry(&trial, "a").retiring);
+    assert_eq!(emptied(&mut trial, "a", 10).len(), 1);
+    assert_eq!(trial.state.retirement("a"), Some(RetireState::Done));
+}
+
+#[test]
+fn two_retirements_stand_still_together_and_are_done_one_by_one() {
+    let mut trial = with_stores(&["a", "b", "c", "d"]);
+    retire(&mut trial, "a", 1);
+    retire(&mut trial, "b", 1);
+    trial.changes(&gone("c", 10));
+    assert!(!entry(&trial, "a").retiring && !entry(&trial, "b").retiring);
+    trial.node(store("c", 10));
+    assert!(entry(&trial, "a").retiring && entry(&trial, "b").retiring);
+    let round_of_b = entry(&trial, "b").round;
+    assert_eq!(emptied(&mut trial, "a", 10).len(), 2, "a is empty, and b is told of another round");
+    assert_eq!(emptied_in(&mut trial, "b", 10, round_of_b), [], "it may rest on what a held");
+    assert_eq!(emptied(&mut trial, "b", 10).len(), 1);
+}
+
+#[test]
+fn a_declaration_of_an_earlier_round_means_nothing() {
+    let events: [fn(&mut Trial) -> Vec<Change>; 4] = [
+        |trial| trial.node(NodeReport { disk: 2, ..store("b", 11) }),
+        |trial| [trial.changes(&gone("b", 10)), trial.node(store("b", 10))].concat(),
+        |trial| trial.node(NodeReport { whole: false, ..store("b", 10) }),
+        |trial| trial.node(store("e", 10)),
+    ];
+    for (number, event) in events.into_iter().enumerate() {
+        let mut trial = with_stores(&["a", "b", "c", "d"]);
+        retire(&mut trial, "a", 1);
+        let round = entry(&trial, "a").round;
+        event(&mut trial);
+        assert!(entry(&trial, "a").round > round, "{number}: it is told of another round");
+        assert_eq!(emptied_in(&mut trial, "a", 10, round), [], "{number}");
+        assert_eq!(trial.state.retirement("a"), Some(RetireState::Running), "{number}");
+        assert_eq!(emptied(&mut trial, "a", 10).len(), 1, "{number}: said anew it counts");
+    }
+}
+
 #[test]
 fn a_retirement_runs_and_is_done() {
     let mut trial = with_stores(&["a", "b", "c"]);
     let before = trial.told.len();
     let standing = entry(&trial, "a");
     assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken);
-    let retiring = StoreEntry { retiring: true, ..standing.clone() };
+    let round = entry(&trial, "a").round;
+    let retiring = StoreEntry { retiring: true, round, ..standing.clone() };
     assert_eq!(trial.told[before..], [Change::Store(retiring)]);
     assert_eq!(trial.state.retirement("a"), Some(RetireState::Running));
     assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken, "said again");
 
     let retired = StoreEntry { retired: true, ..standing };
-    assert_eq!(trial.changes(&emptied("a", 10)), [Change::Store(retired)]);
-    assert_eq!(trial.changes(&emptied("a", 10)), []);
+    assert_eq!(emptied(&mut trial, "a", 10), [Change::Store(retired)]);
+    assert_eq!(emptied(&mut trial, "a", 10), []);
     assert_eq!(trial.state.retirement("a"), Some(RetireState::Done));
     assert_eq!(retire(&mut trial, "a", 1), RetireOutcome::Taken, "said again when it is done");
     assert_eq!(trial.told.len(), before + 2);
@@ -181,14 +274,14 @@
 #[test]
 fn a_retirement_is_not_done_by_an_earlier_life_or_unasked() {
     let mut trial = with_stores(&["a", "b", "c"]);
-    assert_eq!(trial.changes(&emptied("a", 10)), []);
-    assert_eq!(trial.changes(&emptied("nobody", 10)), []);
+    assert_eq!(emptied(&mut trial, "a", 10), []);
+    assert_eq!(emptied(&mut trial, "nobody", 10), []);
     retire(&mut trial, "a", 1);
     trial.node(store("a", 11));
-    assert_eq!(trial.changes(&emptied("a", 10)), []);
-    assert_eq!(trial.changes(&emptied("a", 12)), []);
+    assert_eq!(emptied(&mut trial, "a", 10), []);
+    assert_eq!(emptied(&mut trial, "a", 12), []);
     assert_eq!(trial.state.retirement("a"), Some(RetireState::Running));
-    assert_eq!(trial.changes(&emptied("a", 11)).len(), 1);
+    assert_eq!(emptied(&mut trial, "a", 11).len(), 1);
 }
 
 #[test]
@@ -205,7 +298,7 @@
 fn a_retired_store_that_was_taken_away_is_gone_and_its_retirement_stays_done() {
     let mut trial = with_stores(&["a", "b", "c"]);
     retire(&mut trial, "a", 1);
-    trial.changes(&emptied("a", 10));
+    emptied(&mut trial, "a", 10);
     trial.node(store("a", 10));
     assert!(entry(&trial, "a").retired, "what it says afterwards doesn't bring it back into use");
     assert_eq!(trial.changes(&gone("a", 10)), [Change::StoreGone { name: "a".to_owned() }]);
@@ -219,7 +312,7 @@
 fn another_machine_of_a_retired_stores_name_is_a_new_store() {
     let mut trial = with_stores(&["a", "b", "c"]);
     retire(&mut trial, "a", 1);
-    trial.changes(&emptied("a", 10));
+    emptied(&mut trial, "a", 10);
     trial.changes(&gone("a", 10));
     trial.node(NodeReport { disk: 2, ..store("a", 11) });
     let new = entry(&trial, "a");
@@ -255,7 +348,7 @@
         trial.node(store(&name, 11 + number));
         if number >= 8 {
             assert_eq!(retire(&mut trial, &name, 1), RetireOutcome::Taken);
-            trial.changes(&emptied(&name, 11 + number));
+            emptied(&mut trial, &name, 11 + number);
         }
         trial.changes(&gone(&name, 11 + number));
     }
--- a/crates/control/tests/replicas.rs
+++ b/crates/control/tests/replicas.rs
@@ -35,11 +35,20 @@
             11..=14 => Operation::Node(self.node()),
             15 => Operation::NodeGone { name: self.name("n", 6), incarnation: self.recent() },
             16 => Operation::RetireStart { node: self.name("n", 6), tolerated_losses: self.random.u32(0..3) },
-            17 => Operation::RetireDone { node: self.name("n", 6), incarnation: self.recent() },
+            17 => self.retire_done(),
             _ => Operation::Budget(self.budget()),
         }
     }
 
+    /// Mostly of the present life of a store and its present round.
+    fn retire_done(&mut self) -> Operation {
+        let node = self.name("n", 6);
+        let known = self.state.stores().find(|store| store.name == node && !self.sequence.is_multiple_of(4));
+        let incarnation = known.as_ref().map_or_else(|| self.recent(), |store| store.incarnation);
+        let round = known.map_or(0, |store| store.round);
+        Operation::RetireDone { node, incarnation, round }
+    }
+
     /// Mostly on the newest generation, else on one near it; some of them invalid.
     fn order(&mut self) -> Order {
         let newest = self.state.configuration().map_or(0, |document| document.generation());
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -434,10 +434,12 @@
         name: entry.name,
         zone: entry.zone,
         address: entry.address,
+        incarnation: entry.incarnation,
         disk: entry.disk,
         whole: entry.whole,
         present: entry.present,
         retiring: entry.retiring,
         retired: entry.retired,
+        round: entry.round,
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -62,8 +62,6 @@
     jobs: thread_queue::Sender<(JobId, DiskWork)>,
     /// What the core is to be told of this store.
     report: RefCell<NodeReport>,
-    /// Everything that it held is kept elsewhere.
-    emptied: Cell<bool>,
     settings: Settings,
     capacity_bytes: u64,
     disk: Cell<DiskStatus>,
@@ -123,6 +121,7 @@
         let capacity_turns = (index_bytes / TURN_MEMORY_BYTES) as usize;
         let node_settings = NodeSettings {
             name: settings.node.clone(),
+            incarnation: report.incarnation,
             copies: settings.copies(),
             capacity_bytes,
             capacity_turns,
@@ -139,7 +138,6 @@
             next_caller: Cell::new(1),
             jobs: start_disk(disk, completions),
             report: RefCell::new(report),
-            emptied: Cell::new(false),
             settings: settings.clone(),
             capacity_bytes,
             disk: Cell::default(),
@@ -198,10 +196,7 @@
                 self.report.borrow_mut().whole = true;
                 self.report_changed.notify_one();
             }
-            Effect::Declare(Declaration::Retired) => {
-                self.emptied.set(true);
-                self.report_changed.notify_one();
-            }
+            Effect::Declare(Declaration::Emptied { .. }) => self.report_changed.notify_one(),
         }
     }
 
@@ -252,17 +247,15 @@
         if held_incarnation > report.incarnation {
             // The clock went back between two lives of this process: the present life is the newer one.
             report.incarnation = held_incarnation + 1;
+            self.node.borrow_mut().set_incarnation(report.incarnation);
             self.directory.hold_lease(NodeLease::of(&report));
         }
         let told = held.disk == report.disk && held.whole == report.whole && held.address == report.address;
         if !told || !held.present || held_incarnation != report.incarnation {
             return Some(Operation::Node(report.clone()));
         }
-        if self.emptied.get() && held.retiring && !held.retired {
-            let (node, incarnation) = (report.name.clone(), report.incarnation);
-            return Some(Operation::RetireDone { node, incarnation });
-        }
-        None
+        let round = self.node.borrow().emptied_in().filter(|round| held.retiring && held.round == *round)?;
+        Some(Operation::RetireDone { node: report.name.clone(), incarnation: report.incarnation, round })
     }
 }
 
--- a/crates/turns/src/handoff.rs
+++ b/crates/turns/src/handoff.rs
@@ -107,17 +107,30 @@
 }
 
 impl Deliveries {
-    /// The store stands in for `home` with this turn.
-    pub fn hint(&mut self, home: &str, id: &str, now_ms: u64) {
+    /// The store stands in for `home` with this turn; says whether there was room to note it.
+    pub fn hint(&mut self, home: &str, id: &str, now_ms: u64) -> bool {
         let count: usize = self.hints.values().map(|hints| hints.ids.len()).sum();
         if count >= HINTS_BOUND {
-            return;
+            return false;
         }
         let hints = self.hints.entry(home.to_owned()).or_default();
         if hints.ids.is_empty() {
             hints.not_before_ms = now_ms.saturating_add(HINT_REST_MS);
         }
         hints.ids.insert(id.to_owned());
+        true
+    }
+
+    /// A turn came in while this store is being emptied: `home` has to have it, too, before it is empty.
+    pub fn owe(&mut self, home: &str, id: &str, now_ms: u64) {
+        if self.hint(home, id, now_ms) {
+            return;
+        }
+        // No room to note it: everything is offered again.
+        if let Some(state) = self.emptying.as_mut().and_then(|peers| peers.get_mut(home)) {
+            *state =
+                EmptyingState::Waiting { after: None, not_before_ms: now_ms.saturating_add(RETIRE_REST_MS) };
+        }
     }
 
     /// Drops the hints for turns that are not held any more.
@@ -143,12 +156,12 @@
         }
     }
 
-    /// Every new home has acknowledged all that it should hold.
+    /// Every new home has acknowledged all that it should hold, what came in meanwhile included.
     pub fn is_emptied(&self) -> bool {
-        let done = |peers: &BTreeMap<String, EmptyingState>| {
-            !peers.is_empty() && peers.values().all(|state| *state == EmptyingState::Done)
+        let has_all = |(peer, state): (&String, &EmptyingState)| {
+            *state == EmptyingState::Done && !self.hints.contains_key(peer)
         };
-        self.emptying.as_ref().is_some_and(done)
+        self.emptying.as_ref().is_some_and(|peers| !peers.is_empty() && peers.iter().all(has_all))
     }
 
     /// The number of the delivery under way, for its questions and reads.
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod commit;
 pub mod complete;
+pub mod guards;
 pub mod handoff;
 pub mod index;
 pub mod message;
--- a/crates/turns/src/message.rs
+++ b/crates/turns/src/message.rs
@@ -65,9 +65,9 @@
 /// Why a store does not keep a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
-    /// The store has just started and not all others know of it.
+    /// The store has just started, and the core or another store has not heard of it.
     Joining,
-    /// The store is being emptied.
+    /// The store has been emptied.
     Retiring,
     /// Its disk has no room.
     Full,
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -8,13 +8,14 @@
 
 use crate::commit::{CommitQueue, Committed, Waiter};
 use crate::complete::{Completions, ParkedPut};
+use crate::guards::Guards;
 use crate::handoff::{Deliveries, DeliveryStep, Placement};
 use crate::index::{Index, IndexEntry, READ_HOLD_MS};
 use crate::message::{Refusal, StoreReply, StoreRequest, CHAIN_PAGE_BYTES, PAGE_BYTES};
 use crate::placement;
 use crate::repair::{PullAsk, Repair};
 use crate::roster::{Candidate, Store};
-use crate::turn::{HeldTurn, Turn};
+use crate::turn::{HeldTurn, Turn, TurnHeader};
 use crate::write::WRITE_DEADLINE_MS;
 
 /// Names a caller that waits for a reply; chosen by the process around the node.
@@ -41,6 +42,8 @@
 pub struct Settings {
     /// Its name in the list of stores.
     pub name: String,
+    /// The life of its process, as it is reported to the core.
+    pub incarnation: u64,
     /// How many stores keep each turn: as many as may be lost at one time, and one more.
     pub copies: usize,
     /// The most that its turns may take. The file of the disk may need three times as much.
@@ -101,8 +104,9 @@
 pub enum Declaration {
     /// Everything that this store should hold is there.
     Whole,
-    /// Everything that this store held is kept by enough others: its machine may be taken away.
-    Retired,
+    /// Everything that this store held is kept by enough others, as they stand in this round: its machine may be
+    /// taken away.
+    Emptied { round: u64 },
 }
 
 /// How far the store is with its disk.
@@ -121,8 +125,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Service {
     InUse,
-    Emptying,
-    Emptied,
+    Emptying {
+        round: u64,
+    },
+    /// It has said that it is empty and takes nothing in, until that is agreed on or void.
+    Emptied {
+        round: u64,
+    },
+    /// The core has agreed that it is empty.
+    Retired,
+}
+
+impl Service {
+    /// What the core's entry asks of a store.
+    fn asked_by(entry: Option<&Store>) -> Service {
+        match entry {
+            Some(own) if own.retired => Service::Retired,
+            Some(own) if own.retiring => Service::Emptying { round: own.round },
+            _ => Service::InUse,
+        }
+    }
 }
 
 /// What the answer of another store is for.
@@ -155,6 +177,11 @@
 #[derive(Debug)]
 pub struct StoreNode {
     settings: Settings,
+    guards: Guards,
+    /// Names this life of the disk.
+    disk: u64,
+    /// The core has taken note of this life of the process and of its disk.
+    registered: bool,
     /// A pass begun after this makes a new disk whole.
     settled_at_ms: u64,
     wholeness: Wholeness,
@@ -186,9 +213,23 @@
 impl StoreNode {
     /// A store that has just started, `wall_ms` by the wall clock and `now_ms` by the steady one.
     pub fn new(settings: Settings, disk: DiskState, wall_ms: u64, now_ms: u64) -> Self {
+        Self::with_guards(settings, disk, wall_ms, now_ms, Guards::default())
+    }
+
+    /// As [`StoreNode::new`]; tests take single guards out.
+    pub fn with_guards(
+        settings: Settings,
+        disk: DiskState,
+        wall_ms: u64,
+        now_ms: u64,
+        guards: Guards,
+    ) -> Self {
         let wholeness = if disk.fresh { Wholeness::Joining } else { Wholeness::Whole };
         Self {
             settings,
+            guards,
+            disk: disk.disk,
+            registered: !guards.life_registered,
             settled_at_ms: now_ms.saturating_add(SETTLE_MS),
             wholeness,
             service: Service::InUse,
@@ -223,7 +264,20 @@
 
     /// Its machine may be taken away.
     pub fn is_emptied(&self) -> bool {
-        self.service == Service::Emptied
+        matches!(self.service, Service::Emptied { .. } | Service::Retired)
+    }
+
+    /// The round in which it found that it is empty, until the core has agreed or another round has begun.
+    pub fn emptied_in(&self) -> Option<u64> {
+        match self.service {
+            Service::Emptied { round } => Some(round),
+            Service::InUse | Service::Emptying { .. } | Service::Retired => None,
+        }
+    }
+
+    /// The life of the process is reported under another number from now on.
+    pub fn set_incarnation(&mut self, incarnation: u64) {
+        self.settings.incarnation = incarnation;
     }
 
     /// What it holds.
@@ -235,6 +289,7 @@
     pub fn list_changed(&mut self, stores: Vec<Store>, now_ms: u64) {
         let before = std::mem::replace(&mut self.stores, stores);
         self.note_absences(now_ms);
+        self.note_registration();
         let stores = &self.stores;
         self.guests.retain(|guest| !stores.iter().any(|store| store.name == *guest));
         let moved = self.place_anew(now_ms) || places_differ(&before, &self.stores);
@@ -364,28 +419,45 @@
         changed
     }
 
+    /// Once noted, a life stays so: the core's numbers of lives only rise.
+    fn note_registration(&mut self) {
+        let (incarnation, disk) = (self.settings.incarnation, self.disk);
+        self.registered |= self.entry().is_some_and(|own| own.incarnation == incarnation && own.disk == disk);
+    }
+
     fn note_service(&mut self, now_ms: u64) {
-        let own = self.stores.iter().find(|store| store.name == self.settings.name);
-        let leaving = own.is_some_and(|own| own.retiring || own.retired);
-        match (self.service, leaving) {
-            (Service::InUse, true) => self.enter_service(Service::Emptying, now_ms),
-            (Service::Emptying | Service::Emptied, false) => self.enter_service(Service::InUse, now_ms),
-            _ => {}
+        match (self.service, Service::asked_by(self.entry())) {
+            // What it has said still stands.
+            (Service::Emptied { round: said }, Service::Emptying { round }) if said == round => {}
+            (Service::Emptied { .. }, Service::Emptying { .. }) if !self.guards.rounds_checked => {}
+            (before, asked) if before == asked => {}
+            (_, asked) => self.enter_service(asked, now_ms),
         }
     }
 
+    /// This store in the list.
+    fn entry(&self) -> Option<&Store> {
+        self.stores.iter().find(|store| store.name == self.settings.name)
+    }
+
     fn enter_service(&mut self, service: Service, now_ms: u64) {
         self.service = service;
         match service {
-            Service::InUse => self.deliveries.stop_emptying(),
-            Service::Emptying => self.empty_anew(now_ms),
-            Service::Emptied => self.effects.push_back(Effect::Declare(Declaration::Retired)),
+            Service::InUse | Service::Retired => self.deliveries.stop_emptying(),
+            Service::Emptying { .. } => self.empty_anew(now_ms),
+            Service::Emptied { round } => {
+                self.effects.push_back(Effect::Declare(Declaration::Emptied { round }));
+            }
         }
     }
 
+    fn is_emptying(&self) -> bool {
+        matches!(self.service, Service::Emptying { .. })
+    }
+
     /// Offers everything to the new homes from the start, if this store is being emptied.
     fn empty_anew(&mut self, now_ms: u64) {
-        if self.service != Service::Emptying {
+        if !self.is_emptying() {
             return;
         }
         // Fewer homes than copies: nothing can be declared until another store has come.
@@ -461,9 +533,9 @@
     /// Why a turn is not taken, if so.
     fn refusal(&self, turn: &Turn) -> Option<Refusal> {
         let used = self.index.bytes() + self.commits.bytes() + self.completions.bytes();
-        if self.service != Service::InUse {
+        if !self.takes_turns() {
             Some(Refusal::Retiring)
-        } else if self.wholeness == Wholeness::Joining {
+        } else if self.wholeness == Wholeness::Joining || !self.registered {
             Some(Refusal::Joining)
         } else if self.index.contains(&turn.id) {
             Some(Refusal::Conflict)
@@ -476,6 +548,15 @@
         }
     }
 
+    /// A store that is being emptied goes on as a fallback until it has said that it is empty.
+    fn takes_turns(&self) -> bool {
+        match self.service {
+            Service::InUse => true,
+            Service::Emptying { .. } => self.guards.emptying_takes_turns,
+            Service::Emptied { .. } | Service::Retired => false,
+        }
+    }
+
     /// Commits a put, or lets it wait for the part of its chain that is not here.
     fn go_on_with(&mut self, put: ParkedPut, now_ms: u64) {
         let Some(missing) = self.first_missing(put.turn.turn.previous.as_deref()) else {
@@ -628,6 +709,7 @@
     fn committed(&mut self, entry: Committed, now_ms: u64) {
         for turn in &entry.turns {
             self.index.insert(&turn.header, now_ms.saturating_add(turn.remaining_ms));
+            self.owe(&turn.header, now_ms);
             for put in self.completions.is_here(&turn.header.id) {
                 self.go_on_with(put, now_ms);
             }
@@ -635,7 +717,7 @@
         match entry.waiter {
             Waiter::Caller { caller, hint } => {
                 let id = entry.turns.first().map(|turn| turn.header.id.as_str());
-                if let (Some(home), Some(id)) = (hint, id) {
+                if let (Some(home), Some(id), true) = (hint, id, self.guards.hints) {
                     self.deliveries.hint(&home, id, now_ms);
                 }
                 self.reply(caller, StoreReply::Kept);
@@ -645,6 +727,18 @@
         }
     }
 
+    /// What comes in while this store is being emptied has to be at its homes, too, before it is empty.
+    fn owe(&mut self, turn: &TurnHeader, now_ms: u64) {
+        if !self.is_emptying() || !self.guards.late_turns_owed {
+            return;
+        }
+        let candidates: Vec<&Candidate> = self.candidates.iter().collect();
+        let homes = placement::order_of(&turn.program, &candidates).into_iter().take(self.settings.copies);
+        for home in homes {
+            self.deliveries.owe(&home.name, &turn.id, now_ms);
+        }
+    }
+
     fn commit_failed(&mut self, waiter: Waiter, refusal: Refusal, now_ms: u64) {
         match waiter {
             Waiter::Caller { caller, .. } => self.reply(caller, StoreReply::Refused(refusal)),
@@ -849,16 +943,28 @@
     /// Every present store has heard of this one. Against readers with an old list: without it they could call
     /// a turn unknown that only stores lie on that they have never heard of.
     fn is_introduced(&self) -> bool {
-        let listed = self.stores.iter().any(|store| store.name == self.settings.name);
-        listed && peers(&self.stores, &self.settings.name).all(|peer| self.introduced_to.contains(&peer.name))
+        let listed = self.entry().is_some();
+        listed
+            && self.registered
+            && peers(&self.stores, &self.settings.name).all(|peer| self.introduced_to.contains(&peer.name))
     }
 
     fn judge_emptiness(&mut self, now_ms: u64) {
+        let Service::Emptying { round } = self.service else {
+            return;
+        };
         let settled = self.commits.is_idle() && self.completions.is_idle();
-        if self.service == Service::Emptying && settled && self.deliveries.is_emptied() {
-            self.enter_service(Service::Emptied, now_ms);
+        if settled && self.deliveries.is_emptied() && self.homes_are_sound() {
+            self.enter_service(Service::Emptied { round }, now_ms);
         }
     }
+
+    /// All stores that turns are placed on are present and whole.
+    fn homes_are_sound(&self) -> bool {
+        let sound =
+            |home: &Candidate| self.stores.iter().any(|store| store.name == home.name && store.is_sound());
+        self.candidates.iter().all(sound) || !self.guards.homes_present_and_whole
+    }
 }
 
 /// The other stores that are present.
--- a/crates/turns/src/placement.rs
+++ b/crates/turns/src/placement.rs
@@ -27,6 +27,12 @@
     order_of(program, &candidates)
 }
 
+/// The stores that take turns of the program only while others fail, the best first.
+pub fn fallbacks<'a>(program: &str, stores: &'a [Store]) -> Vec<&'a Store> {
+    let fallbacks: Vec<&Store> = stores.iter().filter(|store| store.is_fallback()).collect();
+    order_of(program, &fallbacks)
+}
+
 /// Orders the given candidates for a program.
 pub fn order_of<'a, P: Placed>(program: &str, candidates: &[&'a P]) -> Vec<&'a P> {
     let seed = xxh3_64(program.as_bytes());
--- a/crates/turns/src/write.rs
+++ b/crates/turns/src/write.rs
@@ -1,5 +1,5 @@
-//! Keeps one turn, at a gateway: puts it to its homes, to stand-ins for those that fail or are slow, until
-//! enough stores have acknowledged it.
+//! Keeps one turn, at a gateway: puts it to its homes, to stand-ins for those that fail or are slow, at last to
+//! stores that are being emptied, until enough stores have acknowledged it.
 
 use crate::placement;
 use crate::roster::Store;
@@ -51,6 +51,8 @@
     zone: String,
     present: bool,
     home: bool,
+    /// It is being emptied: asked only when no other present store is left.
+    fallback: bool,
     /// For a home: a stand-in carries a hint for it.
     covered: bool,
     state: CopyState,
@@ -71,10 +73,12 @@
     /// Begins to keep a turn on `copies` of the stores.
     pub fn new(turn: &TurnHeader, stores: &[Store], copies: usize, now_ms: u64) -> Self {
         let wanted = copies.max(1);
-        let list = placement::order(&turn.program, stores)
-            .into_iter()
-            .enumerate()
+        let homes_and_stand_ins = placement::order(&turn.program, stores).into_iter().enumerate();
+        let list = homes_and_stand_ins
             .map(|(position, store)| Copy::new(store, position < wanted))
+            .chain(
+                placement::fallbacks(&turn.program, stores).into_iter().map(|store| Copy::new(store, false)),
+            )
             .collect();
         let mut writing = Self {
             copies: list,
@@ -183,19 +187,22 @@
             self.start(next, now_ms);
         }
         while self.hopeful_zones() < self.wanted_zones {
-            let Some(next) = self.copy_in_fresh_zone() else {
+            let Some(next) = self.copy_in_fresh_zone(false).or_else(|| self.copy_in_fresh_zone(true)) else {
                 return;
             };
             self.start(next, now_ms);
         }
     }
 
-    /// The first untried present store of a zone that no hopeful copy is in.
-    fn copy_in_fresh_zone(&self) -> Option<usize> {
+    /// The first untried present store of a zone that no hopeful copy is in; among fallbacks or the others.
+    fn copy_in_fresh_zone(&self, fallback: bool) -> Option<usize> {
         let used = |zone: &str| self.copies.iter().any(|other| other.is_hopeful() && other.zone == zone);
-        self.copies
-            .iter()
-            .position(|copy| copy.state == CopyState::Untried && copy.present && !used(&copy.zone))
+        self.copies.iter().position(|copy| copy.is_untried(fallback) && !used(&copy.zone))
+    }
+
+    /// The first untried present store; among fallbacks or the others.
+    fn untried_copy(&self, fallback: bool) -> Option<usize> {
+        self.copies.iter().position(|copy| copy.is_untried(fallback))
     }
 
     /// Fewer stores than wanted promise an answer.
@@ -207,14 +214,16 @@
         count_zones(self.copies.iter().filter(|copy| copy.is_hopeful()))
     }
 
-    /// The best store to ask next: untried and present, of a zone that has no copy yet if there is one; then
-    /// those said to be absent; then those whose failure lies back long enough.
+    /// The best store to ask next: untried and present, of a zone that has no copy yet if there is one; then the
+    /// same of those that are being emptied; then those said to be absent; then those whose failure lies back
+    /// long enough.
     fn next_copy(&self, now_ms: u64) -> Option<usize> {
-        let untried = |copy: &Copy| copy.state == CopyState::Untried;
         let find = |wanted: &dyn Fn(&Copy) -> bool| self.copies.iter().position(wanted);
-        self.copy_in_fresh_zone()
-            .or_else(|| find(&|copy| untried(copy) && copy.present))
-            .or_else(|| find(&|copy| untried(copy)))
+        self.copy_in_fresh_zone(false)
+            .or_else(|| self.untried_copy(false))
+            .or_else(|| self.copy_in_fresh_zone(true))
+            .or_else(|| self.untried_copy(true))
+            .or_else(|| find(&|copy| copy.state == CopyState::Untried))
             .or_else(|| find(&|copy| copy.may_retry(now_ms)))
     }
 
@@ -240,11 +249,17 @@
             zone: store.zone.clone(),
             present: store.present,
             home,
+            fallback: store.is_fallback(),
             covered: false,
             state: CopyState::Untried,
         }
     }
 
+    /// Present and not asked yet; a fallback or not.
+    fn is_untried(&self, fallback: bool) -> bool {
+        self.state == CopyState::Untried && self.present && self.fallback == fallback
+    }
+
     fn is_hopeful(&self) -> bool {
         matches!(self.state, CopyState::Asked { .. } | CopyState::Acknowledged)
     }
--- a/crates/turns/tests/common/mod.rs
+++ b/crates/turns/tests/common/mod.rs
@@ -15,11 +15,13 @@
         name: name.to_owned(),
         zone: zone.to_owned(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_380)),
+        incarnation: 1,
         disk: 1,
         whole: true,
         present: true,
         retiring: false,
         retired: false,
+        round: 0,
     }
 }
 
--- a/crates/turns/tests/node.rs
+++ b/crates/turns/tests/node.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use common::{order, store, stores, turn, PROGRAM};
@@ -42,6 +42,7 @@
     fn new(name: &str, fresh: bool, held: &[Turn]) -> Self {
         let settings = Settings {
             name: name.to_owned(),
+            incarnation: 1,
             copies: 2,
             capacity_bytes: 1_000_000,
             capacity_turns: 1_000,
@@ -491,8 +492,6 @@
     let (list, homes) = leaving();
     bench.list(&list);
     bench.answer_listings();
-    let refused = bench.call(StoreRequest::Put { turn: turn("d", None), hint: None });
-    assert_eq!(refused, StoreReply::Refused(Refusal::Retiring));
     let mut handed_over: BTreeMap<String, usize> = BTreeMap::new();
     bench.at(bench.now_ms + 1_000);
     while !bench.asked.is_empty() {
@@ -509,13 +508,118 @@
         bench.answer(&asked, reply);
         bench.work();
     }
-    assert_eq!(bench.declared, [Declaration::Retired]);
+    assert_eq!(bench.declared, [Declaration::Emptied { round: 0 }]);
     assert_eq!(handed_over.keys().collect::<Vec<_>>(), {
         let mut sorted: Vec<&String> = homes.iter().collect();
         sorted.sort();
         sorted
     });
     assert!(handed_over.values().all(|count| *count == turns.len()));
+    let refused = bench.call(StoreRequest::Put { turn: turn("d", None), hint: None });
+    assert_eq!(refused, StoreReply::Refused(Refusal::Retiring));
+}
+
+/// Answers everything that is asked as homes do that lack whatever is offered; gives the ids that each was handed.
+fn empty_into_homes(bench: &mut Bench) -> BTreeMap<String, BTreeSet<String>> {
+    let mut handed_over: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    while !bench.asked.is_empty() {
+        let asked = bench.next_asked();
+        let reply = match &asked.request {
+            StoreRequest::Offer { ids } => StoreReply::Lacks { ids: ids.clone() },
+            StoreRequest::Handoff { turns } => {
+                let ids = turns.iter().map(|held| held.turn.id.clone());
+                handed_over.entry(asked.store.clone()).or_default().extend(ids);
+                StoreReply::Kept
+            }
+            StoreRequest::List { .. } => StoreReply::Listed { turns: Vec::new(), next: None },
+            other => panic!("{other:?}"),
+        };
+        bench.answer(&asked, reply);
+        bench.work();
+    }
+    handed_over
+}
+
+#[test]
+fn a_store_that_is_being_emptied_takes_turns_and_is_not_empty_before_they_are_elsewhere() {
+    let mut bench = calm(&chain());
+    let (list, homes) = leaving();
+    bench.list(&list);
+    bench.answer_listings();
+    assert_eq!(bench.call(StoreRequest::Put { turn: turn("d", None), hint: None }), StoreReply::Kept);
+    bench.at(400);
+    empty_into_homes(&mut bench);
+    assert_eq!(bench.call(StoreRequest::Put { turn: turn("e", None), hint: None }), StoreReply::Kept);
+    assert!(bench.declared.is_empty(), "the last turn came after the homes had all that was there before");
+    bench.at(3_000);
+    let handed_over = empty_into_homes(&mut bench);
+    assert_eq!(bench.declared, [Declaration::Emptied { round: 0 }]);
+    for home in homes {
+        assert!(handed_over[&home].contains("e"), "{home}: {handed_over:?}");
+    }
+}
+
+#[test]
+fn a_store_that_has_said_it_is_empty_takes_turns_again_only_in_another_round() {
+    let mut bench = calm(&chain());
+    let (mut list, _) = leaving();
+    list[0].round = 7;
+    bench.list(&list);
+    bench.at(1_000);
+    empty_into_homes(&mut bench);
+    assert_eq!(bench.declared, [Declaration::Emptied { round: 7 }]);
+    assert_eq!(bench.node.emptied_in(), Some(7));
+    bench.list(&list);
+    assert_eq!(bench.node.emptied_in(), Some(7), "nothing has changed");
+    let put = StoreRequest::Put { turn: turn("d", None), hint: None };
+    assert_eq!(bench.call(put.clone()), StoreReply::Refused(Refusal::Retiring));
+    list[0].round = 8;
+    list[1].disk = 9;
+    bench.list(&list);
+    assert_eq!(bench.node.emptied_in(), None, "what it has said is void");
+    assert_eq!(bench.call(put), StoreReply::Kept);
+    bench.at(3_000);
+    let handed_over = empty_into_homes(&mut bench);
+    assert_eq!(bench.declared.last(), Some(&Declaration::Emptied { round: 8 }));
+    assert!(handed_over.values().all(|ids| ids.len() == 4), "all is offered anew: {handed_over:?}");
+}
+
+#[test]
+fn a_store_is_not_empty_while_a_home_is_away_or_not_whole() {
+    let changes: [fn(&mut Store); 2] = [|home| home.present = false, |home| home.whole = false];
+    for change in changes {
+        let mut bench = calm(&chain());
+        let (mut list, homes) = leaving();
+        let home = list.iter().position(|store| store.name == homes[1]).unwrap();
+        change(&mut list[home]);
+        bench.list(&list);
+        bench.at(400);
+        empty_into_homes(&mut bench);
+        assert!(bench.declared.is_empty(), "{:?}", list[home]);
+        list[home] = Store { present: true, whole: true, ..list[home].clone() };
+        bench.list(&list);
+        bench.at(2_000);
+        empty_into_homes(&mut bench);
+        assert_eq!(bench.declared.len(), 1);
+    }
+}
+
+#[test]
+fn turns_are_taken_only_in_a_life_that_the_core_knows() {
+    let mut bench = Bench::new("storage-0", false, &[]);
+    let put = StoreRequest::Put { turn: turn("d", None), hint: None };
+    assert_eq!(bench.call(put.clone()), StoreReply::Refused(Refusal::Joining), "before the first list");
+    let mut list = stores(3);
+    list[0].incarnation = 0;
+    bench.list(&list);
+    assert_eq!(bench.call(put.clone()), StoreReply::Refused(Refusal::Joining), "an earlier life");
+    list[0].incarnation = 1;
+    list[0].disk = 9;
+    bench.list(&list);
+    assert_eq!(bench.call(put.clone()), StoreReply::Refused(Refusal::Joining), "another disk");
+    list[0].disk = 1;
+    bench.list(&list);
+    assert_eq!(bench.call(put), StoreReply::Kept);
 }
 
 #[test]
--- a/crates/turns/tests/world/core.rs
+++ b/crates/turns/tests/world/core.rs
@@ -1,7 +1,12 @@
-//! The core: notices stores by their heartbeats and brings the list to everybody, sooner or later.
+//! The core: the agreed control state, which notices stores by their heartbeats; the list that follows from it
+//! comes to everybody, sooner or later.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
+use dunespur_control::{
+    ControlState, NodeKind, NodeReport, Operation, Outcome, RetireOutcome, RetireState, StoreEntry,
+};
 use dunespur_turns::roster::Store;
 
 use super::{Event, World};
@@ -9,82 +14,110 @@
 const HEARTBEAT_MS: u64 = 200;
 /// A store that is not heard of for this long is absent.
 const LEASE_MS: u64 = 1_500;
+/// What a store says to the core mostly takes up to this long.
+const USUAL_DELAY_MS: u64 = 50;
+/// Now and then it takes up to this long: its sender may have ended meanwhile, or started again.
+const LONGEST_DELAY_MS: u64 = 3_000;
 
 #[derive(Debug, Default)]
 pub struct Core {
-    pub list: Vec<Store>,
+    state: ControlState,
     pub version: u64,
-    heard_at_ms: Vec<(String, u64)>,
+    heard_at_ms: BTreeMap<String, u64>,
     /// The start of each store's process that last got the list.
-    told: Vec<(String, u64)>,
+    told: BTreeMap<String, u64>,
+}
+
+impl Core {
+    pub fn new(state: ControlState) -> Self {
+        Core { state, ..Core::default() }
+    }
+
+    /// The list of stores as it stands.
+    pub fn list(&self) -> Vec<Store> {
+        self.state.stores().map(store).collect()
+    }
+
+    fn entry(&self, name: &str) -> Option<StoreEntry> {
+        self.state.stores().find(|entry| entry.name == name)
+    }
 }
 
 impl World {
     pub(super) fn heartbeats(&mut self) {
         self.after(HEARTBEAT_MS, Event::Heartbeats);
-        let before = self.core.list.clone();
         for number in 0..self.machines.len() {
             if self.machines[number].is_reachable() {
                 self.hear(number);
+                self.say_emptied(number);
             }
         }
         self.miss_the_silent();
-        if before != self.core.list {
+        self.tell_the_new();
+    }
+
+    /// Agrees on an operation; everybody is told what it changes.
+    pub(super) fn agree(&mut self, operation: &Operation) -> Outcome {
+        let mut changes = Vec::new();
+        let outcome = self.core.state.apply(operation, &mut changes);
+        if !changes.is_empty() {
             self.publish();
         }
-        self.tell_the_new();
+        outcome
     }
 
-    /// Changes one entry of the list and tells everybody.
-    pub(super) fn change_entry(&mut self, name: &str, change: impl Fn(&mut Store)) {
-        if let Some(entry) = self.core.list.iter_mut().find(|entry| entry.name == name) {
-            change(entry);
+    /// The operator's order to empty a store: what it came to.
+    pub(super) fn order_to_retire(&mut self, name: &str) -> RetireOutcome {
+        let tolerated_losses = self.plan.tolerated as u32;
+        match self.agree(&Operation::RetireStart { node: name.to_owned(), tolerated_losses }) {
+            Outcome::Retire(outcome) => outcome,
+            other => panic!("{other:?} is no answer to an order to retire"),
         }
-        self.publish();
     }
 
-    /// Forgets a store that was replaced for good.
-    pub(super) fn forget_entry(&mut self, name: &str) {
-        self.core.list.retain(|entry| entry.name != name);
-        self.publish();
+    /// A store's statement that it is empty has come to the core.
+    pub(super) fn emptied_heard(&mut self, machine: usize, operation: &Operation) {
+        self.agree(operation);
+        if self.core.state.retirement(&self.machines[machine].name) == Some(RetireState::Done) {
+            self.emptied(machine);
+        }
     }
 
     fn hear(&mut self, number: usize) {
         let machine = &self.machines[number];
-        let whole = machine.node.as_ref().is_some_and(|node| node.is_whole());
-        let (name, now_ms) = (machine.name.clone(), self.now_ms);
-        match self.core.heard_at_ms.iter_mut().find(|(known, _)| *known == name) {
-            Some((_, at_ms)) => *at_ms = now_ms,
-            None => self.core.heard_at_ms.push((name.clone(), now_ms)),
-        }
-        match self.core.list.iter_mut().find(|entry| entry.name == name) {
-            Some(entry) => {
-                entry.present = true;
-                entry.whole = whole;
-                entry.disk = machine.disk.number;
-            }
-            None => self.core.list.push(Store {
-                name,
-                zone: machine.zone.clone(),
-                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_380 + number as u16)),
-                disk: machine.disk.number,
-                whole,
-                present: true,
-                retiring: false,
-                retired: false,
-            }),
-        }
+        let report = NodeReport {
+            name: machine.name.clone(),
+            kind: NodeKind::Store,
+            zone: machine.zone.clone(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_380 + number as u16)),
+            incarnation: machine.life,
+            disk: machine.disk.number,
+            whole: machine.node.as_ref().is_some_and(|node| node.is_whole()),
+        };
+        self.core.heard_at_ms.insert(report.name.clone(), self.now_ms);
+        self.agree(&Operation::Node(report));
+    }
+
+    /// A store that has found that it is empty says so, again and again.
+    fn say_emptied(&mut self, number: usize) {
+        let machine = &self.machines[number];
+        let Some(round) = machine.node.as_ref().and_then(|node| node.emptied_in()) else {
+            return;
+        };
+        let said = Operation::RetireDone { node: machine.name.clone(), incarnation: machine.life, round };
+        let most_ms = if self.rng.u8(0..4) == 0 { LONGEST_DELAY_MS } else { USUAL_DELAY_MS };
+        let delay_ms = self.rng.u64(1..most_ms);
+        self.after(delay_ms, Event::EmptiedHeard { machine: number, operation: said });
     }
 
     fn miss_the_silent(&mut self) {
-        let now_ms = self.now_ms;
-        for entry in &mut self.core.list {
-            let heard = self.core.heard_at_ms.iter().find(|(name, _)| *name == entry.name);
-            let heard_at_ms = heard.map_or(0, |(_, at_ms)| *at_ms);
-            if now_ms.saturating_sub(heard_at_ms) > LEASE_MS {
-                entry.present = false;
-                entry.whole = false;
-            }
+        let silent = |entry: &StoreEntry| {
+            let heard_at_ms = self.core.heard_at_ms.get(&entry.name).copied().unwrap_or(0);
+            entry.present && self.now_ms.saturating_sub(heard_at_ms) > LEASE_MS
+        };
+        let lapsed: Vec<StoreEntry> = self.core.state.stores().filter(silent).collect();
+        for entry in lapsed {
+            self.agree(&Operation::NodeGone { name: entry.name, incarnation: entry.incarnation });
         }
     }
 
@@ -97,7 +130,7 @@
         }
         for gateway in 0..self.gateways.len() {
             let lag_ms = self.rng.u64(0..self.gateways[gateway].most_lag_ms);
-            let (version, list) = (self.core.version, self.core.list.clone());
+            let (version, list) = (self.core.version, self.core.list());
             self.after(lag_ms, Event::ListToGateway { gateway, version, list });
         }
     }
@@ -107,13 +140,11 @@
         for number in 0..self.machines.len() {
             let machine = &self.machines[number];
             if !machine.is_reachable() {
-                self.core.told.retain(|(name, _)| *name != self.machines[number].name);
+                self.core.told.remove(&machine.name);
                 continue;
             }
-            let told = (machine.name.clone(), machine.life);
-            if !self.core.told.contains(&told) {
-                self.core.told.retain(|(name, _)| *name != told.0);
-                self.core.told.push(told);
+            let (name, life) = (machine.name.clone(), machine.life);
+            if self.core.told.insert(name, life) != Some(life) {
                 self.tell(number, 50);
             }
         }
@@ -124,7 +155,8 @@
         let event = Event::ListToMachine {
             machine: number,
             life: self.machines[number].life,
-            list: self.core.list.clone(),
+            version: self.core.version,
+            list: self.core.list(),
         };
         self.after(lag_ms, event);
     }
@@ -136,4 +168,24 @@
             gateway.list = list;
         }
     }
+
+    /// Whether the core lists the store as one that may be used or emptied.
+    pub(super) fn lists(&self, name: &str) -> bool {
+        self.core.entry(name).is_some()
+    }
+}
+
+fn store(entry: StoreEntry) -> Store {
+    Store {
+        name: entry.name,
+        zone: entry.zone,
+        address: entry.address,
+        incarnation: entry.incarnation,
+        disk: entry.disk,
+        whole: entry.whole,
+        present: entry.present,
+        retiring: entry.retiring,
+        retired: entry.retired,
+        round: entry.round,
+    }
 }
--- a/crates/turns/tests/world/faults.rs
+++ b/crates/turns/tests/world/faults.rs
@@ -1,5 +1,7 @@
 //! Trouble, never more at one time than is tolerated, each followed by the time to catch up.
 
+use dunespur_control::RetireOutcome;
+
 use super::machine::Trouble;
 use super::{Event, World, CATCH_UP_MS};
 
@@ -28,8 +30,8 @@
 #[derive(Debug, Default)]
 pub struct Slot {
     machine: Option<usize>,
-    /// The name that the core forgets once the successor has caught up.
-    replaced: Option<String>,
+    /// What the machine's disk held is lost.
+    disk_lost: bool,
 }
 
 impl World {
@@ -42,7 +44,14 @@
             return self.after(500, Event::NextFault { slot });
         };
         self.seen.faults += 1;
+        if kind == FaultKind::Retire {
+            // No loss: the next trouble may come while the store is being emptied.
+            self.retire(machine);
+            let delay_ms = self.rng.u64(0..1_500);
+            return self.after(delay_ms, Event::NextFault { slot });
+        }
         self.slots[slot].machine = Some(machine);
+        self.slots[slot].disk_lost = matches!(kind, FaultKind::Wipe | FaultKind::Replace);
         let back_after_ms = match kind {
             FaultKind::Kill => self.kill(machine),
             FaultKind::Wipe => self.wipe(machine),
@@ -50,19 +59,18 @@
             FaultKind::CutOff => self.hold_up(machine, Trouble::CutOff),
             FaultKind::CutFromStores => self.hold_up(machine, Trouble::CutFromStores),
             FaultKind::KillAll => self.kill_all(),
-            FaultKind::Replace => self.replace(slot, machine),
+            FaultKind::Replace => self.replace(machine),
             FaultKind::Add => self.add(),
-            FaultKind::Retire => self.retire(machine),
+            FaultKind::Retire => 0,
         };
         self.after(back_after_ms + CATCH_UP_MS, Event::CaughtUp { slot });
     }
 
-    /// A machine that is in no trouble, nor emptied.
+    /// A machine that is in no trouble.
     fn pick_machine(&mut self) -> Option<usize> {
         let in_trouble = |number: &usize| self.slots.iter().any(|slot| slot.machine == Some(*number));
         let fit: Vec<usize> = (0..self.machines.len())
             .filter(|number| self.machines[*number].is_reachable())
-            .filter(|number| self.machines[*number].retire_told_at_ms.is_none())
             .filter(|number| !in_trouble(number))
             .collect();
         self.rng.choice(fit)
@@ -78,6 +86,7 @@
     fn wipe(&mut self, machine: usize) -> u64 {
         self.end_process(machine);
         self.lose_disk(machine);
+        self.open_window(FaultKind::Wipe);
         let back_after_ms = self.rng.u64(100..2_500);
         self.after(back_after_ms, Event::Start { machine });
         back_after_ms
@@ -101,11 +110,11 @@
         1_500
     }
 
-    fn replace(&mut self, slot: usize, machine: usize) -> u64 {
+    fn replace(&mut self, machine: usize) -> u64 {
         self.end_process(machine);
         self.lose_disk(machine);
         self.machines[machine].trouble = Trouble::Gone;
-        self.slots[slot].replaced = Some(self.machines[machine].name.clone());
+        self.open_window(FaultKind::Replace);
         self.add()
     }
 
@@ -120,24 +129,24 @@
         self.start(machine);
     }
 
-    /// The operator has a store emptied, if enough others remain.
-    fn retire(&mut self, machine: usize) -> u64 {
-        let staying = self.core.list.iter().filter(|entry| entry.takes_turns() && entry.present).count();
-        // One more than needed, as the tolerated loss may come meanwhile.
-        if staying <= self.plan.tolerated * 2 + 1 {
-            return 0;
-        }
+    /// The operator orders a store to be emptied; the order may come again while it is.
+    fn retire(&mut self, machine: usize) {
         let name = self.machines[machine].name.clone();
-        // One that the core has not heard of yet can't be named to it.
-        if !self.core.list.iter().any(|entry| entry.name == name) {
-            return 0;
+        let known = self.lists(&name);
+        let now_ms = self.now_ms;
+        let taken_before = self.machines[machine].retire_told_at_ms.is_some();
+        match self.order_to_retire(&name) {
+            RetireOutcome::Taken => {
+                self.machines[machine].retire_told_at_ms.get_or_insert(now_ms);
+            }
+            _ if taken_before => self.fail("an order that was taken is refused when it comes again"),
+            RetireOutcome::TooFew => self.seen.too_few += 1,
+            RetireOutcome::UnknownNode if known => self.fail("a known store is said to be unknown"),
+            RetireOutcome::UnknownNode => {}
         }
-        self.machines[machine].retire_told_at_ms = Some(self.now_ms);
-        self.change_entry(&name, |entry| entry.retiring = true);
-        0
     }
 
-    /// A store says that it is emptied: its machine is taken away at once, with its disk.
+    /// The core has agreed that a store is empty: its machine is taken away at once, with its disk.
     pub(super) fn emptied(&mut self, machine: usize) {
         let Some(told_at_ms) = self.machines[machine].retire_told_at_ms else {
             self.fail("a store is emptied that nobody asked to be");
@@ -148,19 +157,18 @@
         self.seen.retired += 1;
         self.seen.slowest_retire_ms = self.seen.slowest_retire_ms.max(self.now_ms - told_at_ms);
         self.machines[machine].retired = true;
-        let name = self.machines[machine].name.clone();
-        self.change_entry(&name, |entry| entry.retired = true);
-        self.after(0, Event::CheckCopies);
+        if self.machines[machine].node.is_some() {
+            self.end_process(machine);
+        }
         self.machines[machine].trouble = Trouble::Gone;
         self.lose_disk(machine);
+        self.open_window(FaultKind::Retire);
+        self.check_copies_but(self.slots.iter().filter(|slot| slot.disk_lost).count());
     }
 
     pub(super) fn caught_up(&mut self, slot: usize) {
         self.check_copies();
-        self.slots[slot].machine = None;
-        if let Some(name) = self.slots[slot].replaced.take() {
-            self.forget_entry(&name);
-        }
+        self.slots[slot] = Slot::default();
         let delay_ms = self.rng.u64(0..1_500);
         self.after(delay_ms, Event::NextFault { slot });
     }
@@ -192,8 +200,13 @@
     /// Every owed turn lies with its chain on as many disks as it must, those in trouble of another slot and
     /// those that are being emptied counted as lost or kept as they are.
     pub(super) fn check_copies(&mut self) {
-        let others = self.slots.iter().filter(|slot| slot.machine.is_some()).count().saturating_sub(1);
-        let wanted = (self.plan.tolerated + 1).saturating_sub(others);
+        self.check_copies_but(
+            self.slots.iter().filter(|slot| slot.machine.is_some()).count().saturating_sub(1),
+        );
+    }
+
+    fn check_copies_but(&mut self, lost: usize) {
+        let wanted = (self.plan.tolerated + 1).saturating_sub(lost);
         for id in self.truth.owed(self.now_ms).clone() {
             for turn in self.truth.chain(&id) {
                 let holders =
@@ -214,7 +227,8 @@
             if running && !machine.node.as_ref().is_some_and(|node| node.is_whole()) {
                 self.fail(&format!("{} is not whole at the end", machine.name));
             }
-            if machine.retire_told_at_ms.is_some() && !machine.retired {
+            let gone = machine.trouble == Trouble::Gone;
+            if machine.retire_told_at_ms.is_some() && !machine.retired && !gone {
                 self.fail(&format!("{} is not emptied at the end", machine.name));
             }
         }
--- a/crates/turns/tests/world/machine.rs
+++ b/crates/turns/tests/world/machine.rs
@@ -53,6 +53,8 @@
     /// What came while the machine was frozen or cut off.
     held_up: Vec<Event>,
     tick_at_ms: u64,
+    /// The newest list that the process got.
+    list_version: u64,
     pub listed_at_ms: Option<u64>,
     pub whole_told: bool,
     pub retire_told_at_ms: Option<u64>,
@@ -82,6 +84,7 @@
             callers: BTreeMap::new(),
             held_up: Vec::new(),
             tick_at_ms: u64::MAX,
+            list_version: 0,
             listed_at_ms: None,
             whole_told: false,
             retire_told_at_ms: None,
@@ -98,7 +101,9 @@
         let drawn = self.rng.u64(1..);
         let wall_offset_ms = self.rng.i64(-CLOCK_STEP_MS..CLOCK_STEP_MS);
         let copies = self.plan.tolerated + 1;
+        let guards = self.plan.guards;
         let machine = &mut self.machines[number];
+        machine.life += 1;
         if machine.disk.number == 0 {
             machine.disk.number = drawn;
         }
@@ -106,15 +111,16 @@
         let disk = DiskState { disk: machine.disk.number, fresh: !machine.disk.whole, entries };
         let settings = Settings {
             name: machine.name.clone(),
+            incarnation: machine.life,
             copies,
             capacity_bytes: 64 << 20,
             capacity_turns: 100_000,
             absent_repair_ms: 1_000,
         };
         let wall_ms = wall(self.now_ms, wall_offset_ms);
-        machine.node = Some(StoreNode::new(settings, disk, wall_ms, self.now_ms));
-        machine.life += 1;
+        machine.node = Some(StoreNode::with_guards(settings, disk, wall_ms, self.now_ms, guards));
         machine.trouble = Trouble::None;
+        machine.list_version = 0;
         machine.listed_at_ms = None;
         machine.whole_told = false;
         machine.tick_at_ms = u64::MAX;
@@ -256,11 +262,16 @@
         self.drain(number);
     }
 
-    pub(super) fn list_to_machine(&mut self, number: usize, life: u64, list: Vec<Store>) {
+    pub(super) fn list_to_machine(&mut self, number: usize, life: u64, version: u64, list: Vec<Store>) {
         let machine = &mut self.machines[number];
         if machine.life != life || machine.node.is_none() || machine.trouble != Trouble::None {
             return;
         }
+        // Which of two lists is newer, a process that follows the core always knows.
+        if version < machine.list_version {
+            return;
+        }
+        machine.list_version = version;
         machine.listed_at_ms.get_or_insert(self.now_ms);
         let now_ms = self.now_ms;
         self.node(number).list_changed(list, now_ms);
@@ -330,7 +341,8 @@
                     self.seen.slowest_whole_ms = self.seen.slowest_whole_ms.max(took_ms);
                 }
             }
-            Declaration::Retired => self.emptied(number),
+            // It says so with its heartbeats.
+            Declaration::Emptied { .. } => {}
         }
     }
 }
--- a/crates/turns/tests/world/mod.rs
+++ b/crates/turns/tests/world/mod.rs
@@ -6,10 +6,13 @@
 mod faults;
 mod machine;
 mod programs;
+mod windows;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
+use dunespur_control::{ControlState, Operation as CoreOperation};
+use dunespur_turns::guards::Guards;
 use dunespur_turns::message::{StoreReply, StoreRequest};
 use dunespur_turns::node::{AskId, DiskOutcome, JobId};
 use dunespur_turns::roster::Store;
@@ -18,6 +21,7 @@
 pub use faults::{FaultKind, LONGEST_TROUBLE_MS};
 use machine::Machine;
 use programs::{Operation, Program, Truth};
+pub use windows::Window;
 
 /// As the pages give it for the first deployments.
 pub const CATCH_UP_MS: u64 = 4_200;
@@ -44,6 +48,8 @@
     pub faults: Vec<FaultKind>,
     /// Everything loses power, and as many disks are lost as are tolerated, after the other trouble.
     pub final_fault: bool,
+    pub guards: Guards,
+    pub core_guards: dunespur_control::Guards,
 }
 
 /// What was seen.
@@ -56,6 +62,10 @@
     pub unknown: u64,
     pub faults: u64,
     pub retired: u64,
+    /// Orders to empty a store that were refused because too few would be left.
+    pub too_few: u64,
+    /// How long after each loss there was no spare copy.
+    pub windows: Vec<Window>,
     /// The longest that a store with a new disk took to be whole, from its first list on.
     pub slowest_whole_ms: u64,
     /// The longest that a store took from being told to retire to saying that it is emptied.
@@ -79,7 +89,7 @@
     DiskDone { machine: usize, life: u64, job: JobId, outcome: Option<DiskOutcome> },
     Tick { machine: usize, life: u64 },
     Heartbeats,
-    ListToMachine { machine: usize, life: u64, list: Vec<Store> },
+    ListToMachine { machine: usize, life: u64, version: u64, list: Vec<Store> },
     ListToGateway { gateway: usize, version: u64, list: Vec<Store> },
     OperationDue { operation: u64 },
     ProgramStep { program: usize },
@@ -91,6 +101,8 @@
     CaughtUp { slot: usize },
     FinalFault,
     CheckCopies,
+    EmptiedHeard { machine: usize, operation: CoreOperation },
+    LookForSpares,
 }
 
 struct Gateway {
@@ -117,6 +129,10 @@
     last_operation: u64,
     truth: Truth,
     slots: Vec<faults::Slot>,
+    /// Losses after which some turn has no spare copy yet.
+    open_windows: Vec<windows::OpenWindow>,
+    /// One turn that has no spare copy.
+    without_spare: Option<String>,
     /// No trouble from then on.
     calm_since_ms: Option<u64>,
     seen: Seen,
@@ -147,13 +163,15 @@
             events: BTreeMap::new(),
             last_event: 0,
             machines: Vec::new(),
-            core: core::Core::default(),
+            core: core::Core::new(ControlState::with_guards(plan.core_guards)),
             gateways: Vec::new(),
             programs: Vec::new(),
             operations: BTreeMap::new(),
             last_operation: 0,
             truth: Truth::default(),
             slots: Vec::new(),
+            open_windows: Vec::new(),
+            without_spare: None,
             calm_since_ms: None,
             seen: Seen::default(),
             plan,
@@ -204,7 +222,9 @@
             Event::DiskDone { machine, life, job, outcome } => self.disk_done(machine, life, job, outcome),
             Event::Tick { machine, life } => self.tick(machine, life),
             Event::Heartbeats => self.heartbeats(),
-            Event::ListToMachine { machine, life, list } => self.list_to_machine(machine, life, list),
+            Event::ListToMachine { machine, life, version, list } => {
+                self.list_to_machine(machine, life, version, list);
+            }
             Event::ListToGateway { gateway, version, list } => self.list_to_gateway(gateway, version, list),
             Event::OperationDue { operation } => self.operation_due(operation),
             Event::ProgramStep { program } => self.program_step(program),
@@ -216,6 +236,8 @@
             Event::CaughtUp { slot } => self.caught_up(slot),
             Event::FinalFault => self.final_fault(),
             Event::CheckCopies => self.check_copies(),
+            Event::EmptiedHeard { machine, operation } => self.emptied_heard(machine, &operation),
+            Event::LookForSpares => self.look_for_spares(),
         }
     }
 
--- a/crates/turns/tests/world/programs.rs
+++ b/crates/turns/tests/world/programs.rs
@@ -330,7 +330,7 @@
             let answered = self.truth.answered_at_ms.get(&turn.id);
             eprintln!("{} of {} answered {answered:?}: {holders:?}", turn.id, turn.program);
         }
-        for entry in &self.core.list {
+        for entry in self.core.list() {
             eprintln!("{entry:?}");
         }
     }
--- a/crates/turns/tests/writing.rs
+++ b/crates/turns/tests/writing.rs
@@ -138,3 +138,28 @@
     writing.acknowledged(&second[0].store, 3);
     assert_eq!(writing.verdict(), Some(Verdict::Kept));
 }
+
+#[test]
+fn a_store_that_is_being_emptied_is_asked_last_of_those_present() {
+    let mut stores = stores(3);
+    stores[0].retiring = true;
+    let mut writing = begin(&stores, 2);
+    let homes = puts(&mut writing);
+    assert!(homes.iter().all(|put| put.store != stores[0].name), "{homes:?}");
+    writing.acknowledged(&homes[0].store, 2);
+    writing.due(HEDGE_MS);
+    let fallback = Put { store: stores[0].name.clone(), hint: Some(homes[1].store.clone()) };
+    assert_eq!(puts(&mut writing), [fallback]);
+    writing.acknowledged(&stores[0].name, HEDGE_MS + 2);
+    assert_eq!(writing.verdict(), Some(Verdict::Kept));
+}
+
+#[test]
+fn a_store_that_is_being_emptied_goes_before_one_that_is_away_and_one_that_was_emptied_is_not_asked() {
+    let mut stores = stores(4);
+    stores[0].retiring = true;
+    stores[1].present = false;
+    stores[2].retired = true;
+    let sent = puts(&mut begin(&stores, 2));
+    assert_eq!(names(&sent), ["storage-3", "storage-0"]);
+}
