--- a/crates/control/tests/world/machines.rs
+++ b/crates/control/tests/world/machines.rs
@@ -378,7 +378,7 @@
             return;
         }
         let node = "-".repeat(self.setup.filling);
-        let payload = postcard::to_stdvec(&Operation::RetireDone { node, incarnation: 0 });
+        let payload = postcard::to_stdvec(&Operation::RetireDone { node, incarnation: 0, round: 0 });
         let ticket = self.take_ticket();
         self.step(index, Input::Submit { ticket, payload: payload.expect("an operation") });
     }
