--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod operation;
 mod orders;
 mod outcome;
+mod retirement;
 mod servers;
 mod snapshot;
 mod state;
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -26,7 +26,7 @@
     /// The whole state as bytes.
     pub fn snapshot(&self) -> Vec<u8> {
         // Only a writer that fails, or a sequence without a length, makes this fail; neither is there.
-        postcard::to_extend(self, vec![FORMAT]).expect("a control state can be written")
+        postcard::to_extend(&*self.to_be_saved(), vec![FORMAT]).expect("a control state can be written")
     }
 
     /// The state that a snapshot holds.
--- a/crates/control/tests/guards.rs
+++ b/crates/control/tests/guards.rs
@@ -14,7 +14,7 @@
 }
 
 fn retire(trial: &mut Trial, name: &str) -> Outcome {
-    trial.apply(&Operation::RetireStart { node: name.to_owned(), tolerated_losses: 1 })
+    trial.retire(name, 1)
 }
 
 fn gone(trial: &mut Trial, name: &str) {
--- a/crates/turns/tests/world/core.rs
+++ b/crates/turns/tests/world/core.rs
@@ -69,7 +69,12 @@
     /// The operator's order to empty a store: what it came to.
     pub(super) fn order_to_retire(&mut self, name: &str) -> RetireOutcome {
         let tolerated_losses = self.plan.tolerated as u32;
-        match self.agree(&Operation::RetireStart { node: name.to_owned(), tolerated_losses }) {
+        let order = |fence| Operation::RetireStart { node: name.to_owned(), tolerated_losses, fence };
+        let outcome = match self.agree(&order(0)) {
+            Outcome::Fenced { fence } => self.agree(&order(fence)),
+            outcome => outcome,
+        };
+        match outcome {
             Outcome::Retire(outcome) => outcome,
             other => panic!("{other:?} is no answer to an order to retire"),
         }
