--- a/crates/turns/tests/world/core.rs
+++ b/crates/turns/tests/world/core.rs
@@ -68,9 +68,15 @@
 
     /// The operator's order to empty a store: what it came to.
     pub(super) fn order_to_retire(&mut self, name: &str) -> RetireOutcome {
-        match self.call_to_retire(name, 0) {
-            Outcome::Fenced { fence } => retire_outcome(self.call_to_retire(name, fence)),
-            outcome => retire_outcome(outcome),
+        let tolerated_losses = self.plan.tolerated as u32;
+        let order = |fence| Operation::RetireStart { node: name.to_owned(), tolerated_losses, fence };
+        let outcome = match self.agree(&order(0)) {
+            Outcome::Fenced { fence } => self.agree(&order(fence)),
+            outcome => outcome,
+        };
+        match outcome {
+            Outcome::Retire(outcome) => outcome,
+            other => panic!("{other:?} is no answer to an order to retire"),
         }
     }
 
