A leader says no more is settled than its own disk holds

Cause: a leader sends entries before it has written them. Once the others have, they are settled, and its appends said so; who heard that took it for what the leader's disk holds (`seen`). A leader with a slow disk that then ended came back with less, was told that its disk is older than what was seen of it, and began anew with no vote. With another voter's disk lost in the same time, no majority was left for good.

Change: the commit index of a leader's appends is capped at what it has written; heartbeats tell of the rest, and nothing is concluded from them. A leader applies only what it has written, so no grant waits longer.

--- a/crates/duties/src/log.rs
+++ b/crates/duties/src/log.rs
@@ -157,6 +157,13 @@
         self.kind == pb::MessageType::MsgHeartbeatResponse as u8
     }
 
+    /// An append says at most of this many entries that they are settled; heartbeats tell of the rest.
+    pub fn say_settled_up_to(&mut self, index: u64) {
+        if self.kind == pb::MessageType::MsgAppend as u8 {
+            self.commit = self.commit.min(index);
+        }
+    }
+
     /// The library's form; none for kinds that only ever stand inside one process or are not known.
     pub fn to_raft(&self) -> Option<pb::Message> {
         use protobuf::ProtobufEnum;
--- a/crates/duties/src/voter.rs
+++ b/crates/duties/src/voter.rs
@@ -348,8 +348,7 @@
     }
 
     /// What a message proves of its sender's disk: its term was written before it was said, an acknowledged
-    /// entry before that, and of a leader's log as much as is settled. (A leader may lose what it sent and had
-    /// not written itself; settled without it, it is judged too hard, and let in anew.)
+    /// entry before that, and of a leader's log as much as it says is settled: no more than it has written.
     fn see(&mut self, message: &Message) {
         use raft::eraftpb::MessageType as Kind;
         let kind = message.kind;
@@ -598,6 +597,9 @@
             let hard_before = raw.store().hard;
             let mut ready = raw.ready();
             let mut now_out: Vec<Message> = ready.take_messages().iter().map(Message::from).collect();
+            // Others take what a leader says is settled for what its own disk holds.
+            let on_disk = raw.raft.raft_log.persisted;
+            now_out.iter_mut().for_each(|message| message.say_settled_up_to(on_disk));
             let after: Vec<Message> = ready.take_persisted_messages().iter().map(Message::from).collect();
             let (answers, after): (Vec<Message>, Vec<Message>) =
                 after.into_iter().partition(Message::answers_heartbeat);
--- a/crates/duties/tests/voters.rs
+++ b/crates/duties/tests/voters.rs
@@ -30,6 +30,8 @@
     tokens: Vec<Vec<u64>>,
     /// How long a write takes, and what is under way.
     fsync: f64,
+    /// Of one disk, in place of the others' time.
+    slow_disk: Option<(usize, f64)>,
     saving: VecDeque<(f64, usize, Batch)>,
     /// How many writes were asked for.
     writes: usize,
@@ -64,6 +66,7 @@
             reports: vec![],
             tokens: vec![vec![]; limiters],
             fsync: 0.0,
+            slow_disk: None,
             saving: VecDeque::new(),
             writes: 0,
             mail_first: false,
@@ -105,6 +108,7 @@
     }
 
     fn kill(&mut self, n: usize) {
+        self.saving.retain(|write| write.1 != n);
         self.nodes[n].up = false;
         self.nodes[n].voter = None;
         self.nodes[n].mail.clear();
@@ -121,7 +125,8 @@
                 }
                 Output::Save(batch) => {
                     self.writes += 1;
-                    self.saving.push_back((self.now + self.fsync, n, batch));
+                    let slow = self.slow_disk.filter(|slow| slow.0 == n).map(|slow| slow.1);
+                    self.saving.push_back((self.now + slow.unwrap_or(self.fsync), n, batch));
                     self.sync();
                 }
                 Output::Report { text, .. } => self.reports.push(text),
@@ -139,8 +144,8 @@
 
     /// Writes whose time has come are on the disk, and said to be.
     fn sync(&mut self) {
-        while self.saving.front().is_some_and(|s| s.0 <= self.now) {
-            let Some((_, n, batch)) = self.saving.pop_front() else { return };
+        while let Some(at) = self.saving.iter().position(|write| write.0 <= self.now) {
+            let Some((_, n, batch)) = self.saving.remove(at) else { return };
             if !self.nodes[n].up {
                 continue;
             }
@@ -393,3 +398,26 @@
     assert!(fleet.held());
     assert_eq!(fleet.leader(), leader);
 }
+
+#[test]
+fn a_leader_that_lost_what_only_others_wrote_keeps_its_vote() {
+    let mut fleet = Fleet::new(5);
+    let leader = fleet.leader();
+    fleet.slow_disk = Some((leader, 60.0));
+    // The end of its session is written by the two others and settled; the leader's disk does not get to it.
+    fleet.kill(4);
+    fleet.run(4.0);
+    assert_eq!(fleet.leader(), leader);
+    fleet.kill(leader);
+    fleet.slow_disk = None;
+    fleet.run(4.0);
+    fleet.start(leader);
+    fleet.run(2.0);
+    assert!(!fleet.said("is older than what was seen of it"), "{:?}", fleet.reports);
+    assert!(fleet.nodes[leader].voter.as_ref().unwrap().votes());
+    // With its vote the group stands without a third.
+    let third = (0..3).find(|n| *n != leader && *n != fleet.leader()).unwrap();
+    fleet.kill(third);
+    fleet.run(6.0);
+    assert!(fleet.held());
+}
