--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -10,7 +10,7 @@
 use std::process::Command;
 use std::time::Duration;
 use support::{
-    expect_no_violation, go_on, line_of, places, program, programs_for, stage, CATCH_UP, ORDER_LIMIT,
+    expect_no_violation, go_on, line_of, lookup, places, program, programs_for, stage, CATCH_UP, ORDER_LIMIT,
     RECOVERY,
 };
 use tokio::time::Instant;
@@ -86,6 +86,32 @@
     expect_no_violation(&scene);
 }
 
+#[tokio::test]
+async fn a_gateway_whose_settings_change_cuts_nothing() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let gateway = places(&scene, Role::Gateway)[0];
+    scene.engines.iter().for_each(|engine| engine.server.gate.hold());
+    let (client, front, ask) = (scene.client.clone(), scene.system.front(gateway), scene.turn_ask());
+    let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
+    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
+    tokio::select! {
+        () = first.gate.waiting(1) => {}
+        () = second.gate.waiting(1) => {}
+    }
+    let seeds = places(&scene, Role::Core).into_iter().map(|core| scene.system.control(core)).collect();
+    scene.system.set_seeds(seeds);
+    scene.system.rewrite_settings(gateway).unwrap();
+    scene.system.machine(gateway).hang_up().unwrap();
+    // Behind the signal, and by a process that still runs.
+    assert_eq!(scene.system.readiness(gateway).await, Some(200));
+    assert!(scene.client.send_to(front, &lookup()).await.succeeded());
+    scene.engines.iter().for_each(|engine| engine.server.gate.open());
+    let served = turn.await.unwrap();
+    assert!(served.succeeded() && served.tries == 1, "{served:?}");
+    assert!(scene.system.machine(gateway).is_running());
+    expect_no_violation(&scene);
+}
+
 #[tokio::test]
 async fn gateways_leave_and_return_in_turn_under_load() {
     let mut scene = stage(ScenePlan::default()).await;
