--- a/crates/node/tests/homes.rs
+++ b/crates/node/tests/homes.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::{expect_no_violation, places, stage, ORDER_LIMIT};
+use support::{expect_no_violation, holder_of_a_turn, places, stage, ORDER_LIMIT};
 use tokio::time::{sleep, Instant};
 
 /// A heartbeat is answered within this time.
@@ -124,11 +124,7 @@
     let ask = scene.turn_ask();
     let (client, front) = (scene.client.clone(), scene.system.front(place));
     let turn = tokio::spawn(async move { client.send_to(front, &ask).await.succeeded() });
-    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
-    tokio::select! {
-        () = first.gate.waiting(1) => {}
-        () = second.gate.waiting(1) => {}
-    }
+    holder_of_a_turn(scene).await;
     turn
 }
 
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -10,8 +10,8 @@
 use std::process::Command;
 use std::time::Duration;
 use support::{
-    expect_no_violation, go_on, line_of, lookup, places, program, programs_for, stage, CATCH_UP, ORDER_LIMIT,
-    RECOVERY,
+    expect_no_violation, go_on, holder_of_a_turn, line_of, lookup, places, program, programs_for, stage,
+    CATCH_UP, ORDER_LIMIT, RECOVERY,
 };
 use tokio::time::Instant;
 
@@ -31,11 +31,7 @@
     let ask = line.ask(&scene.client, &"hello".into());
     let (client, front) = (scene.client.clone(), scene.system.front(leaving));
     let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
-    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
-    tokio::select! {
-        () = first.gate.waiting(1) => {}
-        () = second.gate.waiting(1) => {}
-    }
+    holder_of_a_turn(&scene).await;
     for engine in &scene.engines {
         engine.server.gate.let_go(5);
     }
@@ -93,11 +89,7 @@
     scene.engines.iter().for_each(|engine| engine.server.gate.hold());
     let (client, front, ask) = (scene.client.clone(), scene.system.front(gateway), scene.turn_ask());
     let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
-    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
-    tokio::select! {
-        () = first.gate.waiting(1) => {}
-        () = second.gate.waiting(1) => {}
-    }
+    holder_of_a_turn(&scene).await;
     let seeds = places(&scene, Role::Core).into_iter().map(|core| scene.system.control(core)).collect();
     scene.system.set_seeds(seeds);
     scene.system.rewrite_settings(gateway).unwrap();
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -7,7 +7,7 @@
 use dunespur_emulator::configuration::ServicePlan;
 use dunespur_emulator::record::Fate;
 use dunespur_emulator::scene::{Engine, Scene, ScenePlan, HOST, LOOKUP, RECORD};
-use support::{expect_no_violation, lookup, programs_for, stage, Stage, DRAIN, RECOVERY};
+use support::{expect_no_violation, holder_of_a_turn, lookup, programs_for, stage, Stage, DRAIN, RECOVERY};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -31,11 +31,7 @@
     let ask = Ask { deadline_ms: PATIENCE_MS, pause_ms: PATIENCE_MS, ..scene.turn_ask() };
     let client = scene.client.clone();
     let turn = tokio::spawn(async move { client.send(&ask).await });
-    let holder = tokio::select! {
-        () = scene.engines[0].server.gate.waiting(1) => 0,
-        () = scene.engines[1].server.gate.waiting(1) => 1,
-    };
-    (holder, turn)
+    (holder_of_a_turn(scene).await, turn)
 }
 
 /// Requests that an engine has seen.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// Waits until one of the two engines, whose gates are held, has a turn; which one that is.
+pub async fn holder_of_a_turn(scene: &Scene) -> usize {
+    let [first, second] = [&scene.engines[0].server.gate, &scene.engines[1].server.gate];
+    tokio::select! {
+        () = first.waiting(1) => 0,
+        () = second.waiting(1) => 1,
+    }
+}
+
 /// A line of so many turns answered whole.
 pub async fn line_of(scene: &Scene, turns: u32) -> Line {
     let mut line = Line::new(&scene.client, &usual_program());
