--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -20,6 +20,13 @@
     *node.table.borrow_mut() = Some(table(&CONFIGURATION.replace(from, to)));
 }
 
+/// A gateway that holds streams for 50 ms.
+async fn with_short_streams(server: &StandIn) -> Gateway {
+    let gateway = Gateway::start(&[server]).await;
+    configure(&gateway.node, r#""timeout_ms":20000,"target_ms":200"#, r#""timeout_ms":50,"target_ms":200"#);
+    gateway
+}
+
 #[test]
 fn a_request_without_a_deadline_is_sent_on_with_the_time_of_its_route() {
     play(async {
@@ -92,12 +99,7 @@
 fn a_stream_ends_with_the_time_of_its_route_though_its_client_would_wait() {
     play(async {
         let server = StandIn::start("i-1").await;
-        let gateway = Gateway::start(&[&server]).await;
-        configure(
-            &gateway.node,
-            r#""timeout_ms":20000,"target_ms":200"#,
-            r#""timeout_ms":50,"target_ms":200"#,
-        );
+        let gateway = with_short_streams(&server).await;
         let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
         let (mut connection, message) = server.take().await;
         assert!(handed_down(&message) <= 50);
@@ -115,12 +117,7 @@
 fn a_stream_without_an_event_in_time_is_answered_all_the_same() {
     play(async {
         let server = StandIn::start("i-1").await;
-        let gateway = Gateway::start(&[&server]).await;
-        configure(
-            &gateway.node,
-            r#""timeout_ms":20000,"target_ms":200"#,
-            r#""timeout_ms":50,"target_ms":200"#,
-        );
+        let gateway = with_short_streams(&server).await;
         let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
         let (mut connection, _) = server.take().await;
         connection.stream_head("r1", "").await;
@@ -133,12 +130,7 @@
 fn a_turn_that_is_not_admitted_in_the_time_of_its_route_is_refused_unsent() {
     play(async {
         let server = StandIn::start("i-1").await;
-        let gateway = Gateway::start(&[&server]).await;
-        configure(
-            &gateway.node,
-            r#""timeout_ms":20000,"target_ms":200"#,
-            r#""timeout_ms":50,"target_ms":200"#,
-        );
+        let gateway = with_short_streams(&server).await;
         gateway.node.admissions.forget_permits(1000);
         let mut client = gateway.ask(&post("/stream/", "r1", TURN, "x")).await;
         assert_eq!(client.message().await.status(), 503);
