--- a/crates/turns/tests/world/core.rs
+++ b/crates/turns/tests/world/core.rs
@@ -80,11 +80,6 @@
         }
     }
 
-    fn call_to_retire(&mut self, name: &str, fence: u64) -> Outcome {
-        let tolerated_losses = self.plan.tolerated as u32;
-        self.agree(&Operation::RetireStart { node: name.to_owned(), tolerated_losses, fence })
-    }
-
     /// A store's statement that it is empty has come to the core.
     pub(super) fn emptied_heard(&mut self, machine: usize, operation: &Operation) {
         self.agree(operation);
@@ -199,10 +194,3 @@
         round: entry.round,
     }
 }
-
-fn retire_outcome(outcome: Outcome) -> RetireOutcome {
-    match outcome {
-        Outcome::Retire(outcome) => outcome,
-        other => panic!("{other:?} is no answer to an order to retire"),
-    }
-}
