Answers that are found after a freeze do not count, shown without a real one

Need: the check of an answer's age in ask_core had no test that fails without it, nor had the touch with the core: in whole programs the order in which the runtime wakes tasks decides. The limit that holds after a freeze is a function (deadline::within), used for the core's own answers as well, and the touch with the core a type of its own; both have unit tests under a stopped clock that the text before fails.

--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -4,6 +4,7 @@
 use super::disk::{Batch, DiskWriter};
 use super::expiry::Leases;
 use crate::clock::Clock;
+use crate::deadline::within;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
@@ -169,8 +170,8 @@
     /// Carries out an operation; answered once it is committed.
     pub async fn execute(&self, operation: &Operation) -> Reply {
         let Some(answer) = self.submit(operation) else { return Reply::Unavailable };
-        match timeout(EXECUTE_LIMIT, answer).await {
-            Ok(Ok(Some(outcome))) => Reply::Executed(outcome),
+        match within(EXECUTE_LIMIT, answer).await {
+            Some(Ok(Some(outcome))) => Reply::Executed(outcome),
             _ => Reply::Unavailable,
         }
     }
@@ -220,7 +221,7 @@
             ticket
         };
         self.step(Input::Read { ticket });
-        matches!(timeout(EXECUTE_LIMIT, answer).await, Ok(Ok(())))
+        matches!(within(EXECUTE_LIMIT, answer).await, Some(Ok(())))
     }
 
     /// Answers a watch: at once if there are changes, else when there are some or after [`WATCH_LIMIT`].
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,7 +1,10 @@
 //! What a process knows of the control state, kept up to date by a watch on one core member, and its way to the
 //! core for operations and reads.
 
+mod touch;
+
 use crate::clock::Clock;
+use crate::deadline::within;
 use crate::messages::{decode, encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::LinkStatus;
 use bytes::Bytes;
@@ -17,7 +20,8 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
+use touch::Touch;
 
 /// A core member answers a watch within this time, or another one is asked. It answers after 0.4 s at the latest.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
@@ -28,10 +32,6 @@
 /// A process that knows of a view is asked for it with this limit.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// This process counts as out of touch when the newest watch that was answered was sent longer ago, in milliseconds: a
-/// watch without news is held for 0.4 s, and two silent members are given up meanwhile.
-const IN_TOUCH_MS: u64 = 2_400;
-
 /// No core member has answered in time: the operation may or may not be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unavailable;
@@ -72,9 +72,7 @@
     clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
     /// The member that answered last.
     attached: Cell<Option<SocketAddr>>,
-    /// Steady time at which the newest watch that was answered was sent. Not that of the answer: a process that was
-    /// frozen finds old answers in its sockets.
-    confirmed_at: Cell<u64>,
+    touch: Touch,
     /// Servers heard of since the last watch.
     heard: RefCell<BTreeSet<String>>,
     /// This process's own lease, if it holds one.
@@ -95,7 +93,7 @@
             seeds: RefCell::new(seeds),
             clients: RefCell::default(),
             attached: Cell::new(None),
-            confirmed_at: Cell::new(0),
+            touch: Touch::default(),
             heard: RefCell::default(),
             lease: RefCell::default(),
             link: Cell::default(),
@@ -126,13 +124,12 @@
 
     /// Whether a core member has answered lately.
     pub fn in_touch(&self) -> bool {
-        self.silent_ms().is_some_and(|silence| silence < IN_TOUCH_MS)
+        self.touch.holds(self.clock.now())
     }
 
     /// Time since the newest watch was sent that a core member has answered; none until the first.
     pub fn silent_ms(&self) -> Option<u64> {
-        let confirmed_at = Some(self.confirmed_at.get()).filter(|at| *at > 0)?;
-        Some(self.clock.now().saturating_sub(confirmed_at))
+        self.touch.silent_ms(self.clock.now())
     }
 
     /// The core member that answered last.
@@ -147,7 +144,7 @@
 
     /// Whether core members have answered before, but not lately.
     pub fn has_lost_touch(&self) -> bool {
-        self.confirmed_at.get() > 0 && !self.in_touch()
+        self.touch.is_lost(self.clock.now())
     }
 
     /// What is known now.
@@ -214,7 +211,7 @@
         match self.call(address, payload, WATCH_TIMEOUT).await {
             Ok(Reply::Watched(watched)) => {
                 self.attached.set(Some(address));
-                self.confirmed_at.set(sent_at);
+                self.touch.answered(sent_at);
                 self.take(watched);
                 true
             }
@@ -339,7 +336,7 @@
     /// nothing on the present state: this process may have been frozen since it came.
     async fn ask_core(&self, payload: Bytes, limit: Duration) -> Result<Reply, Unavailable> {
         let end = Instant::now() + limit;
-        let reply = timeout(limit, async {
+        let reply = within(limit, async {
             loop {
                 for address in self.members() {
                     let left = end.saturating_duration_since(Instant::now());
@@ -353,7 +350,7 @@
             }
         })
         .await;
-        reply.ok().filter(|_| Instant::now() <= end).ok_or(Unavailable)
+        reply.ok_or(Unavailable)
     }
 
     /// Calls one process of the system.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod command;
 mod core;
+mod deadline;
 mod directory;
 mod explain;
 mod founding;
