--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -290,14 +290,19 @@
         others.count() + 1 >= view.majority()
     }
 
-    /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
-    /// the chain, and lags behind its log by a moment only. One that was put out hears the others, but no commits; one
-    /// that has started again, was taken back, or is parted from the tail holds commits that it doesn't know to be some.
-    pub fn follows(&self, now: Millis) -> bool {
+    /// Whether what is submitted here is likely to be committed soon: this member is [`current`](Member::current) and
+    /// has its place in the chain. One that was put out hears the others, but no commits.
+    pub fn takes_part(&self, now: Millis) -> bool {
         // A member may be sealed before it has come up.
-        let in_chain = self.stage != Stage::Outside && self.has_come_up();
+        self.current(now) && self.stage != Stage::Outside && self.has_come_up()
+    }
+
+    /// Whether commits come in here as they are made: this member [takes part](Member::takes_part), and lags behind its
+    /// log by a moment only. One that has started again, was taken back, or is parted from the tail holds commits that
+    /// it doesn't know to be some.
+    pub fn follows(&self, now: Millis) -> bool {
         let fresh = self.freshness.is_fresh(self.committed, self.log.last().index, now);
-        self.current(now) && in_chain && (fresh || !self.guards.commits_awaited)
+        self.takes_part(now) && (fresh || !self.guards.commits_awaited)
     }
 
     /// The index up to which commits were given out here.
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -181,7 +181,7 @@
         let (sender, answer) = oneshot::channel();
         let ticket = {
             let mut inner = self.inner.borrow_mut();
-            if inner.executing.len() >= MOST_WAITING || !inner.serves(self.clock.now()) {
+            if inner.executing.len() >= MOST_WAITING || !inner.takes_orders(self.clock.now()) {
                 return None;
             }
             inner.executing.retain(|_, waiting| !waiting.is_closed());
@@ -388,7 +388,12 @@
 }
 
 impl Inner {
-    /// Whether this member may answer: it follows the chain, and its state is that of what it has followed.
+    /// Whether an operation may be submitted here. What it comes to, its commit tells.
+    fn takes_orders(&self, now: u64) -> bool {
+        self.member.takes_part(now) && self.applied.is_readable()
+    }
+
+    /// Whether this member may show its state: it follows the chain, and its state is that of what it has followed.
     fn serves(&self, now: u64) -> bool {
         self.member.follows(now) && self.applied.is_readable()
     }
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -108,6 +108,10 @@
         self.directory.known().table.clone()
     }
 
+    fn is_out_of_touch(&self) -> bool {
+        self.directory.has_lost_touch()
+    }
+
     async fn next_change(&self) {
         self.directory.next_change().await;
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -128,7 +128,13 @@
             // Boxed, as it is rare and would make room for itself in every request.
             None => Box::pin(first_table(front, head)).await?,
         };
-        let route = find_route(&table, head)?;
+        let route = match find_route(&table, head) {
+            // The route may have been added since.
+            Err(Refusal::NoRoute) if front.node.is_out_of_touch() => {
+                return Err(Refusal::Later { retry_after_ms: NO_TABLE_RETRY_MS });
+            }
+            found => found?,
+        };
         let asked = Asked::read(&head.headers)?;
         Ok(Routed { table, route, asked })
     }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,6 +11,9 @@
     /// The configuration in force; none before the first has come.
     fn table(&self) -> Option<Rc<Table>>;
 
+    /// Whether the configuration may be another one by now, as nothing was heard of it for too long.
+    fn is_out_of_touch(&self) -> bool;
+
     /// Ready once what the node knows has changed, the configuration or anything else.
     fn next_change(&self) -> impl Future<Output = ()>;
 
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -86,6 +86,20 @@
     });
 }
 
+#[test]
+fn out_of_touch_a_route_that_is_not_known_may_be_there() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.out_of_touch.set(true);
+        let answer = gateway.ask(&get("/nowhere/", "r1")).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+        let _client = gateway.ask(&get("/read/", "r2")).await;
+        server.take().await;
+    });
+}
+
 #[test]
 fn before_the_first_configuration_nothing_is_unknown() {
     play(async {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -65,6 +65,7 @@
 pub struct TestNode {
     pub table: RefCell<Option<Rc<Table>>>,
     pub ready: Cell<bool>,
+    pub out_of_touch: Cell<bool>,
     /// Chosen in this order, the tried ones left out.
     pub servers: RefCell<Vec<Rc<Server>>>,
     /// Services that have none of them.
@@ -121,6 +122,7 @@
         Rc::new(TestNode {
             table: RefCell::new(Some(table(CONFIGURATION))),
             ready: Cell::new(true),
+            out_of_touch: Cell::new(false),
             servers: RefCell::new(servers),
             without_servers: RefCell::default(),
             refuse: Cell::new(None),
@@ -195,6 +197,10 @@
         self.table.borrow().clone()
     }
 
+    fn is_out_of_touch(&self) -> bool {
+        self.out_of_touch.get()
+    }
+
     async fn next_change(&self) {
         self.note(Told::AwaitsChange);
         self.known_changed.notified().await;
