--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -109,6 +109,19 @@
     everywhere(&scene, &Ask::get(HOST, "/other/x"), 404).await;
 }
 
+#[tokio::test]
+async fn an_order_that_came_too_early_is_refused_and_taken_when_it_is_sent_again() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let early = patch(9, &[added()], &[]);
+    let answer = scene.operator.patch(5, &early, ORDER_LIMIT).await.unwrap();
+    assert_eq!(answer.status, 412);
+    take(&mut scene, 1, &patch(5, &[], &[])).await;
+    for _ in scene.system.controls() {
+        take(&mut scene, 5, &early).await;
+    }
+    assert_eq!(current(&mut scene).await["generation"], json!(9));
+}
+
 #[tokio::test]
 async fn an_invalid_order_is_refused_with_every_finding_and_its_place() {
     let mut scene = stage(ScenePlan::default()).await;
