--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -4,6 +4,7 @@
 use super::disk::{Batch, DiskWriter};
 use super::expiry::Leases;
 use crate::clock::Clock;
+use crate::deadline::within;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
@@ -169,8 +170,8 @@
     /// Carries out an operation; answered once it is committed.
     pub async fn execute(&self, operation: &Operation) -> Reply {
         let Some(answer) = self.submit(operation) else { return Reply::Unavailable };
-        match timeout(EXECUTE_LIMIT, answer).await {
-            Ok(Ok(Some(outcome))) => Reply::Executed(outcome),
+        match within(EXECUTE_LIMIT, answer).await {
+            Some(Ok(Some(outcome))) => Reply::Executed(outcome),
             _ => Reply::Unavailable,
         }
     }
@@ -180,7 +181,7 @@
         let (sender, answer) = oneshot::channel();
         let ticket = {
             let mut inner = self.inner.borrow_mut();
-            if inner.executing.len() >= MOST_WAITING || !inner.serves(self.clock.now()) {
+            if inner.executing.len() >= MOST_WAITING || !inner.takes_orders(self.clock.now()) {
                 return None;
             }
             inner.executing.retain(|_, waiting| !waiting.is_closed());
@@ -220,7 +221,7 @@
             ticket
         };
         self.step(Input::Read { ticket });
-        matches!(timeout(EXECUTE_LIMIT, answer).await, Ok(Ok(())))
+        matches!(within(EXECUTE_LIMIT, answer).await, Some(Ok(())))
     }
 
     /// Answers a watch: at once if there are changes, else when there are some or after [`WATCH_LIMIT`].
@@ -387,7 +388,12 @@
 }
 
 impl Inner {
-    /// Whether this member may answer: it follows the chain, and its state is that of what it has followed.
+    /// Whether an operation may be submitted here. What it comes to, its commit tells.
+    fn takes_orders(&self, now: u64) -> bool {
+        self.member.takes_part(now) && self.applied.is_readable()
+    }
+
+    /// Whether this member may show its state: it follows the chain, and its state is that of what it has followed.
     fn serves(&self, now: u64) -> bool {
         self.member.follows(now) && self.applied.is_readable()
     }
