Calls between processes: late and second answers belong to no other call, a full queue promises nothing for the rest

Found not to hold: a queue that ran full ended the connection and told all waiting calls `Full`, which says that nothing was sent; they may have been sent. They get `Closed` now. No caller took `Full` for a promise so far.

Tried by mutation: without fresh numbers a call gets the answer to the one before; without the mend the test of the full queue fails.

--- a/crates/link/src/client.rs
+++ b/crates/link/src/client.rs
@@ -16,7 +16,8 @@
 use tokio::task::{spawn_local, AbortHandle, JoinSet};
 use tokio::time::timeout;
 
-/// Why a call has no answer. Whether it was carried out is not known, except for [`CallError::Unreachable`].
+/// Why a call has no answer. Whether it was carried out is not known, unless nothing was sent. A call is sent once: it
+/// is never sent again over another connection, so that its caller alone decides on what is repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
     /// No connection came up: nothing was sent.
@@ -55,7 +56,10 @@
 pub struct Client {
     address: SocketAddr,
     connection: RefCell<Option<Connection>>,
+    /// Calls without an answer. An answer to any other number is dropped.
     waiting: RefCell<Waiting>,
+    /// Never used twice, over however many connections. Guards against a late or second answer to an earlier call: it
+    /// would be taken for that to a later one.
     next_number: Cell<u64>,
     /// Told whenever a connection ends or does not come up.
     on_closed: Option<Box<dyn Fn()>>,
@@ -116,7 +120,8 @@
             return Ok(());
         }
         drop(connection);
-        self.close(CallError::Full);
+        // What waits already may have been sent: only this frame was not.
+        self.close(CallError::Closed);
         Err(CallError::Full)
     }
 
