--- a/crates/proxy/src/http_headers.rs
+++ b/crates/proxy/src/http_headers.rs
@@ -13,6 +13,9 @@
 pub(crate) const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-dunespur-expect-instance");
 pub(crate) const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-dunespur-token-count");
 pub(crate) const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-dunespur-prompt-prefix");
+/// Set by the system alone, which does not set it so far. Guards against a client that has servers answer 421, and so
+/// taken for gone, by a version that none has.
+const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("priority");
 pub(crate) const PROGRAM: HeaderName = HeaderName::from_static("program");
 pub(crate) const SESSION: HeaderName = HeaderName::from_static("session");
@@ -54,6 +57,7 @@
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
     headers.remove(EXPECT_INSTANCE);
+    headers.remove(EXPECT_VERSION);
     headers.remove(PRIORITY);
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! What is decided here:
 //!
+//! - Every attempt to have a request answered ends in one row of one table ([`disposition`]).
 //! - A request that can't be repeated is sent on only as long as nothing of it can have run. What can be repeated
 //!   runs at no more servers than its route's `retries`; where these are used up it may be sent to the same server
 //!   again, and a server found to be gone no longer counts.
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -5,8 +5,8 @@
 
 /// Why a request gets no server's answer.
 ///
-/// A 402, 408 or 503 promises that the request has not run and never will, so only what was never written whole to
-/// a server, or was turned away there, ends as one. A 502 or 504 promises nothing.
+/// A 402, 408 or 503 promises that the request has not run and never will, so only what no server has the head of, or
+/// what was turned away there, ends as one ([`crate::disposition`]). A 502 or 504 promises nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
     /// It is no request of this protocol.
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -53,10 +53,16 @@
         let gateway = Gateway::start(&[&server]).await;
         gateway.node.engine_priority.set(Some(2));
         let _client = gateway
-            .ask(&post("/write/", "r1", "Priority: 0\r\nX-Dunespur-Expect-Instance: i-9\r\n", ""))
+            .ask(&post(
+                "/write/",
+                "r1",
+                "Priority: 0\r\nX-Dunespur-Expect-Instance: i-9\r\nExpect-Version: 3\r\n",
+                "",
+            ))
             .await;
         let (_, message) = server.take().await;
         assert_eq!(message.header("priority"), Some("2"));
+        assert_eq!(message.header("expect-version"), None);
         let instances: Vec<_> =
             message.headers.iter().filter(|(name, _)| name == "x-dunespur-expect-instance").collect();
         assert_eq!(instances.len(), 1);
