--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -11,10 +11,22 @@
     pub synced_before_passed_on: bool,
     /// A read passes along the whole chain. Against reading from a member that was put out and doesn't know it.
     pub reads_confirmed: bool,
+    /// A member that has installed a view votes on no other one of that number.
+    /// Against one that was put out, or stood still, and has a view decided again in the place of that in force.
+    pub decided_once: bool,
+    /// A member of the chain counts as synced only when its log has come up to its predecessor's.
+    /// Against a newcomer, or one that was away, whose assent counts for what it doesn't hold.
+    pub whole_before_synced: bool,
 }
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { views_checked: true, synced_before_passed_on: true, reads_confirmed: true }
+        Guards {
+            views_checked: true,
+            synced_before_passed_on: true,
+            reads_confirmed: true,
+            decided_once: true,
+            whole_before_synced: true,
+        }
     }
 }
--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -145,7 +145,7 @@
             self.ask_for_view_of(from, now, out);
             return false;
         }
-        if number <= view.number {
+        if number <= view.number && self.guards.decided_once {
             if let Some(from) = view.member(from).cloned() {
                 self.tell_view(&from, out);
             }
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -90,7 +90,7 @@
     pub(super) fn resume_chain(&mut self, now: Millis, out: &mut Vec<Output>) {
         match self.stage {
             Stage::Synced => self.begin_passing_on(now, out),
-            Stage::Unsynced if self.is_head() => self.come_up(),
+            Stage::Unsynced if self.is_head() || !self.guards.whole_before_synced => self.come_up(),
             Stage::Unsynced => self.attach(now, out),
             Stage::Outside => self.hurry_following(now, out),
             Stage::Sealed | Stage::Syncing => {}
--- a/crates/chain/tests/guards.rs
+++ b/crates/chain/tests/guards.rs
@@ -4,12 +4,13 @@
 mod world;
 
 use dunespur_chain::Guards;
-use world::trouble::{play, schedule};
+use world::trouble::{play, schedule, storm};
 use world::Setup;
 
 const ROUNDS: usize = 3;
 /// Seeds that are tried for a counterexample.
 const SEEDS: u64 = 400;
+const SEEDS_OF_STORMS: u64 = 4_000;
 
 /// What goes wrong first in the worlds without a guard, if anything does. Only broken promises count, not a core that
 /// stands still.
@@ -58,3 +59,24 @@
     assert!(found.is_some(), "nothing went wrong");
     eprintln!("{found:?}");
 }
+
+/// It takes two that propose at one moment, and the news of the first one's success to be lost: storms over three
+/// members bring that about.
+#[test]
+fn a_view_must_be_decided_once() {
+    let found = (0..SEEDS_OF_STORMS).find_map(|seed| {
+        let mut setup = Setup::new(seed, 3);
+        setup.sync_most = 4;
+        setup.guards.decided_once = false;
+        play(setup, storm(&setup)).err().filter(|text| text.contains("two views"))
+    });
+    assert!(found.is_some(), "nothing went wrong");
+    eprintln!("{found:?}");
+}
+
+#[test]
+fn members_must_be_whole_before_they_count() {
+    let found = without(Guards { whole_before_synced: false, ..Guards::default() });
+    assert!(found.is_some(), "nothing went wrong");
+    eprintln!("{found:?}");
+}
