--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -33,6 +33,7 @@
 mod peers;
 pub mod plan;
 mod random;
+pub mod succession;
 pub mod timing;
 
 pub use agreed::{AcceptedView, Ballot, DecidedView};
--- a/crates/chain/src/member/agreement.rs
+++ b/crates/chain/src/member/agreement.rs
@@ -5,9 +5,9 @@
 use crate::disk::Write;
 use crate::identity::{MemberId, Peer, View};
 use crate::journal::Consequence;
-use crate::log::Position;
 use crate::message::{Message, Promise};
 use crate::plan::{plan, Applicant, Plan, Situation, Standing};
+use crate::succession::{view_after, SealedLog};
 use crate::timing::{
     Millis, ATTEMPT_LASTS, BACKOFF, BACKOFF_JITTER, LAGGING_AFTER, MOST_BEHIND, PROMISES_AWAITED,
     PROMISE_PATIENCE, PROPOSE_JITTER, RANK_DELAY, REPLACE_AFTER,
@@ -49,9 +49,8 @@
 }
 
 impl PromiseOf {
-    /// How far its log goes: greater ones hold all that lesser ones do, of those that are enough at all.
-    fn extent(&self) -> (u64, Position) {
-        (self.promise.synced_view, self.promise.last)
+    fn sealed_log(&self) -> SealedLog<'_> {
+        SealedLog { of: &self.from, synced_view: self.promise.synced_view, last: self.promise.last }
     }
 }
 
@@ -247,14 +246,9 @@
 
     /// The view that there should be, headed by a member whose log holds all that was committed before.
     fn free_proposal(&mut self, promises: &[PromiseOf], now: Millis) -> Option<DecidedView> {
-        let decided = self.decided.clone()?;
-        let number = decided.number();
         let plan = self.plan(now)?;
-        let base = base_after(&decided, promises)?;
-        let enough = |other: &&PromiseOf| other.promise.synced_view >= base;
-        let chain = chain_after(&decided.view, &plan, promises.iter().filter(enough))?;
-        let view = View { number: number + 1, members: plan.members, chain };
-        view.is_sound().then_some(DecidedView { view, base })
+        let sealed: Vec<SealedLog> = promises.iter().map(PromiseOf::sealed_log).collect();
+        view_after(self.decided.as_ref()?, plan, &sealed)
     }
 
     pub(super) fn accept_asked(
@@ -446,44 +440,3 @@
         [attempt, suspicion].into_iter().flatten().min()
     }
 }
-
-/// The base of the view after `decided`, from the promises of a majority; none, if no member of the chain is among
-/// them.
-///
-/// A commit in a view needs every member of its chain, synced in it. If one of them has promised without having synced,
-/// nothing was committed in the view, nor ever will be: what was enough for it is enough for the next one. To ask for a
-/// member that has synced in it all the same would make the head the only whole copy right after each change, and its
-/// loss the end of the core.
-fn base_after(decided: &DecidedView, promises: &[PromiseOf]) -> Option<u64> {
-    let number = decided.number();
-    let mut of_chain = promises.iter().filter(|other| decided.view.in_chain(&other.from)).peekable();
-    of_chain.peek()?;
-    let all_synced = of_chain.all(|other| other.promise.synced_view == number);
-    Some(if all_synced { number } else { decided.base })
-}
-
-/// The planned chain, headed by members that hold enough. Survivors of the chain before keep their order.
-fn chain_after<'a>(
-    before: &View,
-    plan: &Plan,
-    enough: impl Iterator<Item = &'a PromiseOf>,
-) -> Option<Vec<MemberId>> {
-    let mut holders: Vec<&PromiseOf> =
-        enough.filter(|other| plan.members.iter().any(|member| member.id == other.from)).collect();
-    // Those that go furthest first; of equals those further up the chain before.
-    let place = |id: &MemberId| before.chain_index(id).unwrap_or(usize::MAX);
-    holders.sort_by(|one, other| {
-        other.extent().cmp(&one.extent()).then(place(&one.from).cmp(&place(&other.from)))
-    });
-    let is_holder = |id: &MemberId| holders.iter().any(|other| other.from == *id);
-    let mut chain: Vec<MemberId> = Vec::new();
-    if plan.chain.iter().any(is_holder) {
-        let planned = holders.iter().map(|other| &other.from).filter(|id| plan.chain.contains(id));
-        chain.extend(planned.cloned());
-    } else {
-        chain.push(holders.first()?.from.clone());
-    }
-    let rest: Vec<MemberId> = plan.chain.iter().filter(|id| !chain.contains(id)).cloned().collect();
-    chain.extend(rest);
-    Some(chain)
-}
