--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -17,6 +17,12 @@
     /// A member shows its state only while it has given out all that has been in its log for some time.
     /// Against the old state of one that has started again, or that is parted from the tail.
     pub commits_awaited: bool,
+    /// A member that has installed a view votes on no other one of that number.
+    /// Against one that was put out, or stood still, and has a view decided again in the place of that in force.
+    pub decided_once: bool,
+    /// A member of the chain counts as synced only when its log has come up to its predecessor's.
+    /// Against a newcomer, or one that was away, whose assent counts for what it doesn't hold.
+    pub whole_before_synced: bool,
 }
 
 impl Default for Guards {
@@ -27,6 +33,8 @@
             reads_confirmed: true,
             currency_by_sending: true,
             commits_awaited: true,
+            decided_once: true,
+            whole_before_synced: true,
         }
     }
 }
