--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -17,6 +17,12 @@
     /// A member shows its state once it has given out all that was committed before it took its place in the chain.
     /// Against the old state of one that has started again.
     pub commits_awaited: bool,
+    /// A snapshot that came in parts counts only if the whole has its checksum. Against bytes that were spoilt or mixed
+    /// on the way.
+    pub snapshots_checked: bool,
+    /// A member counts as one whose log holds what the view needs only when it does. Against one that goes on from a
+    /// snapshot, or an old log, and is chosen as head before the rest has come.
+    pub log_whole_before_synced: bool,
 }
 
 impl Default for Guards {
@@ -27,6 +33,8 @@
             reads_confirmed: true,
             currency_by_sending: true,
             commits_awaited: true,
+            snapshots_checked: true,
+            log_whole_before_synced: true,
         }
     }
 }
--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -40,6 +40,7 @@
 pub use guards::Guards;
 pub use identity::{MemberId, Peer, View};
 pub use log::{Entry, Origin, Payload, Position};
+pub use member::transfer::{SnapshotRefusal, SnapshotRefusals};
 pub use member::{Input, Member, Output};
 pub use message::Message;
 pub use timing::Millis;
--- a/crates/chain/src/log.rs
+++ b/crates/chain/src/log.rs
@@ -218,6 +218,11 @@
 
     /// About the bytes of the entries after `index`.
     pub fn bytes_after(&self, index: u64) -> usize {
-        (index + 1..=self.last().index).filter_map(|index| self.get(index)).map(Entry::size).sum()
+        self.bytes_between(index, self.last().index)
+    }
+
+    /// About the bytes of the entries after `from` up to `to`.
+    pub fn bytes_between(&self, from: u64, to: u64) -> usize {
+        (from + 1..=to).filter_map(|index| self.get(index)).map(Entry::size).sum()
     }
 }
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -43,6 +43,13 @@
     moved_at: Millis,
 }
 
+impl Upstream {
+    /// A snapshot is on its way: no need to ask for it again.
+    pub(super) fn heard_snapshot(&mut self, now: Millis) {
+        self.attached_at = Some(now);
+    }
+}
+
 impl Downstream {
     /// The successor was sent a snapshot that ends at `index`.
     pub(super) fn goes_on_from(&mut self, index: u64, now: Millis) {
@@ -170,7 +177,8 @@
         for entry in append.entries {
             self.take_entry(entry);
         }
-        if self.stage == Stage::Unsynced && end == append.last {
+        let whole = end == append.last || !self.guards.log_whole_before_synced;
+        if self.stage == Stage::Unsynced && whole {
             self.truncate(end);
             self.come_up();
         }
@@ -336,6 +344,7 @@
         }
         while self.committed < index {
             let Some(entry) = self.log.get(self.committed + 1) else { break };
+            self.snapshots.note_committed(entry.size());
             let Entry { position, origin, payload } = entry.clone();
             self.committed = position.index;
             let ticket = self.submission_committed(origin);
--- a/crates/chain/src/member/follow.rs
+++ b/crates/chain/src/member/follow.rs
@@ -39,6 +39,7 @@
         let Some(previous) = self.common_position(&attach, self.committed) else {
             return self.want_snapshot_for(from, now, out);
         };
+        self.snapshots.is_not_wanted_by(&from);
         let entries = self.log.copy(previous.index, self.committed, APPEND_BYTES);
         let append = Append { view: attach.view, previous, entries, last: self.committed };
         self.send(&from, Message::Followed(append), now, out);
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod requests;
 mod snapshots;
+pub mod transfer;
 
 use crate::agreed::DecidedView;
 use crate::disk::{Saved, SavedSnapshot, Write};
@@ -227,7 +228,7 @@
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
-            snapshots: Snapshots::from(start.index),
+            snapshots: Snapshots::from(saved.snapshot.as_ref()),
             submissions: Submissions::default(),
             held: HeldRequests::default(),
             last_step: now,
@@ -423,6 +424,10 @@
             Message::Snapshot { view, position, bytes } => {
                 self.snapshot_received(from, view, SavedSnapshot { position, bytes }, now, out)
             }
+            Message::SnapshotPart { view, part } => self.snapshot_part_received(from, view, part, now, out),
+            Message::SnapshotProgress { view, progress } => {
+                self.snapshot_progressed(from, view, progress, now, out)
+            }
             Message::Committed { view, index } => self.committed_below(from, view, index, now, out),
             Message::Submit { view, origin, payload } => {
                 self.submission_received(from, view, origin, payload, now, out)
@@ -436,6 +441,7 @@
     /// The connection to it works again; what was on its way is lost.
     fn reconnected(&mut self, peer: &MemberId, now: Millis, out: &mut Vec<Output>) {
         self.chain_reconnected(peer, now, out);
+        self.snapshots_reconnected(peer, now, out);
         if self.view().is_some_and(|view| view.is_head(peer)) {
             self.send_submissions(now, out);
         }
--- a/crates/chain/src/message.rs
+++ b/crates/chain/src/message.rs
@@ -3,6 +3,7 @@
 use crate::agreed::{AcceptedView, Ballot, DecidedView};
 use crate::identity::{MemberId, Peer, View};
 use crate::log::{Entry, Origin, Payload, Position};
+use crate::member::transfer::{SnapshotPart, SnapshotProgress};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -51,7 +52,7 @@
     Follow(Attach),
     /// From the tail: committed entries, up to `last` at most.
     Followed(Append),
-    /// To the successor, or from the tail to a member that follows: the caller's state, as the log doesn't reach back far enough.
+    /// As [`Message::SnapshotPart`], whole: from members of an earlier version.
     Snapshot {
         view: u64,
         position: Position,
@@ -80,6 +81,18 @@
         round: u64,
         index: u64,
     },
+
+    /// To the successor, or from the tail to a member that follows: a part of the caller's state, as the log doesn't
+    /// reach back far enough.
+    SnapshotPart {
+        view: u64,
+        part: SnapshotPart,
+    },
+    /// The answer to a part.
+    SnapshotProgress {
+        view: u64,
+        progress: SnapshotProgress,
+    },
 }
 
 /// A sign of life. Numbers of views are 0 at a member that knows none.
--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -57,8 +57,12 @@
 pub const FOLLOW_AGAIN: Millis = 1_000;
 /// A member is taken back into the chain when it has all commits but so many: the chain waits for the rest.
 pub const MOST_BEHIND: u64 = 512;
-/// No further snapshot goes to a member within this time.
+/// No further snapshot goes to a member within this time after the end of one.
 pub const SNAPSHOT_GAP: Millis = 1_000;
+/// A part of a snapshot that wasn't answered is sent again after this.
+pub const SNAPSHOT_PART_AGAIN: Millis = 300;
+/// A snapshot on its way is given up when its receiver has said nothing new for this long.
+pub const TRANSFER_LASTS: Millis = 5_000;
 /// A demand for the caller's snapshot is repeated after this.
 pub const SNAPSHOT_AGAIN: Millis = 2_000;
 /// A newcomer asks again after this.
@@ -93,10 +97,16 @@
 /// Entries that the head takes before it hears of their commit, and their bytes.
 pub const MOST_UNCOMMITTED: u64 = 4_096;
 pub const MOST_UNCOMMITTED_BYTES: usize = 2 << 20;
-/// Committed entries or bytes in the log beyond which a snapshot is asked for.
-pub const COMPACT_ENTRIES: u64 = 2_048;
+/// A snapshot is asked for when as many bytes of entries were committed as the last one has, within these bounds.
 pub const COMPACT_BYTES: usize = 1 << 20;
-/// Entries before the snapshot that stay in memory for members that were away shortly.
-pub const KEPT_ENTRIES: u64 = 512;
+pub const MOST_COMPACT_BYTES: usize = 4 << 20;
+/// Bytes of entries that stay in memory, some of them before the snapshot, for members that were away shortly.
+pub const KEPT_BYTES: usize = 2 << 20;
+/// The same while a snapshot is on its way to a member, which goes on from there.
+pub const KEPT_FOR_TRANSFER_BYTES: usize = 16 << 20;
+/// Bytes of a snapshot in one message: pings wait behind it, 20 ms at 100 Mbit a second.
+pub const SNAPSHOT_PART_BYTES: usize = 256 << 10;
+/// No larger snapshot is taken from another member.
+pub const MOST_SNAPSHOT_BYTES: u64 = 32 << 20;
 /// Payload bytes in one message of entries, about.
 pub const APPEND_BYTES: usize = 256 << 10;
--- /dev/null
+++ b/crates/chain/tests/snapshots.rs
@@ -0,0 +1,176 @@
+//! Snapshots in parts, over links that carry so much and no more: a member that was wiped, started again or away is
+//! brought up in time while changes go on, broken connections and spoilt bytes notwithstanding.
+
+mod world;
+
+use dunespur_chain::timing::SNAPSHOT_PART_BYTES;
+use dunespur_chain::{Guards, Millis};
+use world::trouble::{play, schedule, Trouble};
+use world::{Setup, World};
+
+/// The first view is in force by then, and the core is calm.
+const CALM: Millis = 2_500;
+/// The deployments' `catch_up_s`.
+const CATCH_UP: Millis = 4_200;
+/// Links of the deployments: 1,000 and 100 Mbit a second, in bytes a millisecond.
+const FAST_LINK: u64 = 125_000;
+const SLOW_LINK: u64 = 12_500;
+/// A change of 40 kB each 30 ms or so.
+const CHANGE_BYTES: usize = 40_000;
+const CHANGE_EVERY: Millis = 30;
+/// Commits that a member may lack while changes go on.
+const MOST_BEHIND: u64 = 20;
+const SEEDS: u64 = 12;
+const MB: usize = 1 << 20;
+
+fn setup(seed: u64, state_bytes: usize, link_bytes_per_ms: u64) -> Setup {
+    Setup {
+        padding: CHANGE_BYTES,
+        write_every: CHANGE_EVERY,
+        snapshot_padding: state_bytes,
+        link_bytes_per_ms,
+        sync_most: 4,
+        ..Setup::new(seed, 3 + (seed % 4) as usize)
+    }
+}
+
+/// The world once it is calm, with so many changes that a newcomer needs a snapshot.
+fn grown(setup: Setup) -> World {
+    let mut world = World::new(setup);
+    world.play_to(CALM).expect("the core comes up");
+    world.play_to(CALM + 15_000).expect("changes are made");
+    // More than the log holds between two snapshots, and for members that were away shortly.
+    assert!(world.committed_count() * CHANGE_BYTES > 14 * MB, "{} changes", world.committed_count());
+    world
+}
+
+/// How long until all machines are in the chain with all commits, from now on.
+fn time_until_whole(world: &mut World) -> Result<Millis, String> {
+    let since = world.now;
+    loop {
+        world.play_to(world.now + 10)?;
+        match world.check_whole(MOST_BEHIND) {
+            Ok(()) => return Ok(world.now - since),
+            Err(text) if world.now > since + 30_000 => return Err(text),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Wipes a machine of a grown world; how long after its return it is whole.
+fn wiped_for(setup: Setup) -> Millis {
+    let mut world = grown(setup);
+    let machine = (setup.seed / 4) as usize % setup.machines;
+    world.trouble_at(world.now, Trouble::Wipe { machine, back_after: 1_000 });
+    world.play_to(world.now + 1_001).expect("it comes back");
+    let installed = world.snapshots_installed;
+    let took = time_until_whole(&mut world).expect("it is made whole");
+    assert!(world.snapshots_installed > installed, "it needed a snapshot");
+    took
+}
+
+fn worst_of(state_bytes: usize, link: u64) -> Millis {
+    (0..SEEDS).map(|seed| wiped_for(setup(seed, state_bytes, link))).max().expect("some seeds")
+}
+
+#[test]
+fn a_wiped_member_is_whole_in_time_whatever_the_size_of_the_state() {
+    for (state_bytes, link) in [
+        (100_000, FAST_LINK),
+        (MB, FAST_LINK),
+        (10 * MB, FAST_LINK),
+        (24 * MB, FAST_LINK),
+        (MB, SLOW_LINK),
+        (10 * MB, SLOW_LINK),
+    ] {
+        let worst = worst_of(state_bytes, link);
+        eprintln!("{state_bytes} bytes at {link} bytes a millisecond: whole after {worst} ms");
+        assert!(worst <= CATCH_UP, "{state_bytes} bytes at {link}: {worst} ms");
+    }
+}
+
+#[test]
+fn a_member_that_was_away_for_twenty_seconds_is_whole_in_time() {
+    for seed in 0..SEEDS {
+        let setup = setup(seed, 10 * MB, FAST_LINK);
+        let mut world = grown(setup);
+        let machine = (seed / 4) as usize % setup.machines;
+        world.trouble_at(world.now, Trouble::PowerLoss { machine, back_after: 20_000 });
+        world.play_to(world.now + 20_001).expect("it comes back");
+        let took = time_until_whole(&mut world).expect("it is made whole");
+        assert!(took <= CATCH_UP, "seed {seed}: {took} ms");
+    }
+}
+
+const BREAKS: u64 = 10;
+const BREAK_EVERY: Millis = 200;
+
+/// The connection breaks in the middle, again and again: what has come stays. The whole takes 840 ms by itself; begun
+/// anew with each break it would be sent in large part ten times.
+#[test]
+fn a_transfer_over_a_link_that_breaks_goes_on_where_it_was() {
+    for seed in 0..SEEDS {
+        let setup = setup(seed, 10 * MB, SLOW_LINK);
+        let mut world = grown(setup);
+        let machine = (seed / 4) as usize % setup.machines;
+        world.trouble_at(world.now, Trouble::Wipe { machine, back_after: 1_000 });
+        let back = world.now + 1_000;
+        for number in 0..BREAKS {
+            for other in (0..setup.machines).filter(|other| *other != machine) {
+                world.trouble_at(back + number * BREAK_EVERY, Trouble::Reset { one: machine, other });
+            }
+        }
+        world.play_to(back + 1).expect("it comes back");
+        let sent = world.part_bytes_sent;
+        let took = time_until_whole(&mut world).expect("it is made whole");
+        let sent = world.part_bytes_sent - sent;
+        eprintln!("seed {seed}: whole after {took} ms, {sent} bytes sent");
+        assert!(took <= CATCH_UP, "seed {seed}: {took} ms");
+        // A change of view meanwhile may bring another sender, whose snapshot is another one.
+        let lost = BREAKS * 2 * SNAPSHOT_PART_BYTES as u64;
+        assert!(sent <= 2 * 10 * MB as u64 + lost, "seed {seed}: {sent} bytes");
+    }
+}
+
+/// Worlds of large snapshots with all kinds of trouble, with bytes spoilt on the way.
+fn spoilt(seed: u64) -> Setup {
+    let setup = Setup::new(seed, 3 + (seed % 4) as usize);
+    Setup { snapshot_padding: 900_000, padding: 12_000, spoils_parts: true, ..setup }
+}
+
+#[test]
+fn spoilt_snapshots_do_not_count() {
+    let mut installed = 0;
+    for seed in 0..120 {
+        let setup = spoilt(seed);
+        let played = play(setup, schedule(&setup, 2)).unwrap_or_else(|text| panic!("{text}"));
+        installed += played.snapshots_installed;
+    }
+    assert!(installed > 10, "{installed} snapshots were installed: the worlds say nothing");
+}
+
+/// What goes wrong first without a guard, if anything does.
+fn counterexample(seeds: u64, setup: impl Fn(u64) -> Setup) -> Option<String> {
+    (0..seeds).find_map(|seed| {
+        let setup = setup(seed);
+        let signs = ["was committed before", "out of order", "wrong snapshot"];
+        let broken = play(setup, schedule(&setup, 3)).err();
+        broken.filter(|text| signs.iter().any(|sign| text.contains(sign)))
+    })
+}
+
+#[test]
+fn snapshots_must_be_checked() {
+    let guards = Guards { snapshots_checked: false, ..Guards::default() };
+    let found = counterexample(200, |seed| Setup { guards, ..spoilt(seed) });
+    assert!(found.as_ref().is_some_and(|text| text.contains("wrong snapshot")), "{found:?}");
+    eprintln!("{found:?}");
+}
+
+#[test]
+fn a_log_must_be_whole_before_it_counts() {
+    let guards = Guards { log_whole_before_synced: false, ..Guards::default() };
+    let found = counterexample(400, |seed| Setup { guards, ..Setup::new(seed, 3 + (seed % 4) as usize) });
+    assert!(found.is_some(), "nothing went wrong");
+    eprintln!("{found:?}");
+}
--- a/crates/chain/tests/world/mod.rs
+++ b/crates/chain/tests/world/mod.rs
@@ -48,6 +48,12 @@
     pub sync_most: Millis,
     /// Bytes of a payload beyond its number: large ones bring on snapshots.
     pub padding: usize,
+    /// Bytes of a snapshot beyond the digest that it begins with: large ones go in many parts.
+    pub snapshot_padding: usize,
+    /// Bytes that a machine sends in a millisecond; 0: any number.
+    pub link_bytes_per_ms: u64,
+    /// Now and then a byte of a snapshot's part is another when it arrives.
+    pub spoils_parts: bool,
 }
 
 impl Setup {
@@ -63,6 +69,9 @@
             read_every: 150,
             sync_most: if seed % 3 == 2 { SLOW_SYNC } else { QUICK_SYNC },
             padding,
+            snapshot_padding: 0,
+            link_bytes_per_ms: 0,
+            spoils_parts: false,
         }
     }
 }
@@ -104,6 +113,8 @@
     /// It is gone for good.
     pub removed: bool,
     may_found: bool,
+    /// What it has sent has left it by then, in microseconds.
+    sent_until_us: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -175,6 +186,8 @@
     pub losing: bool,
     pub snapshots_given: u64,
     pub snapshots_installed: u64,
+    /// Bytes of snapshots that were sent in parts.
+    pub part_bytes_sent: u64,
     /// Inputs that members have taken.
     pub steps: u64,
     /// Payloads by index; index 1 is at 0.
@@ -215,6 +228,7 @@
             losing: false,
             snapshots_given: 0,
             snapshots_installed: 0,
+            part_bytes_sent: 0,
             steps: 0,
             sequence: Vec::new(),
             commit_times: Vec::new(),
@@ -313,6 +327,7 @@
             powered: true,
             removed: false,
             may_found,
+            sent_until_us: 0,
         });
         index
     }
@@ -495,10 +510,36 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, identity: Option<MemberId>, message: Message) {
+    /// When the last byte of a message that is sent now has left its machine.
+    fn leaves_at(&mut self, from: usize, message: &Message) -> Millis {
+        if self.setup.link_bytes_per_ms == 0 {
+            return self.now;
+        }
+        let bytes = postcard::to_stdvec(message).expect("a message can be written").len() as u64;
+        let takes_us = bytes * 1_000 / self.setup.link_bytes_per_ms;
+        let machine = &mut self.machines[from];
+        machine.sent_until_us = machine.sent_until_us.max(self.now * 1_000) + takes_us;
+        machine.sent_until_us.div_ceil(1_000)
+    }
+
+    /// Counts parts, and spoils a byte of some.
+    fn look_at_part(&mut self, message: &mut Message) {
+        let Message::SnapshotPart { part, .. } = message else { return };
+        self.part_bytes_sent += part.bytes.len() as u64;
+        if self.setup.spoils_parts && self.rng.u32(0..8) == 0 {
+            let mut bytes = part.bytes.to_vec();
+            let place = self.rng.usize(..bytes.len());
+            bytes[place] ^= 1;
+            part.bytes = bytes.into();
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, identity: Option<MemberId>, mut message: Message) {
         let sender = self.id(from);
         let delay = self.rng.u64(1..4);
+        self.look_at_part(&mut message);
         let now = self.now;
+        let left = self.leaves_at(from, &message);
         if self.doubling && self.rng.u32(0..100) == 0 {
             let at = now + self.rng.u64(10..2_000);
             let input = Input::Received { from: sender.clone(), message: message.clone() };
@@ -508,7 +549,7 @@
             return;
         }
         let line = self.line(from, to);
-        line.last_arrival = line.last_arrival.max(now + delay);
+        line.last_arrival = line.last_arrival.max(left + delay);
         let arrival = line.last_arrival;
         line.queue.push_back(Carried { sender, to: identity, message, arrival });
         self.schedule(arrival, Event::Deliver { from, to });
@@ -648,19 +689,25 @@
     fn give_snapshot(&mut self, index: usize) {
         self.snapshots_given += 1;
         let applied = self.process(index).applied;
-        let bytes = self.digests[applied as usize].to_le_bytes().to_vec();
+        let bytes = self.snapshot_after(self.digests[applied as usize]);
         let at = self.now + self.rng.u64(0..5);
         let run = self.machines[index].run;
         let input = Input::Snapshot { index: applied, bytes };
         self.schedule(at, Event::Notice { to: index, run, input });
     }
 
+    /// The state after entries of this digest.
+    fn snapshot_after(&self, digest: u64) -> Vec<u8> {
+        let words = 1 + self.setup.snapshot_padding / 8;
+        digest.to_le_bytes().repeat(words)
+    }
+
     fn installed(&mut self, index: usize, at: u64, bytes: &[u8]) {
         self.snapshots_installed += 1;
         let process = self.process(index);
         let goes_back = at < process.applied;
         process.applied = at;
-        let right = self.digests.get(at as usize).map(|digest| digest.to_le_bytes().to_vec());
+        let right = self.digests.get(at as usize).map(|digest| self.snapshot_after(*digest));
         if goes_back || right.as_deref() != Some(bytes) {
             self.breaks(format!("m{index} installs a wrong snapshot at {at}"));
         }
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -7,7 +7,7 @@
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
-use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, View};
+use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, SnapshotRefusals, View};
 use dunespur_control::{ControlState, Operation, Outcome};
 use dunespur_link::Client;
 use dunespur_storage::core::CoreDisk;
@@ -76,6 +76,8 @@
     next_lease_round: u64,
     /// Whether this member decided on leases at the last round.
     decided_leases: bool,
+    /// Refusals of snapshots when one was last looked for.
+    told_refusals: SnapshotRefusals,
 }
 
 impl Coordinator {
@@ -99,6 +101,7 @@
             next_ticket: 1,
             next_lease_round: now + LEASE_ROUND_MS,
             decided_leases: false,
+            told_refusals: SnapshotRefusals::default(),
         };
         let coordinator = Rc::new_cyclic(|this| Coordinator {
             id,
@@ -133,6 +136,7 @@
             follows: inner.serves(now),
             committed: inner.member.committed(),
             waiting: inner.executing.len(),
+            refused_snapshots: inner.member.snapshot_refusals().total(),
             programs: inner.applied.state().counters().programs(),
             disk: inner.disk.status(),
             leases: inner.leases.status(most_leases, now),
@@ -284,7 +288,10 @@
         let mut changed = false;
         while let Some(input) = inputs.pop_front() {
             let now = self.clock.now();
-            self.inner.borrow_mut().member.step(input, now, &mut outputs);
+            let mut inner = self.inner.borrow_mut();
+            inner.member.step(input, now, &mut outputs);
+            inner.tell_refusals();
+            drop(inner);
             for output in outputs.drain(..) {
                 changed |= self.carry_out(output, &mut inputs);
             }
@@ -385,6 +392,18 @@
 }
 
 impl Inner {
+    /// Each reason is logged once in the life of the process; all are counted.
+    fn tell_refusals(&mut self) {
+        let refusals = self.member.snapshot_refusals();
+        if refusals == self.told_refusals {
+            return;
+        }
+        for refusal in refusals.first_since(&self.told_refusals) {
+            log::warn!("a member's snapshot is not taken: {refusal}; later ones are only counted");
+        }
+        self.told_refusals = refusals;
+    }
+
     /// Whether this member may answer: it follows the chain, and its state is that of what it has followed.
     fn serves(&self, now: u64) -> bool {
         self.member.follows(now) && self.applied.is_readable()
--- a/crates/node/src/status/report.rs
+++ b/crates/node/src/status/report.rs
@@ -106,6 +106,8 @@
     pub committed: u64,
     /// Operations that wait here for their commit.
     pub waiting: usize,
+    /// Snapshots of others, and parts of them, that were not taken.
+    pub refused_snapshots: u64,
     /// Programs with a counter.
     pub programs: usize,
     pub disk: DiskStatus,
