--- a/crates/storage/src/core.rs
+++ b/crates/storage/src/core.rs
@@ -24,8 +24,9 @@
 const FORMAT: u64 = 2;
 const CACHE_BYTES: usize = 1 << 20;
 /// Bytes of one part of the snapshot. The library looks for contiguous room for each value: one large value makes the
-/// file grow to many times its size.
-const PART_BYTES: usize = 16 << 10;
+/// file grow to many times its size. It rounds the room up to a power of two: a part and what the library keeps with
+/// it fill 16 KiB, one of 16 KiB would take 32.
+const PART_BYTES: usize = (16 << 10) - 128;
 /// Entries that are removed with one write, for each that it adds, once the snapshot holds them; and with any write.
 /// All removed at once made the file grow to ten times what it holds, as pages are free again only after the commit.
 const REMOVED_PER_ENTRY: usize = 4;
--- /dev/null
+++ b/crates/storage/tests/core_growth.rs
@@ -0,0 +1,75 @@
+//! How large a core member's file gets with the largest control state, over many snapshots while changes go on: it has
+//! to stay within the disks of core machines.
+
+use dunespur_chain::timing::{COMPACT_BYTES, MOST_COMPACT_BYTES};
+use dunespur_chain::{Entry, Origin, Payload, Position, SavedSnapshot, Write};
+use dunespur_storage::core::CoreDisk;
+
+/// The disks of core machines, less what may be set aside of a file that can't be read.
+const DISK_BYTES: u64 = (64 << 20) - dunespur_storage::recovery::MOST_ASIDE_BYTES;
+/// 60,000 programs of 154 bytes, 1,000 servers and a configuration of 400 kB come to this.
+const LARGEST_STATE: usize = 12 << 20;
+const SNAPSHOTS: usize = 6;
+
+struct Writer {
+    disk: CoreDisk,
+    index: u64,
+    worst: u64,
+    path: std::path::PathBuf,
+}
+
+impl Writer {
+    fn write(&mut self, writes: &[Write]) {
+        self.disk.write(writes).expect("the disk takes it");
+        self.worst = self.worst.max(std::fs::metadata(&self.path).expect("the file").len());
+    }
+
+    /// So many bytes of entries, in batches as they come together in a sync.
+    fn entries(&mut self, bytes: usize, size: usize, batch: u64) {
+        let mut written = 0;
+        while written < bytes {
+            let entry = |index| Write::Entry {
+                entry: Entry {
+                    position: Position { index, view: 1 },
+                    origin: Origin { session: 5, ticket: index },
+                    payload: Payload::from(vec![index as u8; size]),
+                },
+            };
+            let writes: Vec<Write> = (1..=batch).map(|step| entry(self.index + step)).collect();
+            self.index += batch;
+            written += batch as usize * (size + 64);
+            self.write(&writes);
+        }
+    }
+
+    fn snapshot(&mut self, bytes: usize) {
+        let position = Position { index: self.index - 3, view: 1 };
+        let bytes = Payload::from(vec![self.index as u8; bytes]);
+        self.write(&[Write::Snapshot { snapshot: SavedSnapshot { position, bytes } }]);
+    }
+}
+
+fn worst_file(state: usize, entry: usize, batch: u64) -> u64 {
+    let folder = std::env::temp_dir().join(format!("dunespur-core-growth-{}-{entry}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the test");
+    let path = folder.join("core.redb");
+    let (disk, _, _) = CoreDisk::open(&path).expect("a new file");
+    let mut writer = Writer { disk, index: 0, worst: 0, path };
+    for _ in 0..SNAPSHOTS {
+        writer.entries(state.clamp(COMPACT_BYTES, MOST_COMPACT_BYTES), entry, batch);
+        writer.snapshot(state);
+    }
+    let worst = writer.worst;
+    drop(writer);
+    std::fs::remove_dir_all(&folder).expect("the folder goes");
+    worst
+}
+
+#[test]
+fn the_file_of_the_largest_state_fits_the_disk() {
+    for (entry, batch) in [(300, 200), (5_000, 8), (400_000, 1)] {
+        let worst = worst_file(LARGEST_STATE, entry, batch);
+        eprintln!("entries of {entry} bytes: {worst} bytes at worst");
+        assert!(worst <= DISK_BYTES, "entries of {entry} bytes: {worst} bytes");
+    }
+}
