No second entry for what is submitted again while the first is on its way

Change: a limiter repeats a request unchanged, so a core member knows it by its bytes (node::core::executing): a repeated one waits for the commit of the first, also when the first's caller has given up. At the head a submission whose origin is among the uncommitted entries makes no other. Not covered: a request repeated at another member; it takes effect once as before.

--- a/crates/chain/src/log.rs
+++ b/crates/chain/src/log.rs
@@ -216,6 +216,12 @@
         copied
     }
 
+    /// Whether an entry after `index` was submitted under this ticket.
+    pub fn has_origin_after(&self, index: u64, origin: Origin) -> bool {
+        let after = index.saturating_sub(self.start.index) as usize;
+        self.entries.iter().skip(after).any(|entry| entry.origin == origin)
+    }
+
     /// About the bytes of the entries after `index`.
     pub fn bytes_after(&self, index: u64) -> usize {
         self.bytes_between(index, self.last().index)
--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -361,6 +361,10 @@
     /// Appends at the head; says whether there was room.
     pub(super) fn append_at_head(&mut self, origin: Origin, payload: Payload) -> bool {
         let last = self.log.last().index;
+        // Against a second entry for a submission that was sent again while the first is on its way.
+        if self.log.has_origin_after(self.committed, origin) {
+            return true;
+        }
         let many = last - self.committed >= MOST_UNCOMMITTED;
         let large = self.log.bytes() > MOST_UNCOMMITTED_BYTES
             && self.log.bytes_after(self.committed) > MOST_UNCOMMITTED_BYTES;
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -2,13 +2,14 @@
 
 use super::applied::AppliedState;
 use super::disk::{Batch, DiskWriter};
+use super::executing::{Answer, Executing, Taken};
 use super::expiry::Leases;
 use crate::clock::Clock;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
 use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, SnapshotRefusals, View};
-use dunespur_control::{ControlState, Operation, Outcome};
+use dunespur_control::{ControlState, Operation};
 use dunespur_link::Client;
 use dunespur_storage::core::CoreDisk;
 use std::cell::RefCell;
@@ -70,7 +71,7 @@
     leases: Leases,
     disk: DiskWriter,
     links: HashMap<SocketAddr, Rc<Client>>,
-    executing: HashMap<u64, oneshot::Sender<Option<Outcome>>>,
+    executing: Executing,
     reading: HashMap<u64, oneshot::Sender<()>>,
     next_ticket: u64,
     next_lease_round: u64,
@@ -96,7 +97,7 @@
             leases: Leases::new(identity.heartbeat_ms),
             disk: DiskWriter::start(disk, persisted)?,
             links: HashMap::new(),
-            executing: HashMap::new(),
+            executing: Executing::default(),
             reading: HashMap::new(),
             next_ticket: 1,
             next_lease_round: now + LEASE_ROUND_MS,
@@ -179,21 +180,23 @@
         }
     }
 
-    fn submit(&self, operation: &Operation) -> Option<oneshot::Receiver<Option<Outcome>>> {
+    fn submit(&self, operation: &Operation) -> Option<Answer> {
         let payload = postcard::to_stdvec(operation).ok()?;
-        let (sender, answer) = oneshot::channel();
-        let ticket = {
+        let (ticket, taken) = {
             let mut inner = self.inner.borrow_mut();
             if inner.executing.len() >= MOST_WAITING || !inner.serves(self.clock.now()) {
                 return None;
             }
-            inner.executing.retain(|_, waiting| !waiting.is_closed());
             let ticket = inner.take_ticket();
-            inner.executing.insert(ticket, sender);
-            ticket
+            (ticket, inner.executing.take(ticket, operation, &payload))
         };
-        self.step(Input::Submit { ticket, payload });
-        Some(answer)
+        match taken {
+            Taken::Joined(answer) => Some(answer),
+            Taken::New(answer) => {
+                self.step(Input::Submit { ticket, payload });
+                Some(answer)
+            }
+        }
     }
 
     /// The newest configuration, confirmed by the whole chain.
@@ -327,9 +330,7 @@
             }
             Output::Dropped { ticket } => {
                 inner.reading.remove(&ticket);
-                if let Some(waiting) = inner.executing.remove(&ticket) {
-                    let _ = waiting.send(None);
-                }
+                inner.executing.ended(ticket, None);
             }
             Output::WantSnapshot => {
                 // A state that has fallen behind isn't handed on as that of the newest index.
@@ -495,8 +496,8 @@
     /// Applies a committed operation and answers whoever waits for it.
     fn commit(&mut self, index: u64, payload: &[u8], ticket: Option<u64>) -> bool {
         let outcome = self.applied.commit(index, payload);
-        if let Some(waiting) = ticket.and_then(|ticket| self.executing.remove(&ticket)) {
-            let _ = waiting.send(outcome);
+        if let Some(ticket) = ticket {
+            self.executing.ended(ticket, outcome);
         }
         self.applied.changes().has_after(index - 1)
     }
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod coordinator;
 mod disk;
+mod executing;
 mod expiry;
 
 pub use coordinator::{Coordinator, CoreIdentity};
