--- a/crates/chain/src/guards.rs
+++ b/crates/chain/src/guards.rs
@@ -21,8 +21,11 @@
     /// Against one that was put out, or stood still, and has a view decided again in the place of that in force.
     pub decided_once: bool,
     /// A member of the chain counts as synced only when its log has come up to its predecessor's.
-    /// Against a newcomer, or one that was away, whose assent counts for what it doesn't hold.
+    /// Against a newcomer, or one that was away or goes on from a snapshot, whose assent counts for what it doesn't hold.
     pub whole_before_synced: bool,
+    /// A snapshot that came in parts counts only if the whole has its checksum. Against bytes that were spoilt or mixed
+    /// on the way.
+    pub snapshots_checked: bool,
 }
 
 impl Default for Guards {
@@ -35,6 +38,7 @@
             commits_awaited: true,
             decided_once: true,
             whole_before_synced: true,
+            snapshots_checked: true,
         }
     }
 }
