A server may leave a long body unread for longer than a second

Cause: connections to servers end when bytes are not acknowledged for a second, against machines that are gone, and the system counts a window that stays shut as such.

A body beyond 32 KB, which a server's buffers need not hold, gives its server as long as the request. Ruled out: no such time at all (a machine without power says nothing, and short requests over kept connections would wait for all of theirs); half of the request's time (no reason for any such number). The price: a long request over a kept connection to a machine that has just lost its power is noticed at its time, not after a second.

The test fails without the mend; it waits for the machine itself to give up a like connection, not for time to pass.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
+use tokio::time::Duration;
 
 /// Which connections may carry a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,7 +126,8 @@
         if self.record.may_leave() {
             self.limit.expect_within(PATIENCE_AIMS * self.route.target_ms);
         }
-        let exchange = link.exchange(head, self.message.pieces.clone());
+        let time_left = Duration::from_millis(self.limit.left_ms());
+        let exchange = link.exchange(head, self.message.pieces.clone(), time_left);
         let (head, incoming) = match self.wait(exchange).await {
             Some(answered) => answered.map_err(AttemptError::Ended)?.into_parts(),
             None => {
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -26,6 +26,13 @@
 
 /// What is read ahead of an answer, its head above all, and written ahead of what the server takes.
 const BUFFER: usize = 64 * 1024;
+/// Bytes that the other side has not acknowledged for so long end the connection. Guards against a machine without
+/// power or behind a cut, which says nothing.
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The body of a request up to this length finds room at its server whether that reads it or not. Of a longer one a part
+/// waits here until the server reads on, and the system takes a server that leaves it unread for one that is gone: it
+/// has as long as the request.
+const MOST_UNREAD: u64 = 32 * 1024;
 /// Headers of an answer.
 const MOST_HEADERS: usize = 160;
 
@@ -78,9 +85,19 @@
 struct Line {
     stream: RefCell<TokioIo<WatchedStream>>,
     progress: Cell<Progress>,
+    peer_timeout: Cell<Duration>,
 }
 
 impl Line {
+    /// How long the other side may leave bytes unacknowledged, or unread.
+    fn set_peer_timeout(&self, peer_timeout: Duration) {
+        if self.peer_timeout.replace(peer_timeout) != peer_timeout {
+            let stream = self.stream.borrow();
+            let set = SockRef::from(stream.inner().stream()).set_tcp_user_timeout(Some(peer_timeout));
+            set.unwrap_or_else(|error| log::debug!("peer timeout: {error}"));
+        }
+    }
+
     fn change(&self, change: impl FnOnce(&mut Progress)) {
         let mut progress = self.progress.get();
         change(&mut progress);
@@ -167,6 +184,7 @@
         let line = Rc::new(Line {
             stream: RefCell::new(TokioIo::new(WatchedStream::new(stream))),
             progress: Cell::new(Progress::of_request(0)),
+            peer_timeout: Cell::new(PEER_TIMEOUT),
         });
         let mut builder = http1::Builder::new();
         builder.max_headers(MOST_HEADERS).max_buf_size(BUFFER);
@@ -210,14 +228,17 @@
         self.line.stream.borrow().inner().ended_by()
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request, whose time is over after `time_left`, and waits for the head of its answer.
     pub(crate) async fn exchange(
         &mut self,
         head: Request<()>,
         pieces: SmallVec<[Bytes; 1]>,
+        time_left: Duration,
     ) -> Result<Response<Incoming>, Attempt> {
         let left = pieces.iter().map(|piece| piece.len() as u64).sum();
         self.line.progress.set(Progress::of_request(left));
+        let is_long = left > MOST_UNREAD;
+        self.line.set_peer_timeout(if is_long { time_left.max(PEER_TIMEOUT) } else { PEER_TIMEOUT });
         let body = Outgoing { pieces: pieces.into_iter(), left, line: self.line.clone() };
         let mut answer = pin!(self.sender.send_request(head.map(|()| body)));
         let connection = &mut self.connection;
--- a/crates/proxy/src/servers.rs
+++ b/crates/proxy/src/servers.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::guards::Guards;
 use crate::http_headers;
-use crate::link::{ConnectError, Link, Place};
+use crate::link::{ConnectError, Link, Place, PEER_TIMEOUT};
 use crate::reuse::Rest;
 use dunespur_routing::{Server, ServerId};
 use http::HeaderMap;
@@ -20,9 +20,6 @@
 /// nothing was sent. Within these bounds.
 const LEAST_CONNECT_MS: u64 = 100;
 const MOST_CONNECT_MS: u64 = 400;
-/// Bytes that the other side has not acknowledged for so long end the connection. Guards against a machine
-/// without power or behind a cut, which says nothing.
-const USER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// This machine, or this process, has no descriptors, buffers or ports left (Linux's numbers).
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
@@ -182,7 +179,7 @@
 
 async fn dial(address: SocketAddr) -> Io<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    SockRef::from(&socket).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    SockRef::from(&socket).set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
     socket.set_nodelay(true)?;
     socket.connect(address).await
 }
--- a/crates/proxy/tests/strays.rs
+++ b/crates/proxy/tests/strays.rs
@@ -6,6 +6,8 @@
 use dunespur_proxy::{FrontSettings, Guards};
 use std::io::Write;
 use support::*;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::Duration;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nX-Dunespur-Request-Id: r1\r\nX-Dunespur-Response-Stamp: s\r\n";
@@ -102,6 +104,33 @@
     });
 }
 
+/// Returns once this machine has given up a connection whose other side leaves bytes unread, after `peer_timeout`.
+async fn unread_bytes_are_given_up(peer_timeout: Duration) {
+    let unread = StandIn::narrow("unread").await;
+    let mut stream = TcpStream::connect(unread.address).await.unwrap();
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(peer_timeout)).unwrap();
+    let written = stream.write_all(&vec![0; LONG_BODY]).await;
+    assert_eq!(written.unwrap_err().kind(), std::io::ErrorKind::TimedOut);
+}
+
+#[test]
+fn a_server_that_reads_a_long_body_late_gets_it() {
+    play(async {
+        let server = StandIn::narrow("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        take_long_bodies(&gateway);
+        let body = numbered_body(LONG_BODY);
+        let mut client = gateway.ask(&post("/write/", "r1", "", &body)).await;
+        let mut connection = server.accept().await;
+        let head = connection.head().await;
+        unread_bytes_are_given_up(Duration::from_millis(1500)).await;
+        let read = connection.body_of(&head).await;
+        assert!(read.is_ok_and(|read| read == body.as_bytes()), "all of the body");
+        connection.answer(200, "r1", "", "late").await;
+        assert_eq!(client.message().await.text(), "late");
+    });
+}
+
 #[test]
 fn answers_on_different_connections_may_pass_each_other() {
     play(async {
