--- a/crates/control/tests/world/machines.rs
+++ b/crates/control/tests/world/machines.rs
@@ -331,7 +331,7 @@
                 return self.decided(index, call, outcome);
             }
         }
-        if !process.member.follows(clock) {
+        if !process.member.takes_part(clock) {
             return self.answer(index, call, Answer::Unclear);
         }
         let payload = postcard::to_stdvec(&Operation::Configure(order)).expect("an operation");
@@ -378,7 +378,7 @@
             return;
         }
         let node = "-".repeat(self.setup.filling);
-        let payload = postcard::to_stdvec(&Operation::RetireDone { node, incarnation: 0 });
+        let payload = postcard::to_stdvec(&Operation::RetireDone { node, incarnation: 0, round: 0 });
         let ticket = self.take_ticket();
         self.step(index, Input::Submit { ticket, payload: payload.expect("an operation") });
     }
