--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -2,14 +2,15 @@
 
 use super::applied::AppliedState;
 use super::disk::{Batch, DiskWriter};
+use super::executing::{Answer, Executing, Taken};
 use super::expiry::Leases;
 use crate::clock::Clock;
 use crate::deadline::within;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
-use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, View};
-use dunespur_control::{ControlState, Operation, Outcome};
+use dunespur_chain::{Input, Member, MemberId, Message, Output, Peer, SnapshotRefusals, View};
+use dunespur_control::{ControlState, Operation};
 use dunespur_link::Client;
 use dunespur_storage::core::CoreDisk;
 use std::cell::RefCell;
@@ -71,12 +72,14 @@
     leases: Leases,
     disk: DiskWriter,
     links: HashMap<SocketAddr, Rc<Client>>,
-    executing: HashMap<u64, oneshot::Sender<Option<Outcome>>>,
+    executing: Executing,
     reading: HashMap<u64, oneshot::Sender<()>>,
     next_ticket: u64,
     next_lease_round: u64,
     /// Whether this member decided on leases at the last round.
     decided_leases: bool,
+    /// Refusals of snapshots when one was last looked for.
+    told_refusals: SnapshotRefusals,
 }
 
 impl Coordinator {
@@ -95,11 +98,12 @@
             leases: Leases::new(identity.heartbeat_ms),
             disk: DiskWriter::start(disk, persisted)?,
             links: HashMap::new(),
-            executing: HashMap::new(),
+            executing: Executing::default(),
             reading: HashMap::new(),
             next_ticket: 1,
             next_lease_round: now + LEASE_ROUND_MS,
             decided_leases: false,
+            told_refusals: SnapshotRefusals::default(),
         };
         let coordinator = Rc::new_cyclic(|this| Coordinator {
             id,
@@ -134,6 +138,7 @@
             follows: inner.serves(now),
             committed: inner.member.committed(),
             waiting: inner.executing.len(),
+            refused_snapshots: inner.member.snapshot_refusals().total(),
             programs: inner.applied.state().counters().programs(),
             disk: inner.disk.status(),
             leases: inner.leases.status(most_leases, now),
@@ -176,21 +181,23 @@
         }
     }
 
-    fn submit(&self, operation: &Operation) -> Option<oneshot::Receiver<Option<Outcome>>> {
+    fn submit(&self, operation: &Operation) -> Option<Answer> {
         let payload = postcard::to_stdvec(operation).ok()?;
-        let (sender, answer) = oneshot::channel();
-        let ticket = {
+        let (ticket, taken) = {
             let mut inner = self.inner.borrow_mut();
             if inner.executing.len() >= MOST_WAITING || !inner.takes_orders(self.clock.now()) {
                 return None;
             }
-            inner.executing.retain(|_, waiting| !waiting.is_closed());
             let ticket = inner.take_ticket();
-            inner.executing.insert(ticket, sender);
-            ticket
+            (ticket, inner.executing.take(ticket, operation, &payload))
         };
-        self.step(Input::Submit { ticket, payload });
-        Some(answer)
+        match taken {
+            Taken::Joined(answer) => Some(answer),
+            Taken::New(answer) => {
+                self.step(Input::Submit { ticket, payload });
+                Some(answer)
+            }
+        }
     }
 
     /// The newest configuration, confirmed by the whole chain.
@@ -287,7 +294,10 @@
         let mut changed = false;
         while let Some(input) = inputs.pop_front() {
             let now = self.clock.now();
-            self.inner.borrow_mut().member.step(input, now, &mut outputs);
+            let mut inner = self.inner.borrow_mut();
+            inner.member.step(input, now, &mut outputs);
+            inner.tell_refusals();
+            drop(inner);
             for output in outputs.drain(..) {
                 changed |= self.carry_out(output, &mut inputs);
             }
@@ -321,9 +331,7 @@
             }
             Output::Dropped { ticket } => {
                 inner.reading.remove(&ticket);
-                if let Some(waiting) = inner.executing.remove(&ticket) {
-                    let _ = waiting.send(None);
-                }
+                inner.executing.ended(ticket, None);
             }
             Output::WantSnapshot => {
                 // A state that has fallen behind isn't handed on as that of the newest index.
@@ -388,6 +396,18 @@
 }
 
 impl Inner {
+    /// Each reason is logged once in the life of the process; all are counted.
+    fn tell_refusals(&mut self) {
+        let refusals = self.member.snapshot_refusals();
+        if refusals == self.told_refusals {
+            return;
+        }
+        for refusal in refusals.first_since(&self.told_refusals) {
+            log::warn!("a member's snapshot is not taken: {refusal}; later ones are only counted");
+        }
+        self.told_refusals = refusals;
+    }
+
     /// Whether an operation may be submitted here. What it comes to, its commit tells.
     fn takes_orders(&self, now: u64) -> bool {
         self.member.takes_part(now) && self.applied.is_readable()
@@ -482,8 +502,8 @@
     /// Applies a committed operation and answers whoever waits for it.
     fn commit(&mut self, index: u64, payload: &[u8], ticket: Option<u64>) -> bool {
         let outcome = self.applied.commit(index, payload);
-        if let Some(waiting) = ticket.and_then(|ticket| self.executing.remove(&ticket)) {
-            let _ = waiting.send(outcome);
+        if let Some(ticket) = ticket {
+            self.executing.ended(ticket, outcome);
         }
         self.applied.changes().has_after(index - 1)
     }
