--- a/crates/node/tests/budgets.rs
+++ b/crates/node/tests/budgets.rs
@@ -6,8 +6,7 @@
 use dunespur_emulator::record::Fate;
 use dunespur_emulator::scene::{usual_program, ScenePlan};
 use std::time::Duration;
-use support::disk::{fail_as_late, with_standstills_apart};
-use support::{expect_no_violation, go_on, programs_for, stage, LATER, RECOVERY};
+use support::{expect_no_violation, programs_for, stage, RECOVERY};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -19,20 +18,18 @@
 
 #[tokio::test]
 async fn a_spent_budget_is_402_before_any_server_sees_the_turn() {
-    with_standstills_apart(|| async {
-        let scene = stage(ScenePlan::default()).await;
-        let mut line = Line::new(&scene.client, &of_turns(4));
-        for number in 0..4 {
-            go_on(&scene, &mut line, &format!("turn {number}")).await;
-        }
-        for front in scene.system.fronts() {
-            let served = scene.client.send_to(front, &line.ask(&scene.client, &"one more".into())).await;
-            assert_eq!(served.status(), Some(402), "{served:?}");
-            assert!(scene.record.sightings_of(served.request).is_empty());
-        }
-        expect_no_violation(&scene);
-    })
-    .await;
+    let scene = stage(ScenePlan::default()).await;
+    let mut line = Line::new(&scene.client, &of_turns(4));
+    for number in 0..4 {
+        let served = line.turn(&scene.client, &format!("turn {number}").into()).await;
+        assert!(served.succeeded(), "{number}: {served:?}");
+    }
+    for front in scene.system.fronts() {
+        let served = scene.client.send_to(front, &line.ask(&scene.client, &"one more".into())).await;
+        assert_eq!(served.status(), Some(402), "{served:?}");
+        assert!(scene.record.sightings_of(served.request).is_empty());
+    }
+    expect_no_violation(&scene);
 }
 
 #[tokio::test]
@@ -61,32 +58,25 @@
 
 #[tokio::test]
 async fn a_budget_holds_over_a_kill_of_all_processes() {
-    with_standstills_apart(|| async {
-        let mut scene = stage(ScenePlan::default()).await;
-        let plan = of_turns(4);
-        let mut line = Line::new(&scene.client, &plan);
-        for number in 0..3 {
-            go_on(&scene, &mut line, &format!("turn {number}")).await;
-        }
-        scene.system.kill_all();
-        for index in 0..scene.system.machines().len() {
-            scene.system.restart(index).unwrap();
-        }
-        scene.settle().await.unwrap();
-        let (mut ended, mut late) = (false, None);
-        for number in 0..20 {
-            let served = line.turn(&scene.client, &format!("later turn {number}").into()).await;
-            ended |= served.status() == Some(402);
-            late = late.or((served.status() == Some(LATER)).then(|| format!("{number}: {served:?}")));
-        }
-        if let Some(what) = late.filter(|_| !ended) {
-            fail_as_late(what);
-        }
-        assert!(ended, "the budget came back with the processes");
-        programs_for(&scene, Duration::from_millis(200)).await;
-        expect_no_violation(&scene);
-    })
-    .await;
+    let mut scene = stage(ScenePlan::default()).await;
+    let plan = of_turns(4);
+    let mut line = Line::new(&scene.client, &plan);
+    for number in 0..3 {
+        assert!(line.turn(&scene.client, &format!("turn {number}").into()).await.succeeded());
+    }
+    scene.system.kill_all();
+    for index in 0..scene.system.machines().len() {
+        scene.system.restart(index).unwrap();
+    }
+    scene.settle().await.unwrap();
+    let mut ended = false;
+    for number in 0..20 {
+        let served = line.turn(&scene.client, &format!("later turn {number}").into()).await;
+        ended |= served.status() == Some(402);
+    }
+    assert!(ended, "the budget came back with the processes");
+    programs_for(&scene, Duration::from_millis(200)).await;
+    expect_no_violation(&scene);
 }
 
 #[tokio::test]
--- a/crates/node/tests/replacing.rs
+++ b/crates/node/tests/replacing.rs
@@ -12,25 +12,22 @@
 
 #[tokio::test]
 async fn a_store_is_replaced_and_the_next_one_may_go() {
-    with_standstills_apart(|| async {
-        let mut scene = stage(ScenePlan::default()).await;
-        let mut lines = Vec::new();
-        for _ in 0..12 {
-            lines.push(line_of(&scene, 2).await);
-        }
-        let stores = places(&scene, Role::Store);
-        for (round, store) in stores.iter().enumerate() {
-            let zone = scene.system.machines()[*store].plan().zone.clone();
-            scene.system.machine(*store).kill();
-            scene.system.join(MachinePlan::new(Role::Store, &zone)).unwrap();
-            programs_for(&scene, CATCH_UP).await;
-            for line in &mut lines {
-                go_on(&scene, line, &format!("after replacement {round}")).await;
-            }
+    let mut scene = stage(ScenePlan::default()).await;
+    let mut lines = Vec::new();
+    for _ in 0..12 {
+        lines.push(line_of(&scene, 2).await);
+    }
+    let stores = places(&scene, Role::Store);
+    for (round, store) in stores.iter().enumerate() {
+        let zone = scene.system.machines()[*store].plan().zone.clone();
+        scene.system.machine(*store).kill();
+        scene.system.join(MachinePlan::new(Role::Store, &zone)).unwrap();
+        programs_for(&scene, CATCH_UP).await;
+        for line in &mut lines {
+            go_on(&scene, line, &format!("after replacement {round}")).await;
         }
-        expect_no_violation(&scene);
-    })
-    .await;
+    }
+    expect_no_violation(&scene);
 }
 
 #[tokio::test]
