--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod requests;
 mod snapshots;
+pub mod transfer;
 
 use crate::agreed::DecidedView;
 use crate::disk::{Saved, SavedSnapshot, Write};
@@ -228,7 +229,7 @@
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
-            snapshots: Snapshots::from(start.index),
+            snapshots: Snapshots::from(saved.snapshot.as_ref()),
             submissions: Submissions::default(),
             held: HeldRequests::default(),
             last_step: now,
@@ -290,14 +291,19 @@
         others.count() + 1 >= view.majority()
     }
 
-    /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
-    /// the chain, and lags behind its log by a moment only. One that was put out hears the others, but no commits; one
-    /// that has started again, was taken back, or is parted from the tail holds commits that it doesn't know to be some.
-    pub fn follows(&self, now: Millis) -> bool {
+    /// Whether what is submitted here is likely to be committed soon: this member is [`current`](Member::current) and
+    /// has its place in the chain. One that was put out hears the others, but no commits.
+    pub fn takes_part(&self, now: Millis) -> bool {
         // A member may be sealed before it has come up.
-        let in_chain = self.stage != Stage::Outside && self.has_come_up();
+        self.current(now) && self.stage != Stage::Outside && self.has_come_up()
+    }
+
+    /// Whether commits come in here as they are made: this member [takes part](Member::takes_part), and lags behind its
+    /// log by a moment only. One that has started again, was taken back, or is parted from the tail holds commits that
+    /// it doesn't know to be some.
+    pub fn follows(&self, now: Millis) -> bool {
         let fresh = self.freshness.is_fresh(self.committed, self.log.last().index, now);
-        self.current(now) && in_chain && (fresh || !self.guards.commits_awaited)
+        self.takes_part(now) && (fresh || !self.guards.commits_awaited)
     }
 
     /// The index up to which commits were given out here.
@@ -427,6 +433,10 @@
             Message::Snapshot { view, position, bytes } => {
                 self.snapshot_received(from, view, SavedSnapshot { position, bytes }, now, out)
             }
+            Message::SnapshotPart { view, part } => self.snapshot_part_received(from, view, part, now, out),
+            Message::SnapshotProgress { view, progress } => {
+                self.snapshot_progressed(from, view, progress, now, out)
+            }
             Message::Committed { view, index } => self.committed_below(from, view, index, now, out),
             Message::Submit { view, origin, payload } => {
                 self.submission_received(from, view, origin, payload, now, out)
@@ -440,6 +450,7 @@
     /// The connection to it works again; what was on its way is lost.
     fn reconnected(&mut self, peer: &MemberId, now: Millis, out: &mut Vec<Output>) {
         self.chain_reconnected(peer, now, out);
+        self.snapshots_reconnected(peer, now, out);
         if self.view().is_some_and(|view| view.is_head(peer)) {
             self.send_submissions(now, out);
         }
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -53,10 +53,16 @@
         let gateway = Gateway::start(&[&server]).await;
         gateway.node.engine_priority.set(Some(2));
         let _client = gateway
-            .ask(&post("/write/", "r1", "Priority: 0\r\nX-Dunespur-Expect-Instance: i-9\r\n", ""))
+            .ask(&post(
+                "/write/",
+                "r1",
+                "Priority: 0\r\nX-Dunespur-Expect-Instance: i-9\r\nExpect-Version: 3\r\n",
+                "",
+            ))
             .await;
         let (_, message) = server.take().await;
         assert_eq!(message.header("priority"), Some("2"));
+        assert_eq!(message.header("expect-version"), None);
         let instances: Vec<_> =
             message.headers.iter().filter(|(name, _)| name == "x-dunespur-expect-instance").collect();
         assert_eq!(instances.len(), 1);
@@ -86,6 +92,20 @@
     });
 }
 
+#[test]
+fn out_of_touch_a_route_that_is_not_known_may_be_there() {
+    play(async {
+        let server = StandIn::start("i-1").await;
+        let gateway = Gateway::start(&[&server]).await;
+        gateway.node.out_of_touch.set(true);
+        let answer = gateway.ask(&get("/nowhere/", "r1")).await.message().await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+        let _client = gateway.ask(&get("/read/", "r2")).await;
+        server.take().await;
+    });
+}
+
 #[test]
 fn before_the_first_configuration_nothing_is_unknown() {
     play(async {
