--- a/crates/control/tests/world/keeper.rs
+++ b/crates/control/tests/world/keeper.rs
@@ -52,7 +52,7 @@
         let held = held
             .filter_map(|process| process.state.stores().find(|store| store.name == node))
             .max_by_key(|store| store.incarnation);
-        let incarnation = held.map_or(0, |store| store.incarnation);
+        let (incarnation, round) = held.map_or((0, 0), |store| (store.incarnation, store.round));
         let operation = match self.rng.u32(0..4) {
             0..=1 => Operation::Node(NodeReport {
                 name: node,
@@ -64,7 +64,7 @@
                 whole: true,
             }),
             2 => Operation::NodeGone { name: node, incarnation },
-            _ => Operation::RetireDone { node, incarnation },
+            _ => Operation::RetireDone { node, incarnation, round },
         };
         let machine = self.rng.usize(..self.machines.len());
         self.submit(machine, &operation);
--- a/crates/control/tests/world/machines.rs
+++ b/crates/control/tests/world/machines.rs
@@ -385,7 +385,7 @@
     /// A payload that means nothing.
     pub fn submit_filling(&mut self, index: usize) {
         let node = "-".repeat(self.setup.filling);
-        self.submit(index, &Operation::RetireDone { node, incarnation: 0 });
+        self.submit(index, &Operation::RetireDone { node, incarnation: 0, round: 0 });
     }
 
     /// An operation of which nobody waits to hear.
