--- a/crates/turns/tests/faults.rs
+++ b/crates/turns/tests/faults.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use dunespur_turns::guards::Guards;
-use world::{FaultKind, Plan, Seen, World, CATCH_UP_MS, LONGEST_TROUBLE_MS};
+use world::{Absence, FaultKind, Plan, Seen, World, CATCH_UP_MS, LONGEST_TROUBLE_MS};
 
 const ALL: [FaultKind; 9] = [
     FaultKind::Kill,
@@ -29,6 +29,7 @@
         faults_until_ms: 90_000,
         faults: faults.to_vec(),
         final_fault: seed.is_multiple_of(3),
+        absence: Absence::default(),
         guards: Guards::default(),
         core_guards: dunespur_control::Guards::default(),
     }
--- a/crates/turns/tests/node.rs
+++ b/crates/turns/tests/node.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use common::{order, store, stores, turn, PROGRAM};
+use dunespur_turns::guards::Guards;
 use dunespur_turns::message::{Refusal, StoreReply, StoreRequest};
 use dunespur_turns::node::{
     Declaration, DiskOutcome, DiskState, DiskWork, Effect, Settings, StoreNode, EXPIRY_SWEEP_MS, SETTLE_MS,
@@ -40,6 +41,10 @@
 
 impl Bench {
     fn new(name: &str, fresh: bool, held: &[Turn]) -> Self {
+        Self::with_guards(name, fresh, held, Guards::default())
+    }
+
+    fn with_guards(name: &str, fresh: bool, held: &[Turn], guards: Guards) -> Self {
         let settings = Settings {
             name: name.to_owned(),
             incarnation: 1,
@@ -49,7 +54,8 @@
             absent_repair_ms: 1_000,
         };
         let entries = held.iter().map(Turn::header).collect();
-        let node = StoreNode::new(settings, DiskState { disk: 1, fresh, entries }, WALL_MS, 0);
+        let disk = DiskState { disk: 1, fresh, entries };
+        let node = StoreNode::with_guards(settings, disk, WALL_MS, 0, guards);
         Bench {
             node,
             disk: held.iter().map(|turn| (turn.id.clone(), turn.clone())).collect(),
@@ -154,7 +160,11 @@
 
 /// A store that is whole, of three that are all present.
 fn calm(held: &[Turn]) -> Bench {
-    let mut bench = Bench::new("storage-0", false, held);
+    calm_with(held, Guards::default())
+}
+
+fn calm_with(held: &[Turn], guards: Guards) -> Bench {
+    let mut bench = Bench::with_guards("storage-0", false, held, guards);
     bench.list(&stores(3));
     bench.answer_listings();
     bench
@@ -584,24 +594,72 @@
     assert!(handed_over.values().all(|ids| ids.len() == 4), "all is offered anew: {handed_over:?}");
 }
 
+/// Whether a store says that it is empty though one of its homes is away, or its disk is still being filled.
+fn is_emptied_beside(change: fn(&mut Store), guards: Guards) -> bool {
+    let mut bench = calm_with(&chain(), guards);
+    let (mut list, homes) = leaving();
+    let home = list.iter().position(|store| store.name == homes[1]).unwrap();
+    change(&mut list[home]);
+    bench.list(&list);
+    bench.at(400);
+    empty_into_homes(&mut bench);
+    let emptied = !bench.declared.is_empty();
+    list[home] = Store { present: true, whole: true, ..list[home].clone() };
+    bench.list(&list);
+    bench.at(2_000);
+    empty_into_homes(&mut bench);
+    assert_eq!(bench.declared.len(), 1, "at last it is");
+    emptied
+}
+
 #[test]
 fn a_store_is_not_empty_while_a_home_is_away_or_not_whole() {
     let changes: [fn(&mut Store); 2] = [|home| home.present = false, |home| home.whole = false];
     for change in changes {
-        let mut bench = calm(&chain());
+        assert!(!is_emptied_beside(change, Guards::default()));
+        let without = Guards { homes_present_and_whole: false, ..Guards::default() };
+        assert!(is_emptied_beside(change, without), "the counterexample");
+    }
+}
+
+#[test]
+fn a_statement_must_fall_with_its_round() {
+    let still_says_so = |guards| {
+        let mut bench = calm_with(&chain(), guards);
         let (mut list, homes) = leaving();
-        let home = list.iter().position(|store| store.name == homes[1]).unwrap();
-        change(&mut list[home]);
         bench.list(&list);
-        bench.at(400);
+        bench.at(1_000);
         empty_into_homes(&mut bench);
-        assert!(bench.declared.is_empty(), "{:?}", list[home]);
-        list[home] = Store { present: true, whole: true, ..list[home].clone() };
+        list[0].round = 1;
+        // A home has lost its disk after it was asked.
+        list.iter_mut().find(|store| store.name == homes[0]).unwrap().disk = 9;
         bench.list(&list);
-        bench.at(2_000);
-        empty_into_homes(&mut bench);
-        assert_eq!(bench.declared.len(), 1);
-    }
+        bench.node.emptied_in().is_some()
+    };
+    assert!(!still_says_so(Guards::default()));
+    assert!(still_says_so(Guards { rounds_checked: false, ..Guards::default() }), "the counterexample");
+}
+
+/// A store says that it is empty and starts again; the core hears the statement before the new life. Whether a turn
+/// that the new life has acknowledged is taken away with the machine.
+fn late_statement_takes_a_turn_away(guards: Guards) -> bool {
+    let (mut list, _) = leaving();
+    let mut new_life = Bench::with_guards("storage-0", false, &chain(), guards);
+    list[0].incarnation = 0;
+    new_life.list(&list);
+    let acknowledged =
+        new_life.call(StoreRequest::Put { turn: turn("d", None), hint: None }) == StoreReply::Kept;
+    // The core knows of the earlier life only, and agrees to what that one said.
+    list[0] = Store { retiring: false, retired: true, ..list[0].clone() };
+    new_life.list(&list);
+    acknowledged && new_life.node.is_emptied()
+}
+
+#[test]
+fn a_late_statement_of_an_earlier_life_takes_nothing_away() {
+    assert!(!late_statement_takes_a_turn_away(Guards::default()));
+    let without = Guards { life_registered: false, ..Guards::default() };
+    assert!(late_statement_takes_a_turn_away(without), "the counterexample");
 }
 
 #[test]
--- a/crates/turns/tests/world/core.rs
+++ b/crates/turns/tests/world/core.rs
@@ -12,8 +12,6 @@
 use super::{Event, World};
 
 const HEARTBEAT_MS: u64 = 200;
-/// A store that is not heard of for this long is absent.
-const LEASE_MS: u64 = 1_500;
 /// What a store says to the core mostly takes up to this long.
 const USUAL_DELAY_MS: u64 = 50;
 /// Now and then it takes up to this long: its sender may have ended meanwhile, or started again.
@@ -118,7 +116,7 @@
     fn miss_the_silent(&mut self) {
         let silent = |entry: &StoreEntry| {
             let heard_at_ms = self.core.heard_at_ms.get(&entry.name).copied().unwrap_or(0);
-            entry.present && self.now_ms.saturating_sub(heard_at_ms) > LEASE_MS
+            entry.present && self.now_ms.saturating_sub(heard_at_ms) > self.plan.absence.lease_ms
         };
         let lapsed: Vec<StoreEntry> = self.core.state.stores().filter(silent).collect();
         for entry in lapsed {
--- a/crates/turns/tests/world/machine.rs
+++ b/crates/turns/tests/world/machine.rs
@@ -41,6 +41,8 @@
     pub name: String,
     pub zone: String,
     pub trouble: Trouble,
+    /// Since when nothing holds it up.
+    pub well_since_ms: u64,
     /// Counts the starts of its process.
     pub life: u64,
     pub node: Option<StoreNode>,
@@ -75,6 +77,7 @@
             name: format!("storage-{number}"),
             zone: format!("zone-{}", number % self.plan.zones),
             trouble: Trouble::Down,
+            well_since_ms: 0,
             life: 0,
             node: None,
             disk: Disk::default(),
@@ -102,6 +105,7 @@
         let wall_offset_ms = self.rng.i64(-CLOCK_STEP_MS..CLOCK_STEP_MS);
         let copies = self.plan.tolerated + 1;
         let guards = self.plan.guards;
+        let absent_repair_ms = self.plan.absence.repair_ms;
         let machine = &mut self.machines[number];
         machine.life += 1;
         if machine.disk.number == 0 {
@@ -115,11 +119,12 @@
             copies,
             capacity_bytes: 64 << 20,
             capacity_turns: 100_000,
-            absent_repair_ms: 1_000,
+            absent_repair_ms,
         };
         let wall_ms = wall(self.now_ms, wall_offset_ms);
         machine.node = Some(StoreNode::with_guards(settings, disk, wall_ms, self.now_ms, guards));
         machine.trouble = Trouble::None;
+        machine.well_since_ms = self.now_ms;
         machine.list_version = 0;
         machine.listed_at_ms = None;
         machine.whole_told = false;
@@ -160,6 +165,7 @@
             return;
         }
         machine.trouble = Trouble::None;
+        machine.well_since_ms = self.now_ms;
         for event in std::mem::take(&mut machine.held_up) {
             let lost = was != Trouble::Frozen && self.rng.bool();
             if !lost {
--- a/crates/turns/tests/world/mod.rs
+++ b/crates/turns/tests/world/mod.rs
@@ -31,6 +31,21 @@
 /// What a store of half a core takes in, of links that are faster.
 const BYTES_A_MS: u64 = 20_000;
 
+/// When a store that is not heard of is given up.
+#[derive(Clone, Copy, Debug)]
+pub struct Absence {
+    /// A store that is not heard of for this long is absent.
+    pub lease_ms: u64,
+    /// One that is absent for this long is replaced by others.
+    pub repair_ms: u64,
+}
+
+impl Default for Absence {
+    fn default() -> Absence {
+        Absence { lease_ms: 1_500, repair_ms: 1_000 }
+    }
+}
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -48,7 +63,10 @@
     pub faults: Vec<FaultKind>,
     /// Everything loses power, and as many disks are lost as are tolerated, after the other trouble.
     pub final_fault: bool,
+    pub absence: Absence,
+    /// Those that stand at the stores.
     pub guards: Guards,
+    /// Those that stand in the control state.
     pub core_guards: dunespur_control::Guards,
 }
 
@@ -57,6 +75,8 @@
 pub struct Seen {
     pub kept: u64,
     pub unsure_writes: u64,
+    /// Those of them that enough stores were there for.
+    pub needless_unsure_writes: u64,
     pub chains: u64,
     pub unsure_reads: u64,
     pub unknown: u64,
--- a/crates/turns/tests/world/programs.rs
+++ b/crates/turns/tests/world/programs.rs
@@ -8,9 +8,12 @@
 use dunespur_turns::turn::Turn;
 use dunespur_turns::write::{Verdict, Writing};
 
-use super::machine::wall;
+use super::machine::{wall, Machine};
 use super::{Asker, Event, World, CATCH_UP_MS, RETENTION_MS};
 
+/// A store that started or came back so long ago is known to all, those far behind the core included.
+const SETTLED_MS: u64 = CATCH_UP_MS;
+
 /// One program: the line of its turns.
 #[derive(Debug)]
 pub struct Program {
@@ -299,6 +302,7 @@
             }
             Verdict::Unsure => {
                 self.seen.unsure_writes += 1;
+                self.seen.needless_unsure_writes += u64::from(self.could_be_kept(began_at_ms));
                 if self.is_calm(began_at_ms) {
                     self.describe(&turn.id);
                     self.fail(&format!("in a calm time it is unsure whether {} is kept", turn.id));
@@ -313,6 +317,13 @@
         self.after(delay_ms, Event::ProgramStep { program });
     }
 
+    /// As many stores as have to keep a turn were there, and known to be, all the time since `began_at_ms`.
+    fn could_be_kept(&self, began_at_ms: u64) -> bool {
+        let there =
+            |machine: &&Machine| machine.is_reachable() && machine.well_since_ms + SETTLED_MS <= began_at_ms;
+        self.machines.iter().filter(there).count() > self.plan.tolerated
+    }
+
     /// No trouble since long enough for every store to have caught up.
     fn is_calm(&self, began_at_ms: u64) -> bool {
         self.calm_since_ms.is_some_and(|since_ms| began_at_ms >= since_ms + CATCH_UP_MS)
