--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -1,6 +1,7 @@
 //! The chain: entries go down it, each member syncs before it passes on, commits come back up.
 
 use super::follow::Following;
+use super::freshness::Freshness;
 use super::{Member, Output};
 use crate::disk::Write;
 use crate::identity::{MemberId, View};
@@ -43,6 +44,13 @@
     moved_at: Millis,
 }
 
+impl Upstream {
+    /// A snapshot is on its way: no need to ask for it again.
+    pub(super) fn heard_snapshot(&mut self, now: Millis) {
+        self.attached_at = Some(now);
+    }
+}
+
 impl Downstream {
     /// The successor was sent a snapshot that ends at `index`.
     pub(super) fn goes_on_from(&mut self, index: u64, now: Millis) {
@@ -90,7 +98,7 @@
     pub(super) fn resume_chain(&mut self, now: Millis, out: &mut Vec<Output>) {
         match self.stage {
             Stage::Synced => self.begin_passing_on(now, out),
-            Stage::Unsynced if self.is_head() => self.come_up(),
+            Stage::Unsynced if self.is_head() || !self.guards.whole_before_synced => self.come_up(now),
             Stage::Unsynced => self.attach(now, out),
             Stage::Outside => self.hurry_following(now, out),
             Stage::Sealed | Stage::Syncing => {}
@@ -170,9 +178,10 @@
         for entry in append.entries {
             self.take_entry(entry);
         }
-        if self.stage == Stage::Unsynced && end == append.last {
+        let whole = end == append.last || !self.guards.whole_before_synced;
+        if self.stage == Stage::Unsynced && whole {
             self.truncate(end);
-            self.come_up();
+            self.come_up(now);
         }
         if question && self.stage == Stage::Synced {
             self.send_committed(now, out);
@@ -207,10 +216,10 @@
     }
 
     /// The log holds all that it must in this view.
-    fn come_up(&mut self) {
+    fn come_up(&mut self, now: Millis) {
         let view = self.number();
         self.synced_view = view;
-        self.committed_before_place = self.log.last().index;
+        self.freshness = Freshness::begins(self.log.last().index, now);
         self.journal.write(Write::Synced { view });
         self.journal.then(Consequence::Synced { view });
         self.enter(Stage::Syncing);
@@ -336,6 +345,7 @@
         }
         while self.committed < index {
             let Some(entry) = self.log.get(self.committed + 1) else { break };
+            self.snapshots.note_committed(entry.size());
             let Entry { position, origin, payload } = entry.clone();
             self.committed = position.index;
             let ticket = self.submission_committed(origin);
@@ -351,6 +361,10 @@
     /// Appends at the head; says whether there was room.
     pub(super) fn append_at_head(&mut self, origin: Origin, payload: Payload) -> bool {
         let last = self.log.last().index;
+        // Against a second entry for a submission that was sent again while the first is on its way.
+        if self.log.has_origin_after(self.committed, origin) {
+            return true;
+        }
         let many = last - self.committed >= MOST_UNCOMMITTED;
         let large = self.log.bytes() > MOST_UNCOMMITTED_BYTES
             && self.log.bytes_after(self.committed) > MOST_UNCOMMITTED_BYTES;
--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -3,9 +3,11 @@
 mod agreement;
 mod chain;
 mod follow;
+mod freshness;
 mod membership;
 mod requests;
 mod snapshots;
+pub mod transfer;
 
 use crate::agreed::DecidedView;
 use crate::disk::{Saved, SavedSnapshot, Write};
@@ -20,6 +22,7 @@
 use agreement::{Acceptor, Proposer};
 use chain::{Downstream, Stage, Upstream};
 use follow::Following;
+use freshness::Freshness;
 use membership::{Joining, Newcomer};
 use requests::{HeldRequests, Reads, Submissions};
 use snapshots::Snapshots;
@@ -148,8 +151,7 @@
     /// Commits were given out up to here.
     committed: u64,
     stage: Stage,
-    /// All that was committed before this member took its place in the chain goes up to here at most.
-    committed_before_place: u64,
+    freshness: Freshness,
     upstream: Upstream,
     downstream: Downstream,
     following: Following,
@@ -223,11 +225,11 @@
             persisted,
             committed: start.index,
             stage: Stage::Outside,
-            committed_before_place: persisted,
+            freshness: Freshness::begins(persisted, now),
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
-            snapshots: Snapshots::from(start.index),
+            snapshots: Snapshots::from(saved.snapshot.as_ref()),
             submissions: Submissions::default(),
             held: HeldRequests::default(),
             last_step: now,
@@ -289,13 +291,19 @@
         others.count() + 1 >= view.majority()
     }
 
-    /// Whether commits come in here as they are made: this member is [`current`](Member::current), has its place in
-    /// the chain, and has given out all that was committed before it took it. One that was put out hears the others,
-    /// but no commits; one that has started again, or was taken back, holds commits that it doesn't know to be some.
+    /// Whether what is submitted here is likely to be committed soon: this member is [`current`](Member::current) and
+    /// has its place in the chain. One that was put out hears the others, but no commits.
+    pub fn takes_part(&self, now: Millis) -> bool {
+        // A member may be sealed before it has come up.
+        self.current(now) && self.stage != Stage::Outside && self.has_come_up()
+    }
+
+    /// Whether commits come in here as they are made: this member [takes part](Member::takes_part), and lags behind its
+    /// log by a moment only. One that has started again, was taken back, or is parted from the tail holds commits that
+    /// it doesn't know to be some.
     pub fn follows(&self, now: Millis) -> bool {
-        let in_chain = !matches!(self.stage, Stage::Outside | Stage::Unsynced);
-        let caught_up = self.committed >= self.committed_before_place || !self.guards.commits_awaited;
-        self.current(now) && in_chain && caught_up
+        let fresh = self.freshness.is_fresh(self.committed, self.log.last().index, now);
+        self.takes_part(now) && (fresh || !self.guards.commits_awaited)
     }
 
     /// The index up to which commits were given out here.
@@ -334,6 +342,7 @@
             // Stamps of what was a later time would stay young for as long as the clock went back.
             self.peers.forget_echoes();
             self.stamps_begin = self.random.next() >> SPARE_STAMP_BITS;
+            self.freshness = Freshness::begins(self.log.last().index, now);
         }
         self.last_step = now;
     }
@@ -363,6 +372,7 @@
         if let Some(batch) = self.journal.next_batch(now) {
             out.push(Output::Persist { batch: batch.number, writes: batch.writes });
         }
+        self.freshness.note(self.committed, self.log.last().index, now);
         let current = self.current(now);
         if let Some(view) = self.view().filter(|_| current != self.told_current) {
             out.push(Output::ViewChanged { view: view.clone(), current });
@@ -423,6 +433,10 @@
             Message::Snapshot { view, position, bytes } => {
                 self.snapshot_received(from, view, SavedSnapshot { position, bytes }, now, out)
             }
+            Message::SnapshotPart { view, part } => self.snapshot_part_received(from, view, part, now, out),
+            Message::SnapshotProgress { view, progress } => {
+                self.snapshot_progressed(from, view, progress, now, out)
+            }
             Message::Committed { view, index } => self.committed_below(from, view, index, now, out),
             Message::Submit { view, origin, payload } => {
                 self.submission_received(from, view, origin, payload, now, out)
@@ -436,6 +450,7 @@
     /// The connection to it works again; what was on its way is lost.
     fn reconnected(&mut self, peer: &MemberId, now: Millis, out: &mut Vec<Output>) {
         self.chain_reconnected(peer, now, out);
+        self.snapshots_reconnected(peer, now, out);
         if self.view().is_some_and(|view| view.is_head(peer)) {
             self.send_submissions(now, out);
         }
--- a/crates/duties/tests/voters.rs
+++ b/crates/duties/tests/voters.rs
@@ -30,7 +30,11 @@
     tokens: Vec<Vec<u64>>,
     /// How long a write takes, and what is under way.
     fsync: f64,
+    /// Of one disk, in place of the others' time.
+    slow_disk: Option<(usize, f64)>,
     saving: VecDeque<(f64, usize, Batch)>,
+    /// How many writes were asked for.
+    writes: usize,
     /// Who wakes up reads what came before it looks at its timers.
     mail_first: bool,
 }
@@ -62,7 +66,9 @@
             reports: vec![],
             tokens: vec![vec![]; limiters],
             fsync: 0.0,
+            slow_disk: None,
             saving: VecDeque::new(),
+            writes: 0,
             mail_first: false,
         };
         for n in 0..limiters {
@@ -102,6 +108,7 @@
     }
 
     fn kill(&mut self, n: usize) {
+        self.saving.retain(|write| write.1 != n);
         self.nodes[n].up = false;
         self.nodes[n].voter = None;
         self.nodes[n].mail.clear();
@@ -117,7 +124,9 @@
                     }
                 }
                 Output::Save(batch) => {
-                    self.saving.push_back((self.now + self.fsync, n, batch));
+                    self.writes += 1;
+                    let slow = self.slow_disk.filter(|slow| slow.0 == n).map(|slow| slow.1);
+                    self.saving.push_back((self.now + slow.unwrap_or(self.fsync), n, batch));
                     self.sync();
                 }
                 Output::Report { text, .. } => self.reports.push(text),
@@ -127,10 +136,16 @@
         }
     }
 
+    /// All disks that stood still go on, and have written what waited.
+    fn disks_go_on(&mut self) {
+        self.fsync = 0.0;
+        self.saving.iter_mut().for_each(|write| write.0 = self.now);
+    }
+
     /// Writes whose time has come are on the disk, and said to be.
     fn sync(&mut self) {
-        while self.saving.front().is_some_and(|s| s.0 <= self.now) {
-            let Some((_, n, batch)) = self.saving.pop_front() else { return };
+        while let Some(at) = self.saving.iter().position(|write| write.0 <= self.now) {
+            let Some((_, n, batch)) = self.saving.remove(at) else { return };
             if !self.nodes[n].up {
                 continue;
             }
@@ -338,3 +353,71 @@
     fleet.run(4.5);
     assert!(fleet.held(), "leader and holder in one");
 }
+
+/// Runs with a look at each step that nobody who held a slot lost it.
+fn run_with_no_lapse(fleet: &mut Fleet, seconds: f64, slots: &[u32]) {
+    let end = fleet.now + seconds;
+    while fleet.now < end {
+        fleet.step();
+        for slot in slots {
+            let held = fleet.nodes.iter().any(|n| n.up && n.holder.holds(*slot, fleet.now).is_some());
+            assert!(held, "nobody holds {slot} at {}", fleet.now);
+        }
+    }
+}
+
+#[test]
+fn leases_that_are_only_renewed_write_nothing() {
+    let mut fleet = Fleet::new(5);
+    let (leader, all) = (fleet.leader(), (0..8).collect::<Vec<_>>());
+    let writes = fleet.writes;
+    // All disks stand still, for longer than a lease with its election.
+    fleet.fsync = 8.0;
+    run_with_no_lapse(&mut fleet, 12.0, &all);
+    assert_eq!((fleet.leader(), fleet.writes), (leader, writes));
+}
+
+#[test]
+fn a_grant_that_waits_for_the_disks_costs_no_other_lease() {
+    let mut fleet = Fleet::new(5);
+    let leader = fleet.leader();
+    let lost = fleet.nodes[4].name.clone();
+    let (of_lost, others): (Vec<u32>, Vec<u32>) =
+        (0..8).partition(|slot| fleet.nodes[4].holder.holds(*slot, fleet.now).is_some());
+    assert!(!of_lost.is_empty() && !others.is_empty(), "{lost} holds some, not all");
+    fleet.fsync = 8.0;
+    fleet.kill(4);
+    // Its session's end and the grants of its slots are in the log, and on no disk.
+    run_with_no_lapse(&mut fleet, 8.0, &others);
+    let free = |fleet: &Fleet| {
+        of_lost.iter().all(|s| fleet.nodes.iter().all(|n| !n.up || n.holder.holds(*s, fleet.now).is_none()))
+    };
+    assert!(free(&fleet), "nothing is granted that no disk holds");
+    fleet.disks_go_on();
+    run_with_no_lapse(&mut fleet, 8.0, &others);
+    assert!(fleet.held());
+    assert_eq!(fleet.leader(), leader);
+}
+
+#[test]
+fn a_leader_that_lost_what_only_others_wrote_keeps_its_vote() {
+    let mut fleet = Fleet::new(5);
+    let leader = fleet.leader();
+    fleet.slow_disk = Some((leader, 60.0));
+    // The end of its session is written by the two others and settled; the leader's disk does not get to it.
+    fleet.kill(4);
+    fleet.run(4.0);
+    assert_eq!(fleet.leader(), leader);
+    fleet.kill(leader);
+    fleet.slow_disk = None;
+    fleet.run(4.0);
+    fleet.start(leader);
+    fleet.run(2.0);
+    assert!(!fleet.said("is older than what was seen of it"), "{:?}", fleet.reports);
+    assert!(fleet.nodes[leader].voter.as_ref().unwrap().votes());
+    // With its vote the group stands without a third.
+    let third = (0..3).find(|n| *n != leader && *n != fleet.leader()).unwrap();
+    fleet.kill(third);
+    fleet.run(6.0);
+    assert!(fleet.held());
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -19,6 +19,8 @@
 /// Guards against a test that hangs; none comes near it.
 const WATCHDOG: Duration = Duration::from_secs(30);
 
+/// Turns of the event loop after which nothing is left to do but to wait for a timer.
+const TURNS_TO_REST: usize = 50;
 /// What a narrow stand-in holds of what it has not read.
 const NARROW_BYTES: u32 = 16 * 1024;
 
@@ -65,6 +67,7 @@
 pub struct TestNode {
     pub table: RefCell<Option<Rc<Table>>>,
     pub ready: Cell<bool>,
+    pub out_of_touch: Cell<bool>,
     /// Chosen in this order, the tried ones left out.
     pub servers: RefCell<Vec<Rc<Server>>>,
     /// Services that have none of them.
@@ -121,6 +124,7 @@
         Rc::new(TestNode {
             table: RefCell::new(Some(table(CONFIGURATION))),
             ready: Cell::new(true),
+            out_of_touch: Cell::new(false),
             servers: RefCell::new(servers),
             without_servers: RefCell::default(),
             refuse: Cell::new(None),
@@ -195,6 +199,10 @@
         self.table.borrow().clone()
     }
 
+    fn is_out_of_touch(&self) -> bool {
+        self.out_of_touch.get()
+    }
+
     async fn next_change(&self) {
         self.note(Told::AwaitsChange);
         self.known_changed.notified().await;
@@ -460,6 +468,15 @@
         &self.buffer
     }
 
+    /// Whether neither bytes nor an end have come, once all that is due has been done.
+    pub async fn is_silent(&self) -> bool {
+        for _ in 0..TURNS_TO_REST {
+            tokio::task::yield_now().await;
+        }
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [std::mem::MaybeUninit::uninit()]);
+        self.buffer.is_empty() && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Waits for the end of the connection; whether nothing came before it.
     pub async fn is_closed(&mut self) -> bool {
         !self.more().await && self.buffer.is_empty()
