--- a/crates/chain/src/member/mod.rs
+++ b/crates/chain/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod agreement;
 mod chain;
 mod follow;
+mod freshness;
 mod membership;
 mod requests;
 mod snapshots;
@@ -20,6 +21,7 @@
 use agreement::{Acceptor, Proposer};
 use chain::{Downstream, Stage, Upstream};
 use follow::Following;
+use freshness::Freshness;
 use membership::{Joining, Newcomer};
 use requests::{HeldRequests, Reads, Submissions};
 use snapshots::Snapshots;
@@ -148,6 +150,7 @@
     /// Commits were given out up to here.
     committed: u64,
     stage: Stage,
+    freshness: Freshness,
     upstream: Upstream,
     downstream: Downstream,
     following: Following,
@@ -221,6 +224,7 @@
             persisted,
             committed: start.index,
             stage: Stage::Outside,
+            freshness: Freshness::begins(persisted, now),
             upstream: Upstream::default(),
             downstream: Downstream::default(),
             following: Following::default(),
@@ -278,14 +282,27 @@
         if !view.has_member(&self.me.id) {
             return false;
         }
-        let others = view.members.iter().filter(|member| self.peers.is_current(&member.id, view.number, now));
+        let answered = |id: &MemberId| match self.guards.currency_by_sending {
+            true => self.peers.is_current(id, view.number, now),
+            false => self.peers.is_heard_lately(id, view.number, now),
+        };
+        let others = view.members.iter().filter(|member| answered(&member.id));
         others.count() + 1 >= view.majority()
     }
 
-    /// Whether commits come in here as they are made: this member is [`current`](Member::current), and has its place
-    /// in the chain. One that was put out hears the others, but no commits.
+    /// Whether what is submitted here is likely to be committed soon: this member is [`current`](Member::current) and
+    /// has its place in the chain. One that was put out hears the others, but no commits.
+    pub fn takes_part(&self, now: Millis) -> bool {
+        // A member may be sealed before it has come up.
+        self.current(now) && self.stage != Stage::Outside && self.has_come_up()
+    }
+
+    /// Whether commits come in here as they are made: this member [takes part](Member::takes_part), and lags behind its
+    /// log by a moment only. One that has started again, was taken back, or is parted from the tail holds commits that
+    /// it doesn't know to be some.
     pub fn follows(&self, now: Millis) -> bool {
-        self.current(now) && !matches!(self.stage, Stage::Outside | Stage::Unsynced)
+        let fresh = self.freshness.is_fresh(self.committed, self.log.last().index, now);
+        self.takes_part(now) && (fresh || !self.guards.commits_awaited)
     }
 
     /// The index up to which commits were given out here.
@@ -314,12 +331,18 @@
         }
     }
 
-    /// A member that stood still doubts itself before others.
+    /// A member that stood still, or whose clock was stepped, doubts itself before others.
     fn notice_standstill(&mut self, now: Millis) {
         if now.saturating_sub(self.last_step) > OWN_GAP {
             self.peers.doubt_ourselves(now);
             self.propose_at = None;
         }
+        if now < self.last_step {
+            // Stamps of what was a later time would stay young for as long as the clock went back.
+            self.peers.forget_echoes();
+            self.stamps_begin = self.random.next() >> SPARE_STAMP_BITS;
+            self.freshness = Freshness::begins(self.log.last().index, now);
+        }
         self.last_step = now;
     }
 
@@ -348,6 +371,7 @@
         if let Some(batch) = self.journal.next_batch(now) {
             out.push(Output::Persist { batch: batch.number, writes: batch.writes });
         }
+        self.freshness.note(self.committed, self.log.last().index, now);
         let current = self.current(now);
         if let Some(view) = self.view().filter(|_| current != self.told_current) {
             out.push(Output::ViewChanged { view: view.clone(), current });
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,7 +1,10 @@
 //! What a process knows of the control state, kept up to date by a watch on one core member, and its way to the
 //! core for operations and reads.
 
+mod touch;
+
 use crate::clock::Clock;
+use crate::deadline::within;
 use crate::messages::{decode, encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::LinkStatus;
 use bytes::Bytes;
@@ -17,7 +20,8 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
+use touch::Touch;
 
 /// A core member answers a watch within this time, or another one is asked. It answers after 0.4 s at the latest.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
@@ -28,9 +32,6 @@
 /// A process that knows of a view is asked for it with this limit.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// After a longer silence of all core members, in milliseconds, this process counts as out of touch.
-const IN_TOUCH_MS: u64 = 2_000;
-
 /// No core member has answered in time: the operation may or may not be carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unavailable;
@@ -71,8 +72,7 @@
     clients: RefCell<HashMap<SocketAddr, Rc<Client>>>,
     /// The member that answered last.
     attached: Cell<Option<SocketAddr>>,
-    /// Steady time of the last answer to a watch.
-    answered_at: Cell<u64>,
+    touch: Touch,
     /// Servers heard of since the last watch.
     heard: RefCell<BTreeSet<String>>,
     /// This process's own lease, if it holds one.
@@ -93,7 +93,7 @@
             seeds: RefCell::new(seeds),
             clients: RefCell::default(),
             attached: Cell::new(None),
-            answered_at: Cell::new(0),
+            touch: Touch::default(),
             heard: RefCell::default(),
             lease: RefCell::default(),
             link: Cell::default(),
@@ -124,14 +124,12 @@
 
     /// Whether a core member has answered lately.
     pub fn in_touch(&self) -> bool {
-        let silence = self.clock.now().saturating_sub(self.answered_at.get());
-        self.answered_at.get() > 0 && silence < IN_TOUCH_MS
+        self.touch.holds(self.clock.now())
     }
 
-    /// Time since the last answer of a core member; none until the first.
+    /// Time since the newest watch was sent that a core member has answered; none until the first.
     pub fn silent_ms(&self) -> Option<u64> {
-        let answered_at = Some(self.answered_at.get()).filter(|at| *at > 0)?;
-        Some(self.clock.now().saturating_sub(answered_at))
+        self.touch.silent_ms(self.clock.now())
     }
 
     /// The core member that answered last.
@@ -146,7 +144,7 @@
 
     /// Whether core members have answered before, but not lately.
     pub fn has_lost_touch(&self) -> bool {
-        self.answered_at.get() > 0 && !self.in_touch()
+        self.touch.is_lost(self.clock.now())
     }
 
     /// What is known now.
@@ -209,10 +207,11 @@
             },
         };
         let payload = encode(&Request::Watch(request));
+        let sent_at = self.clock.now();
         match self.call(address, payload, WATCH_TIMEOUT).await {
             Ok(Reply::Watched(watched)) => {
                 self.attached.set(Some(address));
-                self.answered_at.set(self.clock.now());
+                self.touch.answered(sent_at);
                 self.take(watched);
                 true
             }
@@ -333,10 +332,11 @@
         }
     }
 
-    /// Asks core members in turn until one answers or the time is over.
+    /// Asks core members in turn until one answers or the time is over. An answer that is found when it is over says
+    /// nothing on the present state: this process may have been frozen since it came.
     async fn ask_core(&self, payload: Bytes, limit: Duration) -> Result<Reply, Unavailable> {
         let end = Instant::now() + limit;
-        timeout(limit, async {
+        let reply = within(limit, async {
             loop {
                 for address in self.members() {
                     let left = end.saturating_duration_since(Instant::now());
@@ -349,8 +349,8 @@
                 sleep(ROUND_PAUSE).await;
             }
         })
-        .await
-        .map_err(|_| Unavailable)
+        .await;
+        reply.ok_or(Unavailable)
     }
 
     /// Calls one process of the system.
@@ -434,10 +434,12 @@
         name: entry.name,
         zone: entry.zone,
         address: entry.address,
+        incarnation: entry.incarnation,
         disk: entry.disk,
         whole: entry.whole,
         present: entry.present,
         retiring: entry.retiring,
         retired: entry.retired,
+        round: entry.round,
     }
 }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -3,19 +3,22 @@
 mod support;
 
 use dunespur_emulator::program::Line;
+use dunespur_emulator::record::{Fate, Sighting};
 use dunespur_emulator::scene::{usual_program, ScenePlan};
 use dunespur_emulator::system::{MachinePlan, Role, TemporaryFolder};
 use serde_json::Value;
 use std::process::Command;
 use std::time::Duration;
 use support::{
-    expect_no_violation, go_on, line_of, places, program, programs_for, stage, CATCH_UP, ORDER_LIMIT,
-    RECOVERY,
+    expect_no_violation, go_on, holder_of_a_turn, line_of, lookup, places, program, programs_for, stage,
+    CATCH_UP, ORDER_LIMIT, RECOVERY,
 };
 use tokio::time::Instant;
 
 /// The platform kills a process this long after SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
+/// A process counts as one that takes clients no longer than this after SIGTERM.
+const READY_LIMIT: Duration = Duration::from_secs(4);
 
 #[tokio::test]
 async fn a_gateway_that_is_asked_to_leave_ends_its_streams_whole() {
@@ -28,11 +31,7 @@
     let ask = line.ask(&scene.client, &"hello".into());
     let (client, front) = (scene.client.clone(), scene.system.front(leaving));
     let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
-    let [first, second] = [&scene.engines[0].server, &scene.engines[1].server];
-    tokio::select! {
-        () = first.gate.waiting(1) => {}
-        () = second.gate.waiting(1) => {}
-    }
+    holder_of_a_turn(&scene).await;
     for engine in &scene.engines {
         engine.server.gate.let_go(5);
     }
@@ -50,6 +49,61 @@
     expect_no_violation(&scene);
 }
 
+#[tokio::test]
+async fn gateways_that_are_asked_to_leave_are_not_ready_while_they_still_serve() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let leaving = [places(&scene, Role::Gateway)[0], places(&scene, Role::Core)[0]];
+    scene.engines.iter().for_each(|engine| engine.server.gate.hold());
+    let before = scene.record.sightings().len();
+    let turns = leaving.map(|index| {
+        let (client, front, ask) = (scene.client.clone(), scene.system.front(index), scene.turn_ask());
+        tokio::spawn(async move { client.send_to(front, &ask).await })
+    });
+    let arrived = |seen: &&Sighting| seen.fate != Fate::TurnedAway;
+    scene.record.until(|seen| seen[before..].iter().filter(arrived).count() == leaving.len()).await;
+    for index in leaving {
+        scene.terminate(index).unwrap();
+    }
+    let asked = Instant::now();
+    for index in leaving {
+        let mut status = scene.system.readiness(index).await;
+        while status == Some(200) {
+            status = scene.system.readiness(index).await;
+        }
+        assert_eq!(status, Some(503), "it still runs, and says so");
+    }
+    assert!(asked.elapsed() < READY_LIMIT, "{:?}", asked.elapsed());
+    assert!(turns.iter().all(|turn| !turn.is_finished()), "their turns are still in hand");
+    scene.engines.iter().for_each(|engine| engine.server.gate.open());
+    for turn in turns {
+        let served = turn.await.unwrap();
+        assert!(served.succeeded(), "{served:?}");
+    }
+    expect_no_violation(&scene);
+}
+
+#[tokio::test]
+async fn a_gateway_whose_settings_change_cuts_nothing() {
+    let mut scene = stage(ScenePlan::default()).await;
+    let gateway = places(&scene, Role::Gateway)[0];
+    scene.engines.iter().for_each(|engine| engine.server.gate.hold());
+    let (client, front, ask) = (scene.client.clone(), scene.system.front(gateway), scene.turn_ask());
+    let turn = tokio::spawn(async move { client.send_to(front, &ask).await });
+    holder_of_a_turn(&scene).await;
+    let seeds = places(&scene, Role::Core).into_iter().map(|core| scene.system.control(core)).collect();
+    scene.system.set_seeds(seeds);
+    scene.system.rewrite_settings(gateway).unwrap();
+    scene.system.machine(gateway).hang_up().unwrap();
+    // Behind the signal, and by a process that still runs.
+    assert_eq!(scene.system.readiness(gateway).await, Some(200));
+    assert!(scene.client.send_to(front, &lookup()).await.succeeded());
+    scene.engines.iter().for_each(|engine| engine.server.gate.open());
+    let served = turn.await.unwrap();
+    assert!(served.succeeded() && served.tries == 1, "{served:?}");
+    assert!(scene.system.machine(gateway).is_running());
+    expect_no_violation(&scene);
+}
+
 #[tokio::test]
 async fn gateways_leave_and_return_in_turn_under_load() {
     let mut scene = stage(ScenePlan::default()).await;
