--- a/crates/chain/tests/world/mod.rs
+++ b/crates/chain/tests/world/mod.rs
@@ -4,14 +4,10 @@
 //! acknowledged, no two views bear one number, and reads see what was committed before they began.
 #![allow(dead_code)]
 
-mod checks;
-mod connections;
-mod machines;
-mod requests;
 pub mod trouble;
 pub mod windows;
 
-use dunespur_chain::{Guards, Input, Member, MemberId, Message, Millis, Output, Saved, View, Write};
+use dunespur_chain::{Guards, Input, Member, MemberId, Message, Millis, Output, Peer, Saved, View, Write};
 use fastrand::Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -299,6 +295,245 @@
         self.broken.get_or_insert(text);
     }
 
+    // --- machines ---
+
+    pub fn add_machine(&mut self, may_found: bool) -> usize {
+        let index = self.machines.len();
+        self.machines.push(Machine {
+            node: format!("m{index}"),
+            address: SocketAddr::from(([10, 0, 0, index as u8], 7380)),
+            disk: self.rng.u64(1..),
+            saved: Saved::default(),
+            flight: None,
+            disk_stalled: false,
+            frozen: false,
+            backlog: VecDeque::new(),
+            run: 1,
+            process: None,
+            powered: true,
+            removed: false,
+            may_found,
+        });
+        index
+    }
+
+    fn id(&self, machine: usize) -> MemberId {
+        MemberId { node: self.machines[machine].node.clone(), disk: self.machines[machine].disk }
+    }
+
+    fn peer(&self, machine: usize) -> Peer {
+        Peer { id: self.id(machine), address: self.machines[machine].address }
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.machines.len()).filter(|index| self.machines[*index].process.is_some()).collect()
+    }
+
+    pub fn start_at(&mut self, machine: usize, at: Millis) {
+        self.machines[machine].run += 1;
+        let run = self.machines[machine].run;
+        self.schedule(at, Event::Start { machine, run });
+    }
+
+    fn start(&mut self, index: usize, run: u64) {
+        let now = self.now;
+        let seed = self.rng.u64(..);
+        let contacts: Vec<SocketAddr> = self.machines.iter().map(|machine| machine.address).collect();
+        let id = self.id(index);
+        let machine = &mut self.machines[index];
+        if machine.run != run || machine.removed {
+            return;
+        }
+        machine.powered = true;
+        machine.frozen = false;
+        let saved = machine.saved.clone();
+        let member = Member::with_guards(
+            id,
+            machine.address,
+            machine.may_found,
+            saved,
+            seed,
+            FIRST_MOMENT,
+            self.setup.guards,
+        );
+        let process = Process {
+            member,
+            clock_zero: now,
+            tick_at: Millis::MAX,
+            applied: 0,
+            submitted: HashMap::new(),
+            reads: HashMap::new(),
+        };
+        machine.process = Some(process);
+        let first_start = machine.may_found && run == 1;
+        self.note(|| format!("m{index} starts"));
+        if first_start {
+            self.input(index, Input::Tick);
+        } else {
+            self.input(index, Input::Join { contacts });
+        }
+    }
+
+    /// The process ends; the machine keeps what is on its disk. A batch under way may have reached it.
+    pub fn end_process(&mut self, index: usize, with_power: bool) {
+        let keeps_batch = self.rng.bool();
+        let machine = &mut self.machines[index];
+        machine.run += 1;
+        machine.process = None;
+        machine.backlog.clear();
+        machine.frozen = false;
+        machine.powered = with_power;
+        if let Some(flight) = machine.flight.take().filter(|_| keeps_batch) {
+            flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        }
+        for other in 0..self.machines.len() {
+            self.reset_connection(index, other, with_power);
+        }
+    }
+
+    pub fn wipe(&mut self, index: usize) {
+        let disk = self.rng.u64(1..);
+        let keep = self.setup.wiped_keep_identity;
+        let machine = &mut self.machines[index];
+        machine.saved = Saved::default();
+        machine.may_found = false;
+        if !keep {
+            machine.disk = disk;
+        }
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.machines[index].frozen = true;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        if !std::mem::take(&mut self.machines[index].frozen) {
+            return;
+        }
+        let backlog = std::mem::take(&mut self.machines[index].backlog);
+        for input in backlog {
+            self.input(index, input);
+        }
+        self.input(index, Input::Tick);
+    }
+
+    pub fn stall_disk(&mut self, index: usize) {
+        self.machines[index].disk_stalled = true;
+    }
+
+    pub fn unstall_disk(&mut self, index: usize) {
+        self.machines[index].disk_stalled = false;
+        let run = self.machines[index].run;
+        if let Some(batch) = self.machines[index].flight.as_ref().filter(|flight| flight.due).map(|f| f.batch)
+        {
+            self.disk_done(index, run, batch);
+        }
+    }
+
+    fn disk_done(&mut self, index: usize, run: u64, batch: u64) {
+        let machine = &mut self.machines[index];
+        if machine.run != run {
+            return;
+        }
+        let stalled = machine.disk_stalled;
+        let Some(flight) = machine.flight.as_mut().filter(|flight| flight.batch == batch) else { return };
+        if stalled {
+            flight.due = true;
+            return;
+        }
+        let flight = machine.flight.take().expect("just seen");
+        flight.writes.iter().for_each(|write| machine.saved.apply(write));
+        self.input(index, Input::Persisted { batch });
+    }
+
+    // --- connections ---
+
+    fn line(&mut self, from: usize, to: usize) -> &mut Line {
+        self.lines.entry((from, to)).or_default()
+    }
+
+    /// What is on its way is lost; both ends are told if they can be.
+    pub fn reset_connection(&mut self, one: usize, other: usize, told: bool) {
+        if one == other {
+            return;
+        }
+        let cut = self.line(one, other).cut || self.line(other, one).cut;
+        self.line(one, other).queue.clear();
+        self.line(other, one).queue.clear();
+        if told && !cut {
+            self.tell_disconnected(one, other);
+            self.tell_disconnected(other, one);
+        }
+    }
+
+    fn tell_disconnected(&mut self, to: usize, peer: usize) {
+        let run = self.machines[to].run;
+        let at = self.now + self.rng.u64(1..4);
+        let input = Input::Disconnected { peer: self.id(peer) };
+        self.schedule(at, Event::Notice { to, run, input });
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.line(from, to).cut = true;
+    }
+
+    /// What was held up arrives now, or is lost with the connection.
+    pub fn heal(&mut self, from: usize, to: usize) {
+        if !std::mem::take(&mut self.line(from, to).cut) {
+            return;
+        }
+        if self.rng.bool() {
+            return self.reset_connection(from, to, true);
+        }
+        let now = self.now;
+        let held = self.line(from, to).queue.len();
+        for carried in self.line(from, to).queue.iter_mut() {
+            carried.arrival = carried.arrival.max(now);
+        }
+        for _ in 0..held {
+            self.schedule(now, Event::Deliver { from, to });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, identity: Option<MemberId>, message: Message) {
+        let sender = self.id(from);
+        let delay = self.rng.u64(1..4);
+        let now = self.now;
+        if self.doubling && self.rng.u32(0..100) == 0 {
+            let at = now + self.rng.u64(10..2_000);
+            let input = Input::Received { from: sender.clone(), message: message.clone() };
+            self.schedule(at, Event::Late { to, input });
+        }
+        if self.losing && self.rng.u32(0..20) == 0 {
+            return;
+        }
+        let line = self.line(from, to);
+        line.last_arrival = line.last_arrival.max(now + delay);
+        let arrival = line.last_arrival;
+        line.queue.push_back(Carried { sender, to: identity, message, arrival });
+        self.schedule(arrival, Event::Deliver { from, to });
+    }
+
+    fn deliver(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let line = self.line(from, to);
+        if line.cut || line.queue.front().is_none_or(|carried| carried.arrival > now) {
+            return;
+        }
+        let carried = line.queue.pop_front().expect("just seen");
+        if self.machines[to].process.is_none() {
+            if self.machines[to].powered && !self.machines[to].removed {
+                let peer = carried.to.unwrap_or_else(|| self.id(to));
+                let run = self.machines[from].run;
+                let input = Input::Disconnected { peer };
+                self.schedule(now + 1, Event::Notice { to: from, run, input });
+            }
+            return;
+        }
+        self.note(|| format!("m{from} -> m{to} {:?}", carried.message));
+        self.input(to, Input::Received { from: carried.sender, message: carried.message });
+    }
+
     // --- members ---
 
     fn tick(&mut self, index: usize, run: u64, at: Millis) {
@@ -444,4 +679,140 @@
             self.breaks(format!("two views {number}: {known:?} and at m{index} {view:?}"));
         }
     }
+
+    // --- the caller's requests ---
+
+    fn found(&mut self) {
+        let members: Vec<Peer> = (0..self.setup.machines).map(|index| self.peer(index)).collect();
+        let chain = members.iter().map(|member| member.id.clone()).collect();
+        if self.machines.iter().all(|machine| machine.saved.decided.is_none()) {
+            self.schedule(self.now + FOUND_AGAIN, Event::Found);
+        }
+        self.input(0, Input::Found { view: View { number: 1, members, chain } });
+    }
+
+    fn write(&mut self) {
+        let next = self.now + 1 + self.rng.u64(0..2 * self.setup.write_every);
+        self.schedule(next, Event::Write);
+        let running = self.running();
+        if !running.is_empty() {
+            let index = running[self.rng.usize(..running.len())];
+            self.submit(index);
+        }
+    }
+
+    pub fn submit(&mut self, index: usize) {
+        let payload = self.next_payload;
+        let ticket = self.next_ticket;
+        self.next_payload += 1;
+        self.next_ticket += 1;
+        if self.now >= self.fresh_since {
+            self.fresh.insert(payload);
+        }
+        self.process(index).submitted.insert(ticket, payload);
+        let mut bytes = payload.to_le_bytes().to_vec();
+        bytes.resize(8 + self.setup.padding, 0);
+        self.input(index, Input::Submit { ticket, payload: bytes });
+    }
+
+    fn read(&mut self) {
+        let next = self.now + 1 + self.rng.u64(0..2 * self.setup.read_every);
+        self.schedule(next, Event::Read);
+        let running = self.running();
+        if running.is_empty() {
+            return;
+        }
+        let index = running[self.rng.usize(..running.len())];
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let must_see = self.sequence.len() as u64;
+        self.process(index).reads.insert(ticket, must_see);
+        self.input(index, Input::Read { ticket });
+    }
+
+    fn read_ready(&mut self, index: usize, ticket: u64) {
+        let process = self.process(index);
+        let applied = process.applied;
+        let Some(must_see) = process.reads.remove(&ticket) else {
+            return self.breaks(format!("m{index} answers a read {ticket} that nobody waits for"));
+        };
+        self.reads_done += 1;
+        if applied < must_see {
+            self.breaks(format!("m{index} reads at {applied}, but {must_see} was committed before the read"));
+        }
+    }
+
+    fn dropped(&mut self, index: usize, ticket: u64) {
+        let process = self.process(index);
+        let known = process.submitted.remove(&ticket).is_some() | process.reads.remove(&ticket).is_some();
+        if !known {
+            self.breaks(format!("m{index} drops {ticket}, which it doesn't hold"));
+        }
+    }
+
+    // --- checks ---
+
+    /// Payloads from now on are watched for their commit.
+    pub fn watch_fresh(&mut self) {
+        self.fresh.clear();
+        self.fresh_since = self.now;
+        self.fresh_committed_at = None;
+    }
+
+    pub fn committed_count(&self) -> usize {
+        self.sequence.len()
+    }
+
+    /// The longest time without a commit since then, and until now.
+    pub fn longest_pause(&self, since: Millis) -> Millis {
+        let times = self.commit_times.iter().copied().filter(|at| *at > since).chain([self.now]);
+        let mut last = since;
+        let pause = |at: Millis| at - std::mem::replace(&mut last, at);
+        times.map(pause).max().unwrap_or_default()
+    }
+
+    pub fn is_in_chain(&self, index: usize) -> bool {
+        self.newest_view().is_some_and(|view| view.chain.contains(&self.id(index)))
+    }
+
+    pub fn newest_view(&self) -> Option<&View> {
+        self.views.values().next_back()
+    }
+
+    /// Whether the member takes itself to be current.
+    pub fn is_current(&self, index: usize) -> bool {
+        let process = self.machines[index].process.as_ref();
+        process.is_some_and(|process| process.member.current(self.now - process.clock_zero + FIRST_MOMENT))
+    }
+
+    pub fn member(&self, index: usize) -> Option<&Member> {
+        self.machines[index].process.as_ref().map(|process| &process.member)
+    }
+
+    /// All running machines are in the chain of one view, know it, and have given out all commits but the newest.
+    pub fn check_whole(&self, most_behind: u64) -> Verdict {
+        let newest = self.newest_view().ok_or("no view")?;
+        for index in self.running() {
+            let member = self.member(index).ok_or("not running")?;
+            let view = member.view().ok_or_else(|| format!("m{index} knows no view"))?;
+            let applied = self.machines[index].process.as_ref().map_or(0, |process| process.applied);
+            if view != newest {
+                return Err(self.told(format!("m{index} is in view {}, not {}", view.number, newest.number)));
+            }
+            if !view.chain.contains(&self.id(index)) {
+                return Err(self.told(format!("m{index} is not in the chain of view {}", view.number)));
+            }
+            if !self.is_current(index) {
+                return Err(self.told(format!("m{index} is not current")));
+            }
+            if applied + most_behind < self.sequence.len() as u64 {
+                return Err(self.told(format!("m{index} has {applied} of {} commits", self.sequence.len())));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn told(&self, text: String) -> String {
+        format!("seed {} at {} ms: {text}", self.setup.seed, self.now)
+    }
 }
