--- a/crates/control/src/guards.rs
+++ b/crates/control/src/guards.rs
@@ -11,10 +11,26 @@
     /// An order that was refused takes effect only through a call made since.
     /// Against copies of it that are still under way.
     pub refusals_fenced: bool,
+    /// A store remains only if it is present and whole.
+    /// Against emptying the last store but one while a machine that is gone for good is still listed.
+    pub remaining_present_and_whole: bool,
+    /// A store is taken as empty only in the round in which it said so.
+    /// Against a declaration that rests on a store which was lost, wiped or put out since.
+    pub rounds_checked: bool,
+    /// A retirement stands still while too few stores remain.
+    /// Against turns that have too few homes for as long as the store is being emptied.
+    pub stands_still: bool,
 }
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { first_writer_wins: true, taken_orders_in_snapshot: true, refusals_fenced: true }
+        Guards {
+            first_writer_wins: true,
+            taken_orders_in_snapshot: true,
+            refusals_fenced: true,
+            remaining_present_and_whole: true,
+            rounds_checked: true,
+            stands_still: true,
+        }
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -28,13 +28,15 @@
     /// An empty state without some of the guards.
     #[doc(hidden)]
     pub fn with_guards(guards: Guards) -> ControlState {
-        ControlState { guards, ..ControlState::default() }
+        ControlState::default().guarded_by(guards)
     }
 
     /// The same state without some of the guards: a snapshot does not say which stand.
     #[doc(hidden)]
-    pub fn guarded_by(self, guards: Guards) -> ControlState {
-        ControlState { guards, ..self }
+    pub fn guarded_by(mut self, guards: Guards) -> ControlState {
+        self.guards = guards;
+        self.stores.set_guards(guards);
+        self
     }
 
     /// What goes into a snapshot.
@@ -67,8 +69,8 @@
             Operation::RetireStart { node, tolerated_losses, fence } => {
                 return self.retire(node, *tolerated_losses, *fence, changes);
             }
-            Operation::RetireDone { node, incarnation } => {
-                self.stores.emptied(node, *incarnation, changes);
+            Operation::RetireDone { node, incarnation, round } => {
+                self.stores.emptied(node, *incarnation, *round, changes);
             }
             Operation::Budget(request) => {
                 return Outcome::Budget(self.counters.apply(request, self.gateways.count()));
--- a/crates/node/src/core/coordinator.rs
+++ b/crates/node/src/core/coordinator.rs
@@ -5,6 +5,7 @@
 use super::executing::{Answer, Executing, Taken};
 use super::expiry::Leases;
 use crate::clock::Clock;
+use crate::deadline::within;
 use crate::messages::{encode, Heard, NodeLease, Reply, Request, WatchRequest, Watched};
 use crate::status::CoreStatus;
 use anyhow::Context;
@@ -174,8 +175,8 @@
     /// Carries out an operation; answered once it is committed.
     pub async fn execute(&self, operation: &Operation) -> Reply {
         let Some(answer) = self.submit(operation) else { return Reply::Unavailable };
-        match timeout(EXECUTE_LIMIT, answer).await {
-            Ok(Ok(Some(outcome))) => Reply::Executed(outcome),
+        match within(EXECUTE_LIMIT, answer).await {
+            Some(Ok(Some(outcome))) => Reply::Executed(outcome),
             _ => Reply::Unavailable,
         }
     }
@@ -184,7 +185,7 @@
         let payload = postcard::to_stdvec(operation).ok()?;
         let (ticket, taken) = {
             let mut inner = self.inner.borrow_mut();
-            if inner.executing.len() >= MOST_WAITING || !inner.serves(self.clock.now()) {
+            if inner.executing.len() >= MOST_WAITING || !inner.takes_orders(self.clock.now()) {
                 return None;
             }
             let ticket = inner.take_ticket();
@@ -227,7 +228,7 @@
             ticket
         };
         self.step(Input::Read { ticket });
-        matches!(timeout(EXECUTE_LIMIT, answer).await, Ok(Ok(())))
+        matches!(within(EXECUTE_LIMIT, answer).await, Some(Ok(())))
     }
 
     /// Answers a watch: at once if there are changes, else when there are some or after [`WATCH_LIMIT`].
@@ -407,7 +408,12 @@
         self.told_refusals = refusals;
     }
 
-    /// Whether this member may answer: it follows the chain, and its state is that of what it has followed.
+    /// Whether an operation may be submitted here. What it comes to, its commit tells.
+    fn takes_orders(&self, now: u64) -> bool {
+        self.member.takes_part(now) && self.applied.is_readable()
+    }
+
+    /// Whether this member may show its state: it follows the chain, and its state is that of what it has followed.
     fn serves(&self, now: u64) -> bool {
         self.member.follows(now) && self.applied.is_readable()
     }
