--- a/crates/chain/src/timing.rs
+++ b/crates/chain/src/timing.rs
@@ -102,7 +102,7 @@
 pub const MOST_UNCOMMITTED_BYTES: usize = 2 << 20;
 /// A snapshot is asked for when as many bytes of entries were committed as the last one has, within these bounds.
 pub const COMPACT_BYTES: usize = 1 << 20;
-pub const MOST_COMPACT_BYTES: usize = 4 << 20;
+pub const MOST_COMPACT_BYTES: usize = 2 << 20;
 /// Bytes of entries that stay in memory, some of them before the snapshot, for members that were away shortly.
 pub const KEPT_BYTES: usize = 2 << 20;
 /// The same while a snapshot is on its way to a member, which goes on from there.
--- a/crates/storage/tests/core_growth.rs
+++ b/crates/storage/tests/core_growth.rs
@@ -9,7 +9,7 @@
 const DISK_BYTES: u64 = (64 << 20) - dunespur_storage::recovery::MOST_ASIDE_BYTES;
 /// 60,000 programs of 154 bytes, 1,000 servers and a configuration of 400 kB come to this.
 const LARGEST_STATE: usize = 12 << 20;
-const SNAPSHOTS: usize = 6;
+const SNAPSHOTS: usize = 8;
 
 struct Writer {
     disk: CoreDisk,
@@ -24,28 +24,35 @@
         self.worst = self.worst.max(std::fs::metadata(&self.path).expect("the file").len());
     }
 
+    fn next_entries(&mut self, size: usize, count: u64) -> Vec<Write> {
+        let first = self.index + 1;
+        self.index += count;
+        let entry = |index| Entry {
+            position: Position { index, view: 1 },
+            origin: Origin { session: 5, ticket: index },
+            payload: Payload::from(vec![index as u8; size]),
+        };
+        (first..=self.index).map(|index| Write::Entry { entry: entry(index) }).collect()
+    }
+
     /// So many bytes of entries, in batches as they come together in a sync.
     fn entries(&mut self, bytes: usize, size: usize, batch: u64) {
         let mut written = 0;
         while written < bytes {
-            let entry = |index| Write::Entry {
-                entry: Entry {
-                    position: Position { index, view: 1 },
-                    origin: Origin { session: 5, ticket: index },
-                    payload: Payload::from(vec![index as u8; size]),
-                },
-            };
-            let writes: Vec<Write> = (1..=batch).map(|step| entry(self.index + step)).collect();
-            self.index += batch;
+            let writes = self.next_entries(size, batch);
             written += batch as usize * (size + 64);
             self.write(&writes);
         }
     }
 
-    fn snapshot(&mut self, bytes: usize) {
-        let position = Position { index: self.index - 3, view: 1 };
+    /// A snapshot among the entries of a batch, from `behind` entries ago: so many came while it was made.
+    fn snapshot(&mut self, bytes: usize, size: usize, batch: u64, behind: u64) {
+        let position = Position { index: self.index.saturating_sub(behind), view: 1 };
         let bytes = Payload::from(vec![self.index as u8; bytes]);
-        self.write(&[Write::Snapshot { snapshot: SavedSnapshot { position, bytes } }]);
+        let mut writes = self.next_entries(size, batch);
+        writes.push(Write::Snapshot { snapshot: SavedSnapshot { position, bytes } });
+        writes.extend(self.next_entries(size, batch));
+        self.write(&writes);
     }
 }
 
@@ -57,7 +64,7 @@
     let mut writer = Writer { disk, index: 0, worst: 0, path };
     for _ in 0..SNAPSHOTS {
         writer.entries(state.clamp(COMPACT_BYTES, MOST_COMPACT_BYTES), entry, batch);
-        writer.snapshot(state);
+        writer.snapshot(state, entry, batch, batch * 4);
     }
     let worst = writer.worst;
     drop(writer);
@@ -67,7 +74,7 @@
 
 #[test]
 fn the_file_of_the_largest_state_fits_the_disk() {
-    for (entry, batch) in [(300, 200), (5_000, 8), (400_000, 1)] {
+    for (entry, batch) in [(60, 200), (130, 200), (300, 200), (5_000, 8), (400_000, 1)] {
         let worst = worst_file(LARGEST_STATE, entry, batch);
         eprintln!("entries of {entry} bytes: {worst} bytes at worst");
         assert!(worst <= DISK_BYTES, "entries of {entry} bytes: {worst} bytes");
