--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -98,7 +98,7 @@
     pub(super) fn resume_chain(&mut self, now: Millis, out: &mut Vec<Output>) {
         match self.stage {
             Stage::Synced => self.begin_passing_on(now, out),
-            Stage::Unsynced if self.is_head() => self.come_up(now),
+            Stage::Unsynced if self.is_head() || !self.guards.whole_before_synced => self.come_up(now),
             Stage::Unsynced => self.attach(now, out),
             Stage::Outside => self.hurry_following(now, out),
             Stage::Sealed | Stage::Syncing => {}
@@ -178,7 +178,7 @@
         for entry in append.entries {
             self.take_entry(entry);
         }
-        let whole = end == append.last || !self.guards.log_whole_before_synced;
+        let whole = end == append.last || !self.guards.whole_before_synced;
         if self.stage == Stage::Unsynced && whole {
             self.truncate(end);
             self.come_up(now);
--- a/crates/chain/tests/snapshots.rs
+++ b/crates/chain/tests/snapshots.rs
@@ -204,7 +204,7 @@
 
 #[test]
 fn a_log_must_be_whole_before_it_counts() {
-    let guards = Guards { log_whole_before_synced: false, ..Guards::default() };
+    let guards = Guards { whole_before_synced: false, ..Guards::default() };
     let found = counterexample(400, |seed| Setup { guards, ..Setup::new(seed, 3 + (seed % 4) as usize) });
     assert!(found.is_some(), "nothing went wrong");
     eprintln!("{found:?}");
