--- a/crates/control/tests/operators_guards.rs
+++ b/crates/control/tests/operators_guards.rs
@@ -9,7 +9,7 @@
 /// Seeds that are tried for a counterexample.
 const SEEDS: u64 = 100;
 /// Copies of refused orders that meet the very state in which they could be taken are rare: this seed brings one about.
-const RARE_SEED: u64 = 110;
+const RARE_SEED: u64 = 473;
 
 /// What goes wrong first without some guards. It has to be what they are against, not another broken promise.
 fn counterexample(guards: Guards, sign: &str) -> String {
