--- a/crates/chain/src/member/chain.rs
+++ b/crates/chain/src/member/chain.rs
@@ -44,6 +44,13 @@
     moved_at: Millis,
 }
 
+impl Upstream {
+    /// A snapshot is on its way: no need to ask for it again.
+    pub(super) fn heard_snapshot(&mut self, now: Millis) {
+        self.attached_at = Some(now);
+    }
+}
+
 impl Downstream {
     /// The successor was sent a snapshot that ends at `index`.
     pub(super) fn goes_on_from(&mut self, index: u64, now: Millis) {
@@ -171,7 +178,8 @@
         for entry in append.entries {
             self.take_entry(entry);
         }
-        if self.stage == Stage::Unsynced && end == append.last {
+        let whole = end == append.last || !self.guards.whole_before_synced;
+        if self.stage == Stage::Unsynced && whole {
             self.truncate(end);
             self.come_up(now);
         }
@@ -337,6 +345,7 @@
         }
         while self.committed < index {
             let Some(entry) = self.log.get(self.committed + 1) else { break };
+            self.snapshots.note_committed(entry.size());
             let Entry { position, origin, payload } = entry.clone();
             self.committed = position.index;
             let ticket = self.submission_committed(origin);
@@ -352,6 +361,10 @@
     /// Appends at the head; says whether there was room.
     pub(super) fn append_at_head(&mut self, origin: Origin, payload: Payload) -> bool {
         let last = self.log.last().index;
+        // Against a second entry for a submission that was sent again while the first is on its way.
+        if self.log.has_origin_after(self.committed, origin) {
+            return true;
+        }
         let many = last - self.committed >= MOST_UNCOMMITTED;
         let large = self.log.bytes() > MOST_UNCOMMITTED_BYTES
             && self.log.bytes_after(self.committed) > MOST_UNCOMMITTED_BYTES;
--- a/crates/control/tests/operators_guards.rs
+++ b/crates/control/tests/operators_guards.rs
@@ -8,7 +8,8 @@
 const ROUNDS: usize = 3;
 /// Seeds that are tried for a counterexample.
 const SEEDS: u64 = 400;
-/// Copies of refused orders that meet the very state in which they could be taken are rare: one of the next seeds brings one about.
+/// Copies of refused orders that meet the very state in which they could be taken are rare: one of the next seeds
+/// brings one about.
 const RARE_SEED: u64 = 120;
 /// The same for orders to empty a store.
 const RARE_STORE_SEED: u64 = 75;
