--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -46,8 +46,6 @@
     /// The gateways that are there.
     pub gateways: BTreeMap<String, GatewayEntry>,
     pub stores: BTreeMap<String, Store>,
-    /// The life of each store's process that the core knows.
-    pub incarnations: BTreeMap<String, u64>,
 }
 
 /// What a change of the control state concerns.
@@ -407,13 +405,11 @@
                 touched.servers = true;
             }
             Change::Store(entry) => {
-                self.incarnations.insert(entry.name.clone(), entry.incarnation);
                 self.stores.insert(entry.name.clone(), store(entry));
                 touched.stores = true;
             }
             Change::StoreGone { name } => {
                 self.stores.remove(&name);
-                self.incarnations.remove(&name);
                 touched.stores = true;
             }
             Change::Gateway(entry) => {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -246,15 +246,14 @@
         let Some(held) = known.stores.get(&report.name) else {
             return Some(Operation::Node(report.clone()));
         };
-        let held_incarnation = known.incarnations.get(&report.name).copied().unwrap_or(0);
-        if held_incarnation > report.incarnation {
+        if held.incarnation > report.incarnation {
             // The clock went back between two lives of this process: the present life is the newer one.
-            report.incarnation = held_incarnation + 1;
+            report.incarnation = held.incarnation + 1;
             self.node.borrow_mut().set_incarnation(report.incarnation);
             self.directory.hold_lease(NodeLease::of(&report));
         }
         let told = held.disk == report.disk && held.whole == report.whole && held.address == report.address;
-        if !told || !held.present || held_incarnation != report.incarnation {
+        if !told || !held.present || held.incarnation != report.incarnation {
             return Some(Operation::Node(report.clone()));
         }
         let round = self.node.borrow().emptied_in().filter(|round| held.retiring && held.round == *round)?;
