Whole-program tests add a route and read the version back in one place

losses.rs and unreadable.rs had the same two functions, but for the step between versions (3 and 1, now 3 in both; versions rise in uneven steps and no check names the step). Assertions as before.

--- a/crates/node/tests/losses.rs
+++ b/crates/node/tests/losses.rs
@@ -2,37 +2,16 @@
 
 mod support;
 
-use dunespur_emulator::client::{Ask, Kind};
-use dunespur_emulator::configuration::{patch, RoutePlan};
-use dunespur_emulator::scene::{Scene, ScenePlan, HOST, TOOLS};
+use dunespur_emulator::client::Ask;
+use dunespur_emulator::scene::{Scene, ScenePlan, HOST};
 use dunespur_emulator::system::{MachinePlan, Role};
-use serde_json::Value;
 use support::disk::with_standstills_apart;
 use support::{
-    expect_no_violation, go_on_within, line_of, places, programs_for, stage, CATCH_UP, ORDER_LIMIT, RECOVERY,
+    add_route, expect_no_violation, generation, go_on_within, line_of, places, programs_for, stage, CATCH_UP,
+    ORDER_LIMIT, RECOVERY,
 };
 use tokio::time::Instant;
 
-/// Adds one route on top of `base`.
-async fn add_route(scene: &mut Scene, base: u64) -> u64 {
-    let generation = base + 3;
-    let name = format!("route-{generation}");
-    let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
-    let plan = scene.configurations.last().unwrap().patched(generation, std::slice::from_ref(&route), &[]);
-    scene.configurations.push(plan);
-    let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
-    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
-    generation
-}
-
-/// The newest version as any gateway reads it back.
-async fn generation(scene: &mut Scene) -> u64 {
-    let answer = scene.operator.get(RECOVERY).await.unwrap();
-    assert_eq!(answer.status, 200);
-    let configuration: Value = serde_json::from_slice(&answer.body).unwrap();
-    configuration["generation"].as_u64().unwrap()
-}
-
 /// Every running gateway serves this route.
 async fn serves_route(scene: &Scene, generation: u64) {
     let ask = Ask::get(HOST, &format!("/route-{generation}/x"));
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,10 +4,12 @@
 pub mod disk;
 
 use disk::{fail_as_late, stood_still_since};
-use dunespur_emulator::client::Ask;
+use dunespur_emulator::client::{Ask, Kind};
+use dunespur_emulator::configuration::{patch, RoutePlan};
 use dunespur_emulator::program::{play, End, Line};
-use dunespur_emulator::scene::{usual_program, Scene, ScenePlan, HOST, LOOKUP};
+use dunespur_emulator::scene::{usual_program, Scene, ScenePlan, HOST, LOOKUP, TOOLS};
 use dunespur_emulator::system::Role;
+use serde_json::Value;
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -140,3 +142,23 @@
 pub fn lookup() -> Ask {
     Ask::get(HOST, &format!("{LOOKUP}x"))
 }
+
+/// Adds one route on top of `base`.
+pub async fn add_route(scene: &mut Scene, base: u64) -> u64 {
+    let generation = base + 3;
+    let name = format!("route-{generation}");
+    let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
+    let plan = scene.configurations.last().unwrap().patched(generation, std::slice::from_ref(&route), &[]);
+    scene.configurations.push(plan);
+    let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    generation
+}
+
+/// The newest version as any gateway reads it back.
+pub async fn generation(scene: &mut Scene) -> u64 {
+    let answer = scene.operator.get(RECOVERY).await.unwrap();
+    assert_eq!(answer.status, 200);
+    let configuration: Value = serde_json::from_slice(&answer.body).unwrap();
+    configuration["generation"].as_u64().unwrap()
+}
--- a/crates/node/tests/unreadable.rs
+++ b/crates/node/tests/unreadable.rs
@@ -3,38 +3,17 @@
 
 mod support;
 
-use dunespur_emulator::client::Kind;
-use dunespur_emulator::configuration::{patch, RoutePlan};
-use dunespur_emulator::scene::{Scene, ScenePlan, HOST, TOOLS};
+use dunespur_emulator::scene::{Scene, ScenePlan};
 use dunespur_emulator::system::Role;
-use serde_json::Value;
 use std::fs::{self, OpenOptions};
 use std::path::{Path, PathBuf};
-use support::{expect_no_violation, go_on, line_of, places, programs_for, stage, CATCH_UP, RECOVERY};
+use support::{
+    add_route, expect_no_violation, generation, go_on, line_of, places, programs_for, stage, CATCH_UP,
+};
 
 const CORE_FILE: &str = "core.redb";
 const TURNS_FILE: &str = "turns.redb";
 
-/// Adds one route on top of `base`.
-async fn add_route(scene: &mut Scene, base: u64) -> u64 {
-    let generation = base + 1;
-    let name = format!("route-{generation}");
-    let route = RoutePlan::new(&name, HOST, &format!("/{name}/"), Kind::ReadOnly, TOOLS);
-    let plan = scene.configurations.last().unwrap().patched(generation, std::slice::from_ref(&route), &[]);
-    scene.configurations.push(plan);
-    let answer = scene.operator.patch(base, &patch(generation, &[route], &[]), RECOVERY).await.unwrap();
-    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
-    generation
-}
-
-/// The newest version as any gateway reads it back.
-async fn generation(scene: &mut Scene) -> u64 {
-    let answer = scene.operator.get(RECOVERY).await.unwrap();
-    assert_eq!(answer.status, 200);
-    let configuration: Value = serde_json::from_slice(&answer.body).unwrap();
-    configuration["generation"].as_u64().unwrap()
-}
-
 fn cut_short(path: &Path) {
     let file = OpenOptions::new().write(true).open(path).unwrap();
     let length = file.metadata().unwrap().len();
