--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -52,6 +52,7 @@
 
     /// Chooses a server and counts the request as in flight there.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Choice {
+        self.note_overdue(now);
         let Some(pool) = self.pools.get_mut(ask.backend) else {
             return Choice::NoServer;
         };
@@ -127,11 +128,12 @@
         .collect()
     }
 
-    /// Servers that this gateway avoids for their faults, for the other gateways.
+    /// Servers that this gateway avoids for their faults or suspects of some, for the other gateways.
     pub fn in_trouble(&self, now: Millis) -> Vec<ServerId> {
         let members = self.pools.values().flat_map(|pool| pool.members.iter());
-        let avoided = members.filter(|member| member.health.is_in_trouble(now));
-        avoided.map(|member| member.server.id.clone()).collect()
+        let failing =
+            members.filter(|member| member.health.is_in_trouble(now) || member.reliability.is_suspect(now));
+        failing.map(|member| member.server.id.clone()).collect()
     }
 
     /// Another gateway avoids this server for its faults: it is asked less until our own requests are served there.
@@ -147,6 +149,20 @@
         self.flights.len()
     }
 
+    /// Counts requests that are long overdue as failed at their servers.
+    fn note_overdue(&mut self, now: Millis) {
+        for flight in self.flights.values_mut() {
+            if flight.counted_overdue || !flight.is_long_overdue(now) {
+                continue;
+            }
+            flight.counted_overdue = true;
+            let pool = self.pools.get_mut(&flight.backend);
+            if let Some(member) = pool.and_then(|pool| pool.member_mut(flight.member)) {
+                member.reliability.note_failed(now);
+            }
+        }
+    }
+
     fn choose_engine(&mut self, ask: &Ask, candidates: &[usize], now: Millis) -> Choice {
         let any = self.random.u64(..);
         let Some(pool) = self.pools.get_mut(ask.backend) else {
@@ -183,7 +199,8 @@
         member.sent(choice.fresh_tokens, choice.footprint, now);
         member.cache.sent(ask.prefix, (memory_capacity(member) as f64 * traffic_share) as u64);
         let priority = engine_priority(ask, under_way, choice.estimate.first_token_ms);
-        self.send(ask, choice.index, Some(engine), Some(priority), now)
+        let expected_ms = choice.estimate.first_token_ms;
+        self.send(ask, choice.index, expected_ms, Some((engine, priority)), now)
     }
 
     fn choose_plain(&mut self, ask: &Ask, candidates: &[usize], now: Millis) -> Choice {
@@ -191,7 +208,7 @@
         let Some(pool) = self.pools.get_mut(ask.backend) else {
             return Choice::NoServer;
         };
-        let Some(index) = plain::choose(pool, candidates, start, ask.target_ms, now) else {
+        let Some(index) = plain::choose(pool, candidates, start, ask, now) else {
             return Choice::NoServer;
         };
         let outlook = Outlook {
@@ -203,15 +220,15 @@
             return Choice::Refuse { retry_after_ms };
         }
         pool.members[index].sent(0, 0, now);
-        self.send(ask, index, None, None, now)
+        self.send(ask, index, outlook.expected_ms, None, now)
     }
 
     fn send(
         &mut self,
         ask: &Ask,
         index: usize,
-        engine: Option<EngineFlight>,
-        engine_priority: Option<u8>,
+        expected_ms: f64,
+        engine: Option<(EngineFlight, u8)>,
         now: Millis,
     ) -> Choice {
         let Some(pool) = self.pools.get(ask.backend) else {
@@ -225,10 +242,13 @@
             sent_at: now,
             first_at: None,
             target_ms: ask.target_ms,
-            engine,
+            expected_ms,
+            counted_overdue: false,
+            engine: engine.map(|(flight, _)| flight),
         };
         self.last_key += 1;
         self.flights.insert(self.last_key, flight);
+        let engine_priority = engine.map(|(_, priority)| priority);
         Choice::Send(Ticket { server, key: self.last_key, engine_priority })
     }
 }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -4,6 +4,7 @@
 //! gateway finds the same home, so a program's context and a subject's shared parts gather on few engines.
 //! The home is left where the estimate says that another engine is quicker by more than what is held is worth.
 
+use crate::admission::stream_patience_ms;
 use crate::estimate::{EngineState, Estimate, Need};
 use crate::member::Member;
 use crate::pool::Pool;
@@ -24,6 +25,9 @@
 /// Orders engines that are as good as equal, each gateway alike.
 const TIE_MS: f64 = 1.0;
 
+/// A failure counts so many times as much for a request that can't be repeated.
+const UNREPEATABLE_FACTOR: f64 = 3.0;
+
 /// An engine for a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EngineChoice {
@@ -61,7 +65,8 @@
     let caller = Caller::of(ask);
     let program = caller.program.unwrap_or(any);
     let subject = pool.sharing.observe(ask.prefix, program);
-    let homes = Homes::find(pool, candidates, program, subject);
+    let mut homes = Homes::find(pool, candidates, program, subject);
+    homes.mean_failed_share = pool.mean_failed_share(ask.idempotent, now);
     let mut best: Option<EngineChoice> = None;
     for index in candidates {
         let choice = weigh(pool, ask, *index, &homes, now);
@@ -80,13 +85,15 @@
     subject: Option<Subject>,
     /// The least weight with which an engine belongs to the subject.
     subject_threshold: u64,
+    /// The share of requests that are expected to fail at an engine like the mean.
+    mean_failed_share: f64,
 }
 
 impl Homes {
     fn find(pool: &Pool, candidates: &[usize], program: u64, subject: Option<Subject>) -> Self {
         let eligible = eligible(pool, candidates);
         let subject_threshold = subject.map_or(0, |subject| threshold(pool, &eligible, subject));
-        let mut homes = Self { program, home: None, subject, subject_threshold };
+        let mut homes = Self { program, home: None, subject, subject_threshold, mean_failed_share: 0.0 };
         homes.home = eligible
             .into_iter()
             .filter(|index| homes.is_for_subject(&pool.members[*index]))
@@ -159,6 +166,8 @@
     if !member.is_local {
         estimate.cost_ms += OTHER_ZONE_MS;
     }
+    let failed_share = member.failed_share(ask.idempotent, now) - homes.mean_failed_share;
+    estimate.cost_ms += failed_share.max(0.0) * failure_ms(ask);
     EngineChoice {
         index,
         fresh_tokens: fresh_tokens as u64,
@@ -168,6 +177,13 @@
     }
 }
 
+/// What a failed request costs its client: at worst the silence after which it gives up. One that can't be repeated
+/// comes back as a turn sent anew, and its program fails with the third of these.
+fn failure_ms(ask: &Ask) -> f64 {
+    let factor = if ask.idempotent { 1.0 } else { UNREPEATABLE_FACTOR };
+    factor * stream_patience_ms(ask) as f64
+}
+
 fn engine_state(pool: &Pool, member: &Member, now: Millis) -> EngineState {
     let others_memory = member.load.others_usual_in_flight(now) * pool.pace.footprint();
     EngineState {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,7 +11,7 @@
 //! - `priority`: the rank of a request at an engine;
 //! - `estimate`, `learning`, `line_fit`: what an engine would take, learnt from observed times;
 //! - `prefix_cache`, `sharing`, `rendezvous`: which engine holds the beginning of a prompt;
-//! - `health`, `hint`, `load`, `member`: what is known of one server.
+//! - `health`, `reliability`, `hint`, `load`, `member`: what is known of one server.
 
 mod admission;
 mod chooser;
@@ -28,6 +28,7 @@
 mod pool;
 mod prefix_cache;
 mod priority;
+mod reliability;
 mod rendezvous;
 mod sharing;
 pub mod types;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -6,6 +6,7 @@
 use crate::hint::Hint;
 use crate::load::Load;
 use crate::prefix_cache::PrefixCache;
+use crate::reliability::Reliability;
 use crate::rendezvous::name_hash;
 use crate::types::{Millis, Server};
 
@@ -19,6 +20,9 @@
 /// only a request can tell.
 const SLOWNESS_KEPT_MS: f64 = 20_000.0;
 
+/// Share of requests that are expected to fail at a server that others find in trouble.
+const HINTED_FAILED_SHARE: f64 = 0.25;
+
 /// One server of a pool.
 #[derive(Debug)]
 pub(crate) struct Member {
@@ -28,6 +32,7 @@
     pub(crate) name_hash: u64,
     pub(crate) is_local: bool,
     pub(crate) health: Health,
+    pub(crate) reliability: Reliability,
     pub(crate) hint: Hint,
     pub(crate) load: Load,
     pub(crate) cache: PrefixCache,
@@ -42,6 +47,7 @@
             name_hash: name_hash(&server.id),
             is_local: *server.zone == *zone,
             health: if server.engine.is_some() { Health::of_engine() } else { Health::of_server() },
+            reliability: Reliability::default(),
             hint: Hint::default(),
             load: Load::default(),
             cache: PrefixCache::new(),
@@ -104,6 +110,16 @@
         self.slowness.get(now)
     }
 
+    /// The share of requests that are expected to fail. One that can't be repeated also goes by what other gateways
+    /// say: what can be repeated finds out at less cost whether they are right.
+    pub(crate) fn failed_share(&self, idempotent: bool, now: Millis) -> f64 {
+        let own = self.reliability.failed_share(now);
+        if !idempotent && self.hint.is_trouble(now) {
+            return own.max(HINTED_FAILED_SHARE);
+        }
+        own
+    }
+
     /// A request took `ratio` times what is expected of a server like the mean.
     pub(crate) fn saw_slowness(&mut self, ratio: f64, now: Millis) {
         if !self.is_cold(now) {
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -78,6 +78,12 @@
         sum / self.members.len().max(1) as f64
     }
 
+    /// The mean share of requests that are expected to fail: what fails everywhere speaks against no one server.
+    pub(crate) fn mean_failed_share(&self, idempotent: bool, now: Millis) -> f64 {
+        let sum: f64 = self.members.iter().map(|member| member.failed_share(idempotent, now)).sum();
+        sum / self.members.len().max(1) as f64
+    }
+
     /// Servers that this request may be sent to: those not avoided, or else the least bad ones.
     pub(crate) fn candidates(&self, ask: &Ask, now: Millis) -> Vec<usize> {
         let usable = self.indices(|member| member.is_usable());
--- a/deploy/sites/system_days.py
+++ b/deploy/sites/system_days.py
@@ -27,7 +27,7 @@
     "garble": ["", "extra", "extra late", "unframed", "early"],
     "answer_lost": ["", "reset"],
     "node_kill": ["", "power", "leader", "reader", "seed", "turn", "power turn", "power meet drain",
-                  "leader race drain hard"],
+                  "leader race drain hard", "meet drain"],
     "node_freeze": ["", "leader", "reader", "turn meet", "leader race"],
     "roll_term": ["", "busy", "remove"],
     "herd_kill": ["", "power", "taken", "taken power", "all taken"],
@@ -36,7 +36,8 @@
     "after_ack_wipe": ["", "timed", "oldest", "taken"],
     "core_cut": ["", "one_way", "seeds", "both", "reset", "refuse", "all", "near", "oldest", "lure", "leader race",
                  "leader refuse race", "all leader meet", "near leader reader hard", "one_way race",
-                 "oldest race lure refuse"],
+                 "oldest race lure refuse", "behind", "behind race", "split", "split race", "split lure", "relieve",
+                 "relieve race meet", "lure race", "leader race drain"],
     "config_change": ["route", "weights", "timeout", "idle", "tenant", "quota"],
     "bad_config": ["cut_short", "unknown_service", "same_place", "no_weight", "no_timeout", "old_version",
                    "same_version", "stale_match", "shared_key"],
@@ -53,7 +54,8 @@
             "disk_slow", "disk_full", "disk_stall", "node_slow"}
 ON_CORE = {"node_kill", "node_freeze", "herd_kill", "node_slow", "disk_slow", "disk_full", "disk_stall"}
 CLOSINGS = ["power_off_all", "wipe_after_ack", "kill_all"]
-CLOSING_HOWS = ["", "timed", "taken", "oldest", "all taken"]
+# With `all` every machine loses power as the disks go, those that don't count as well.
+CLOSING_HOWS = ["", "timed", "taken", "oldest", "all", "timed all", "oldest all", "all taken"]
 # What strikes the control side, for days of storms.
 CONTROL_FAULTS = ["node_kill", "node_freeze", "herd_kill", "after_ack_kill", "after_ack_wipe", "core_cut", "core_cut",
                   "ack_lost", "disk_slow", "disk_stall", "clock_step", "node_cut"]
