--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -52,7 +52,6 @@
 
     /// Chooses a server and counts the request as in flight there.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Choice {
-        self.note_overdue(now);
         let Some(pool) = self.pools.get_mut(ask.backend) else {
             return Choice::NoServer;
         };
@@ -149,20 +148,6 @@
         self.flights.len()
     }
 
-    /// Counts requests that are long overdue as failed at their servers.
-    fn note_overdue(&mut self, now: Millis) {
-        for flight in self.flights.values_mut() {
-            if flight.counted_overdue || !flight.is_long_overdue(now) {
-                continue;
-            }
-            flight.counted_overdue = true;
-            let pool = self.pools.get_mut(&flight.backend);
-            if let Some(member) = pool.and_then(|pool| pool.member_mut(flight.member)) {
-                member.reliability.note_failed(now);
-            }
-        }
-    }
-
     fn choose_engine(&mut self, ask: &Ask, candidates: &[usize], now: Millis) -> Choice {
         let any = self.random.u64(..);
         let Some(pool) = self.pools.get_mut(ask.backend) else {
@@ -199,8 +184,7 @@
         member.sent(choice.fresh_tokens, choice.footprint, now);
         member.cache.sent(ask.prefix, (memory_capacity(member) as f64 * traffic_share) as u64);
         let priority = engine_priority(ask, under_way, choice.estimate.first_token_ms);
-        let expected_ms = choice.estimate.first_token_ms;
-        self.send(ask, choice.index, expected_ms, Some((engine, priority)), now)
+        self.send(ask, choice.index, Some((engine, priority)), now)
     }
 
     fn choose_plain(&mut self, ask: &Ask, candidates: &[usize], now: Millis) -> Choice {
@@ -220,17 +204,10 @@
             return Choice::Refuse { retry_after_ms };
         }
         pool.members[index].sent(0, 0, now);
-        self.send(ask, index, outlook.expected_ms, None, now)
+        self.send(ask, index, None, now)
     }
 
-    fn send(
-        &mut self,
-        ask: &Ask,
-        index: usize,
-        expected_ms: f64,
-        engine: Option<(EngineFlight, u8)>,
-        now: Millis,
-    ) -> Choice {
+    fn send(&mut self, ask: &Ask, index: usize, engine: Option<(EngineFlight, u8)>, now: Millis) -> Choice {
         let Some(pool) = self.pools.get(ask.backend) else {
             return Choice::NoServer;
         };
@@ -242,8 +219,6 @@
             sent_at: now,
             first_at: None,
             target_ms: ask.target_ms,
-            expected_ms,
-            counted_overdue: false,
             engine: engine.map(|(flight, _)| flight),
         };
         self.last_key += 1;
--- a/crates/routing/src/flight.rs
+++ b/crates/routing/src/flight.rs
@@ -19,10 +19,6 @@
     pub(crate) sent_at: Millis,
     pub(crate) first_at: Option<Millis>,
     pub(crate) target_ms: u64,
-    /// When its first event, or the head of its answer, was expected.
-    pub(crate) expected_ms: f64,
-    /// Whether it has counted as failed, as it is long overdue.
-    pub(crate) counted_overdue: bool,
     pub(crate) engine: Option<EngineFlight>,
 }
 
@@ -44,8 +40,8 @@
 pub(crate) fn note_outcome(member: &mut Member, flight: &Flight, result: Outcome, now: Millis) {
     if let Some(sign) = sign_of(flight, result, now) {
         member.health.note(sign, now);
-        note_reliability(member, flight, sign, now);
     }
+    note_reliability(member, result, now);
     match result {
         Outcome::Served { .. } => member.hint.refute(flight.sent_at, now),
         Outcome::Failed | Outcome::Silent => member.hint.confirm(now),
@@ -53,13 +49,13 @@
     }
 }
 
-fn note_reliability(member: &mut Member, flight: &Flight, sign: Sign, now: Millis) {
-    match sign {
-        Sign::Success => member.reliability.note_served(now),
-        // It counted as failed when it was overdue.
-        _ if flight.counted_overdue => {}
-        Sign::Failure | Sign::Silence | Sign::Unreachable => member.reliability.note_failed(now),
-        Sign::Full | Sign::Moved => {}
+/// Silence is no evidence here. Guards against a collapse under load: requests that are late because engines are busy
+/// would drive programs from the engines that hold their context, and reading it anew makes all engines busier.
+fn note_reliability(member: &mut Member, result: Outcome, now: Millis) {
+    match result {
+        Outcome::Served { .. } => member.reliability.note_served(now),
+        Outcome::Failed | Outcome::Unreachable => member.reliability.note_failed(now),
+        Outcome::Silent | Outcome::Abandoned | Outcome::Shed | Outcome::Moved => {}
     }
 }
 
@@ -76,21 +72,7 @@
     }
 }
 
-/// A request is long overdue after so many times what was expected of it.
-const LONG_OVERDUE_FACTOR: f64 = 4.0;
-/// And not before this many times its objective.
-const LONG_OVERDUE_TARGETS: f64 = 2.0;
-
 impl Flight {
-    /// Whether it has waited for its first sign far longer than was expected. Tells of a server that hangs on some
-    /// of its requests before their clients give up.
-    pub(crate) fn is_long_overdue(&self, now: Millis) -> bool {
-        let waited_ms = now.saturating_sub(self.sent_at) as f64;
-        let bound_ms =
-            (LONG_OVERDUE_TARGETS * self.target_ms as f64).max(LONG_OVERDUE_FACTOR * self.expected_ms);
-        self.first_at.is_none() && waited_ms >= bound_ms
-    }
-
     /// Whether the first event is so late that the client left for it: against servers that hang, as clients give
     /// up before any time limit of the gateway's.
     fn is_overdue(&self, now: Millis) -> bool {
--- a/crates/routing/src/reliability.rs
+++ b/crates/routing/src/reliability.rs
@@ -30,7 +30,7 @@
         self.served += 1.0;
     }
 
-    /// A request failed, or is long overdue.
+    /// A request failed.
     pub(crate) fn note_failed(&mut self, now: Millis) {
         self.fade(now);
         self.failed += 1.0;
