--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,7 +6,7 @@
 use crate::link::{ConnectError, Link};
 use crate::node::Node;
 use crate::reply::{outcome_of_broken, ReplyBody};
-use crate::sending::Sending;
+use crate::sending::{Sending, PATIENCE_AIMS};
 use crate::servers::KeepTerms;
 use crate::trace;
 use dunespur_routing::{Outcome, Ticket};
@@ -123,8 +123,8 @@
 
     async fn exchange(&mut self, mut link: Link, ticket: &Ticket) -> Result<Answered, AttemptError> {
         let head = self.head(ticket);
-        if let Some(patience_ms) = self.patience_ms() {
-            self.limit.expect_within(patience_ms);
+        if self.record.may_leave() {
+            self.limit.expect_within(PATIENCE_AIMS * self.route.target_ms);
         }
         let time_left = Duration::from_millis(self.limit.left_ms());
         let exchange = link.exchange(head, self.message.pieces.clone(), time_left);
--- a/crates/proxy/src/sending.rs
+++ b/crates/proxy/src/sending.rs
@@ -26,7 +26,7 @@
 /// of them turn it away.
 const MOST_SENDS: u32 = 8;
 /// What can be repeated leaves a server that has been silent for so many times the aim of its route.
-const PATIENCE_AIMS: u64 = 4;
+pub(crate) const PATIENCE_AIMS: u64 = 4;
 
 /// What is sent, whichever server gets it.
 pub(crate) struct Message {
@@ -189,19 +189,6 @@
         }
     }
 
-    /// How long the server may be silent after the request was sent; none where it is waited for to the end.
-    pub(crate) fn patience_ms(&self) -> Option<u64> {
-        let leaves = self.record.may_leave() || self.is_left_to_client();
-        leaves.then_some(PATIENCE_AIMS * self.route.target_ms)
-    }
-
-    /// Whether the request ends while its server is silent, as it may be sent to no other one. Its client can repeat
-    /// it, and gets to another server with it while there is time.
-    fn is_left_to_client(&self) -> bool {
-        let has_time = self.limit.left_ms() >= PATIENCE_AIMS * self.route.target_ms;
-        has_time && self.route.idempotent() && !self.record.may_leave()
-    }
-
     /// A server is at work on the stream: pauses up to a multiple of their aim are waited out.
     pub(crate) fn heard_event(&mut self) {
         self.limit.heard(PATIENCE_AIMS * self.route.gap_aim_ms.unwrap_or(self.route.target_ms));
