--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -64,7 +64,7 @@
 ) -> Option<EngineChoice> {
     let caller = Caller::of(ask);
     let program = caller.program.unwrap_or(any);
-    let subject = pool.sharing.observe(ask.prefix, program);
+    let subject = pool.sharing.observe(ask.prefix, program).filter(|_| pool.mechanisms.subject_spread);
     let mut homes = Homes::find(pool, candidates, program, subject);
     homes.mean_failed_share = pool.mean_failed_share(ask.idempotent, now);
     let mut best: Option<EngineChoice> = None;
@@ -94,6 +94,9 @@
         let eligible = eligible(pool, candidates);
         let subject_threshold = subject.map_or(0, |subject| threshold(pool, &eligible, subject));
         let mut homes = Self { program, home: None, subject, subject_threshold, mean_failed_share: 0.0 };
+        if !pool.mechanisms.program_homes {
+            return homes;
+        }
         homes.home = eligible
             .into_iter()
             .filter(|index| homes.is_for_subject(&pool.members[*index]))
@@ -150,7 +153,9 @@
     let member = &pool.members[index];
     let prompt_tokens = f64::from(ask.prompt_tokens);
     let known = (member.cache.held(ask.prefix) as f64).min(prompt_tokens);
-    let held = known.max(homes.presumed(member, index, prompt_tokens));
+    let presumed =
+        if pool.mechanisms.presumed_holdings { homes.presumed(member, index, prompt_tokens) } else { 0.0 };
+    let held = known.max(presumed);
     let fresh_tokens = prompt_tokens - held;
     let engine = engine_state(pool, member, now);
     let need = Need {
@@ -191,9 +196,13 @@
         places: member.places(now),
         waiting_tokens: member.load.usual_waiting_tokens(now),
         memory_tokens: member.load.own_memory_tokens() as f64 + others_memory,
-        memory_capacity: memory_capacity(member) as f64,
+        memory_capacity: if pool.mechanisms.memory_waits {
+            memory_capacity(member) as f64
+        } else {
+            f64::INFINITY
+        },
         slowness: member.slowness(now),
-        quiet_ms: member.load.quiet_ms(now) as f64,
+        quiet_ms: member.quiet_ms(now) as f64,
     }
 }
 
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -5,6 +5,7 @@
 use crate::health::Health;
 use crate::hint::Hint;
 use crate::load::Load;
+use crate::mechanisms::Mechanisms;
 use crate::prefix_cache::PrefixCache;
 use crate::reliability::Reliability;
 use crate::rendezvous::name_hash;
@@ -38,11 +39,13 @@
     pub(crate) cache: PrefixCache,
     slowness: Slowness,
     cold_until: Millis,
+    mechanisms: Mechanisms,
 }
 
 impl Member {
-    pub(crate) fn new(number: u64, server: Server, zone: &str, now: Millis) -> Self {
+    pub(crate) fn new(number: u64, server: Server, zone: &str, mechanisms: Mechanisms, now: Millis) -> Self {
         Self {
+            mechanisms,
             number,
             name_hash: name_hash(&server.id),
             is_local: *server.zone == *zone,
@@ -91,7 +94,17 @@
 
     /// Places that it is offered requests for: fewer while it returns from trouble.
     pub(crate) fn places(&self, now: Millis) -> f64 {
-        (f64::from(self.slots()) * self.health.share(now)).max(1.0)
+        let share = if self.mechanisms.gradual_return { self.health.share(now) } else { 1.0 };
+        (f64::from(self.slots()) * share).max(1.0)
+    }
+
+    /// For how long it has answered none of this gateway's requests.
+    pub(crate) fn quiet_ms(&self, now: Millis) -> u64 {
+        if self.mechanisms.quiet_cost {
+            self.load.quiet_ms(now)
+        } else {
+            0
+        }
     }
 
     /// Whether all its places are taken.
@@ -113,6 +126,9 @@
     /// The share of requests that are expected to fail. One that can't be repeated also goes by what other gateways
     /// say: what can be repeated finds out at less cost whether they are right.
     pub(crate) fn failed_share(&self, idempotent: bool, now: Millis) -> f64 {
+        if !self.mechanisms.failure_cost {
+            return 0.0;
+        }
         let own = self.reliability.failed_share(now);
         if !idempotent && self.hint.is_trouble(now) {
             return own.max(HINTED_FAILED_SHARE);
@@ -122,7 +138,7 @@
 
     /// A request took `ratio` times what is expected of a server like the mean.
     pub(crate) fn saw_slowness(&mut self, ratio: f64, now: Millis) {
-        if !self.is_cold(now) {
+        if !self.is_cold(now) && self.mechanisms.learnt_slowness {
             self.slowness.observe(ratio, now);
         }
     }
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::estimate::Pace;
 use crate::line_fit::FadingMean;
+use crate::mechanisms::Mechanisms;
 use crate::member::Member;
 use crate::sharing::Sharing;
 use crate::types::{Ask, Millis, Server};
@@ -25,11 +26,13 @@
     pub(crate) target_share: FadingMean,
     /// This gateway's share of the requests in flight: only so much of an engine's memory holds what it sent.
     pub(crate) traffic_share: FadingMean,
+    pub(crate) mechanisms: Mechanisms,
 }
 
 impl Pool {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(mechanisms: Mechanisms) -> Self {
         Self {
+            mechanisms,
             members: Vec::new(),
             zones: 0,
             pace: Pace::new(),
@@ -52,7 +55,7 @@
                 }
                 None => {
                     *numbers += 1;
-                    Member::new(*numbers, server, zone, now)
+                    Member::new(*numbers, server, zone, self.mechanisms, now)
                 }
             };
             self.members.push(member);
@@ -113,6 +116,9 @@
     /// At least half of the servers stay in use: what fails everywhere is not the servers' fault, and the few
     /// that are left could not bear the load.
     fn in_use(&self, usable: Vec<usize>, now: Millis) -> Vec<usize> {
+        if !self.mechanisms.ejection {
+            return usable;
+        }
         let fewest = usable.len().div_ceil(2);
         let (mut avoided, mut in_use): (Vec<usize>, Vec<usize>) =
             usable.into_iter().partition(|index| self.members[*index].health.is_avoided(now));
