--- a/crates/routing/tests/failures.rs
+++ b/crates/routing/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dunespur_routing::{Ask, Choice, Chooser, Outcome, Part, Server, Ticket};
+use dunespur_routing::{Ask, Chooser, Outcome, Part, Server, Ticket};
 
 const SERVERS: usize = 4;
 const SERVED: Outcome = Outcome::Served { tokens_out: 9 };
@@ -19,10 +19,7 @@
 }
 
 fn send(chooser: &mut Chooser, ask: &Ask, now: u64) -> Ticket {
-    match chooser.choose(ask, now) {
-        Choice::Send(ticket) => ticket,
-        other => panic!("expected a server, got {other:?}"),
-    }
+    sent(chooser.choose(ask, now))
 }
 
 fn unrepeatable_call() -> Ask<'static> {
--- a/crates/routing/tests/hints.rs
+++ b/crates/routing/tests/hints.rs
@@ -11,13 +11,6 @@
 /// News of the other gateways come this often.
 const NEWS_MS: u64 = 250;
 
-fn sent(choice: Choice) -> Ticket {
-    match choice {
-        Choice::Send(ticket) => ticket,
-        other => panic!("expected a server, got {other:?}"),
-    }
-}
-
 fn servers() -> Vec<Server> {
     (0..SERVERS).map(|number| plain_server(number, "a")).collect()
 }
--- a/crates/routing/tests/mechanisms.rs
+++ b/crates/routing/tests/mechanisms.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dunespur_routing::{Ask, Choice, Chooser, Mechanisms, Outcome, Part};
+use dunespur_routing::{Ask, Chooser, Mechanisms, Outcome, Part};
 
 /// All mechanisms but one, for each of them.
 fn all_but_one() -> Vec<Mechanisms> {
@@ -31,13 +31,9 @@
 }
 
 fn serve(chooser: &mut Chooser, ask: &Ask, now: u64) {
-    match chooser.choose(ask, now) {
-        Choice::Send(ticket) => {
-            chooser.first_event(ticket.key, now + 20);
-            chooser.finished(ticket.key, Outcome::Served { tokens_out: 9 }, now + 40);
-        }
-        other => panic!("expected a server, got {other:?}"),
-    }
+    let ticket = sent(chooser.choose(ask, now));
+    chooser.first_event(ticket.key, now + 20);
+    chooser.finished(ticket.key, Outcome::Served { tokens_out: 9 }, now + 40);
 }
 
 #[test]
@@ -62,6 +58,6 @@
     let mechanisms = Mechanisms { priorities: false, ..Mechanisms::ALL };
     let mut chooser = Chooser::with_mechanisms("a".into(), 1, mechanisms);
     chooser.set_servers(vec![engine_server(0, "a")], 0);
-    let Choice::Send(ticket) = chooser.choose(&engine_ask("program", &[]), 0) else { panic!("no server") };
+    let ticket = sent(chooser.choose(&engine_ask("program", &[]), 0));
     assert_eq!(ticket.engine_priority, None);
 }
