--- a/crates/routing/tests/hints.rs
+++ b/crates/routing/tests/hints.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dunespur_routing::{Chooser, Outcome, Server, ServerId};
+use dunespur_routing::{Choice, Chooser, Outcome, Server, ServerId};
 
 const SERVERS: usize = 4;
 /// Pause between two requests.
