--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -33,14 +33,13 @@
 /// Reaches the stores for one gateway.
 pub struct Keeping {
     directory: Rc<Directory>,
-    zone: Rc<str>,
     copies: usize,
 }
 
 impl Keeping {
-    /// `copies`: how many stores have to hold a turn; those of `zone` are read from first.
-    pub fn new(directory: Rc<Directory>, zone: Rc<str>, copies: usize) -> Keeping {
-        Keeping { directory, zone, copies }
+    /// `copies`: how many stores have to hold a turn.
+    pub fn new(directory: Rc<Directory>, copies: usize) -> Keeping {
+        Keeping { directory, copies }
     }
 
     /// What a turn goes on from.
@@ -50,8 +49,7 @@
             return History::Unsure { retry_after_ms: UNSURE_RETRY_MS };
         }
         let clock = self.directory.clock();
-        let zone = Some(&*self.zone);
-        let mut reading = Reading::near(previous, program, &stores, self.copies, zone, clock.now());
+        let mut reading = Reading::new(previous, program, &stores, self.copies, clock.now());
         let (answers, mut queue) = mpsc::unbounded_channel();
         loop {
             while let Some(ask) = reading.poll() {
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -34,14 +34,13 @@
         clock: Clock,
     ) -> Rc<Plane> {
         let chooser = Rc::new(RefCell::new(Chooser::new(own.zone.clone(), fastrand::u64(..))));
-        let zone = own.zone.clone();
         let homes = Homes::start(own, directory.clone(), chooser.clone(), clock);
         let plane = Rc::new(Plane {
             clock,
             chooser,
             homes,
             budgets,
-            keeping: Keeping::new(directory.clone(), zone, copies),
+            keeping: Keeping::new(directory.clone(), copies),
             directory: directory.clone(),
             leaving: Cell::new(false),
         });
--- a/crates/routing/src/chooser.rs
+++ b/crates/routing/src/chooser.rs
@@ -7,7 +7,6 @@
 use crate::engines::{self, memory_capacity};
 use crate::flight::{note_outcome, release, EngineFlight, Flight};
 use crate::learning::{engine_first_event, engine_served, plain_head};
-use crate::mechanisms::Mechanisms;
 use crate::plain;
 use crate::pool::Pool;
 use crate::priority::{engine_priority, is_under_way};
@@ -23,19 +22,12 @@
     flights: IdMap<Flight>,
     last_key: TicketKey,
     last_member: u64,
-    mechanisms: Mechanisms,
 }
 
 impl Chooser {
     /// A chooser for a gateway in `zone`, without servers.
     pub fn new(zone: Rc<str>, seed: u64) -> Self {
-        Self::with_mechanisms(zone, seed, Mechanisms::ALL)
-    }
-
-    /// The same with these mechanisms; for tests, which take single ones out.
-    pub fn with_mechanisms(zone: Rc<str>, seed: u64, mechanisms: Mechanisms) -> Self {
         Self {
-            mechanisms,
             zone,
             random: fastrand::Rng::with_seed(seed),
             pools: BTreeMap::new(),
@@ -53,7 +45,7 @@
         }
         self.pools.retain(|backend, _| by_backend.contains_key(backend));
         for (backend, servers) in by_backend {
-            let pool = self.pools.entry(backend).or_insert_with(|| Pool::new(self.mechanisms));
+            let pool = self.pools.entry(backend).or_insert_with(Pool::new);
             pool.set_servers(servers, &self.zone, &mut self.last_member, now);
         }
     }
@@ -112,9 +104,6 @@
 
     /// Takes the whole statement of another gateway in place of its last one.
     pub fn other_load(&mut self, reports: &[LoadReport], from: &str, now: Millis) {
-        if !self.mechanisms.shared_loads {
-            return;
-        }
         let from = name_hash(from);
         let members = self.pools.values_mut().flat_map(|pool| pool.members.iter_mut());
         for member in members {
@@ -138,19 +127,15 @@
         .collect()
     }
 
-    /// Servers that this gateway avoids for their faults or suspects of some, for the other gateways.
+    /// Servers that this gateway avoids for their faults, for the other gateways.
     pub fn in_trouble(&self, now: Millis) -> Vec<ServerId> {
         let members = self.pools.values().flat_map(|pool| pool.members.iter());
-        let failing =
-            members.filter(|member| member.health.is_in_trouble(now) || member.reliability.is_suspect(now));
-        failing.map(|member| member.server.id.clone()).collect()
+        let avoided = members.filter(|member| member.health.is_in_trouble(now));
+        avoided.map(|member| member.server.id.clone()).collect()
     }
 
     /// Another gateway avoids this server for its faults: it is asked less until our own requests are served there.
     pub fn hint_trouble(&mut self, server: &str, now: Millis) {
-        if !self.mechanisms.hints {
-            return;
-        }
         let mut members = self.pools.values_mut().flat_map(|pool| pool.members.iter_mut());
         if let Some(member) = members.find(|member| *member.server.id == *server) {
             member.hint.note(now);
@@ -175,7 +160,7 @@
             expected_ms: choice.estimate.first_token_ms,
             patience_ms: stream_patience_ms(ask),
         };
-        if let Some(retry_after_ms) = refusal(ask, &outlook).filter(|_| self.mechanisms.early_refusal) {
+        if let Some(retry_after_ms) = refusal(ask, &outlook) {
             return Choice::Refuse { retry_after_ms };
         }
         pool.observe_traffic_share(now);
@@ -198,8 +183,7 @@
         member.sent(choice.fresh_tokens, choice.footprint, now);
         member.cache.sent(ask.prefix, (memory_capacity(member) as f64 * traffic_share) as u64);
         let priority = engine_priority(ask, under_way, choice.estimate.first_token_ms);
-        let priority = Some(priority).filter(|_| self.mechanisms.priorities);
-        self.send(ask, choice.index, Some((engine, priority)), now)
+        self.send(ask, choice.index, Some(engine), Some(priority), now)
     }
 
     fn choose_plain(&mut self, ask: &Ask, candidates: &[usize], now: Millis) -> Choice {
@@ -207,7 +191,7 @@
         let Some(pool) = self.pools.get_mut(ask.backend) else {
             return Choice::NoServer;
         };
-        let Some(index) = plain::choose(pool, candidates, start, ask, now) else {
+        let Some(index) = plain::choose(pool, candidates, start, ask.target_ms, now) else {
             return Choice::NoServer;
         };
         let outlook = Outlook {
@@ -215,18 +199,19 @@
             expected_ms: plain::expected_ms(pool, index, ask.target_ms, now),
             patience_ms: ask.time_left_ms,
         };
-        if let Some(retry_after_ms) = refusal(ask, &outlook).filter(|_| self.mechanisms.early_refusal) {
+        if let Some(retry_after_ms) = refusal(ask, &outlook) {
             return Choice::Refuse { retry_after_ms };
         }
         pool.members[index].sent(0, 0, now);
-        self.send(ask, index, None, now)
+        self.send(ask, index, None, None, now)
     }
 
     fn send(
         &mut self,
         ask: &Ask,
         index: usize,
-        engine: Option<(EngineFlight, Option<u8>)>,
+        engine: Option<EngineFlight>,
+        engine_priority: Option<u8>,
         now: Millis,
     ) -> Choice {
         let Some(pool) = self.pools.get(ask.backend) else {
@@ -240,11 +225,10 @@
             sent_at: now,
             first_at: None,
             target_ms: ask.target_ms,
-            engine: engine.map(|(flight, _)| flight),
+            engine,
         };
         self.last_key += 1;
         self.flights.insert(self.last_key, flight);
-        let engine_priority = engine.and_then(|(_, priority)| priority);
         Choice::Send(Ticket { server, key: self.last_key, engine_priority })
     }
 }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -4,7 +4,6 @@
 //! gateway finds the same home, so a program's context and a subject's shared parts gather on few engines.
 //! The home is left where the estimate says that another engine is quicker by more than what is held is worth.
 
-use crate::admission::stream_patience_ms;
 use crate::estimate::{EngineState, Estimate, Need};
 use crate::member::Member;
 use crate::pool::Pool;
@@ -25,9 +24,6 @@
 /// Orders engines that are as good as equal, each gateway alike.
 const TIE_MS: f64 = 1.0;
 
-/// A failure counts so many times as much for a request that can't be repeated.
-const UNREPEATABLE_FACTOR: f64 = 3.0;
-
 /// An engine for a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EngineChoice {
@@ -64,9 +60,8 @@
 ) -> Option<EngineChoice> {
     let caller = Caller::of(ask);
     let program = caller.program.unwrap_or(any);
-    let subject = pool.sharing.observe(ask.prefix, program).filter(|_| pool.mechanisms.subject_spread);
-    let mut homes = Homes::find(pool, candidates, program, subject);
-    homes.mean_failed_share = pool.mean_failed_share(ask.idempotent, now);
+    let subject = pool.sharing.observe(ask.prefix, program);
+    let homes = Homes::find(pool, candidates, program, subject);
     let mut best: Option<EngineChoice> = None;
     for index in candidates {
         let choice = weigh(pool, ask, *index, &homes, now);
@@ -85,18 +80,13 @@
     subject: Option<Subject>,
     /// The least weight with which an engine belongs to the subject.
     subject_threshold: u64,
-    /// The share of requests that are expected to fail at an engine like the mean.
-    mean_failed_share: f64,
 }
 
 impl Homes {
     fn find(pool: &Pool, candidates: &[usize], program: u64, subject: Option<Subject>) -> Self {
         let eligible = eligible(pool, candidates);
         let subject_threshold = subject.map_or(0, |subject| threshold(pool, &eligible, subject));
-        let mut homes = Self { program, home: None, subject, subject_threshold, mean_failed_share: 0.0 };
-        if !pool.mechanisms.program_homes {
-            return homes;
-        }
+        let mut homes = Self { program, home: None, subject, subject_threshold };
         homes.home = eligible
             .into_iter()
             .filter(|index| homes.is_for_subject(&pool.members[*index]))
@@ -153,9 +143,7 @@
     let member = &pool.members[index];
     let prompt_tokens = f64::from(ask.prompt_tokens);
     let known = (member.cache.held(ask.prefix) as f64).min(prompt_tokens);
-    let presumed =
-        if pool.mechanisms.presumed_holdings { homes.presumed(member, index, prompt_tokens) } else { 0.0 };
-    let held = known.max(presumed);
+    let held = known.max(homes.presumed(member, index, prompt_tokens));
     let fresh_tokens = prompt_tokens - held;
     let engine = engine_state(pool, member, now);
     let need = Need {
@@ -171,8 +159,6 @@
     if !member.is_local {
         estimate.cost_ms += OTHER_ZONE_MS;
     }
-    let failed_share = member.failed_share(ask.idempotent, now) - homes.mean_failed_share;
-    estimate.cost_ms += failed_share.max(0.0) * failure_ms(ask);
     EngineChoice {
         index,
         fresh_tokens: fresh_tokens as u64,
@@ -182,13 +168,6 @@
     }
 }
 
-/// What a failed request costs its client: at worst the silence after which it gives up. One that can't be repeated
-/// comes back as a turn sent anew, and its program fails with the third of these.
-fn failure_ms(ask: &Ask) -> f64 {
-    let factor = if ask.idempotent { 1.0 } else { UNREPEATABLE_FACTOR };
-    factor * stream_patience_ms(ask) as f64
-}
-
 fn engine_state(pool: &Pool, member: &Member, now: Millis) -> EngineState {
     let others_memory = member.load.others_usual_in_flight(now) * pool.pace.footprint();
     EngineState {
@@ -196,13 +175,9 @@
         places: member.places(now),
         waiting_tokens: member.load.usual_waiting_tokens(now),
         memory_tokens: member.load.own_memory_tokens() as f64 + others_memory,
-        memory_capacity: if pool.mechanisms.memory_waits {
-            memory_capacity(member) as f64
-        } else {
-            f64::INFINITY
-        },
+        memory_capacity: memory_capacity(member) as f64,
         slowness: member.slowness(now),
-        quiet_ms: member.quiet_ms(now) as f64,
+        quiet_ms: member.load.quiet_ms(now) as f64,
     }
 }
 
--- a/crates/routing/src/flight.rs
+++ b/crates/routing/src/flight.rs
@@ -41,21 +41,8 @@
     if let Some(sign) = sign_of(flight, result, now) {
         member.health.note(sign, now);
     }
-    note_reliability(member, result, now);
-    match result {
-        Outcome::Served { .. } => member.hint.refute(flight.sent_at, now),
-        Outcome::Failed | Outcome::Silent => member.hint.confirm(now),
-        _ => {}
-    }
-}
-
-/// Silence is no evidence here. Guards against a collapse under load: requests that are late because engines are busy
-/// would drive programs from the engines that hold their context, and reading it anew makes all engines busier.
-fn note_reliability(member: &mut Member, result: Outcome, now: Millis) {
-    match result {
-        Outcome::Served { .. } => member.reliability.note_served(now),
-        Outcome::Failed | Outcome::Unreachable => member.reliability.note_failed(now),
-        Outcome::Silent | Outcome::Abandoned | Outcome::Shed | Outcome::Moved => {}
+    if let Outcome::Served { .. } = result {
+        member.hint.refute(flight.sent_at, now);
     }
 }
 
--- a/crates/routing/src/hint.rs
+++ b/crates/routing/src/hint.rs
@@ -1,7 +1,7 @@
-//! What other gateways say of a server's trouble: it is asked less until some requests of our own are served there.
+//! What other gateways say of a server's trouble: it is asked less until a request of our own is served there.
 //!
 //! A hint never keeps a server out, whoever gives it: the server counts as slower but for one request every few
-//! seconds, and no longer once some requests that were sent after the hint are served, one after the other. Against one gateway that is wrong
+//! seconds, and no longer once a request that was sent after the hint is served. Against one gateway that is wrong
 //! about a server, or cut off from it.
 
 use crate::types::Millis;
@@ -10,9 +10,6 @@
 const HINT_MS: u64 = 1_300;
 /// How many times slower a server counts that others find in trouble.
 const HINTED_SLOWNESS: f64 = 8.0;
-/// A hint is refuted by so many requests served in a row: a server that fails a part of its requests serves the next
-/// one as often as not.
-const REFUTED_BY: u32 = 3;
 /// After this time without a request the next one goes there as if nothing had been said.
 const PROBE_AFTER_MS: u64 = 5_000;
 
@@ -22,8 +19,8 @@
     /// Nothing.
     #[default]
     None,
-    /// It is in trouble; so many of our own requests were served in a row meanwhile.
-    Trouble { since: Millis, until: Millis, slower_until: Millis, served: u32 },
+    /// It is in trouble.
+    Trouble { since: Millis, until: Millis, slower_until: Millis },
     /// It is in trouble, while our own request was served.
     Refuted { until: Millis },
 }
@@ -33,10 +30,8 @@
     pub(crate) fn note(&mut self, now: Millis) {
         let until = now + HINT_MS;
         let next = match self.at(now) {
-            Hint::None => Hint::Trouble { since: now, until, slower_until: now + PROBE_AFTER_MS, served: 0 },
-            Hint::Trouble { since, slower_until, served, .. } => {
-                Hint::Trouble { since, until, slower_until, served }
-            }
+            Hint::None => Hint::Trouble { since: now, until, slower_until: now + PROBE_AFTER_MS },
+            Hint::Trouble { since, slower_until, .. } => Hint::Trouble { since, until, slower_until },
             Hint::Refuted { .. } => Hint::Refuted { until },
         };
         self.enter(next);
@@ -44,48 +39,22 @@
 
     /// A request of our own is sent there.
     pub(crate) fn sent(&mut self, now: Millis) {
-        if let Hint::Trouble { since, until, slower_until, served } = self.at(now) {
+        if let Hint::Trouble { since, until, slower_until } = self.at(now) {
             if now >= slower_until {
-                self.enter(Hint::Trouble { since, until, slower_until: now + PROBE_AFTER_MS, served });
+                self.enter(Hint::Trouble { since, until, slower_until: now + PROBE_AFTER_MS });
             }
         }
     }
 
-    /// A request of our own that was sent at `sent_at` was served: the next one may follow at once, and after some
-    /// in a row the hint is refuted.
+    /// A request of our own that was sent at `sent_at` was served.
     pub(crate) fn refute(&mut self, sent_at: Millis, now: Millis) {
-        let Hint::Trouble { since, until, served, .. } = self.at(now) else { return };
-        if sent_at < since {
-            return;
-        }
-        let served = served + 1;
-        let next = if served >= REFUTED_BY {
-            Hint::Refuted { until }
-        } else {
-            Hint::Trouble { since, until, slower_until: now, served }
-        };
-        self.enter(next);
-    }
-
-    /// A request of our own failed there: what was served before it refutes nothing.
-    pub(crate) fn confirm(&mut self, now: Millis) {
-        match self.at(now) {
-            Hint::Trouble { since, until, slower_until, .. } => {
-                self.enter(Hint::Trouble { since, until, slower_until, served: 0 });
-            }
-            Hint::Refuted { until } => {
-                let slower_until = now + PROBE_AFTER_MS;
-                self.enter(Hint::Trouble { since: now, until, slower_until, served: 0 });
+        if let Hint::Trouble { since, until, .. } = self.at(now) {
+            if sent_at >= since {
+                self.enter(Hint::Refuted { until });
             }
-            Hint::None => {}
         }
     }
 
-    /// Whether others find the server in trouble, and nothing has refuted them.
-    pub(crate) fn is_trouble(self, now: Millis) -> bool {
-        matches!(self.at(now), Hint::Trouble { .. })
-    }
-
     /// How many times slower the server counts.
     pub(crate) fn slowness(self, now: Millis) -> f64 {
         match self.at(now) {
--- a/crates/routing/src/hint/tests.rs
+++ b/crates/routing/src/hint/tests.rs
@@ -12,17 +12,13 @@
 }
 
 #[test]
-fn requests_that_were_sent_after_the_hint_and_served_refute_it_for_as_long_as_it_is_repeated() {
+fn a_request_that_was_sent_after_the_hint_and_served_refutes_it_for_as_long_as_it_is_repeated() {
     let mut hint = Hint::default();
     hint.note(100);
     hint.refute(99, 150);
     assert_eq!(hint.slowness(150), HINTED_SLOWNESS, "sent before");
-    for now in 200..200 + u64::from(REFUTED_BY) {
-        assert!(hint.is_trouble(now));
-        hint.refute(100, now);
-        assert_eq!(hint.slowness(now), 1.0, "the next one may follow at once");
-    }
-    assert!(!hint.is_trouble(210));
+    hint.refute(100, 200);
+    assert_eq!(hint.slowness(200), 1.0);
     for round in 1..20 {
         hint.note(200 + round * HINT_MS / 2);
         assert_eq!(hint.slowness(200 + round * HINT_MS / 2), 1.0);
@@ -64,26 +60,3 @@
     }
     assert_eq!(hint.slowness(PROBE_AFTER_MS), 1.0);
 }
-
-#[test]
-fn a_server_that_fails_every_other_request_refutes_nothing() {
-    let mut hint = Hint::default();
-    for now in (0..10_000).step_by(100) {
-        hint.note(now);
-        hint.refute(now, now + 10);
-        hint.confirm(now + 50);
-        assert!(hint.is_trouble(now + 60));
-    }
-}
-
-#[test]
-fn a_failure_brings_a_refuted_hint_back() {
-    let mut hint = Hint::default();
-    hint.note(0);
-    for now in 1..=u64::from(REFUTED_BY) {
-        hint.refute(0, now);
-    }
-    assert!(!hint.is_trouble(10));
-    hint.confirm(20);
-    assert!(hint.is_trouble(20));
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,8 +11,7 @@
 //! - `priority`: the rank of a request at an engine;
 //! - `estimate`, `learning`, `line_fit`: what an engine would take, learnt from observed times;
 //! - `prefix_cache`, `sharing`, `rendezvous`: which engine holds the beginning of a prompt;
-//! - [`mechanisms`]: switches of all these, for tests and trials;
-//! - `health`, `reliability`, `hint`, `load`, `member`: what is known of one server.
+//! - `health`, `hint`, `load`, `member`: what is known of one server.
 
 mod admission;
 mod chooser;
@@ -24,19 +23,16 @@
 mod learning;
 mod line_fit;
 mod load;
-pub mod mechanisms;
 mod member;
 mod plain;
 mod pool;
 mod prefix_cache;
 mod priority;
-mod reliability;
 mod rendezvous;
 mod sharing;
 pub mod types;
 
 pub use chooser::Chooser;
-pub use mechanisms::Mechanisms;
 pub use types::{
     Ask, Choice, EngineShape, LoadReport, Millis, Outcome, Part, Server, ServerId, Ticket, TicketKey,
 };
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -5,9 +5,7 @@
 use crate::health::Health;
 use crate::hint::Hint;
 use crate::load::Load;
-use crate::mechanisms::Mechanisms;
 use crate::prefix_cache::PrefixCache;
-use crate::reliability::Reliability;
 use crate::rendezvous::name_hash;
 use crate::types::{Millis, Server};
 
@@ -21,9 +19,6 @@
 /// only a request can tell.
 const SLOWNESS_KEPT_MS: f64 = 20_000.0;
 
-/// Share of requests that are expected to fail at a server that others find in trouble.
-const HINTED_FAILED_SHARE: f64 = 0.25;
-
 /// One server of a pool.
 #[derive(Debug)]
 pub(crate) struct Member {
@@ -33,24 +28,20 @@
     pub(crate) name_hash: u64,
     pub(crate) is_local: bool,
     pub(crate) health: Health,
-    pub(crate) reliability: Reliability,
     pub(crate) hint: Hint,
     pub(crate) load: Load,
     pub(crate) cache: PrefixCache,
     slowness: Slowness,
     cold_until: Millis,
-    mechanisms: Mechanisms,
 }
 
 impl Member {
-    pub(crate) fn new(number: u64, server: Server, zone: &str, mechanisms: Mechanisms, now: Millis) -> Self {
+    pub(crate) fn new(number: u64, server: Server, zone: &str, now: Millis) -> Self {
         Self {
-            mechanisms,
             number,
             name_hash: name_hash(&server.id),
             is_local: *server.zone == *zone,
             health: if server.engine.is_some() { Health::of_engine() } else { Health::of_server() },
-            reliability: Reliability::default(),
             hint: Hint::default(),
             load: Load::default(),
             cache: PrefixCache::new(),
@@ -94,17 +85,7 @@
 
     /// Places that it is offered requests for: fewer while it returns from trouble.
     pub(crate) fn places(&self, now: Millis) -> f64 {
-        let share = if self.mechanisms.gradual_return { self.health.share(now) } else { 1.0 };
-        (f64::from(self.slots()) * share).max(1.0)
-    }
-
-    /// For how long it has answered none of this gateway's requests.
-    pub(crate) fn quiet_ms(&self, now: Millis) -> u64 {
-        if self.mechanisms.quiet_cost {
-            self.load.quiet_ms(now)
-        } else {
-            0
-        }
+        (f64::from(self.slots()) * self.health.share(now)).max(1.0)
     }
 
     /// Whether all its places are taken.
@@ -123,22 +104,9 @@
         self.slowness.get(now)
     }
 
-    /// The share of requests that are expected to fail. One that can't be repeated also goes by what other gateways
-    /// say: what can be repeated finds out at less cost whether they are right.
-    pub(crate) fn failed_share(&self, idempotent: bool, now: Millis) -> f64 {
-        if !self.mechanisms.failure_cost {
-            return 0.0;
-        }
-        let own = self.reliability.failed_share(now);
-        if !idempotent && self.hint.is_trouble(now) {
-            return own.max(HINTED_FAILED_SHARE);
-        }
-        own
-    }
-
     /// A request took `ratio` times what is expected of a server like the mean.
     pub(crate) fn saw_slowness(&mut self, ratio: f64, now: Millis) {
-        if !self.is_cold(now) && self.mechanisms.learnt_slowness {
+        if !self.is_cold(now) {
             self.slowness.observe(ratio, now);
         }
     }
--- a/crates/routing/src/plain.rs
+++ b/crates/routing/src/plain.rs
@@ -3,17 +3,13 @@
 
 use crate::member::Member;
 use crate::pool::Pool;
-use crate::types::{Ask, Millis};
+use crate::types::Millis;
 
 /// What each request beyond a server's places counts for: it waits, or is turned away.
 const QUEUE_WEIGHT: f64 = 4.0;
 /// A server of another zone is taken only if it is so many times better: bytes between zones are priced.
 const OTHER_ZONE_FACTOR: f64 = 1.25;
 
-/// What a server that fails every request counts for beside an idle one: the request is sent again.
-const FAILED_WEIGHT: f64 = 3.0;
-/// The same for a request that can't be repeated: its failure is its program's.
-const FAILED_UNREPEATABLE_WEIGHT: f64 = 30.0;
 /// A server that has been quiet for more than this many times an expected answer may hang.
 const QUIET_GRACE: f64 = 3.0;
 
@@ -22,19 +18,15 @@
     pool: &Pool,
     candidates: &[usize],
     start: usize,
-    ask: &Ask,
+    target_ms: u64,
     now: Millis,
 ) -> Option<usize> {
-    let answer_ms = (pool.target_share.get() * ask.target_ms as f64).max(1.0);
-    let mean_failed_share = pool.mean_failed_share(ask.idempotent, now);
-    let failed_weight = if ask.idempotent { FAILED_WEIGHT } else { FAILED_UNREPEATABLE_WEIGHT };
+    let answer_ms = (pool.target_share.get() * target_ms as f64).max(1.0);
     let mut best: Option<(f64, usize)> = None;
     let count = candidates.len();
     for offset in 0..count {
         let index = candidates[(start + offset) % count];
-        let member = &pool.members[index];
-        let failed_share = (member.failed_share(ask.idempotent, now) - mean_failed_share).max(0.0);
-        let score = score(member, answer_ms, now) + failed_weight * failed_share;
+        let score = score(&pool.members[index], answer_ms, now);
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, index));
         }
@@ -47,7 +39,7 @@
     let occupancy = (member.load.usual_in_flight(now) + 1.0) / member.places(now);
     let beyond = (occupancy - 1.0).max(0.0);
     let zone = if member.is_local { 1.0 } else { OTHER_ZONE_FACTOR };
-    let quiet = member.quiet_ms(now) as f64 / answer_ms;
+    let quiet = member.load.quiet_ms(now) as f64 / answer_ms;
     let overdue = (quiet - QUIET_GRACE).max(0.0);
     zone * member.slowness(now) * (1.0 + occupancy + QUEUE_WEIGHT * beyond) + overdue
 }
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -2,7 +2,6 @@
 
 use crate::estimate::Pace;
 use crate::line_fit::FadingMean;
-use crate::mechanisms::Mechanisms;
 use crate::member::Member;
 use crate::sharing::Sharing;
 use crate::types::{Ask, Millis, Server};
@@ -26,13 +25,11 @@
     pub(crate) target_share: FadingMean,
     /// This gateway's share of the requests in flight: only so much of an engine's memory holds what it sent.
     pub(crate) traffic_share: FadingMean,
-    pub(crate) mechanisms: Mechanisms,
 }
 
 impl Pool {
-    pub(crate) fn new(mechanisms: Mechanisms) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            mechanisms,
             members: Vec::new(),
             zones: 0,
             pace: Pace::new(),
@@ -55,7 +52,7 @@
                 }
                 None => {
                     *numbers += 1;
-                    Member::new(*numbers, server, zone, self.mechanisms, now)
+                    Member::new(*numbers, server, zone, now)
                 }
             };
             self.members.push(member);
@@ -81,12 +78,6 @@
         sum / self.members.len().max(1) as f64
     }
 
-    /// The mean share of requests that are expected to fail: what fails everywhere speaks against no one server.
-    pub(crate) fn mean_failed_share(&self, idempotent: bool, now: Millis) -> f64 {
-        let sum: f64 = self.members.iter().map(|member| member.failed_share(idempotent, now)).sum();
-        sum / self.members.len().max(1) as f64
-    }
-
     /// Servers that this request may be sent to: those not avoided, or else the least bad ones.
     pub(crate) fn candidates(&self, ask: &Ask, now: Millis) -> Vec<usize> {
         let usable = self.indices(|member| member.is_usable());
@@ -116,9 +107,6 @@
     /// At least half of the servers stay in use: what fails everywhere is not the servers' fault, and the few
     /// that are left could not bear the load.
     fn in_use(&self, usable: Vec<usize>, now: Millis) -> Vec<usize> {
-        if !self.mechanisms.ejection {
-            return usable;
-        }
         let fewest = usable.len().div_ceil(2);
         let (mut avoided, mut in_use): (Vec<usize>, Vec<usize>) =
             usable.into_iter().partition(|index| self.members[*index].health.is_avoided(now));
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -3,7 +3,14 @@
 mod common;
 
 use common::*;
-use dunespur_routing::{Choice, Chooser, LoadReport, Outcome, Part};
+use dunespur_routing::{Choice, Chooser, LoadReport, Outcome, Part, Ticket};
+
+fn sent(choice: Choice) -> Ticket {
+    match choice {
+        Choice::Send(ticket) => ticket,
+        other => panic!("expected a server, got {other:?}"),
+    }
+}
 
 #[test]
 fn an_unknown_service_has_no_server() {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Servers and requests for the tests.
 #![allow(dead_code)]
 
-use dunespur_routing::{Ask, Choice, EngineShape, Part, Server, Ticket};
+use dunespur_routing::{Ask, EngineShape, Part, Server};
 
 pub const ENGINES: &str = "engines";
 pub const PLAIN: &str = "plain";
@@ -60,11 +60,3 @@
         tried: &[],
     }
 }
-
-/// The ticket of a request that is sent.
-pub fn sent(choice: Choice) -> Ticket {
-    match choice {
-        Choice::Send(ticket) => ticket,
-        other => panic!("expected a server, got {other:?}"),
-    }
-}
--- a/crates/routing/tests/hints.rs
+++ b/crates/routing/tests/hints.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dunespur_routing::{Choice, Chooser, Outcome, Server, ServerId};
+use dunespur_routing::{Choice, Chooser, Outcome, Server, ServerId, Ticket};
 
 const SERVERS: usize = 4;
 /// Pause between two requests.
@@ -11,6 +11,13 @@
 /// News of the other gateways come this often.
 const NEWS_MS: u64 = 250;
 
+fn sent(choice: Choice) -> Ticket {
+    match choice {
+        Choice::Send(ticket) => ticket,
+        other => panic!("expected a server, got {other:?}"),
+    }
+}
+
 fn servers() -> Vec<Server> {
     (0..SERVERS).map(|number| plain_server(number, "a")).collect()
 }
