Stores: a lost one is noticed within 1.7 s, and what it held is pulled from three stores at once

Change: a store's lease lasts 1.2 s and is renewed with the head itself each 0.4 s beside the watch; expiry is looked at each 0.25 s, gossip stays at 0.5 s; repair 0.1 s after it. Anti-entropy asks three stores at the same time, fetches each turn from one of them, with four pages under way. A listing places each program once. status tells turns missing (a new field of the JSON).

--- a/crates/serving/dunespur/src/core/coordinator/lease_sweeps.rs
+++ b/crates/serving/dunespur/src/core/coordinator/lease_sweeps.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 
 impl Coordinator {
-    /// Leases that another member reports as renewed.
+    /// Leases that another member reports as renewed, or a store its own.
     pub fn receive_renewals(&self, renewals: &LeaseRenewals) {
-        self.leases
-            .borrow_mut()
-            .renew_from_member(renewals, self.clock.now());
+        let now = self.clock.now();
+        // A process that was frozen finds renewals of long ago in its sockets.
+        if self.replica.borrow().is_current(now) {
+            self.leases.borrow_mut().renew_from_member(renewals, now);
+        }
     }
 
     /// Processes that may have lost the core: those that seeds name or that are remembered, and did not renew their
@@ -29,8 +31,10 @@
     /// Reports to the other members which leases were renewed here; the head of the chain proposes the operations
     /// for those that have expired.
     pub(super) fn run_lease_sweep(&self, now: u64) {
-        self.leases.borrow_mut().schedule_next_sweep(now);
-        self.gossip_renewals();
+        let gossips = self.leases.borrow_mut().begin_sweep(now);
+        if gossips {
+            self.gossip_renewals();
+        }
         let operations =
             self.leases
                 .borrow_mut()
--- a/crates/serving/dunespur/src/core/coordinator/status.rs
+++ b/crates/serving/dunespur/src/core/coordinator/status.rs
@@ -25,7 +25,10 @@
             refused_snapshots: replica.rejected_snapshots(),
             programs: replica.state().counters().programs(),
             disk: self.disk.status(),
-            leases: self.leases.borrow().status(max_leases, now),
+            leases: self
+                .leases
+                .borrow()
+                .status(replica.state(), max_leases, now),
         }
     }
 
--- a/crates/serving/dunespur/src/core/lease_expiry.rs
+++ b/crates/serving/dunespur/src/core/lease_expiry.rs
@@ -1,22 +1,25 @@
 //! Which leases have expired, and the operations for that. The head of the chain decides, in sweeps at a fixed
 //! interval.
 
-use super::lease_table::LeaseTable;
+use super::lease_table::{LeaseKind, LeaseTable};
 use super::replica::Replica;
 use crate::messages::{LeaseRenewals, NodeLease};
 use crate::status::LeaseStatus;
 use dunespur_chain_replication::MemberId;
 use dunespur_control_state::{ControlState, Operation};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 
-/// How often renewals are gossiped to the other members and expired leases looked for, in milliseconds.
-const LEASE_SWEEP_INTERVAL_MS: u64 = 500;
+/// How often expired leases are looked for, in milliseconds.
+const LEASE_SWEEP_INTERVAL_MS: u64 = 250;
+/// Renewals are gossiped to the other members at each second sweep.
+const SWEEPS_PER_GOSSIP: u64 = 2;
 
 /// The leases of one core member, and its part in their expiry.
 pub struct LeaseExpiry {
     table: LeaseTable,
     next_sweep: u64,
+    sweeps: u64,
     /// Whether this member decided on leases at the last sweep.
     decided_last_sweep: bool,
 }
@@ -27,6 +30,7 @@
         LeaseExpiry {
             table: LeaseTable::new(heartbeat_ms),
             next_sweep: now + LEASE_SWEEP_INTERVAL_MS,
+            sweeps: 0,
             decided_last_sweep: false,
         }
     }
@@ -36,9 +40,12 @@
         self.next_sweep
     }
 
-    /// A sweep takes place now.
-    pub fn schedule_next_sweep(&mut self, now: u64) {
+    /// A sweep takes place now; returns whether renewals are to be gossiped with it.
+    #[must_use]
+    pub fn begin_sweep(&mut self, now: u64) -> bool {
         self.next_sweep = now + LEASE_SWEEP_INTERVAL_MS;
+        self.sweeps += 1;
+        self.sweeps.is_multiple_of(SWEEPS_PER_GOSSIP)
     }
 
     /// Renewals that a gateway or store sent with its watch; they are reported to the other members.
@@ -46,7 +53,7 @@
         self.table.renew_and_report(renewals, now);
     }
 
-    /// Renewals that another member has reported.
+    /// Renewals that another member or a store has reported.
     pub fn renew_from_member(&mut self, renewals: &LeaseRenewals, now: u64) {
         self.table.renew(renewals, now);
     }
@@ -57,8 +64,16 @@
     }
 
     /// The leases, so many at most.
-    pub fn status(&self, max_leases: usize, now: u64) -> Vec<LeaseStatus> {
-        self.table.status(max_leases, now)
+    pub fn status(&self, state: &ControlState, max_leases: usize, now: u64) -> Vec<LeaseStatus> {
+        let stores: HashSet<NodeLease> = store_leases(state).collect();
+        let kind_of = |node: &NodeLease| {
+            if stores.contains(node) {
+                LeaseKind::Store
+            } else {
+                LeaseKind::Gateway
+            }
+        };
+        self.table.status(kind_of, max_leases, now)
     }
 
     /// Operations for what has expired, if this member decides on that: it is the head of the chain, and was at the
@@ -105,8 +120,10 @@
     }
 
     fn expired_nodes(&self, state: &ControlState, now: u64) -> Vec<Operation> {
-        let mut nodes = self.table.expired_nodes(store_leases(state), now);
-        nodes.extend(self.table.expired_nodes(gateway_leases(state), now));
+        let stores = store_leases(state);
+        let mut nodes = self.table.expired_nodes(LeaseKind::Store, stores, now);
+        let gateways = gateway_leases(state);
+        nodes.extend(self.table.expired_nodes(LeaseKind::Gateway, gateways, now));
         let expired = nodes.into_iter();
         expired
             .map(|node| Operation::NodeExpired {
--- a/crates/serving/dunespur/src/core/lease_table.rs
+++ b/crates/serving/dunespur/src/core/lease_table.rs
@@ -1,13 +1,19 @@
 //! When the leases of servers and nodes were renewed last, as core members learn of it; which have expired.
 
+#[cfg(test)]
+mod tests;
+
 use crate::messages::{LeaseRenewals, NodeLease};
 use crate::status::LeaseStatus;
 use std::collections::{BTreeSet, HashMap};
 
 /// The lease of a server expires after so many intervals between heartbeats without one.
 const SERVER_LEASE_HEARTBEATS: u64 = 8;
-/// The lease of a node expires after this time without a renewal, in milliseconds.
-const NODE_LEASE_MS: u64 = 2_500;
+/// The lease of a gateway expires after this time without a renewal, in milliseconds.
+const GATEWAY_LEASE_MS: u64 = 2_500;
+/// The lease of a store, in milliseconds. It is short, as what a lost store held is replicated again only once its lease
+/// has expired; a store renews with the head of the chain itself every 0.4 s, so that three renewals may be lost.
+const STORE_LEASE_MS: u64 = 1_200;
 /// A node that follows a core member renews its lease at least this often, in milliseconds, gossip by other members
 /// included.
 const RENEWED_LATELY_MS: u64 = 1_500;
@@ -17,6 +23,25 @@
 /// Renewals that may wait to be gossiped to the other members.
 const MAX_UNREPORTED: usize = 16_384;
 
+/// Which kind of process holds a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseKind {
+    /// A gateway's.
+    Gateway,
+    /// A store's.
+    Store,
+}
+
+impl LeaseKind {
+    /// How long it lasts after a renewal, in milliseconds.
+    fn duration_ms(self) -> u64 {
+        match self {
+            LeaseKind::Gateway => GATEWAY_LEASE_MS,
+            LeaseKind::Store => STORE_LEASE_MS,
+        }
+    }
+}
+
 /// When each lease was renewed last, and which renewals the other members have not received yet.
 pub struct LeaseTable {
     server_lease_ms: u64,
@@ -116,12 +141,17 @@
         self.nodes = leases;
     }
 
-    /// All leases, those of nodes first, so many at most.
-    pub fn status(&self, max_leases: usize, now: u64) -> Vec<LeaseStatus> {
+    /// All leases, those of nodes first, so many at most. `kind_of` tells of which kind a node is.
+    pub fn status(
+        &self,
+        kind_of: impl Fn(&NodeLease) -> LeaseKind,
+        max_leases: usize,
+        now: u64,
+    ) -> Vec<LeaseStatus> {
         let nodes = self
             .nodes
             .iter()
-            .map(|(node, at)| (&node.name, *at, NODE_LEASE_MS));
+            .map(|(node, at)| (&node.name, *at, kind_of(node).duration_ms()));
         let servers = self
             .servers
             .iter()
@@ -149,6 +179,7 @@
     /// renewals of it reach this member.
     pub fn expired_nodes(
         &self,
+        kind: LeaseKind,
         nodes: impl Iterator<Item = NodeLease>,
         now: u64,
     ) -> Vec<NodeLease> {
@@ -156,7 +187,7 @@
             let at = *self.nodes.get(&node)?;
             Some((node, at))
         });
-        expired(&leases.collect(), NODE_LEASE_MS, now)
+        expired(&leases.collect(), kind.duration_ms(), now)
     }
 }
 
--- a/crates/serving/dunespur/src/directory/mod.rs
+++ b/crates/serving/dunespur/src/directory/mod.rs
@@ -12,7 +12,7 @@
 pub use unavailable::Unavailable;
 
 use crate::clock::Clock;
-use crate::messages::NodeLease;
+use crate::messages::{encode, LeaseRenewals, NodeLease, Request};
 use crate::status::LinkStatus;
 use contact::Contact;
 use dunespur_chain_replication::View;
@@ -89,6 +89,20 @@
         *self.own_lease.borrow_mut() = Some(lease);
     }
 
+    /// Renews this process's own lease with the head of the chain, if another member is followed.
+    pub fn renew_lease_with_head(&self) {
+        let head = self.view.borrow().as_ref().and_then(head_address);
+        let Some(head) = head.filter(|head| self.followed_member.get() != Some(*head)) else {
+            return;
+        };
+        let renewals = LeaseRenewals {
+            servers: Vec::new(),
+            nodes: self.own_lease.borrow().iter().cloned().collect(),
+        };
+        self.links
+            .notify(head, encode(&Request::LeaseRenewals(renewals)));
+    }
+
     /// Renews the lease of a server, whose heartbeat came in, with the next watch.
     pub fn renew_server_lease(&self, server: &str) {
         self.renewed_servers.borrow_mut().insert(server.to_owned());
@@ -162,3 +176,12 @@
         addresses
     }
 }
+
+/// Where the head of the chain takes requests.
+fn head_address(view: &View) -> Option<SocketAddr> {
+    let head = view.chain.first()?;
+    let mut members = view.members.iter();
+    members
+        .find(|member| member.id == *head)
+        .map(|member| member.address)
+}
--- a/crates/serving/dunespur/src/status/report.rs
+++ b/crates/serving/dunespur/src/status/report.rs
@@ -274,6 +274,8 @@
     pub emptied: bool,
     /// Some turns go on from others that are not here yet.
     pub incomplete: bool,
+    /// Turns that it should hold, is known to lack and is fetching.
+    pub missing: usize,
     /// Requests that wait for their answer.
     pub waiting: usize,
     /// Its disk.
--- a/crates/serving/dunespur/src/status/table.rs
+++ b/crates/serving/dunespur/src/status/table.rs
@@ -193,6 +193,10 @@
     if turns.emptied {
         state.push("emptied");
     }
+    let missing = format!("{} turns missing", turns.missing);
+    if turns.missing > 0 {
+        state.push(&missing);
+    }
     if turns.incomplete {
         state.push("some chains incomplete");
     }
--- a/crates/serving/dunespur/src/store/mod.rs
+++ b/crates/serving/dunespur/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod disk_thread;
+mod lease_renewal;
 mod process;
 mod registration;
 
@@ -35,6 +36,7 @@
     spawn_local(process::report_completions(store.clone(), completions));
     spawn_local(process::drive_timers(store.clone()));
     spawn_local(registration::maintain_registration(store.clone()));
+    spawn_local(lease_renewal::renew_lease(directory.clone()));
     spawn_local(directory.clone().follow());
     spawn_local(signals::follow_settings(path, Role::Store, directory));
     log::info!("{} serves", settings.node);
--- a/crates/serving/dunespur/src/store/process.rs
+++ b/crates/serving/dunespur/src/store/process.rs
@@ -33,10 +33,11 @@
 
 /// The file of a store in its data folder.
 const DISK_FILE: &str = "turns.redb";
-/// A store whose lease has expired for this long has its turns replicated elsewhere, in milliseconds. A machine that is
-/// lost for good may have a successor a second later, and stops counting as lost once that had its time to catch up
-/// (some four seconds); by then there have to be enough replicas again.
-const ABSENT_REPAIR_MS: u64 = 300;
+/// A store whose lease has expired for this long has its turns replicated elsewhere, in milliseconds: one that was only
+/// slow has registered again by then. A machine that is lost for good may have a successor a tenth of a second later,
+/// and stops counting as lost once that had its time to catch up (some four seconds); by then there have to be enough
+/// replicas again, with time in reserve.
+const ABSENT_REPAIR_MS: u64 = 100;
 
 /// Jobs that the disk's thread has completed.
 pub type Completions = mpsc::UnboundedReceiver<DiskCompletion>;
@@ -209,6 +210,7 @@
             complete: node.is_complete(),
             emptied: node.is_drained(),
             incomplete: node.index().has_dangling(),
+            missing: node.missing_turns(),
             waiting: self.callers.borrow().len(),
             disk: self.disk.get(),
         };
--- a/crates/serving/dunespur/tests/bytes/status.rs
+++ b/crates/serving/dunespur/tests/bytes/status.rs
@@ -144,6 +144,7 @@
         complete: true,
         emptied: false,
         incomplete: true,
+        missing: 140,
         waiting: 135,
         disk: DiskStatus {
             waiting: 204,
--- a/crates/serving/turn-replication/src/anti_entropy/mod.rs
+++ b/crates/serving/turn-replication/src/anti_entropy/mod.rs
@@ -1,52 +1,38 @@
-//! Anti-entropy: asks the other stores, one after the other, for the turns that this store should hold, and pulls
-//! those that are missing. A pass over all stores begins when this store starts, when the set of stores that turns
-//! are placed on changes, and when another store has lost its disk; a store that returns is added to the pass.
+//! Anti-entropy: asks the other stores for the turns that this store should hold, and pulls those that are missing. A
+//! pass over all stores begins when this store starts, when the set of stores that turns are placed on changes, and
+//! when another store has lost its disk; a store that returns is added to the pass.
 //!
-//! One request is in flight at a time, and the next page is fetched while the last one is written: memory is
-//! limited to one page of ids and a few pages of turns.
+//! Several stores are asked at the same time, and each turn is fetched from one of them. The next pages are fetched
+//! while earlier ones are written; how many pages are under way together is limited, and with them the memory.
 
-use std::collections::{BTreeMap, VecDeque};
+mod claims;
+mod pull;
+
+use std::collections::BTreeMap;
+
+use claims::Claims;
+use pull::{Progress, Pull};
 
 use crate::index::Index;
-use crate::message::{ListedTurn, PAGE_BYTES};
+use crate::message::ListedTurn;
 use crate::turn::RetainedTurn;
 
 /// After this long a store that could not be asked is asked again, in milliseconds.
 pub const PULL_RETRY_MS: u64 = 300;
 
-/// Maximum number of fetched pages that wait for the disk.
-const MAX_PENDING_COMMITS: usize = 2;
+/// Maximum number of stores that are asked at the same time.
+const MAX_PULLS: usize = 3;
+/// Maximum number of pages of turns that are being fetched or wait for the disk, of all pulls together.
+const MAX_PAGES_UNDER_WAY: usize = 4;
 
 /// Where the pass stands with one store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PeerState {
     Waiting { not_before_ms: u64 },
+    Pulling,
     Done,
 }
 
-/// What the current pull waits for from the other store.
-#[derive(Debug, PartialEq, Eq)]
-enum Step {
-    /// The next request has to be sent.
-    Ready,
-    Listing,
-    Fetching,
-}
-
-#[derive(Debug)]
-struct Pull {
-    peer: String,
-    step: Step,
-    /// Where the next listing continues.
-    after: Option<String>,
-    /// The listing has reached its end.
-    is_fully_listed: bool,
-    /// Turns of the last page that this store does not hold.
-    missing: VecDeque<ListedTurn>,
-    /// Number of fetched pages that are on their way to the disk.
-    pending_commits: usize,
-}
-
 /// A request of a pull.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PullRequest {
@@ -69,19 +55,20 @@
 /// The pass over the other stores.
 #[derive(Debug, Default)]
 pub struct AntiEntropy {
-    /// Increases with each pass and each failure; replies to earlier requests are void.
-    pass: u64,
     began_at_ms: u64,
     peers: BTreeMap<String, PeerState>,
-    pull: Option<Pull>,
+    pulls: Vec<Pull>,
+    claims: Claims,
+    /// Increases with each pull; replies to earlier pulls are void.
+    last_serial: u64,
 }
 
 impl AntiEntropy {
     /// Begins a pass over these stores; the current one ends.
     pub fn begin(&mut self, peers: impl IntoIterator<Item = String>, now_ms: u64) {
-        self.pass += 1;
         self.began_at_ms = now_ms;
-        self.pull = None;
+        self.pulls.clear();
+        self.claims.clear();
         let waiting = PeerState::Waiting {
             not_before_ms: now_ms,
         };
@@ -90,6 +77,7 @@
 
     /// Adds a store that has returned.
     pub fn add(&mut self, peer: &str, now_ms: u64) {
+        self.end_pull_of(peer);
         let waiting = PeerState::Waiting {
             not_before_ms: now_ms,
         };
@@ -99,16 +87,7 @@
     /// Removes a store that has left.
     pub fn remove(&mut self, peer: &str) {
         self.peers.remove(peer);
-        if self.pull.as_ref().is_some_and(|pull| pull.peer == peer) {
-            self.pass += 1;
-            self.pull = None;
-        }
-    }
-
-    /// The number of the pass, for its requests and commits.
-    #[must_use]
-    pub fn pass(&self) -> u64 {
-        self.pass
+        self.end_pull_of(peer);
     }
 
     /// When the pass began, in milliseconds of the steady clock.
@@ -126,150 +105,114 @@
     /// Whether a request is in flight, or its turns are being written.
     #[must_use]
     pub fn is_pulling(&self) -> bool {
-        self.pull.is_some()
+        !self.pulls.is_empty()
+    }
+
+    /// Turns that this store is known to lack; those on pages that were not listed yet are not among them.
+    #[must_use]
+    pub fn missing_turns(&self) -> usize {
+        let listed: usize = self.pulls.iter().map(Pull::missing_turns).sum();
+        listed + self.claims.len()
     }
 
     /// When [`Self::next_request`] may return a request that it does not return now, in milliseconds.
     #[must_use]
     pub fn next_due(&self) -> Option<u64> {
-        if self.pull.is_some() {
+        if self.pulls.len() >= MAX_PULLS {
             return None;
         }
         let waits = self.peers.values().filter_map(|state| match state {
             PeerState::Waiting { not_before_ms } => Some(*not_before_ms),
-            PeerState::Done => None,
+            PeerState::Pulling | PeerState::Done => None,
         });
         waits.min()
     }
 
-    /// The next request to be sent.
-    pub fn next_request(&mut self, index: &Index, now_ms: u64) -> Option<PullRequest> {
+    /// The next request to be sent, and the serial number of its pull.
+    pub fn next_request(&mut self, index: &Index, now_ms: u64) -> Option<(u64, PullRequest)> {
         loop {
-            if self.pull.is_none() {
-                self.pull = Some(Pull::new(self.next_peer(now_ms)?));
-            }
-            let pull = self.pull.as_mut()?;
-            if pull.step != Step::Ready || pull.pending_commits >= MAX_PENDING_COMMITS {
-                return None;
-            }
-            if let Some(request) = pull.next_request(index) {
-                return Some(request);
+            self.begin_pulls(now_ms);
+            let mut has_ended = None;
+            for number in 0..self.pulls.len() {
+                let may_fetch = self.pages_under_way() < MAX_PAGES_UNDER_WAY;
+                let pull = &mut self.pulls[number];
+                match pull.advance(index, &mut self.claims, may_fetch) {
+                    Progress::Send(request) => return Some((pull.serial, request)),
+                    Progress::Waits => {}
+                    Progress::Ended => has_ended = Some(number),
+                }
             }
-            if pull.pending_commits > 0 {
-                return None;
-            }
-            self.finish_peer();
+            let ended = self.pulls.remove(has_ended?);
+            self.peers.insert(ended.peer, PeerState::Done);
         }
     }
 
-    fn next_peer(&self, now_ms: u64) -> Option<String> {
-        let is_due = |state: &PeerState| matches!(state, PeerState::Waiting { not_before_ms } if *not_before_ms <= now_ms);
-        let mut peers = self.peers.iter();
-        let (peer, _) = peers.find(|(_, state)| is_due(state))?;
-        Some(peer.clone())
+    /// Asks as many stores as are due and may be asked at the same time.
+    fn begin_pulls(&mut self, now_ms: u64) {
+        for (peer, state) in &mut self.peers {
+            if self.pulls.len() >= MAX_PULLS {
+                return;
+            }
+            let is_due =
+                matches!(state, PeerState::Waiting { not_before_ms } if *not_before_ms <= now_ms);
+            if is_due {
+                *state = PeerState::Pulling;
+                self.last_serial += 1;
+                self.pulls.push(Pull::new(self.last_serial, peer.clone()));
+            }
+        }
     }
 
-    fn finish_peer(&mut self) {
-        if let Some(pull) = self.pull.take() {
-            self.peers.insert(pull.peer, PeerState::Done);
-        }
+    fn pages_under_way(&self) -> usize {
+        self.pulls.iter().map(Pull::pages_under_way).sum()
     }
 
     /// A page of the listing arrived.
-    pub fn listed(&mut self, turns: Vec<ListedTurn>, next: Option<String>) {
-        let Some(pull) = self.pull_at(Step::Listing) else {
-            return;
-        };
-        pull.is_fully_listed = next.is_none();
-        pull.after = next;
-        pull.missing = turns.into();
-        pull.step = Step::Ready;
+    pub fn listed(&mut self, pull: u64, turns: Vec<ListedTurn>, next: Option<String>) {
+        if let Some(pull) = self.pulls.iter_mut().find(|known| known.serial == pull) {
+            pull.listed(turns, next);
+        }
     }
 
     /// Fetched turns arrived; returns those that are to be committed.
     #[must_use]
-    pub fn fetched(&mut self, turns: Vec<RetainedTurn>) -> Vec<RetainedTurn> {
-        let Some(pull) = self.pull_at(Step::Fetching) else {
+    pub fn fetched(&mut self, pull: u64, turns: Vec<RetainedTurn>) -> Vec<RetainedTurn> {
+        let Some(pull) = self.pulls.iter_mut().find(|known| known.serial == pull) else {
             return Vec::new();
         };
-        pull.step = Step::Ready;
-        pull.pending_commits += usize::from(!turns.is_empty());
-        turns
-    }
-
-    /// A page of turns that this pass fetched is on disk.
-    pub fn committed(&mut self, pass: u64) {
-        if pass != self.pass {
-            return;
-        }
-        if let Some(pull) = &mut self.pull {
-            pull.pending_commits = pull.pending_commits.saturating_sub(1);
-        }
-    }
-
-    /// The store could not be asked, or the disk failed: its pull begins anew later.
-    pub fn failed(&mut self, now_ms: u64) {
-        // What is still on its way to the disk belongs to this pull, not to the next.
-        self.pass += 1;
-        if let Some(pull) = self.pull.take() {
-            let retry = PeerState::Waiting {
-                not_before_ms: now_ms.saturating_add(PULL_RETRY_MS),
-            };
-            self.peers.insert(pull.peer, retry);
+        let ids = turns.iter().map(|retained| retained.turn.id.clone());
+        if pull.fetched(ids.collect(), &mut self.claims) {
+            turns
+        } else {
+            Vec::new()
         }
     }
 
-    fn pull_at(&mut self, step: Step) -> Option<&mut Pull> {
-        self.pull.as_mut().filter(|pull| pull.step == step)
-    }
-}
-
-impl Pull {
-    fn new(peer: String) -> Self {
-        Self {
-            peer,
-            step: Step::Ready,
-            after: None,
-            is_fully_listed: false,
-            missing: VecDeque::new(),
-            pending_commits: 0,
+    /// A page of turns that a pull fetched is on disk.
+    pub fn committed(&mut self, pull: u64) {
+        if let Some(pull) = self.pulls.iter_mut().find(|known| known.serial == pull) {
+            pull.committed(&mut self.claims);
         }
     }
 
-    /// Fetches the missing turns of the last page, then asks for the next page.
-    fn next_request(&mut self, index: &Index) -> Option<PullRequest> {
-        let ids = self.next_ids(index);
-        if !ids.is_empty() {
-            self.step = Step::Fetching;
-            return Some(PullRequest::Fetch {
-                peer: self.peer.clone(),
-                ids,
-            });
-        }
-        if self.is_fully_listed {
-            return None;
-        }
-        self.step = Step::Listing;
-        Some(PullRequest::List {
-            peer: self.peer.clone(),
-            after: self.after.clone(),
-        })
+    /// The store could not be asked, or the disk failed: its pull begins anew later.
+    pub fn failed(&mut self, pull: u64, now_ms: u64) {
+        let failed = self.pulls.iter().find(|known| known.serial == pull);
+        let Some(peer) = failed.map(|pull| pull.peer.clone()) else {
+            return;
+        };
+        self.end_pull_of(&peer);
+        let retry = PeerState::Waiting {
+            not_before_ms: now_ms.saturating_add(PULL_RETRY_MS),
+        };
+        self.peers.insert(peer, retry);
     }
 
-    /// As many missing turns as one message may carry.
-    fn next_ids(&mut self, index: &Index) -> Vec<String> {
-        let mut ids = Vec::new();
-        let mut bytes = 0;
-        while let Some(listed) = self.missing.front() {
-            if !ids.is_empty() && bytes + listed.size > PAGE_BYTES {
-                break;
-            }
-            let listed = self.missing.pop_front();
-            if let Some(listed) = listed.filter(|listed| !index.contains(&listed.id)) {
-                bytes += listed.size;
-                ids.push(listed.id);
-            }
-        }
-        ids
+    fn end_pull_of(&mut self, peer: &str) {
+        let Some(number) = self.pulls.iter().position(|pull| pull.peer == peer) else {
+            return;
+        };
+        let ended = self.pulls.remove(number);
+        self.claims.release_all_of(ended.serial);
     }
 }
--- a/crates/serving/turn-replication/src/commit_queue.rs
+++ b/crates/serving/turn-replication/src/commit_queue.rs
@@ -24,8 +24,8 @@
     },
     /// The pull that fetched the turns.
     Pull {
-        /// The number of its pass, see [`crate::anti_entropy::AntiEntropy::pass`].
-        pass: u64,
+        /// Its serial number, see [`crate::anti_entropy::AntiEntropy::next_request`].
+        serial: u64,
     },
     /// The search for a missing ancestor.
     Completion {
--- a/crates/serving/turn-replication/src/index.rs
+++ b/crates/serving/turn-replication/src/index.rs
@@ -5,7 +5,7 @@
 //! disk, and the result is limited from below. A turn never expires before one that continues it.
 
 use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -263,8 +263,8 @@
     /// A page of the turns that `store` should hold, if the candidates were all the stores there are; only ids
     /// greater than `after`.
     #[must_use]
-    pub fn page_for_replica(
-        &self,
+    pub fn page_for_replica<'a>(
+        &'a self,
         store: &str,
         candidates: &[Candidate],
         replication_factor: usize,
@@ -273,9 +273,13 @@
     ) -> Page {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         let records = self.records.range::<str, _>((start, Bound::Unbounded));
-        let is_wanted = |record: &Record| {
+        // Many turns are of one program: each is placed once.
+        let mut placed: HashMap<&str, bool> = HashMap::new();
+        let mut is_wanted = |record: &'a Record| {
             record.expires_at_ms > now_ms
-                && placement::is_replica(&record.program, store, candidates, replication_factor)
+                && *placed.entry(&record.program).or_insert_with(|| {
+                    placement::is_replica(&record.program, store, candidates, replication_factor)
+                })
         };
         let mut page = Page::default();
         let mut id_bytes = 0;
--- a/crates/serving/turn-replication/src/node/commits.rs
+++ b/crates/serving/turn-replication/src/node/commits.rs
@@ -45,7 +45,7 @@
                 }
                 self.reply(caller, StoreReply::Stored);
             }
-            Waiter::Pull { pass } => self.anti_entropy.committed(pass),
+            Waiter::Pull { serial } => self.anti_entropy.committed(serial),
             Waiter::Completion { .. } => {}
         }
     }
@@ -60,10 +60,7 @@
     fn commit_failed(&mut self, waiter: Waiter, rejection: Rejection, now_ms: u64) {
         match waiter {
             Waiter::Caller { caller, .. } => self.reply(caller, StoreReply::Rejected(rejection)),
-            Waiter::Pull { pass } if pass == self.anti_entropy.pass() => {
-                self.anti_entropy.failed(now_ms);
-            }
-            Waiter::Pull { .. } => {}
+            Waiter::Pull { serial } => self.anti_entropy.failed(serial, now_ms),
             Waiter::Completion { id } => self.completions.write_failed(&id),
         }
     }
--- a/crates/serving/turn-replication/src/node/events.rs
+++ b/crates/serving/turn-replication/src/node/events.rs
@@ -71,10 +71,9 @@
             return;
         };
         match pending.purpose {
-            RequestPurpose::Pull { pass } if pass == self.anti_entropy.pass() => {
-                self.pull_replied(&pending.store, reply, now_ms);
+            RequestPurpose::Pull { serial } => {
+                self.pull_replied(serial, &pending.store, reply, now_ms);
             }
-            RequestPurpose::Pull { .. } => {}
             RequestPurpose::Completion { id } => self.completion_replied(id, reply, now_ms),
             RequestPurpose::Handoff { serial } => self.handoff_replied(serial, reply, now_ms),
         }
--- a/crates/serving/turn-replication/src/node/pulls.rs
+++ b/crates/serving/turn-replication/src/node/pulls.rs
@@ -37,26 +37,30 @@
         self.anti_entropy.begin(peers, now_ms);
     }
 
-    pub(super) fn pull_replied(&mut self, store: &str, reply: Option<StoreReply>, now_ms: u64) {
+    pub(super) fn pull_replied(
+        &mut self,
+        serial: u64,
+        store: &str,
+        reply: Option<StoreReply>,
+        now_ms: u64,
+    ) {
         match reply {
             Some(StoreReply::Listed { turns, next }) => {
                 self.known_to.insert(store.to_owned());
-                self.anti_entropy.listed(turns, next);
+                self.anti_entropy.listed(serial, turns, next);
             }
             Some(StoreReply::Fetched { turns }) => {
-                let turns = self.anti_entropy.fetched(turns);
+                let turns = self.anti_entropy.fetched(serial, turns);
                 if !turns.is_empty() {
-                    let pass = self.anti_entropy.pass();
-                    self.commit(turns, Waiter::Pull { pass }, now_ms);
+                    self.commit(turns, Waiter::Pull { serial }, now_ms);
                 }
             }
-            _ => self.anti_entropy.failed(now_ms),
+            _ => self.anti_entropy.failed(serial, now_ms),
         }
     }
 
     pub(super) fn continue_pull(&mut self, now_ms: u64) {
-        while let Some(request) = self.anti_entropy.next_request(&self.index, now_ms) {
-            let pass = self.anti_entropy.pass();
+        while let Some((serial, request)) = self.anti_entropy.next_request(&self.index, now_ms) {
             let (peer, request) = match request {
                 PullRequest::List { peer, after } => (peer, self.listing_request(after)),
                 PullRequest::Fetch { peer, ids } => {
@@ -68,7 +72,7 @@
                     (peer, request)
                 }
             };
-            self.send(peer, RequestPurpose::Pull { pass }, request, now_ms);
+            self.send(peer, RequestPurpose::Pull { serial }, request, now_ms);
         }
     }
 
--- a/crates/serving/turn-replication/src/node/purposes.rs
+++ b/crates/serving/turn-replication/src/node/purposes.rs
@@ -5,8 +5,8 @@
 /// What the reply of another store is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum RequestPurpose {
-    /// Anti-entropy, in this pass.
-    Pull { pass: u64 },
+    /// Anti-entropy, the pull with this serial number.
+    Pull { serial: u64 },
     /// The search for this missing ancestor.
     Completion { id: String },
     /// The handoff with this serial number.
--- a/crates/serving/turn-replication/src/node/state.rs
+++ b/crates/serving/turn-replication/src/node/state.rs
@@ -133,6 +133,12 @@
         self.bootstrap == BootstrapPhase::Complete
     }
 
+    /// Turns that it should hold, is known to lack and is fetching.
+    #[must_use]
+    pub fn missing_turns(&self) -> usize {
+        self.anti_entropy.missing_turns()
+    }
+
     /// Whether its machine may be taken away.
     #[must_use]
     pub fn is_drained(&self) -> bool {
--- a/crates/serving/turn-replication/tests/world/mod.rs
+++ b/crates/serving/turn-replication/tests/world/mod.rs
@@ -78,6 +78,8 @@
     pub faults: Vec<FaultKind>,
     /// After the other faults everything loses power, and as many disks are lost as are tolerated.
     pub final_fault: bool,
+    /// Faults at the same time strike machines of one zone, as far as there are.
+    pub in_one_zone: bool,
     /// When a store without heartbeats is given up.
     pub absence: Absence,
     /// Those that are in place at the stores.
@@ -99,6 +101,7 @@
             faults_until_ms: 90_000,
             faults: faults.to_vec(),
             final_fault: false,
+            in_one_zone: false,
             absence: Absence::default(),
             safeguards: Safeguards::default(),
             core_safeguards: CoreSafeguards::default(),
@@ -245,6 +248,8 @@
     open_exposures: Vec<exposure::OpenExposure>,
     /// One turn that has no spare replica.
     turn_without_spare: Option<String>,
+    /// One turn that is on a single disk.
+    turn_on_one_disk: Option<String>,
     /// There are no faults from then on.
     calm_since_ms: Option<u64>,
     statistics: Statistics,
@@ -303,6 +308,7 @@
             slots: Vec::new(),
             open_exposures: Vec::new(),
             turn_without_spare: None,
+            turn_on_one_disk: None,
             calm_since_ms: None,
             statistics: Statistics::default(),
             digest: Digest::default(),
