Budget: counters outlive the longest retention, and are bounded by their bytes

Cause: in a flood of names a counter was forgotten after 120 s whatever retention_s said: a program that came again got its budget a second time. Nothing bounded the bytes of leases: 60,000 programs at five gateways outgrow the core's disk. Change: a counter is kept for the longest retention_s of the configuration's routes and 30 s, in a flood too.

--- a/crates/serving/budget/src/counter/program.rs
+++ b/crates/serving/budget/src/counter/program.rs
@@ -14,6 +14,11 @@
 /// Maximum number of leases of one program; the units of the least recently renewed one count as used.
 const MAX_LEASES: usize = 128;
 
+/// Bytes of a program in a snapshot beside its name and its leases, usual numbers taken.
+const PROGRAM_BYTES: usize = 24;
+/// Bytes of a lease in a snapshot beside its limiter's name, usual numbers taken.
+const LEASE_BYTES: usize = 40;
+
 /// What one program's counter records of a limiter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct Lease {
@@ -65,6 +70,18 @@
         self.used
     }
 
+    /// Bytes that it takes of a snapshot without its name, at most.
+    pub(crate) fn bytes(&self) -> usize {
+        let leases = self.leases.iter();
+        let names: usize = leases.map(|lease| lease.limiter.node.len()).sum();
+        PROGRAM_BYTES + self.leases.len() * LEASE_BYTES + names
+    }
+
+    /// Whether there is a lease of this incarnation of the limiter.
+    pub(crate) fn has_lease_of(&self, limiter: &LimiterId) -> bool {
+        self.leases.iter().any(|lease| lease.limiter == *limiter)
+    }
+
     /// Units on lease.
     pub(crate) fn leased(&self) -> u64 {
         self.leases
--- a/crates/serving/configuration/src/document.rs
+++ b/crates/serving/configuration/src/document.rs
@@ -1,6 +1,6 @@
 //! A complete configuration as the operator sent it.
 
-use crate::{location::Location, parser, patch, Findings};
+use crate::{location::Location, model::Model, parser, patch, Findings};
 use serde::{de::Error, Deserialize, Deserializer, Serialize, Serializer};
 use std::{str, sync::Arc};
 
@@ -13,6 +13,7 @@
 pub struct Document {
     text: Arc<str>,
     generation: u64,
+    longest_retention_ms: u64,
 }
 
 impl Document {
@@ -22,6 +23,7 @@
         Document {
             text: Arc::from(r#"{"generation":0}"#),
             generation: NO_GENERATION,
+            longest_retention_ms: 0,
         }
     }
 
@@ -42,8 +44,8 @@
     /// The finding, if it is not JSON.
     pub fn from_accepted(text: impl Into<Arc<str>>) -> Result<Document, Findings> {
         let text = text.into();
-        let generation = parser::parse_accepted(&text)?.generation;
-        Ok(Document { text, generation })
+        let model = parser::parse_accepted(&text)?;
+        Ok(Document::of(text, &model))
     }
 
     /// This configuration with the named items of `body` changed.
@@ -62,6 +64,12 @@
         self.generation
     }
 
+    /// How long turns are stored on the route that stores them the longest, in milliseconds; 0 without any route.
+    #[must_use]
+    pub fn longest_retention_ms(&self) -> u64 {
+        self.longest_retention_ms
+    }
+
     /// The configuration as JSON.
     #[must_use]
     pub fn to_json(&self) -> String {
@@ -75,11 +83,17 @@
     }
 
     fn validated(text: &str) -> Result<Document, Findings> {
-        let generation = parser::validate(text)?;
-        Ok(Document {
-            text: Arc::from(text),
-            generation,
-        })
+        let model = parser::validate(text)?;
+        Ok(Document::of(Arc::from(text), &model))
+    }
+
+    fn of(text: Arc<str>, model: &Model) -> Document {
+        let retentions = model.routes.iter().map(|placed| placed.route.retention_ms);
+        Document {
+            text,
+            generation: model.generation,
+            longest_retention_ms: retentions.max().unwrap_or(0),
+        }
     }
 }
 
--- a/crates/serving/configuration/src/parser.rs
+++ b/crates/serving/configuration/src/parser.rs
@@ -28,13 +28,14 @@
 const MAX_WEIGHT: u64 = 1 << 50;
 
 /// Parses and validates the text of a configuration: its generation, if nothing is wrong.
-pub(crate) fn validate(text: &str) -> Result<u64, Findings> {
+pub(crate) fn validate(text: &str) -> Result<Model, Findings> {
     let ParsedDraft {
         draft,
         mut findings,
     } = parse_draft(text)?;
     validation::validate(&draft, &mut findings);
-    findings.or_ok(draft.generation)
+    findings.or_ok(())?;
+    Ok(draft.into_model())
 }
 
 /// Parses the text of a configuration that was valid when it was accepted. What an older version of this program
--- a/crates/serving/control-state/src/snapshot.rs
+++ b/crates/serving/control-state/src/snapshot.rs
@@ -47,7 +47,9 @@
         if *format != FORMAT {
             return Err(SnapshotError::Format(*format));
         }
-        let (state, rest) = postcard::take_from_bytes(content).map_err(SnapshotError::Damaged)?;
+        let (mut state, rest): (ControlState, &[u8]) =
+            postcard::take_from_bytes(content).map_err(SnapshotError::Damaged)?;
+        state.derive_retention();
         match rest.len() {
             0 => Ok(state),
             bytes => Err(SnapshotError::TooLong { bytes }),
--- a/crates/serving/control-state/src/state.rs
+++ b/crates/serving/control-state/src/state.rs
@@ -54,7 +54,9 @@
     pub fn apply(&mut self, operation: &Operation, changes: &mut Vec<Change>) -> Outcome {
         match operation {
             Operation::Configure(request) => {
-                return self.configuration.apply(request, self.safeguards, changes)
+                let outcome = self.configuration.apply(request, self.safeguards, changes);
+                self.derive_retention();
+                return outcome;
             }
             Operation::Server(report) => self.servers.report(report, changes),
             Operation::ServerLeft { id } => self.servers.leave(id, changes),
@@ -88,6 +90,13 @@
         Outcome::Done
     }
 
+    /// Counters are kept for as long as the configuration has turns stored. No snapshot contains that.
+    pub(crate) fn derive_retention(&mut self) {
+        let current = self.configuration.current();
+        let retention_ms = current.map_or(0, Document::longest_retention_ms);
+        self.counters.set_retention(retention_ms);
+    }
+
     /// The operator requests that a store is emptied. A store that retires already needs no token, as nothing changes.
     fn retire(
         &mut self,
