Retirement: why a store can't retire now, and tests with two tolerated losses

Cause: 409 did not tell what is missing; two losses at once were played with drawn faults only. Change: the answer counts the others that are present, complete and in use, and how many are needed. Remaining stores are not counted by zone: that rule of the replicated state would differ between two versions side by side.

--- a/crates/serving/control-state/tests/nodes.rs
+++ b/crates/serving/control-state/tests/nodes.rs
@@ -303,6 +303,61 @@
     assert_eq!(retire(&mut trial, "a", 1), RetirementOutcome::Accepted);
 }
 
+#[test]
+fn two_lost_stores_do_not_remain_until_both_successors_are_complete() {
+    let mut trial = with_stores(&["a", "b", "c", "d"]);
+    trial.changes(&expired("c", 10));
+    trial.changes(&expired("d", 10));
+    for (name, complete, expected) in [
+        ("e", false, RetirementOutcome::TooFew),
+        ("f", false, RetirementOutcome::TooFew),
+        ("e", true, RetirementOutcome::TooFew),
+        ("f", true, RetirementOutcome::Accepted),
+    ] {
+        trial.node(NodeReport {
+            complete,
+            ..store(name, 11)
+        });
+        assert_eq!(retire(&mut trial, "a", 2), expected, "{name} {complete}");
+    }
+}
+
+#[test]
+fn a_retirement_is_paused_while_two_others_are_replaced() {
+    let mut trial = with_stores(&["a", "b", "c", "d", "e"]);
+    assert_eq!(retire(&mut trial, "a", 2), RetirementOutcome::Accepted);
+    trial.changes(&expired("d", 10));
+    trial.changes(&expired("e", 10));
+    assert!(!entry(&trial, "a").retiring, "only two others remain");
+    assert_eq!(emptied(&mut trial, "a", 10), []);
+    // One of them comes back with an empty disk, the other has a successor of another name.
+    let wiped = NodeReport {
+        disk: 2,
+        complete: false,
+        ..store("d", 11)
+    };
+    trial.node(wiped.clone());
+    trial.node(NodeReport {
+        complete: false,
+        ..store("f", 1)
+    });
+    assert!(!entry(&trial, "a").retiring, "both are still being filled");
+    trial.node(NodeReport {
+        complete: true,
+        ..wiped
+    });
+    assert!(entry(&trial, "a").retiring, "three remain");
+    emptied(&mut trial, "a", 10);
+    assert_eq!(trial.state.retirement("a"), Some(RetirementState::Done));
+    assert_eq!(
+        retire(&mut trial, "b", 2),
+        RetirementOutcome::TooFew,
+        "the second successor is not complete"
+    );
+    trial.node(store("f", 1));
+    assert_eq!(retire(&mut trial, "b", 2), RetirementOutcome::Accepted);
+}
+
 #[test]
 fn a_retirement_that_leaves_too_few_is_paused_until_enough_remain() {
     let mut trial = with_stores(&["a", "b", "c"]);
--- a/crates/serving/dunespur/src/control_api/handlers.rs
+++ b/crates/serving/dunespur/src/control_api/handlers.rs
@@ -189,12 +189,27 @@
                 responses::error(StatusCode::NOT_FOUND, "no such store machine")
             }
             Ok(Outcome::Retire(RetirementOutcome::TooFew)) => {
-                responses::error(StatusCode::CONFLICT, "too few store machines would be left")
+                let reason = self.too_few_stores_without(&node);
+                responses::error(StatusCode::CONFLICT, &reason)
             }
             _ => responses::unavailable(),
         }
     }
 
+    /// Why a store can't be retired now, by what this gateway knows of the others.
+    fn too_few_stores_without(&self, node: &str) -> String {
+        let known = self.directory.known();
+        let others = known.stores.values().filter(|store| store.name != node);
+        let remaining = others
+            .filter(|store| store.is_reliable() && store.accepts_placement())
+            .count();
+        let needed = self.tolerated_losses.saturating_add(1);
+        format!(
+            "too few store machines would be left: {remaining} others are present, complete and in use, {needed} are \
+             needed"
+        )
+    }
+
     async fn retirement(&self, node: &str) -> HttpResponse {
         match self.directory.read_retirement(node, REQUEST_TIMEOUT).await {
             Ok(Some(RetirementState::Running)) => {
--- a/crates/serving/dunespur/tests/leaving.rs
+++ b/crates/serving/dunespur/tests/leaving.rs
@@ -222,6 +222,10 @@
         let name = scene.system.machines()[store].name().to_owned();
         let answer = scene.operator.retire(&name, 10, ORDER_LIMIT).await.unwrap();
         assert!([200, 409].contains(&answer.status), "{}", answer.status);
+        if answer.status == 409 {
+            let reason = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(reason.contains("others are present"), "{reason}");
+        }
         taken += u32::from(answer.status == 200);
     }
     assert_eq!(taken, 1, "two copies need two stores");
