--- a/crates/serving/dunespur/src/core/coordinator/status.rs
+++ b/crates/serving/dunespur/src/core/coordinator/status.rs
@@ -2,6 +2,7 @@
 
 use super::Coordinator;
 use crate::status::CoreStatus;
+use dunespur_budget::Counters;
 
 /// What the counter of this member says of one program.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +25,8 @@
             waiting: self.operations.borrow().len(),
             refused_snapshots: replica.rejected_snapshots(),
             programs: replica.state().counters().programs(),
+            counter_bytes: replica.state().counters().bytes(),
+            max_counter_bytes: Counters::max_bytes(),
             disk: self.disk.status(),
             leases: self
                 .leases
--- a/crates/serving/dunespur/src/status/report.rs
+++ b/crates/serving/dunespur/src/status/report.rs
@@ -136,6 +136,10 @@
     pub refused_snapshots: u64,
     /// Programs with a counter.
     pub programs: usize,
+    /// Bytes of the state that the counters take, at most.
+    pub counter_bytes: usize,
+    /// Above this many bytes of counters new programs have to wait.
+    pub max_counter_bytes: usize,
     /// Its disk.
     pub disk: DiskStatus,
     /// The leases that it knows, those of nodes first.
--- a/crates/serving/dunespur/src/status/table.rs
+++ b/crates/serving/dunespur/src/status/table.rs
@@ -141,10 +141,12 @@
         (false, false) => "HEARS NO MAJORITY",
     };
     format!(
-        "core member: {stands}; committed {}, operations waiting {}, programs counted {}; {}",
+        "core member: {stands}; committed {}, operations waiting {}, programs counted {} in {:.1} of {:.1} MB; {}",
         core.committed,
         core.waiting,
         core.programs,
+        core.counter_bytes as f64 / BYTES_PER_MB,
+        core.max_counter_bytes as f64 / BYTES_PER_MB,
         disk(core.disk),
     )
 }
--- a/crates/serving/dunespur/tests/bytes/status.rs
+++ b/crates/serving/dunespur/tests/bytes/status.rs
@@ -83,6 +83,8 @@
         waiting: 115,
         refused_snapshots: 116,
         programs: 117,
+        counter_bytes: 141,
+        max_counter_bytes: 142,
         disk: DiskStatus {
             waiting: 201,
             done: 202,
