Program's tests: an order to retire is repeated until it is taken

The test ordered at once and waited for nothing. Change: the first order is repeated until it is taken, within the recovery time; then each of the two others has to be 409, with its reason.

--- a/crates/serving/dunespur/tests/leaving.rs
+++ b/crates/serving/dunespur/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use dunespur_emulator::program::Conversation;
 use dunespur_emulator::record::{Fate, Observation};
-use dunespur_emulator::scene::{usual_program, ScenePlan};
+use dunespur_emulator::scene::{usual_program, Scene, ScenePlan};
 use dunespur_emulator::system::{MachinePlan, Role, TemporaryFolder};
 use serde_json::Value;
 use std::process::Command;
@@ -208,6 +208,19 @@
     expect_no_violation(&scene);
 }
 
+/// Orders a store to retire; the status of the answer, which is 200, or 409 with a reason.
+async fn order_retirement(scene: &mut Scene, store: usize) -> u16 {
+    let name = scene.system.machines()[store].name().to_owned();
+    let answer = scene.operator.retire(&name, 10, ORDER_LIMIT).await.unwrap();
+    let reason = String::from_utf8_lossy(&answer.body).into_owned();
+    match answer.status {
+        200 => {}
+        409 => assert!(reason.contains("others are present"), "{reason}"),
+        other => panic!("{other}: {reason}"),
+    }
+    answer.status
+}
+
 #[tokio::test]
 async fn a_retirement_of_an_unknown_store_is_404_and_of_one_too_many_409() {
     let mut scene = stage(ScenePlan::default()).await;
@@ -217,18 +230,17 @@
         .await
         .unwrap();
     assert_eq!(answer.status, 404);
-    let mut taken = 0;
-    for store in machines_of(&scene, Role::Store) {
-        let name = scene.system.machines()[store].name().to_owned();
-        let answer = scene.operator.retire(&name, 10, ORDER_LIMIT).await.unwrap();
-        assert!([200, 409].contains(&answer.status), "{}", answer.status);
-        if answer.status == 409 {
-            let reason = String::from_utf8_lossy(&answer.body).into_owned();
-            assert!(reason.contains("others are present"), "{reason}");
-        }
-        taken += u32::from(answer.status == 200);
+    let stores = machines_of(&scene, Role::Store);
+    let until = Instant::now() + RECOVERY;
+    // Until the two others are complete, which they are some seconds after their start, the order is rejected.
+    while order_retirement(&mut scene, stores[0]).await != 200 {
+        assert!(Instant::now() < until, "the order is never taken");
+        programs_for(&scene, Duration::from_millis(50)).await;
+    }
+    for store in &stores[1..] {
+        let status = order_retirement(&mut scene, *store).await;
+        assert_eq!(status, 409, "two copies need two stores");
     }
-    assert_eq!(taken, 1, "two copies need two stores");
     programs_for(&scene, Duration::from_millis(200)).await;
     expect_no_violation(&scene);
 }
