Review, case 1: turns that were answered whole are told 404 after two freezes and two lost disks

Cause: a store that stood still while more than 8 MiB of changes were made gets no change any more; the core lists it as absent, it doesn't register again, and a store that lost its disk takes nothing from it.

Change: a script with three core members and three stores: two freezes of 3.2 s with 16 changes each, then two lost disks, one disruption at a time, 6 s between the end of one and the begin of the next.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,8 +1,10 @@
 //! Stand-ins and cases of the review: `review-standin CASE ROOT FOLDER`. Exit code 1 if the rule was broken, 0 if it
 //! held, 2 if the case couldn't run. `TROUBLE=0` in the environment leaves the disruption out.
 
+mod conversations;
 mod http;
 mod leaving_server;
+mod lost_turns;
 mod missed_changes;
 mod operator;
 mod record;
@@ -25,6 +27,7 @@
     let broken = match case.as_str() {
         "missed-changes" => missed_changes::run(root, &record, trouble),
         "leaving-server" => leaving_server::run(root, &record, trouble),
+        "lost-turns" => lost_turns::run(root, &record, trouble),
         "retained-changes" => retained_changes::run(root, &record, trouble),
         _ => std::process::exit(2),
     };
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -14,6 +14,7 @@
 pub struct Request {
     pub id: String,
     pub head: Head,
+    pub body: Vec<u8>,
 }
 
 pub struct Server {
@@ -140,9 +141,9 @@
         };
         let mut reader = Reader::new(stream);
         while let Ok(Some(head)) = reader.head() {
-            if reader.body(&head, false).is_err() {
+            let Ok(body) = reader.body(&head, false) else {
                 return;
-            }
+            };
             let id = head
                 .header("x-dunespur-request-id")
                 .unwrap_or_default()
@@ -157,7 +158,7 @@
                 }
                 continue;
             }
-            let request = Request { id, head };
+            let request = Request { id, head, body };
             if !handler(self, &request, &mut output) {
                 return;
             }
--- a/review/standin/src/system.rs
+++ b/review/standin/src/system.rs
@@ -224,6 +224,13 @@
         self.start(name);
     }
 
+    /// Kills the process of a machine and removes what is on its disk.
+    pub fn lose_disk(&mut self, name: &str) {
+        self.kill(name);
+        let _ = fs::remove_dir_all(self.folder.join(name));
+        self.record.line(&format!("{name} has lost its disk"));
+    }
+
     /// Whether the process of a machine runs.
     pub fn runs(&self, name: &str) -> bool {
         self.machines[self.index(name)].child.is_some()
