A response whose head does not say where its body ends is not forwarded

Cause: hyper accepts a Transfer-Encoding that is not chunked, and one beside a Content-Length, and reads the body by a guess: up to the end of the connection, chunk sizes included, or by chunks under the length that stands in the head. In 204, 304 and responses to HEAD it looks at neither. The proxy took what hyper gave for the server's body. Callers saw a complete 200 with the server's stamp and another body; streams were forwarded so, and turns stored.

Change: the package response-head says what delimits a body, or that the head does not say it; the proxy asks it before it uses a response, and treats a broken one as no response: 502, or another endpoint where the request may be repeated. The stand-in's heads, broken and sound, are in test-fixtures. The test harness reads heads as Latin-1, so that a sound head with such a value can be checked.

Already handled, tests kept: invalid or different Content-Length values, lines without a colon, names with a blank or a control byte, status 000.

--- a/crates/serving/proxy/src/attempt.rs
+++ b/crates/serving/proxy/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::endpoint_connection::{ConnectError, EndpointConnection};
 use crate::endpoint_response::EndpointBody;
 use crate::node::Node;
-use crate::response_head::{response_framing, response_kind};
+use crate::response_head::interpret_head;
 use crate::trace::{self, ConnectionOrigin};
 use dunespur_routing::{Availability, Ticket};
 use http::response::Parts;
@@ -152,8 +152,12 @@
                 return Err(AttemptError::Ended(attempt));
             }
         };
-        let kind = response_kind(&head, &self.parsed.id, self.shared.safeguards);
-        let framing = response_framing(&head, &self.outbound.method);
+        let (kind, framing) = interpret_head(
+            &head,
+            &self.outbound.method,
+            &self.parsed.id,
+            self.shared.safeguards,
+        );
         trace::response(&self.parsed, ticket, head.status, kind);
         let received = ReceivedHead {
             connection,
--- a/crates/serving/proxy/src/response_head.rs
+++ b/crates/serving/proxy/src/response_head.rs
@@ -3,16 +3,33 @@
 use crate::classification::{Framing, ResponseKind};
 use crate::http_headers;
 use crate::safeguards::Safeguards;
-use http::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use dunespur_response_head::{body_length, BodyLength};
+use http::header::{HeaderValue, CONTENT_ENCODING};
 use http::response::Parts;
 use http::{Method, StatusCode};
 
-/// Returns the kind of a response to the request with this id.
-pub(crate) fn response_kind(
+/// Returns the kind and the framing of a response to the request with this method and id.
+pub(crate) fn interpret_head(
     head: &Parts,
+    method: &Method,
     id: &HeaderValue,
     safeguards: Safeguards,
-) -> ResponseKind {
+) -> (ResponseKind, Framing) {
+    match body_length(head) {
+        Ok(length) => {
+            let kind = response_kind(head, id, safeguards);
+            (kind, response_framing(head.status, method, length))
+        }
+        // Protects against a body that is not the endpoint's: it would be read by a guess, and might look complete.
+        Err(error) => {
+            log::debug!("a response to request {id:?} is not used: {error}");
+            (ResponseKind::Unrelated, Framing::UntilClose)
+        }
+    }
+}
+
+/// Returns the kind of a response to the request with this id.
+fn response_kind(head: &Parts, id: &HeaderValue, safeguards: Safeguards) -> ResponseKind {
     // Each response repeats the id of its request. Protects against a stale response to an earlier request of the
     // connection, and against stray bytes that happen to form a response.
     if safeguards.response_ids_compared() && head.headers.get(http_headers::REQUEST_ID) != Some(id)
@@ -42,17 +59,12 @@
 }
 
 /// Returns what marks the end of a response to a request with this method (RFC 9112 section 6.3).
-pub(crate) fn response_framing(head: &Parts, method: &Method) -> Framing {
-    let has_no_body = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    ) || method == Method::HEAD;
-    let is_delimited =
-        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    if has_no_body || is_delimited {
-        Framing::Delimited
-    } else {
-        Framing::UntilClose
+fn response_framing(status: StatusCode, method: &Method, length: BodyLength) -> Framing {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+        || method == Method::HEAD;
+    match length {
+        BodyLength::UntilClose if !has_no_body => Framing::UntilClose,
+        BodyLength::UntilClose | BodyLength::Bytes(_) | BodyLength::Chunked => Framing::Delimited,
     }
 }
 
--- a/crates/serving/proxy/tests/support/peer.rs
+++ b/crates/serving/proxy/tests/support/peer.rs
@@ -133,7 +133,9 @@
 
     /// Reads the head of the next message.
     pub async fn head(&mut self) -> Message {
-        let head = String::from_utf8(self.read_until("\r\n\r\n").await).unwrap();
+        let head = self.read_until("\r\n\r\n").await;
+        // Header values are Latin-1.
+        let head: String = head.into_iter().map(char::from).collect();
         let mut lines = head.trim_end().split("\r\n");
         let first_line = lines.next().unwrap().to_owned();
         let header = |line: &str| {
--- a/crates/testing/test-fixtures/src/lib.rs
+++ b/crates/testing/test-fixtures/src/lib.rs
@@ -1,7 +1,9 @@
-//! Helpers for tests: fixtures under a package's `tests/fixtures`, temporary folders, and standstills of the machine.
+//! Helpers for tests: fixtures under a package's `tests/fixtures`, temporary folders, heads of HTTP responses, and
+//! standstills of the machine.
 
 mod encoding;
 mod fixtures;
+pub mod response_heads;
 mod standstill;
 mod temporary_folder;
 
