A response with a status that HTTP does not have is not forwarded

Cause: hyper accepts each status from 100 to 999, and the proxy forwarded what hyper accepted. Callers got a 600 or 999 with the server's stamp. 000 to 099 were rejected already.

Change: response-head validates the status too; its one function is now `validate`. Statuses from 100 to 599 pass as they did.

--- a/crates/serving/proxy/src/response_head.rs
+++ b/crates/serving/proxy/src/response_head.rs
@@ -3,7 +3,7 @@
 use crate::classification::{Framing, ResponseKind};
 use crate::http_headers;
 use crate::safeguards::Safeguards;
-use dunespur_response_head::{body_length, BodyLength};
+use dunespur_response_head::{validate, BodyLength};
 use http::header::{HeaderValue, CONTENT_ENCODING};
 use http::response::Parts;
 use http::{Method, StatusCode};
@@ -15,7 +15,7 @@
     id: &HeaderValue,
     safeguards: Safeguards,
 ) -> (ResponseKind, Framing) {
-    match body_length(head) {
+    match validate(head) {
         Ok(length) => {
             let kind = response_kind(head, id, safeguards);
             (kind, response_framing(head.status, method, length))
--- a/crates/serving/response-head/src/lib.rs
+++ b/crates/serving/response-head/src/lib.rs
@@ -3,17 +3,20 @@
 //! The HTTP library rejects a head that it can't parse: a broken status line, a line that is no header field, an
 //! invalid `Content-Length`. It accepts others although they do not say where the body ends, and then reads the body by
 //! a guess: with an unknown `Transfer-Encoding` it takes the coded bytes up to the end of the connection for the body,
-//! and a `Transfer-Encoding` beside a `Content-Length` hides the latter. [`body_length`] rejects these. Everything
-//! that reads responses checks their heads with it before it uses the body.
+//! and a `Transfer-Encoding` beside a `Content-Length` hides the latter. It also accepts statuses that HTTP does not
+//! have. [`validate`] rejects these heads. Everything that reads responses calls it before it uses the response.
 
 use http::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
-use http::{HeaderMap, Version};
+use http::{HeaderMap, StatusCode, Version};
 use thiserror::Error;
 
 /// The only transfer coding that a server may use, as requests ask for no other one (RFC 9112 section 7.4).
 const CHUNKED: &[u8] = b"chunked";
 
+/// The first number that is no status of HTTP (RFC 9110 section 15). The HTTP library rejects those below 100.
+const STATUS_END: u16 = 600;
+
 /// What delimits the body of a response, by its headers (RFC 9112 section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLength {
@@ -28,6 +31,9 @@
 /// Why a head is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ResponseHeadError {
+    /// The status is none of HTTP.
+    #[error("the status is {0}")]
+    InvalidStatus(StatusCode),
     /// A `Content-Length` is not a decimal number of bytes, or there are several different ones.
     #[error("Content-Length is invalid")]
     InvalidContentLength,
@@ -39,13 +45,20 @@
     TwoLengths,
 }
 
-/// Returns what delimits the body of a response with this head. Responses that never have a body (RFC 9110 section
-/// 6.4.1) are held to the same rules.
+/// Validates the head of a response and returns what delimits its body. Responses that never have a body (RFC 9110
+/// section 6.4.1) are held to the same rules.
 ///
 /// # Errors
 ///
-/// The head does not say where the body ends.
-pub fn body_length(head: &Parts) -> Result<BodyLength, ResponseHeadError> {
+/// The status is none of HTTP, or the head does not say where the body ends.
+pub fn validate(head: &Parts) -> Result<BodyLength, ResponseHeadError> {
+    if head.status.as_u16() >= STATUS_END {
+        return Err(ResponseHeadError::InvalidStatus(head.status));
+    }
+    body_length(head)
+}
+
+fn body_length(head: &Parts) -> Result<BodyLength, ResponseHeadError> {
     let headers = &head.headers;
     if !headers.contains_key(TRANSFER_ENCODING) {
         return content_length(headers);
--- a/crates/serving/response-head/tests/body_length.rs
+++ b/crates/serving/response-head/tests/validation.rs
@@ -1,6 +1,6 @@
-//! Which heads of responses say where the body ends, and which are rejected.
+//! Which heads of responses are accepted, and what delimits their bodies.
 
-use dunespur_response_head::{body_length, BodyLength, ResponseHeadError};
+use dunespur_response_head::{validate, BodyLength, ResponseHeadError};
 use http::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Response, StatusCode, Version};
 
@@ -14,7 +14,7 @@
         let value = HeaderValue::from_bytes(value).unwrap();
         response.headers_mut().append(name, value);
     }
-    body_length(&response.into_parts().0)
+    validate(&response.into_parts().0)
 }
 
 /// Returns the length by these values of one header, each on a line of its own.
@@ -107,7 +107,7 @@
     let chunked = HeaderValue::from_static("chunked");
     response.headers_mut().insert(TRANSFER_ENCODING, chunked);
     let expected = Err(ResponseHeadError::UnknownTransferEncoding);
-    assert_eq!(body_length(&response.into_parts().0), expected);
+    assert_eq!(validate(&response.into_parts().0), expected);
 }
 
 #[test]
@@ -136,3 +136,16 @@
         assert_eq!(sound, Ok(BodyLength::Bytes(5)));
     }
 }
+
+#[test]
+fn a_status_is_below_600() {
+    for status in [100, 200, 302, 404, 500, 599] {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(length_of(status, &[]), Ok(BodyLength::UntilClose));
+    }
+    for status in [600, 999] {
+        let status = StatusCode::from_u16(status).unwrap();
+        let expected = Err(ResponseHeadError::InvalidStatus(status));
+        assert_eq!(length_of(status, &[(CONTENT_LENGTH, b"5")]), expected);
+    }
+}
--- a/crates/testing/test-fixtures/src/response_heads.rs
+++ b/crates/testing/test-fixtures/src/response_heads.rs
@@ -152,10 +152,12 @@
     ResponseHead::chunked(OK, "Transfer-Encoding: chunked\r\nno field\r\n"),
 ];
 
-/// Heads whose status line is broken.
+/// Heads whose status line is broken, or whose status is no status of HTTP (RFC 9110 section 15).
 pub const BROKEN_STATUS_LINES: &[ResponseHead] = &[
     ResponseHead::plain("HTTP/1.1 000 OK", "Content-Length: {length}\r\n"),
     ResponseHead::plain("HTTP/1.1 099 OK", "Content-Length: {length}\r\n"),
+    ResponseHead::plain("HTTP/1.1 600 OK", "Content-Length: {length}\r\n"),
+    ResponseHead::plain("HTTP/1.1 999 OK", "Content-Length: {length}\r\n"),
     ResponseHead::plain("HTTP/1.1 20 OK", "Content-Length: {length}\r\n"),
     ResponseHead::plain("HTTP/1.1 2000 OK", "Content-Length: {length}\r\n"),
     ResponseHead::plain("HTTP/1.1 2x0 OK", "Content-Length: {length}\r\n"),
@@ -172,6 +174,7 @@
     ResponseHead::plain("200 OK", "Content-Length: {length}\r\n"),
     ResponseHead::chunked("HTTP/1.1 000 OK", "Transfer-Encoding: chunked\r\n"),
     ResponseHead::chunked("HTTP/1.1 000 OK", ""),
+    ResponseHead::chunked("HTTP/1.1 999 OK", "Transfer-Encoding: chunked\r\n"),
 ];
 
 /// Sound successes, in each form that a server may give them.
