Gateway in service: a response whose head does not say where its body ends is not passed on

The gateway takes what hyper accepts, and hyper accepts a Transfer-Encoding that is not chunked or stands beside a Content-Length. Callers saw a 200 with chunk sizes in its body; a broken 503 with X-Not-Processed was believed, and a single_shot operation sent again.

Change: the server connections validate the head with response-head before they read the body. A broken one ends the attempt and its connection as a reset does: 502, or another attempt where the operation may be repeated. What an exchange can end with besides a response is an error enum in place of an Option.

Already handled, tests kept: broken lines, broken status lines, statuses other than 200.

--- a/crates/gateway/gateway/src/server_connections.rs
+++ b/crates/gateway/gateway/src/server_connections.rs
@@ -7,6 +7,7 @@
 use crate::protocol::{decode_response, encode_server_request, ServerResponse, MAX_BODY_BYTES};
 use crate::state_machine::{Attempt, Event};
 use dunespur_decisions::types::AttemptResult;
+use dunespur_response_head::ResponseHeadError;
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1;
 use hyper::header::CONNECTION;
@@ -14,12 +15,13 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{Error, ErrorKind, Result as Io};
+use std::io::{Error as IoError, ErrorKind, Result as Io};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -86,7 +88,7 @@
     ) -> Poll<Io<T>> {
         match &mut *self.stream.borrow_mut() {
             Some(stream) => poll_stream(Pin::new(stream)),
-            None => Poll::Ready(Err(Error::from(ErrorKind::NotConnected))),
+            None => Poll::Ready(Err(IoError::from(ErrorKind::NotConnected))),
         }
     }
 }
@@ -454,18 +456,20 @@
                 let (head, body) = sender.send_request(request).await?.into_parts();
                 // A response that arrives before the request is completely written belongs to another request.
                 if !connection.written.get().is_complete() {
-                    return Ok(None);
+                    return Err(ExchangeError::BeforeRequest);
                 }
+                // The body of such a response would be read by a guess, and might look complete.
+                dunespur_response_head::validate(&head)?;
                 let server_closes = head
                     .headers
                     .get(CONNECTION)
                     .is_some_and(|v| v.as_bytes() == b"close");
                 let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-                Ok::<_, hyper::Error>(Some(Exchange {
+                Ok::<_, ExchangeError>(Exchange {
                     head,
                     body,
                     server_closes,
-                }))
+                })
             });
             let mut still_open = true;
             let result = loop {
@@ -489,16 +493,16 @@
     /// the connection was open when the response was complete.
     fn finish_exchange<E: std::fmt::Display>(
         &self,
-        result: Result<Option<Exchange<E>>, hyper::Error>,
+        result: Result<Exchange<E>, ExchangeError>,
         still_open: bool,
     ) -> Option<GatewayError> {
         let ConnectionTask(event_loop, connection) = self;
         match result {
-            Ok(Some(Exchange {
+            Ok(Exchange {
                 head,
                 body: Ok(body),
                 server_closes,
-            })) => {
+            }) => {
                 // Kept as idle before the result is reported, so that the next attempt can reuse the connection.
                 if still_open && !server_closes && !connection.closed.get() {
                     event_loop
@@ -508,15 +512,19 @@
                 self.report(Ok(decode_response(&head, body.to_bytes())));
                 (!still_open || server_closes).then_some(GatewayError::ClosedAfterSent)
             }
-            Ok(Some(Exchange { body: Err(e), .. })) => {
+            Ok(Exchange { body: Err(e), .. }) => {
                 log::debug!(
                     "server {}: response body incomplete: {e}",
                     connection.server
                 );
                 Some(GatewayError::ClosedAfterSent)
             }
-            Ok(None) => Some(GatewayError::ClosedBeforeSent),
-            Err(e) => {
+            Err(ExchangeError::BeforeRequest) => Some(GatewayError::ClosedBeforeSent),
+            Err(ExchangeError::InvalidHead(e)) => {
+                log::debug!("server {}: response not used: {e}", connection.server);
+                Some(GatewayError::ClosedAfterSent)
+            }
+            Err(ExchangeError::Connection(e)) => {
                 log::debug!("server {}: request failed: {e}", connection.server);
                 Some(self.retry_on_other_connection())
             }
@@ -524,6 +532,20 @@
     }
 }
 
+/// Why an exchange gave no response.
+#[derive(Debug, Error)]
+enum ExchangeError {
+    /// The connection failed, or the response could not be parsed.
+    #[error(transparent)]
+    Connection(#[from] hyper::Error),
+    /// The response arrived before the request was completely written, so it belongs to another request.
+    #[error("the response arrived before the request was completely written")]
+    BeforeRequest,
+    /// The response has an invalid head.
+    #[error(transparent)]
+    InvalidHead(#[from] ResponseHeadError),
+}
+
 /// A response from a server.
 struct Exchange<E> {
     head: hyper::http::response::Parts,
