Gateway in service: a list in a response with a broken head is not applied

Cause: the watch of discovery reads its body as hyper gives it, and hyper reads a body by a guess where the head does not say where it ends. A list behind `Transfer-Encoding: gzip, chunked`, or behind two lengths, was applied: endpoints were taken out of service by it.

Change: the watch validates the head with response-head; a broken one ends it as a malformed list does, and the next watch asks from the same revision. The test harness gives more than 254 gateways of one test process a host of their own.

Each sound head's list is applied.

--- a/crates/gateway/gateway/src/discovery_watch.rs
+++ b/crates/gateway/gateway/src/discovery_watch.rs
@@ -179,10 +179,11 @@
             let request = encode_watch(self.revision.get(), address)?;
             let response = sender.send_request(request);
             progress.request_sent.set(true);
-            let mut body = response
-                .await
-                .map_err(|_| GatewayError::ClosedAfterSent)?
-                .into_body();
+            let response = response.await.map_err(|_| GatewayError::ClosedAfterSent)?;
+            let (head, mut body) = response.into_parts();
+            // The list of such a response would be read by a guess.
+            dunespur_response_head::validate(&head)
+                .map_err(|error| GatewayError::Malformed(error.to_string()))?;
             let mut lines = WatchLines::default();
             loop {
                 // Only a complete line counts as activity: a trickle of bytes would keep a dead watch open.
--- a/crates/gateway/gateway/tests/broken_responses.rs
+++ b/crates/gateway/gateway/tests/broken_responses.rs
@@ -9,6 +9,8 @@
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
+use std::thread::{scope, sleep};
+use std::time::Duration;
 
 /// Sends `response` to the first request, and normal responses to later ones. Closes the connection in order after each
 /// response, as a response without a length needs it.
@@ -117,3 +119,79 @@
         }
     });
 }
+
+/// A list that takes the only server out of service, in a response with this head; later watches get no change.
+fn discovery_with_first_response(head: ResponseHead, server: &FakeService) -> Arc<FakeService> {
+    let list = endpoint_list(2, true, &[(0, server.address, "Terminating")]);
+    let response = head.with_body("", &format!("{list}\n"));
+    FakeService::start(Behavior::Normal, move |service, mut stream| {
+        let Some(request) = read_message(&mut stream) else {
+            return;
+        };
+        let is_first = {
+            let mut received = service.received.lock().unwrap();
+            received.push(request);
+            received.len() == 1
+        };
+        if is_first {
+            _ = stream.write_all(&response);
+            return;
+        }
+        _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+            sleep(Duration::from_millis(50));
+        }
+    })
+}
+
+/// Returns the revision from which the second watch asks, after a first one with this head.
+fn revision_after_first_watch(head: ResponseHead) -> String {
+    let server = FakeService::server(Behavior::Normal);
+    let discovery = discovery_with_first_response(head, &server);
+    let counter = FakeService::counter(Behavior::Normal);
+    let initial_list = endpoint_list(1, true, &[(0, server.address, "Ready")]);
+    let _gateway = Gateway::start(
+        &initial_list,
+        discovery.address,
+        counter.address,
+        256,
+        SETTINGS,
+    );
+    wait_until("discovery is watched again", || {
+        discovery.received_count() == 2
+    });
+    let again = discovery.received.lock().unwrap()[1].clone();
+    let (_, since) = again.split_once("since=").unwrap();
+    since.split(' ').next().unwrap().to_owned()
+}
+
+/// Checks the revision of the second watch after each of these heads, some heads at a time.
+fn check_watches(heads: &[ResponseHead], revision: &str) {
+    const AT_A_TIME: usize = 8;
+    for heads in heads.chunks(AT_A_TIME) {
+        let revisions: Vec<String> = scope(|scope| {
+            let trials: Vec<_> = heads
+                .iter()
+                .map(|head| scope.spawn(|| revision_after_first_watch(*head)))
+                .collect();
+            trials
+                .into_iter()
+                .map(|trial| trial.join().unwrap())
+                .collect()
+        });
+        let expected = vec![revision.to_owned(); heads.len()];
+        assert_eq!(revisions, expected, "{heads:?}");
+    }
+}
+
+#[test]
+fn a_list_from_discovery_in_a_broken_response_is_not_applied() {
+    check_watches(BROKEN_LENGTHS, "1");
+    check_watches(BROKEN_LINES, "1");
+    check_watches(BROKEN_STATUS_LINES, "1");
+}
+
+#[test]
+fn a_list_from_discovery_in_each_form_of_a_sound_response_is_applied() {
+    check_watches(SOUND_SUCCESSES, "2");
+}
--- a/crates/gateway/gateway/tests/common/mod.rs
+++ b/crates/gateway/gateway/tests/common/mod.rs
@@ -304,10 +304,13 @@
 
 /// Returns a free port on a loopback address of its own, so that no other process takes the port.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    const HOSTS: usize = 250;
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
     let _lock = SPAWN_LOCK.lock();
     let process = 1 + std::process::id() % 250;
-    let host = format!("127.{process}.1.{}:0", NEXT.fetch_add(1, Ordering::SeqCst));
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let (network, host) = (1 + number / HOSTS, 1 + number % HOSTS);
+    let host = format!("127.{process}.{network}.{host}:0");
     TcpListener::bind(host).unwrap().local_addr().unwrap()
 }
 
