Gateway in service: a broken head is no answer to a health check

Cause: the owner of a server's slot counts any response that hyper accepts as a sign of life, and hyper accepts heads that do not say where the body ends, and statuses up to 999. Limiters were told that a server answers which sent only such heads, while a head that hyper rejects counted as silence.

Change: the health check validates the head with response-head; a broken one is silence.

--- a/crates/gateway/gateway/src/fleet/health_checks.rs
+++ b/crates/gateway/gateway/src/fleet/health_checks.rs
@@ -6,6 +6,7 @@
 use crate::fleet::FleetMember;
 use crate::state_machine::Event;
 use dunespur_peer_transport::Kind;
+use dunespur_response_head::validate;
 use dunespur_singleton_roles::health_check;
 use dunespur_singleton_roles::health_check::Observation;
 use dunespur_singleton_roles::Slot;
@@ -19,7 +20,7 @@
 /// Timeout of a health check for connecting, and again for the response.
 pub(super) const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Checks a server with a request that is no invocation: any response shows that it is alive.
+/// Checks a server with a request that is no invocation: any response with a valid head shows that it is alive.
 pub(super) async fn check_health(server: SocketAddr) -> Observation {
     let Ok(Ok(stream)) =
         tokio::time::timeout(HEALTH_CHECK_TIMEOUT, TcpStream::connect(server)).await
@@ -34,12 +35,12 @@
             .body(http_body_util::Empty::<bytes::Bytes>::new())
             .ok()?;
         tokio::select! {
-            response = sender.send_request(request) => response.ok().map(|_| ()),
+            response = sender.send_request(request) => Some(response.ok()?.into_parts().0),
             _ = connection => None,
         }
     };
     match tokio::time::timeout(HEALTH_CHECK_TIMEOUT, exchange).await {
-        Ok(Some(())) => Observation::Answered,
+        Ok(Some(head)) if validate(&head).is_ok() => Observation::Answered,
         _ => Observation::Silent,
     }
 }
@@ -150,3 +151,6 @@
         self.write_history(json!({"line": "counted", "t": now, "what": description, "value": 1.0}));
     }
 }
+
+#[cfg(test)]
+mod tests;
