Gateway in service: a reply of the counter has to end where its length says

Cause: decode_counter_reply took as many bytes as the length says and skipped two more, without a look at them. A spoilt length cut the total short (12 for 12.5) and left its rest as the begin of the next reply. `$+4` counted as a length.

Change: the length is decimal digits, and what follows the text has to be a line break; else the reply is malformed, and the connection ends as it does for any malformed reply.

--- a/crates/gateway/gateway/src/protocol.rs
+++ b/crates/gateway/gateway/src/protocol.rs
@@ -462,17 +462,25 @@
             Ok(Some(CounterReply::Refused))
         }
         Some(b'$') => {
+            // `usize::from_str` also accepts a sign.
+            let digits = line.bytes().all(|byte| byte.is_ascii_digit());
             let len: usize = line
                 .parse()
-                .map_err(|_| malformed("the reply of the counter has no length"))?;
+                .ok()
+                .filter(|_| digits)
+                .ok_or_else(|| malformed("the reply of the counter has no length"))?;
             if len > MAX_BODY_BYTES {
                 return Err(GatewayError::TooLarge);
             }
-            let reply_len = end + 2 + len + 2;
+            let text_end = end + 2 + len;
+            let reply_len = text_end + 2;
             if buffer.len() < reply_len {
                 return Ok(None);
             }
-            let total = std::str::from_utf8(&buffer[end + 2..end + 2 + len]).ok();
+            if buffer[text_end..reply_len] != *b"\r\n" {
+                return Err(malformed("the reply of the counter has another length"));
+            }
+            let total = std::str::from_utf8(&buffer[end + 2..text_end]).ok();
             let total = total
                 .and_then(|t| t.parse().ok())
                 .filter(|total: &f64| total.is_finite());
@@ -486,3 +494,6 @@
         )),
     }
 }
+
+#[cfg(test)]
+mod tests;
