A Content-Length that is a list of equal numbers is forwarded as one number

Cause: `Content-Length: 5, 5` is sound where all its numbers are equal, and hyper reads the body by it, but the proxy left the line as it was. RFC 9110 section 8.6 asks a recipient to reject such a line or to replace it; clients may reject it.

Change: the head's length is written as one number when the head is interpreted.

--- a/crates/serving/proxy/src/attempt.rs
+++ b/crates/serving/proxy/src/attempt.rs
@@ -145,7 +145,7 @@
         self.start_response_timeout();
         let remaining = Duration::from_millis(self.deadline.remaining_ms());
         let exchange = connection.exchange(head, self.outbound.body_chunks.clone(), remaining);
-        let (head, incoming) = match self.wait_for(exchange).await {
+        let (mut head, incoming) = match self.wait_for(exchange).await {
             Some(result) => result.map_err(AttemptError::Ended)?.into_parts(),
             None => {
                 let attempt = Attempt::unanswered(connection.send_progress(), EndedBy::Timeout);
@@ -153,7 +153,7 @@
             }
         };
         let (kind, framing) = interpret_head(
-            &head,
+            &mut head,
             &self.outbound.method,
             &self.parsed.id,
             self.shared.safeguards,
--- a/crates/serving/proxy/src/response_head.rs
+++ b/crates/serving/proxy/src/response_head.rs
@@ -4,19 +4,21 @@
 use crate::http_headers;
 use crate::safeguards::Safeguards;
 use dunespur_response_head::{validate, BodyLength};
-use http::header::{HeaderValue, CONTENT_ENCODING};
+use http::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH};
 use http::response::Parts;
 use http::{Method, StatusCode};
 
-/// Returns the kind and the framing of a response to the request with this method and id.
+/// Returns the kind and the framing of a response to the request with this method and id. Leaves its length in the head as
+/// one number.
 pub(crate) fn interpret_head(
-    head: &Parts,
+    head: &mut Parts,
     method: &Method,
     id: &HeaderValue,
     safeguards: Safeguards,
 ) -> (ResponseKind, Framing) {
     match validate(head) {
         Ok(length) => {
+            normalize_content_length(head, length);
             let kind = response_kind(head, id, safeguards);
             (kind, response_framing(head.status, method, length))
         }
@@ -28,6 +30,14 @@
     }
 }
 
+/// Replaces a `Content-Length` that is a list or repeated, which must not be forwarded (RFC 9110 section 8.6).
+fn normalize_content_length(head: &mut Parts, length: BodyLength) {
+    if let BodyLength::Bytes(bytes) = length {
+        let value = http_headers::number_value(bytes);
+        head.headers.insert(CONTENT_LENGTH, value);
+    }
+}
+
 /// Returns the kind of a response to the request with this id.
 fn response_kind(head: &Parts, id: &HeaderValue, safeguards: Safeguards) -> ResponseKind {
     // Each response repeats the id of its request. Protects against a stale response to an earlier request of the
--- a/crates/serving/proxy/tests/broken_responses.rs
+++ b/crates/serving/proxy/tests/broken_responses.rs
@@ -317,6 +317,30 @@
     });
 }
 
+/// Clients may reject a length that is repeated or written as a list.
+#[test]
+fn a_length_is_forwarded_once_as_a_number() {
+    run_test(async {
+        let long_body = "y".repeat(LONG_BODY_BYTES);
+        let heads = SOUND_SUCCESSES
+            .iter()
+            .filter(|head| head.lines.to_ascii_lowercase().contains("content-length"));
+        for body in ["hello", &long_body] {
+            for_each_head(heads.clone(), |head| async {
+                let response = response_to_a_write(head, body).await?;
+                let is_length =
+                    |(name, _): &&(String, String)| name.eq_ignore_ascii_case("content-length");
+                let lengths: Vec<_> = response.headers.iter().filter(is_length).collect();
+                match lengths[..] {
+                    [(_, length)] if *length == body.len().to_string() => Ok(()),
+                    _ => Err(format!("the client got {lengths:?}")),
+                }
+            })
+            .await;
+        }
+    });
+}
+
 #[test]
 fn each_form_of_a_sound_stream_is_forwarded_and_stored() {
     run_test(async {
--- a/crates/testing/test-fixtures/src/response_heads.rs
+++ b/crates/testing/test-fixtures/src/response_heads.rs
@@ -183,6 +183,12 @@
     ResponseHead::plain(OK, "content-length:{length}\r\n"),
     ResponseHead::plain(OK, "CONTENT-LENGTH: \t {length} \t\r\n"),
     ResponseHead::plain(OK, "Content-Length: 00{length}\r\n"),
+    ResponseHead::plain(OK, "Content-Length: {length}, {length}\r\n"),
+    ResponseHead::plain(OK, "Content-Length: {length}, 0{length}\r\n"),
+    ResponseHead::plain(
+        OK,
+        "Content-Length: {length}\r\nContent-Length: 0{length}\r\n",
+    ),
     ResponseHead::plain(
         OK,
         "Content-Length: {length}\r\nContent-Length: {length}\r\n",
