A response in HTTP/1.0 is forwarded in HTTP/1.1

Cause: the proxy kept the version of the server's response. In HTTP/1.0 there are no chunks, so a response without a length ended with the client's connection: a stream that the server had broken off looked complete to the client, and one whose length the relay had removed did so too.

Change: the head for the client has the version of the client's own request, which is always HTTP/1.1.

--- a/crates/serving/proxy/src/relay.rs
+++ b/crates/serving/proxy/src/relay.rs
@@ -14,7 +14,7 @@
 use dunespur_routing::Outcome;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, Version};
 use std::rc::Rc;
 
 /// The longest response that is buffered. If a buffered response is truncated, the request can still be sent again or
@@ -64,6 +64,9 @@
 /// Turns the head of an endpoint's response into the head for the client.
 pub(crate) fn client_head(mut head: Parts) -> Parts {
     http_headers::strip_hop_by_hop(&mut head.headers);
+    // The version of the client's connection. In HTTP/1.0 a response without a length would end with the connection, and
+    // look complete if it is truncated.
+    head.version = Version::HTTP_11;
     if matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
--- a/crates/serving/proxy/tests/broken_responses.rs
+++ b/crates/serving/proxy/tests/broken_responses.rs
@@ -5,7 +5,7 @@
 
 use dunespur_proxy::CompletedTurn;
 use dunespur_test_fixtures::response_heads::{
-    ResponseHead, BROKEN_LENGTHS, BROKEN_LINES, BROKEN_STATUS_LINES, SOUND_SUCCESSES,
+    BodyCoding, ResponseHead, BROKEN_LENGTHS, BROKEN_LINES, BROKEN_STATUS_LINES, SOUND_SUCCESSES,
 };
 use support::{
     bytes, event, events, get, post, run_test, two_endpoints, Message, NodeCall, Peer,
@@ -393,3 +393,30 @@
         }
     });
 }
+
+/// In HTTP/1.0 a response without a length ends with its connection, so that a truncated one would look complete.
+#[test]
+fn a_truncated_response_in_http_1_0_does_not_look_complete() {
+    run_test(async {
+        let head = ResponseHead {
+            status_line: "HTTP/1.0 200 OK",
+            lines: "",
+            coding: BodyCoding::Plain,
+        };
+        for (path, body) in [
+            ("/write/", "y".repeat(LONG_BODY_BYTES)),
+            ("/stream/", event(1)),
+        ] {
+            let (proxy, endpoint) = TestProxy::with_endpoint().await;
+            let mut client = proxy.send_request(&post(path, "r1", "", "x")).await;
+            let (mut connection, _) = endpoint.next_request().await;
+            let response = head.with_body(RESPONSE_LINES, &body);
+            Delivery::StaysOpen.send(&mut connection, &response).await;
+            let response = client.head().await;
+            assert_eq!(response.first_line, "HTTP/1.1 200 OK", "{path}");
+            connection.reset();
+            let truncated = client.read_body(&response).await;
+            assert!(truncated.is_err(), "{path}: {response:?}");
+        }
+    });
+}
