Tests: servers that break heads, beside stopped, frozen and killed processes

Need: the incident was found with real processes; the tests of the package drive one proxy byte by byte. Clients that keep a connection until it closes were missing among the emulator's.

--- a/crates/testing/emulator/src/client/attempt.rs
+++ b/crates/testing/emulator/src/client/attempt.rs
@@ -1,22 +1,19 @@
-//! One attempt of a request on a new connection.
+//! One attempt of a request, on a new connection or one that is open.
 
+use super::connection::ClientConnection;
 use super::request::{RequestKind, RequestSpec};
 use crate::digest::Digester;
 use crate::identity::RequestId;
 use crate::record::{Answered, AttemptOutcome};
-use crate::wire::{name, request_bytes, EventReader, MessageReader, ResponseHead, WireError};
+use crate::wire::{name, request_bytes, EventReader, ResponseHead, WireError};
 use bytes::{Bytes, BytesMut};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Body bytes kept in the record; the digest covers the whole body.
 const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
-/// Time limit for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time to wait for surplus bytes after a complete response on a connection that stays open.
 const SURPLUS_TIMEOUT: Duration = Duration::from_millis(2);
 
@@ -38,43 +35,52 @@
 }
 
 impl Attempt<'_> {
-    /// Sends the request and reads the response.
+    /// Sends the request over a new connection and reads the response.
     pub async fn send(&self) -> AttemptOutcome {
-        match timeout_at(self.timeouts.deadline, self.exchange()).await {
-            Ok(outcome) => outcome,
-            Err(_) => AttemptOutcome::GivenUp,
-        }
-    }
-
-    async fn exchange(&self) -> AttemptOutcome {
         let started = Instant::now();
-        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.front)).await else {
-            return AttemptOutcome::NotSent;
+        let exchange = async {
+            match ClientConnection::open(self.front).await {
+                Some(mut connection) => self.exchange(&mut connection, started).await,
+                None => AttemptOutcome::NotSent,
+            }
         };
-        let _ = stream.set_nodelay(true);
-        let (read, mut write) = stream.into_split();
+        let outcome = timeout_at(self.timeouts.deadline, exchange).await;
+        outcome.unwrap_or(AttemptOutcome::GivenUp)
+    }
+
+    /// Sends the request over an open connection and reads the response.
+    pub async fn send_over(&self, connection: &mut ClientConnection) -> AttemptOutcome {
+        let exchange = self.exchange(connection, Instant::now());
+        let outcome = timeout_at(self.timeouts.deadline, exchange).await;
+        let outcome = outcome.unwrap_or(AttemptOutcome::GivenUp);
+        connection.is_open &= matches!(outcome, AttemptOutcome::Answered(_));
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        connection: &mut ClientConnection,
+        started: Instant,
+    ) -> AttemptOutcome {
         let remaining = self
             .timeouts
             .deadline
             .saturating_duration_since(Instant::now());
         let head = self.spec.head(self.request, remaining.as_millis() as u64);
-        if write
-            .write_all(&request_bytes(&head, &self.spec.body))
-            .await
-            .is_err()
-        {
+        let request = request_bytes(&head, &self.spec.body);
+        if connection.write.write_all(&request).await.is_err() {
             return AttemptOutcome::NotSent;
         }
-        let outcome = ResponseReceiver::new(self, read, started).receive().await;
-        drop(write);
-        outcome
+        ResponseReceiver::new(self, connection, started)
+            .receive()
+            .await
     }
 }
 
 /// Reads the response to an attempt and collects what the record stores about it.
 struct ResponseReceiver<'a> {
     attempt: &'a Attempt<'a>,
-    reader: MessageReader<OwnedReadHalf>,
+    connection: &'a mut ClientConnection,
     started: Instant,
     digester: Digester,
     body: BytesMut,
@@ -90,10 +96,14 @@
 }
 
 impl<'a> ResponseReceiver<'a> {
-    fn new(attempt: &'a Attempt<'a>, read: OwnedReadHalf, started: Instant) -> Self {
+    fn new(
+        attempt: &'a Attempt<'a>,
+        connection: &'a mut ClientConnection,
+        started: Instant,
+    ) -> Self {
         ResponseReceiver {
             attempt,
-            reader: MessageReader::new(read),
+            connection,
             started,
             digester: Digester::default(),
             body: BytesMut::new(),
@@ -123,12 +133,18 @@
         let streaming = matches!(self.attempt.spec.kind, RequestKind::Streaming { .. });
         if !streaming {
             return self
+                .connection
                 .reader
                 .response_head()
                 .await
                 .map_err(ReceiveError::Wire);
         }
-        match timeout(self.attempt.timeouts.idle, self.reader.response_head()).await {
+        match timeout(
+            self.attempt.timeouts.idle,
+            self.connection.reader.response_head(),
+        )
+        .await
+        {
             Ok(head) => head.map_err(ReceiveError::Wire),
             Err(_) => Err(ReceiveError::Timeout),
         }
@@ -136,9 +152,19 @@
 
     async fn next_data(&mut self, streaming: bool) -> Result<Option<Bytes>, ReceiveError> {
         if !streaming {
-            return self.reader.next_data().await.map_err(ReceiveError::Wire);
+            return self
+                .connection
+                .reader
+                .next_data()
+                .await
+                .map_err(ReceiveError::Wire);
         }
-        match timeout(self.attempt.timeouts.idle, self.reader.next_data()).await {
+        match timeout(
+            self.attempt.timeouts.idle,
+            self.connection.reader.next_data(),
+        )
+        .await
+        {
             Ok(data) => data.map_err(ReceiveError::Wire),
             Err(_) => Err(ReceiveError::Timeout),
         }
@@ -146,6 +172,8 @@
 
     fn record_head(&mut self, head: &ResponseHead) {
         let headers = &head.headers;
+        let closes = headers.get(name::CONNECTION) == Some("close");
+        self.connection.is_open &= !closes;
         self.answered.status = head.status;
         self.answered.request = headers.get(name::REQUEST_ID).and_then(RequestId::parse);
         self.answered.stamp = headers.get(name::STAMP).map(str::to_owned);
@@ -192,8 +220,10 @@
     }
 
     async fn complete(mut self) -> AttemptOutcome {
-        let _ = timeout(SURPLUS_TIMEOUT, self.reader.closed()).await;
-        self.answered.surplus = self.reader.ahead();
+        let reader = &mut self.connection.reader;
+        let has_closed = timeout(SURPLUS_TIMEOUT, reader.closed()).await.is_ok();
+        self.answered.surplus = reader.ahead();
+        self.connection.is_open &= !has_closed;
         AttemptOutcome::Answered(self.finish())
     }
 
--- a/crates/testing/emulator/src/client/mod.rs
+++ b/crates/testing/emulator/src/client/mod.rs
@@ -2,9 +2,11 @@
 
 mod attempt;
 pub mod call;
+mod connection;
 mod request;
 mod retry;
 
 pub use attempt::Timeouts;
+pub use connection::ClientConnection;
 pub use request::{RequestKind, RequestSpec, TurnHeaders};
 pub use retry::{Client, Served};
--- a/crates/testing/emulator/src/client/retry.rs
+++ b/crates/testing/emulator/src/client/retry.rs
@@ -1,6 +1,7 @@
 //! Sends requests to the gateways and retries failed attempts as the protocol allows clients to.
 
 use super::attempt::{Attempt, Timeouts};
+use super::connection::ClientConnection;
 use super::request::RequestSpec;
 use crate::clock::Clock;
 use crate::identity::{IdentitySource, RequestId};
@@ -133,6 +134,26 @@
         .await
     }
 
+    /// Makes one attempt over an open connection.
+    pub async fn send_over(
+        &self,
+        connection: &mut ClientConnection,
+        spec: &RequestSpec,
+    ) -> AttemptOutcome {
+        let operation = self.shared.next_operation.fetch_add(1, Ordering::SeqCst);
+        let attempt = Attempt {
+            spec,
+            request: self.shared.identities.request(),
+            front: connection.front,
+            timeouts: Timeouts {
+                deadline: Instant::now() + Duration::from_millis(spec.deadline_ms),
+                idle: idle_timeout(spec),
+            },
+        };
+        let recorder = AttemptRecorder::begin(&self.shared, &attempt, operation);
+        recorder.end(attempt.send_over(connection).await)
+    }
+
     async fn send_with_retries(&self, spec: &RequestSpec, front: Option<SocketAddr>) -> Served {
         let operation = self.shared.next_operation.fetch_add(1, Ordering::SeqCst);
         let started = Instant::now();
--- a/crates/testing/emulator/src/server/fault.rs
+++ b/crates/testing/emulator/src/server/fault.rs
@@ -1,5 +1,6 @@
 //! Faults of a server, injected by the test.
 
+use dunespur_test_fixtures::response_heads::ResponseHead;
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
 
@@ -15,6 +16,8 @@
     },
     /// Runs the request and sends bytes that are not an HTTP response.
     SendGarbage,
+    /// Runs the request, sends a response with this broken head, and closes the connection.
+    BreakHead(&'static ResponseHead),
     /// Runs the request, responds, and immediately sends the response a second time.
     Surplus,
     /// Runs the request, responds, and sends the same response again before the next one on the connection.
@@ -59,6 +62,11 @@
         self.change(|state| state.always = fault);
     }
 
+    /// Removes all faults that were not injected yet.
+    pub fn clear(&self) {
+        self.change(|state| *state = State::default());
+    }
+
     /// Takes the fault of the next request.
     pub(super) fn next_fault(&self) -> Option<ServerFault> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/testing/emulator/src/server/reply.rs
+++ b/crates/testing/emulator/src/server/reply.rs
@@ -5,7 +5,7 @@
 use crate::digest::Digester;
 use crate::identity::RequestId;
 use crate::record::{Fate, Observation};
-use crate::wire::{chunk, name, response_head, Event, Headers, LAST_CHUNK};
+use crate::wire::{chunk, header_lines, name, response_head, Event, Headers, LAST_CHUNK};
 use bytes::Bytes;
 use std::future::pending;
 use std::sync::Arc;
@@ -14,6 +14,8 @@
 
 /// The bytes that [`ServerFault::SendGarbage`] sends in place of a response.
 const GARBAGE: &[u8] = b"\x00\x07 no answer at all \xff\xfe\r\n\r\n";
+/// The body behind a broken head: an event, so that it could also be taken for a stream.
+const BODY_OF_BROKEN_HEAD: &str = "id: 1\ndata: behind a broken head\n\n";
 
 /// Progress of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,6 +197,12 @@
                 self.write(GARBAGE).await;
                 self.end_with_fault();
             }
+            Some(ServerFault::BreakHead(head)) => {
+                let lines = header_lines(&self.stamped_headers());
+                let response = head.with_body(&lines, BODY_OF_BROKEN_HEAD);
+                self.write(&response).await;
+                self.end_with_fault();
+            }
             _ => return false,
         }
         true
--- a/crates/testing/emulator/src/wire/mod.rs
+++ b/crates/testing/emulator/src/wire/mod.rs
@@ -12,4 +12,4 @@
 pub use event::{Event, EventReader, GarbledEvent};
 pub use headers::{Header, Headers, RequestHead, ResponseHead};
 pub use reader::{MessageReader, WireError};
-pub use write::{chunk, request_bytes, response_head, LAST_CHUNK};
+pub use write::{chunk, header_lines, request_bytes, response_head, LAST_CHUNK};
--- a/crates/testing/emulator/src/wire/write.rs
+++ b/crates/testing/emulator/src/wire/write.rs
@@ -12,7 +12,7 @@
 pub fn request_bytes(head: &RequestHead, body: &[u8]) -> Bytes {
     let mut bytes = BytesMut::new();
     bytes.extend_from_slice(format!("{} {} HTTP/1.1\r\n", head.method, head.target).as_bytes());
-    write_headers(&mut bytes, &head.headers);
+    bytes.extend_from_slice(header_lines(&head.headers).as_bytes());
     if !body.is_empty() || head.method == "POST" {
         bytes.extend_from_slice(format!("{}: {}\r\n", name::CONTENT_LENGTH, body.len()).as_bytes());
     }
@@ -26,7 +26,7 @@
 pub fn response_head(status: u16, headers: &Headers) -> Bytes {
     let mut bytes = BytesMut::new();
     bytes.extend_from_slice(format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).as_bytes());
-    write_headers(&mut bytes, headers);
+    bytes.extend_from_slice(header_lines(headers).as_bytes());
     bytes.extend_from_slice(b"\r\n");
     bytes.freeze()
 }
@@ -41,10 +41,14 @@
     bytes.freeze()
 }
 
-fn write_headers(bytes: &mut BytesMut, headers: &Headers) {
-    for header in &headers.0 {
-        bytes.extend_from_slice(format!("{}: {}\r\n", header.name, header.value).as_bytes());
-    }
+/// The lines of header fields, each with its line break.
+#[must_use]
+pub fn header_lines(headers: &Headers) -> String {
+    let lines = headers
+        .0
+        .iter()
+        .map(|header| format!("{}: {}\r\n", header.name, header.value));
+    lines.collect()
 }
 
 fn reason_phrase(status: u16) -> &'static str {
