Tests: one harness for broken responses, and rejections with a broken head

Need: the tests of broken_responses repeated their set-up, and none sent a broken 503 or 421 that says that the request has not run.

--- a/crates/serving/proxy/tests/broken_responses.rs
+++ b/crates/serving/proxy/tests/broken_responses.rs
@@ -12,6 +12,7 @@
     TestEndpoint, TestProxy, TURN_HEADERS,
 };
 use tokio::task::yield_now;
+use tokio::time::Duration;
 
 /// The headers of this protocol in each response to the request `r1`.
 const RESPONSE_LINES: &str =
@@ -21,6 +22,9 @@
 /// Longer than what the proxy buffers of a response.
 const LONG_BODY_BYTES: usize = 100_000;
 
+/// After this time, an idle connection may carry any request.
+const COOLDOWN: Duration = Duration::from_millis(20);
+
 /// How a response arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Delivery {
@@ -119,18 +123,54 @@
     response.ok_or_else(|| "the client got no whole response".to_owned())
 }
 
+/// A request at an endpoint: the connections at both ends, driven by the test.
+struct Exchange {
+    proxy: TestProxy,
+    endpoint: TestEndpoint,
+    client: Peer,
+    connection: Peer,
+}
+
+impl Exchange {
+    /// Starts a proxy and sends a request; its only endpoint has received it.
+    async fn start(request: &str) -> Exchange {
+        let (proxy, endpoint) = TestProxy::with_endpoint().await;
+        // Turns can be stored.
+        proxy.node.persist_permits.add_permits(1);
+        let client = proxy.send_request(request).await;
+        let (connection, _) = endpoint.next_request().await;
+        Exchange {
+            proxy,
+            endpoint,
+            client,
+            connection,
+        }
+    }
+
+    /// Sends a response with this head from the endpoint, and returns what the client gets.
+    async fn respond(
+        &mut self,
+        head: &ResponseHead,
+        body: &str,
+        delivery: Delivery,
+    ) -> Result<Message, String> {
+        let response = head.with_body(RESPONSE_LINES, body);
+        delivery.send(&mut self.connection, &response).await;
+        read_response(&mut self.client).await
+    }
+}
+
+fn write_request(id: &str) -> String {
+    post("/write/", id, "", "x")
+}
+
 async fn check_broken_response(head: &ResponseHead, delivery: Delivery) -> Result<(), String> {
-    let (proxy, endpoint) = TestProxy::with_endpoint().await;
-    let mut client = proxy.send_request(&post("/write/", "r1", "", "x")).await;
-    let (mut connection, _) = endpoint.next_request().await;
-    let response = head.with_body(RESPONSE_LINES, "hello");
-    delivery.send(&mut connection, &response).await;
-    check_bad_gateway(&read_response(&mut client).await?)?;
-    connection.read_to_end().await;
-    if proxy.node.sends() == 1 {
-        Ok(())
-    } else {
-        Err(format!("the request was sent {} times", proxy.node.sends()))
+    let mut exchange = Exchange::start(&write_request("r1")).await;
+    check_bad_gateway(&exchange.respond(head, "hello", delivery).await?)?;
+    exchange.connection.read_to_end().await;
+    match exchange.proxy.node.sends() {
+        1 => Ok(()),
+        sends => Err(format!("the request was sent {sends} times")),
     }
 }
 
@@ -147,13 +187,12 @@
 fn a_broken_response_to_a_head_request_becomes_a_502() {
     run_test(async {
         for_each_head(broken_heads(), |head| async {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
             let request = get("/write/", "r1").replace("GET", "HEAD");
-            let mut client = proxy.send_request(&request).await;
-            let (mut connection, _) = endpoint.next_request().await;
+            let mut exchange = Exchange::start(&request).await;
             let response = head.with_body(RESPONSE_LINES, "");
-            Delivery::ThenClosed.send(&mut connection, &response).await;
-            match client.head().await.status() {
+            let connection = &mut exchange.connection;
+            Delivery::ThenClosed.send(connection, &response).await;
+            match exchange.client.head().await.status() {
                 502 => Ok(()),
                 status => Err(format!("the client got {status}")),
             }
@@ -191,22 +230,19 @@
 fn a_broken_response_over_a_reused_connection_becomes_a_502() {
     run_test(async {
         for_each_head(broken_heads(), |head| async {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
-            let mut client = proxy.send_request(&get("/read/", "r0")).await;
-            let (mut connection, _) = endpoint.next_request().await;
-            connection.respond(200, "r0", "", "ok").await;
-            check_success(&read_response(&mut client).await?, "ok")?;
-            support::pass_time(tokio::time::Duration::from_millis(20)).await;
-            client.send(post("/write/", "r1", "", "x").as_bytes()).await;
-            connection.message().await;
-            let response = head.with_body(RESPONSE_LINES, "hello");
-            Delivery::StaysOpen.send(&mut connection, &response).await;
-            check_bad_gateway(&read_response(&mut client).await?)?;
+            let mut exchange = Exchange::start(&get("/read/", "r0")).await;
+            exchange.connection.respond(200, "r0", "", "ok").await;
+            check_success(&read_response(&mut exchange.client).await?, "ok")?;
+            support::pass_time(COOLDOWN).await;
+            exchange.client.send(write_request("r1").as_bytes()).await;
+            exchange.connection.message().await;
+            let response = exchange.respond(head, "hello", Delivery::StaysOpen);
+            check_bad_gateway(&response.await?)?;
             // The client's connection carries on, over a new connection to the endpoint.
-            client.send(post("/write/", "r2", "", "x").as_bytes()).await;
-            let (mut connection, _) = endpoint.next_request().await;
+            exchange.client.send(write_request("r2").as_bytes()).await;
+            let (mut connection, _) = exchange.endpoint.next_request().await;
             connection.respond(200, "r2", "", "next").await;
-            check_success(&read_response(&mut client).await?, "next")
+            check_success(&read_response(&mut exchange.client).await?, "next")
         })
         .await;
     });
@@ -216,12 +252,10 @@
 fn a_stream_with_a_broken_head_becomes_a_502() {
     run_test(async {
         for_each_head(broken_heads(), |head| async {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
-            let mut client = proxy.send_request(&post("/stream/", "r1", "", "x")).await;
-            let (mut connection, _) = endpoint.next_request().await;
-            let response = head.with_body(RESPONSE_LINES, &event(1));
-            Delivery::ThenClosed.send(&mut connection, &response).await;
-            check_bad_gateway(&read_response(&mut client).await?)
+            let mut exchange = Exchange::start(&post("/stream/", "r1", "", "x")).await;
+            let body = event(1);
+            let response = exchange.respond(head, &body, Delivery::ThenClosed);
+            check_bad_gateway(&response.await?)
         })
         .await;
     });
@@ -275,33 +309,51 @@
 fn a_turn_with_a_broken_head_is_not_stored() {
     run_test(async {
         for_each_head(broken_heads(), |head| async {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
-            proxy.node.persist_permits.add_permits(1);
-            let mut client = proxy
-                .send_request(&post("/turn/", "r1", TURN_HEADERS, "x"))
-                .await;
-            let (mut connection, _) = endpoint.next_request().await;
-            let response = head.with_body(RESPONSE_LINES, &event(1));
-            Delivery::ThenClosed.send(&mut connection, &response).await;
-            check_bad_gateway(&read_response(&mut client).await?)?;
-            let calls = proxy.node.calls();
-            let stored = calls
-                .iter()
-                .find(|call| matches!(call, NodeCall::Persist(_)));
+            let turn = post("/turn/", "r1", TURN_HEADERS, "x");
+            let mut exchange = Exchange::start(&turn).await;
+            let body = event(1);
+            let response = exchange.respond(head, &body, Delivery::ThenClosed);
+            check_bad_gateway(&response.await?)?;
+            let calls = exchange.proxy.node.calls();
+            let is_store_call = |call: &&NodeCall| matches!(call, NodeCall::Persist(_));
+            let stored = calls.iter().find(is_store_call);
             stored.map_or(Ok(()), |call| Err(format!("{call:?}")))
         })
         .await;
     });
 }
 
+/// A statement that the request has not run is believed only in a sound head.
+#[test]
+fn a_broken_rejection_does_not_show_that_the_request_has_not_run() {
+    const STATUS_LINES: [&str; 2] = ["HTTP/1.1 503 Full", "HTTP/1.1 421 Other"];
+    // The head that is broken by its version is sound in HTTP/1.1.
+    let heads = BROKEN_LENGTHS
+        .iter()
+        .filter(|head| head.status_line.starts_with("HTTP/1.1"));
+    run_test(async {
+        for status_line in STATUS_LINES {
+            for_each_head(heads.clone(), |head| async {
+                let mut exchange = Exchange::start(&write_request("r1")).await;
+                let rejection = ResponseHead {
+                    status_line,
+                    ..*head
+                };
+                let lines = format!("{RESPONSE_LINES}X-Dunespur-Not-Executed: full\r\n");
+                let response = rejection.with_body(&lines, "");
+                let connection = &mut exchange.connection;
+                Delivery::ThenClosed.send(connection, &response).await;
+                check_bad_gateway(&read_response(&mut exchange.client).await?)
+            })
+            .await;
+        }
+    });
+}
+
 /// Sends a sound response to a request that is not idempotent, and returns what the client gets.
 async fn response_to_a_write(head: &ResponseHead, body: &str) -> Result<Message, String> {
-    let (proxy, endpoint) = TestProxy::with_endpoint().await;
-    let mut client = proxy.send_request(&post("/write/", "r1", "", "x")).await;
-    let (mut connection, _) = endpoint.next_request().await;
-    let response = head.with_body(RESPONSE_LINES, body);
-    Delivery::ThenClosed.send(&mut connection, &response).await;
-    read_response(&mut client).await
+    let mut exchange = Exchange::start(&write_request("r1")).await;
+    exchange.respond(head, body, Delivery::ThenClosed).await
 }
 
 #[test]
@@ -345,17 +397,11 @@
 fn each_form_of_a_sound_stream_is_forwarded_and_stored() {
     run_test(async {
         for_each_head(SOUND_SUCCESSES.iter(), |head| async {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
-            proxy.node.persist_permits.add_permits(1);
-            let mut client = proxy
-                .send_request(&post("/turn/", "r1", TURN_HEADERS, "x"))
-                .await;
-            let (mut connection, _) = endpoint.next_request().await;
-            let response = head.with_body(RESPONSE_LINES, &events(1..=2));
-            Delivery::BytesThenClosed
-                .send(&mut connection, &response)
-                .await;
-            check_success(&read_response(&mut client).await?, &events(1..=2))?;
+            let turn = post("/turn/", "r1", TURN_HEADERS, "x");
+            let mut exchange = Exchange::start(&turn).await;
+            let body = events(1..=2);
+            let response = exchange.respond(head, &body, Delivery::BytesThenClosed);
+            check_success(&response.await?, &body)?;
             let stored = NodeCall::Persist(CompletedTurn {
                 id: "r1".to_owned(),
                 previous: None,
@@ -364,10 +410,11 @@
                 output: bytes("word1\nword2\n"),
                 retention_ms: 60_000,
             });
-            if proxy.node.calls().contains(&stored) {
+            let calls = exchange.proxy.node.calls();
+            if calls.contains(&stored) {
                 Ok(())
             } else {
-                Err(format!("{:?}", proxy.node.calls()))
+                Err(format!("{calls:?}"))
             }
         })
         .await;
@@ -380,14 +427,10 @@
         for status in [
             "203", "299", "302", "399", "400", "402", "499", "500", "504", "599",
         ] {
-            let endpoint = TestEndpoint::start("i-1").await;
-            let proxy = TestProxy::start(&[&endpoint]).await;
-            let mut client = proxy.send_request(&post("/write/", "r1", "", "x")).await;
-            let (mut connection, _) = endpoint.next_request().await;
-            connection
-                .respond(status.parse().unwrap(), "r1", "", "body")
-                .await;
-            let response = client.message().await;
+            let mut exchange = Exchange::start(&write_request("r1")).await;
+            let number = status.parse().unwrap();
+            exchange.connection.respond(number, "r1", "", "body").await;
+            let response = exchange.client.message().await;
             assert_eq!(response.first_line, format!("HTTP/1.1 {status} X"));
             assert_eq!(response.text(), "body");
         }
@@ -407,15 +450,14 @@
             ("/write/", "y".repeat(LONG_BODY_BYTES)),
             ("/stream/", event(1)),
         ] {
-            let (proxy, endpoint) = TestProxy::with_endpoint().await;
-            let mut client = proxy.send_request(&post(path, "r1", "", "x")).await;
-            let (mut connection, _) = endpoint.next_request().await;
+            let mut exchange = Exchange::start(&post(path, "r1", "", "x")).await;
             let response = head.with_body(RESPONSE_LINES, &body);
-            Delivery::StaysOpen.send(&mut connection, &response).await;
-            let response = client.head().await;
+            let connection = &mut exchange.connection;
+            Delivery::StaysOpen.send(connection, &response).await;
+            let response = exchange.client.head().await;
             assert_eq!(response.first_line, "HTTP/1.1 200 OK", "{path}");
-            connection.reset();
-            let truncated = client.read_body(&response).await;
+            exchange.connection.reset();
+            let truncated = exchange.client.read_body(&response).await;
             assert!(truncated.is_err(), "{path}: {response:?}");
         }
     });
