Gateway: the parts of server_connections.rs in modules

Need: the file had grown to over 550 lines, with what an exchange gives and how much of an attempt is written among the connections.

Change: WriteProgress, with its test, and the types of an exchange are modules of their own; a constructor in place of a struct filled in at its use. No change of behaviour.

--- a/crates/gateway/gateway/src/server_connections.rs
+++ b/crates/gateway/gateway/src/server_connections.rs
@@ -2,12 +2,15 @@
 //! the bytes written, which tells whether the server can have run an attempt. An attempt is never sent twice, or
 //! written once the state machine no longer wants it; servers are chosen elsewhere.
 
+mod exchange;
+mod write_progress;
+
 use crate::error::GatewayError;
 use crate::event_loop::EventLoop;
 use crate::protocol::{decode_response, encode_server_request, ServerResponse, MAX_BODY_BYTES};
 use crate::state_machine::{Attempt, Event};
 use dunespur_decisions::types::AttemptResult;
-use dunespur_response_head::ResponseHeadError;
+use exchange::{Exchange, ExchangeError};
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1;
 use hyper::header::CONNECTION;
@@ -15,51 +18,21 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{Error as IoError, ErrorKind, Result as Io};
+use std::io::{Error, ErrorKind, Result as Io};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
+use write_progress::WriteProgress;
 
 /// Seconds that a connection stays idle between a response and the next attempt. A duplicate of the response that
 /// arrives some milliseconds late would otherwise be taken for the response to the next attempt.
 const MIN_IDLE_S: f64 = 0.01;
 
-/// How much of the current attempt has been written.
-#[derive(Clone, Copy, Default)]
-struct WriteProgress {
-    /// The last four bytes of the head written so far.
-    last_four: u32,
-    head_complete: bool,
-    /// Bytes of the body that have not been written.
-    body_left: usize,
-}
-
-impl WriteProgress {
-    fn record(&mut self, bytes: &[u8]) {
-        let mut bytes = bytes.iter();
-        while !self.head_complete {
-            let Some(&byte) = bytes.next() else { return };
-            self.last_four = self.last_four << 8 | u32::from(byte);
-            self.head_complete = self.last_four == u32::from_be_bytes(*b"\r\n\r\n");
-        }
-        self.body_left = self.body_left.saturating_sub(bytes.len());
-    }
-
-    fn has_begun(self) -> bool {
-        self.head_complete || self.last_four != 0
-    }
-
-    fn is_complete(self) -> bool {
-        self.head_complete && self.body_left == 0
-    }
-}
-
 /// A connection to a server, shared between its task and the code that may close it.
 struct Connection {
     server: usize,
@@ -88,7 +61,7 @@
     ) -> Poll<Io<T>> {
         match &mut *self.stream.borrow_mut() {
             Some(stream) => poll_stream(Pin::new(stream)),
-            None => Poll::Ready(Err(IoError::from(ErrorKind::NotConnected))),
+            None => Poll::Ready(Err(Error::from(ErrorKind::NotConnected))),
         }
     }
 }
@@ -446,10 +419,8 @@
                 self.report(Err(GatewayError::ClosedBeforeSent));
                 continue;
             }
-            connection.written.set(WriteProgress {
-                body_left: attempt.request.body_len(),
-                ..WriteProgress::default()
-            });
+            let written = WriteProgress::of_attempt(attempt.request.body_len());
+            connection.written.set(written);
             let request = encode_server_request(&attempt.request, attempt.deadline - now);
             let mut exchange = pin!(async {
                 sender.ready().await?;
@@ -531,28 +502,3 @@
         }
     }
 }
-
-/// Why an exchange gave no response.
-#[derive(Debug, Error)]
-enum ExchangeError {
-    /// The connection failed, or the response could not be parsed.
-    #[error(transparent)]
-    Connection(#[from] hyper::Error),
-    /// The response arrived before the request was completely written, so it belongs to another request.
-    #[error("the response arrived before the request was completely written")]
-    BeforeRequest,
-    /// The response has an invalid head.
-    #[error(transparent)]
-    InvalidHead(#[from] ResponseHeadError),
-}
-
-/// A response from a server.
-struct Exchange<E> {
-    head: hyper::http::response::Parts,
-    body: Result<http_body_util::Collected<bytes::Bytes>, E>,
-    /// The server closes the connection after this response.
-    server_closes: bool,
-}
-
-#[cfg(test)]
-mod tests;
